--- /dev/null
+++ b/packages/backends/mulberrybay_backends/__init__.py
@@ -0,0 +1,1 @@
+"""Connections from mulberrybay to backend servers."""
--- /dev/null
+++ b/packages/callers/mulberrybay_callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of mulberrybay towards callers."""
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The node program of mulberrybay, which joins the other packages."""
--- /dev/null
+++ b/packages/nodes/mulberrybay_nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The links between the nodes of mulberrybay."""
--- /dev/null
+++ b/packages/operators/mulberrybay_operators/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API of mulberrybay and its command line."""
--- /dev/null
+++ b/packages/platform/mulberrybay_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's object store."""
