--- /dev/null
+++ b/packages/testing/mulberrybay_testing/http_server.py
@@ -0,0 +1,257 @@
+"""A small HTTP/1.1 keep-alive server for the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import json
+from collections import deque
+from typing import NamedTuple, Protocol
+from urllib.parse import parse_qsl, unquote
+
+import httptools
+
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    412: "Precondition Failed",
+    413: "Payload Too Large",
+    428: "Precondition Required",
+    429: "Too Many Requests",
+    499: "Client Closed Request",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+
+class Delivery(enum.Enum):
+    """How a response is put on the connection."""
+
+    WHOLE = "whole"
+    TWICE = "twice"
+    CUT_SHORT = "cut_short"
+    CLOSED = "closed"
+
+
+class Request(NamedTuple):
+    """One parsed request; header names are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    connection: Connection
+
+
+class Response(NamedTuple):
+    """One response; its length header is added on sending."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    delivery: Delivery = Delivery.WHOLE
+
+
+CLOSE_WITHOUT_RESPONSE = Response(0, delivery=Delivery.CLOSED)
+
+
+def json_response(
+    status: int, document: object, *headers: tuple[str, str]
+) -> Response:
+    """Returns a response whose body is the document as JSON."""
+    body = json.dumps(document, separators=(",", ":")).encode()
+    return Response(status, body, headers)
+
+
+class Handler(Protocol):
+    """Answers requests, and may observe connections."""
+
+    async def handle(self, request: Request) -> Response:
+        """Returns the response to one request."""
+
+    def connection_opened(self, connection: Connection) -> bool:
+        """Returns whether the new connection is accepted."""
+
+    def connection_closed(self, connection: Connection) -> None:
+        """Observes the end of an accepted connection."""
+
+
+class Connection(asyncio.Protocol):
+    """One connection; its requests are handled one after another."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.silent = False
+        self.response_count = 0
+        self._handler = handler
+        self._transport: asyncio.Transport | None = None
+        self._accepted = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[Request] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Asks the handler whether to accept the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._accepted = self._handler.connection_opened(self)
+        if not self._accepted:
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancels the request in progress."""
+        del exc
+        self._transport = None
+        self._waiting.clear()
+        if self._task is not None:
+            self._task.cancel()
+        if self._accepted:
+            self._handler.connection_closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses the bytes unless the connection is silent."""
+        if self.silent or not self._accepted:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.close()
+
+    def on_message_begin(self) -> None:
+        """Starts a new request; called by the parser."""
+        self._url = b""
+        self._headers = {}
+        self._body = []
+
+    def on_url(self, url: bytes) -> None:
+        """Collects the URL; called by the parser."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collects one header; called by the parser."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        """Collects a part of the body; called by the parser."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queues the whole request; called by the parser."""
+        path, _, query = self._url.decode("latin-1").partition("?")
+        request = Request(
+            self._parser.get_method().decode(),
+            unquote(path),
+            dict(parse_qsl(query)) if query else {},
+            self._headers,
+            b"".join(self._body),
+            self,
+        )
+        self._waiting.append(request)
+        if self._task is None:
+            self._task = asyncio.create_task(self._handle_waiting())
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _handle_waiting(self) -> None:
+        try:
+            while self._waiting:
+                request = self._waiting.popleft()
+                try:
+                    response = await self._handler.handle(request)
+                except Exception as error:
+                    response = json_response(500, {"error": repr(error)})
+                self._send(response)
+        finally:
+            self._task = None
+
+    def _send(self, response: Response) -> None:
+        self.response_count += 1
+        if self._transport is None or self.silent:
+            return
+        if response.delivery is Delivery.CLOSED:
+            self._transport.abort()
+            return
+        encoded = _encode(response)
+        if response.delivery is Delivery.CUT_SHORT:
+            kept = len(encoded) - max(1, len(response.body) // 2)
+            self._transport.write(encoded[:kept])
+            self._transport.close()
+            return
+        if response.delivery is Delivery.TWICE:
+            encoded += encoded
+        self._transport.write(encoded)
+
+
+def _encode(response: Response) -> bytes:
+    reason = _REASONS.get(response.status, "Unknown")
+    lines = [f"HTTP/1.1 {response.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in response.headers]
+    if response.status != 204:
+        lines.append("Content-Type: application/json")
+        lines.append(f"Content-Length: {len(response.body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
+
+
+class HttpServer:
+    """Listens on one address; owns the connections accepted there."""
+
+    def __init__(self, host: str, port: int, handler: Handler) -> None:
+        if not host.startswith("127."):
+            raise ValueError(f"stand-ins listen on loopback only, not {host}")
+        self._host = host
+        self._port = port
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> HttpServer:
+        """Starts to listen."""
+        await self.listen()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops listening."""
+        self.stop_listening()
+
+    async def listen(self) -> None:
+        """Listens, unless the server does so already."""
+        if self._server is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Connection(self._handler),
+            self._host,
+            self._port,
+            backlog=1024,
+            reuse_address=True,
+        )
+
+    def stop_listening(self) -> None:
+        """Closes the listening socket; connections stay open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+
+class JsonHandler:
+    """Base of handlers that accept every connection."""
+
+    def connection_opened(self, connection: Connection) -> bool:
+        """Accepts the connection."""
+        del connection
+        return True
+
+    def connection_closed(self, connection: Connection) -> None:
+        """Ignores the end of the connection."""
+        del connection
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/platform_standin.py
@@ -0,0 +1,297 @@
+"""Stand-in of the platform: object API, watches and the VM list."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import time
+from collections import Counter
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import NamedTuple
+
+from mulberrybay_testing.event_log import EventLog
+from mulberrybay_testing.http_server import (
+    CLOSE_WITHOUT_RESPONSE,
+    Delivery,
+    HttpServer,
+    JsonHandler,
+    Request,
+    Response,
+    json_response,
+)
+from mulberrybay_testing.lagged_value import LaggedValue
+from mulberrybay_testing.object_store import (
+    MAX_VALUE_BYTES,
+    ObjectStore,
+    WriteResult,
+    parse_condition,
+)
+from mulberrybay_testing.platform_control import (
+    PlatformControl,
+    PlatformFaults,
+    RateLimit,
+    Vm,
+    changed_vms,
+)
+from mulberrybay_testing.program import run_until_terminated
+
+_HOST = "127.0.0.1"
+_MAX_WATCH_S = 60.0
+_WRITE_OPERATIONS = ("put", "delete")
+_RETRY_AFTER = ("Retry-After", "1")
+
+
+class PlatformSettings(NamedTuple):
+    """Settings of the platform stand-in; a rate of 0 means no limit."""
+
+    port: int
+    log: Path
+    vms: Path | None
+    vm_list_lag_s: float
+    max_writes_per_s: float
+    max_reads_per_s: float
+
+
+class _Target(NamedTuple):
+    """What a call is about, from its path."""
+
+    operation: str
+    kind: str = ""
+    name: str = ""
+
+
+class PlatformStandin(JsonHandler):
+    """Serves the platform's protocol and its control requests."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._store = ObjectStore()
+        self._faults = PlatformFaults()
+        self._vms = LaggedValue(_read_vms(settings), settings.vm_list_lag_s)
+        self._reads = RateLimit(settings.max_reads_per_s)
+        self._writes = RateLimit(settings.max_writes_per_s)
+        self._call_counts: Counter[str] = Counter()
+        self._changed = asyncio.Event()
+        self._exits = AsyncExitStack()
+        self._log = EventLog(settings.log)
+
+    async def __aenter__(self) -> PlatformStandin:
+        """Starts to listen."""
+        self._exits.enter_context(self._log)
+        server = HttpServer(_HOST, self._settings.port, self)
+        await self._exits.enter_async_context(server)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops listening and closes the log."""
+        await self._exits.aclose()
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one call or control request."""
+        if request.path == "/control":
+            return self._handle_control(request)
+        target = _parse_target(request)
+        if target is None:
+            return json_response(404, {"error": "unknown path"})
+        self._call_counts[target.operation] += 1
+        return await self._handle_call(request, target)
+
+    async def _handle_call(self, request: Request, target: _Target) -> Response:
+        response = CLOSE_WITHOUT_RESPONSE
+        try:
+            response = await self._respond(request, target)
+        finally:
+            self._record_call(request, target, response)
+        return response
+
+    async def _respond(self, request: Request, target: _Target) -> Response:
+        if self._faults.delay_s > 0:
+            await asyncio.sleep(self._faults.delay_s)
+        refusal = await self._apply_outage()
+        if refusal is None:
+            refusal = self._apply_rate_limit(target)
+        if refusal is not None:
+            return refusal
+        return await self._serve(request, target)
+
+    async def _serve(self, request: Request, target: _Target) -> Response:
+        match target.operation:
+            case "get":
+                return self._get(target)
+            case "list":
+                return json_response(200, self._store.list_kind(target.kind))
+            case "watch":
+                return await self._watch(request, target.kind)
+            case "vms":
+                vms = self._vms.read(time.monotonic())
+                return json_response(200, {"vms": vms})
+            case _:
+                return self._write(request, target)
+
+    async def _apply_outage(self) -> Response | None:
+        outage = self._faults.outage
+        if outage == "refuse":
+            return CLOSE_WITHOUT_RESPONSE
+        if outage == "silent":
+            await asyncio.Event().wait()
+        if outage == "unavailable":
+            return json_response(503, {"error": "unavailable"}, _RETRY_AFTER)
+        return None
+
+    def _apply_rate_limit(self, target: _Target) -> Response | None:
+        writes = target.operation in _WRITE_OPERATIONS
+        limit = self._writes if writes else self._reads
+        if limit.allow():
+            return None
+        return json_response(429, {"error": "rate"}, _RETRY_AFTER)
+
+    def _get(self, target: _Target) -> Response:
+        item = self._store.get(target.kind, target.name)
+        if item is None:
+            return json_response(404, {"error": "absent"})
+        tag = ("ETag", f'"{item["version"]}"')
+        return json_response(200, item, tag)
+
+    async def _watch(self, request: Request, kind: str) -> Response:
+        after = int(request.query.get("after", "0"))
+        timeout_s = min(
+            float(request.query.get("timeout_s", "0")), _MAX_WATCH_S
+        )
+        ends_at_s = time.monotonic() + timeout_s
+        while True:
+            outage = await self._apply_outage()
+            if outage is not None:
+                return outage
+            changes = self._store.list_kind(kind, after)
+            left_s = ends_at_s - time.monotonic()
+            if changes["items"] or left_s <= 0:
+                return json_response(200, changes)
+            await self._wait_for_change(left_s)
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+    def _announce_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _write(self, request: Request, target: _Target) -> Response:
+        puts = target.operation == "put"
+        if puts and self._faults.take_lost_request(target.kind):
+            return CLOSE_WITHOUT_RESPONSE
+        if len(request.body) > MAX_VALUE_BYTES:
+            return json_response(413, {"error": "value above 1 MiB"})
+        condition = parse_condition(request.headers)
+        if condition is None:
+            return json_response(428, {"error": "condition missing"})
+        if not puts:
+            result = self._store.delete(target.kind, target.name, condition)
+            return self._finish_write(result)
+        try:
+            value = json.loads(request.body)
+        except ValueError:
+            return json_response(400, {"error": "value is not JSON"})
+        result = self._store.put(target.kind, target.name, value, condition)
+        response = self._finish_write(result)
+        if result.status < 300 and self._faults.take_lost_answer(target.kind):
+            return response._replace(delivery=Delivery.CLOSED)
+        return response
+
+    def _finish_write(self, result: WriteResult) -> Response:
+        if result.status < 300:
+            self._announce_change()
+        if result.status == 204:
+            return Response(204)
+        return json_response(result.status, {"version": result.version})
+
+    def _record_call(
+        self, request: Request, target: _Target, response: Response
+    ) -> None:
+        writes = target.operation in _WRITE_OPERATIONS
+        written = writes and 200 <= response.status < 300
+        closed = response.delivery is Delivery.CLOSED
+        self._log.write(
+            "call",
+            {
+                "method": request.method,
+                "path": request.path,
+                "kind": target.kind,
+                "name": target.name,
+                "status": response.status,
+                "version": self._store.version if written else 0,
+                "answer_lost": closed and response.status != 0,
+            },
+        )
+
+    def _handle_control(self, request: Request) -> Response:
+        if request.method == "GET":
+            state = {
+                "calls": self._call_counts,
+                "store": self._store.list_all(),
+                "vms": self._vms.current,
+                "outage": self._faults.outage,
+            }
+            return json_response(200, state)
+        control: PlatformControl = json.loads(request.body)
+        self._faults.apply(control)
+        if "vm_list_lag_s" in control:
+            self._vms.lag_s = control["vm_list_lag_s"]
+        vms = changed_vms(self._vms.current, control)
+        if vms != self._vms.current:
+            self._vms.record(vms, time.monotonic())
+        self._log.write("control", {"settings": dict(control)})
+        self._announce_change()
+        return json_response(200, {})
+
+
+def _parse_target(request: Request) -> _Target | None:
+    match request.method, request.path.split("/")[1:]:
+        case "GET", ["v1", "vms"]:
+            return _Target("vms")
+        case "GET", ["v1", "watch", kind]:
+            return _Target("watch", kind)
+        case "GET", ["v1", "objects", kind]:
+            return _Target("list", kind)
+        case ("GET" | "PUT" | "DELETE") as method, [
+            "v1",
+            "objects",
+            kind,
+            name,
+        ]:
+            return _Target(method.lower(), kind, name)
+    return None
+
+
+def _read_vms(settings: PlatformSettings) -> tuple[Vm, ...]:
+    if settings.vms is None:
+        return ()
+    return tuple(json.loads(settings.vms.read_text(encoding="utf-8")))
+
+
+def _parse_arguments(arguments: Sequence[str] | None) -> PlatformSettings:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--log", type=Path, required=True)
+    parser.add_argument("--vms", type=Path)
+    parser.add_argument("--vm-list-lag-s", type=float, default=1.0)
+    parser.add_argument("--max-writes-per-s", type=float, default=0.0)
+    parser.add_argument("--max-reads-per-s", type=float, default=0.0)
+    return PlatformSettings(**vars(parser.parse_args(arguments)))
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the platform stand-in until SIGTERM."""
+    settings = _parse_arguments(arguments)
+    ready_line = f"ready {_HOST}:{settings.port}"
+    run_until_terminated(PlatformStandin(settings), ready_line)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/processes.py
@@ -0,0 +1,172 @@
+"""Starts, signals and ends the processes of tests and of the demo."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+_FIRST_PORT = 20000
+_PORT_COUNT = 10000
+_PORTS_PER_PROCESS = 97
+_POLL_INTERVAL_S = 0.01
+_TAIL_BYTES = 2000
+_STOP_TIMEOUT_S = 5.0
+
+
+class ProcessError(Exception):
+    """A process did not do what was expected of it."""
+
+    def __init__(self, step: str, process: ManagedProcess) -> None:
+        super().__init__(f"{process.name}: {step}\n{process.log_tail()}")
+        self.step = step
+        self.process_name = process.name
+
+
+class ManagedProcess:
+    """One process in its own process group, with its output in files."""
+
+    def __init__(
+        self,
+        name: str,
+        argv: Sequence[str],
+        env: Mapping[str, str],
+        folder: Path,
+    ) -> None:
+        self.name = name
+        self._stdout = folder / f"{name}.stdout"
+        self._stderr = folder / f"{name}.stderr"
+        with self._stdout.open("wb") as stdout, self._stderr.open("wb") as err:
+            self._popen = subprocess.Popen(
+                argv,
+                env={**os.environ, **env},
+                stdin=subprocess.DEVNULL,
+                stdout=stdout,
+                stderr=err,
+                start_new_session=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._popen.pid
+
+    @property
+    def returncode(self) -> int | None:
+        """The exit code, or None while the process runs."""
+        return self._popen.poll()
+
+    def wait_ready(self, prefix: str = "ready", timeout_s: float = 10.0) -> str:
+        """Waits for a line of standard output that starts with a prefix."""
+        ends_at_s = time.monotonic() + timeout_s
+        while time.monotonic() < ends_at_s:
+            exited = self.returncode is not None
+            for line in self._stdout.read_text(errors="replace").split("\n")[
+                :-1
+            ]:
+                if line.startswith(prefix):
+                    return line
+            if exited:
+                raise ProcessError(f"exited with {self.returncode}", self)
+            time.sleep(_POLL_INTERVAL_S)
+        raise ProcessError(f"no line {prefix!r} in {timeout_s} s", self)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process group, if it still runs."""
+        if self.returncode is None:
+            os.killpg(self.pid, number)
+
+    def freeze(self) -> None:
+        """Stops the process from running until thaw."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process run again."""
+        self.signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.signal(signal.SIGKILL)
+        self._popen.wait(_STOP_TIMEOUT_S)
+
+    def terminate(self, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Asks the process to end; returns its exit code."""
+        self.signal(signal.SIGTERM)
+        self.thaw()
+        try:
+            return self._popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            raise ProcessError(
+                f"still runs {timeout_s} s after SIGTERM", self
+            ) from None
+
+    def log_tail(self) -> str:
+        """Returns the last part of the output."""
+        return "".join(
+            path.read_bytes()[-_TAIL_BYTES:].decode(errors="replace")
+            for path in (self._stdout, self._stderr)
+        )
+
+
+class Processes:
+    """Owns processes and ends them on leaving; a context manager."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: list[ManagedProcess] = []
+
+    def __enter__(self) -> Processes:
+        """Returns the owner of the processes."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Ends every process that still runs."""
+        for process in self._processes:
+            process.signal(signal.SIGTERM)
+            process.thaw()
+        for process in reversed(self._processes):
+            try:
+                process.terminate()
+            except ProcessError:
+                process.kill()
+
+    def start(
+        self,
+        name: str,
+        argv: Sequence[str],
+        env: Mapping[str, str] | None = None,
+    ) -> ManagedProcess:
+        """Starts a process; its output goes to files named after it."""
+        process = ManagedProcess(name, argv, env or {}, self._folder)
+        self._processes.append(process)
+        return process
+
+
+_port_offsets = itertools.count()
+
+
+def free_port() -> int:
+    """Returns a free loopback port that was not handed out before."""
+    start = os.getpid() * _PORTS_PER_PROCESS
+    for _ in range(_PORT_COUNT):
+        offset = (start + next(_port_offsets)) % _PORT_COUNT
+        port = _FIRST_PORT + offset
+        if _is_free(port):
+            return port
+    raise OSError("no free port on loopback")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/tcp_proxy.py
@@ -0,0 +1,199 @@
+"""A TCP proxy that injects faults between two processes."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import NamedTuple, TypedDict
+
+from mulberrybay_testing.event_log import EventLog
+from mulberrybay_testing.http_server import (
+    HttpServer,
+    JsonHandler,
+    Request,
+    Response,
+    json_response,
+)
+from mulberrybay_testing.program import run_until_terminated
+from mulberrybay_testing.proxy_link import Link, ProxyFaults, ProxySettings
+
+_HOST = "127.0.0.1"
+
+
+class ProxySpec(NamedTuple):
+    """One port that is forwarded."""
+
+    name: str
+    listen_port: int
+    target_host: str
+    target_port: int
+
+
+class ProxyControl(TypedDict, total=False):
+    """A control document: which proxies, and what to set there."""
+
+    names: list[str]
+    all: bool
+    set: ProxySettings
+
+
+class ProcessSettings(NamedTuple):
+    """Settings of the process that hosts the proxies."""
+
+    specs: tuple[ProxySpec, ...]
+    control_port: int
+    log: Path
+
+
+class Proxy:
+    """Forwards the connections to one port; owns them."""
+
+    def __init__(self, spec: ProxySpec) -> None:
+        self.spec = spec
+        self._faults = ProxyFaults()
+        self._links: set[Link] = set()
+        self._accepted_count = 0
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Proxy:
+        """Starts to listen."""
+        await self._listen()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops listening and closes the connections."""
+        self._stop_listening()
+        self._drop_links()
+
+    async def apply(self, settings: ProxySettings) -> None:
+        """Applies what control sets."""
+        self._faults.apply(settings)
+        if "silent" in settings:
+            for link in self._links:
+                link.silent = bool(settings["silent"])
+        if settings.get("drop_existing"):
+            self._drop_links()
+        if self._faults.cut:
+            self._stop_listening()
+            self._drop_links()
+        else:
+            await self._listen()
+
+    def counters(self) -> dict[str, int]:
+        """Returns the numbers of connections."""
+        return {"open": len(self._links), "accepted": self._accepted_count}
+
+    async def _listen(self) -> None:
+        if self._server is None:
+            self._server = await asyncio.start_server(
+                self._serve, _HOST, self.spec.listen_port, backlog=1024
+            )
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def _drop_links(self) -> None:
+        for link in list(self._links):
+            link.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._accepted_count += 1
+        link = Link(self._faults)
+        self._links.add(link)
+        try:
+            target = await asyncio.open_connection(
+                self.spec.target_host, self.spec.target_port
+            )
+            if self._faults.cut:
+                target[1].transport.abort()
+            else:
+                await link.run((reader, writer), target)
+        except OSError:
+            pass
+        finally:
+            self._links.discard(link)
+            writer.transport.abort()
+
+
+class ProxyProcess(JsonHandler):
+    """Hosts proxies and answers control requests."""
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self._settings = settings
+        self._log = EventLog(settings.log)
+        self._proxies = [Proxy(spec) for spec in settings.specs]
+        self._exits = AsyncExitStack()
+
+    async def __aenter__(self) -> ProxyProcess:
+        """Starts every proxy and the control port."""
+        self._exits.enter_context(self._log)
+        for proxy in self._proxies:
+            await self._exits.enter_async_context(proxy)
+        control = HttpServer(_HOST, self._settings.control_port, self)
+        await self._exits.enter_async_context(control)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops the proxies and closes the log."""
+        await self._exits.aclose()
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one control request."""
+        if request.path != "/control":
+            return json_response(404, {"error": "unknown path"})
+        if request.method == "GET":
+            return json_response(
+                200,
+                {item.spec.name: item.counters() for item in self._proxies},
+            )
+        control: ProxyControl = json.loads(request.body)
+        names = control.get("names", [])
+        for proxy in self._proxies:
+            if control.get("all") or proxy.spec.name in names:
+                await proxy.apply(control["set"])
+                self._log.write(
+                    "control",
+                    {
+                        "name": proxy.spec.name,
+                        "settings": dict(control["set"]),
+                    },
+                )
+        return json_response(200, {})
+
+
+def _parse_arguments(arguments: Sequence[str] | None) -> ProcessSettings:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--spec", type=Path)
+    parser.add_argument("--listen", type=int)
+    parser.add_argument("--target", help="HOST:PORT")
+    parser.add_argument("--control-port", type=int, required=True)
+    parser.add_argument("--log", type=Path, required=True)
+    parsed = parser.parse_args(arguments)
+    if parsed.spec is not None:
+        documents = json.loads(parsed.spec.read_text(encoding="utf-8"))
+        specs = tuple(ProxySpec(**document) for document in documents)
+    elif parsed.listen is not None and parsed.target is not None:
+        host, _, port = parsed.target.rpartition(":")
+        specs = (ProxySpec("proxy", parsed.listen, host, int(port)),)
+    else:
+        parser.error("--spec or both of --listen and --target are needed")
+    return ProcessSettings(specs, parsed.control_port, parsed.log)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs the proxies until SIGTERM."""
+    settings = _parse_arguments(arguments)
+    ready_line = f"ready {_HOST}:{settings.control_port}"
+    run_until_terminated(ProxyProcess(settings), ready_line)
+
+
+if __name__ == "__main__":
+    main()
