--- /dev/null
+++ b/packages/backends/mulberrybay_backends/connections.py
@@ -0,0 +1,301 @@
+"""Connections to the backend servers that this node holds.
+
+Each connection carries one request at a time. A connection whose request did
+not end with a whole, matching reply is closed and never used again.
+"""
+
+from collections import Counter
+from typing import Final, Self
+
+import httptools
+
+from mulberrybay_backends.protocol import (
+    encode_backend_request,
+    encode_cancel,
+    read_backend_reply,
+)
+from mulberrybay_core.backend_messages import (
+    BackendOutcome,
+    BackendRequest,
+    BackendResult,
+    BackendResultHandler,
+)
+from mulberrybay_core.errors import RunState
+from mulberrybay_core.fleet import BackendServer
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import (
+    HttpReply,
+    ReplyParser,
+    ReplyTooLargeError,
+)
+from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_runtime.timers import Timer, Timers
+
+CANCEL_GRACE_S: Final = 0.1
+
+
+class _Exchange:
+    """One request and what is known of it."""
+
+    def __init__(
+        self,
+        server: BackendServer,
+        request: BackendRequest,
+        reply: BackendResultHandler,
+    ) -> None:
+        self.server = server
+        self.request = request
+        self._reply: BackendResultHandler | None = reply
+        self.started_at_s = read_clock_s()
+        self.was_sent = False
+        self.is_cancelled = False
+        self.timer: Timer | None = None
+        self.connection: _Connection | None = None
+
+    def finish(self, result: BackendResult) -> None:
+        """Gives the result, once."""
+        if self.timer is not None:
+            self.timer.cancel()
+        reply = self._reply
+        self._reply = None
+        if reply is not None:
+            latency_s = read_clock_s() - self.started_at_s
+            reply(result._replace(latency_s=latency_s))
+
+    @property
+    def unanswered_state(self) -> RunState:
+        """What is known of the effect while there is no reply."""
+        return RunState.UNKNOWN if self.was_sent else RunState.NOT_RUN
+
+
+class _Connection:
+    """One connection to one backend server."""
+
+    def __init__(self, pool: "_ServerPool", exchange: _Exchange | None) -> None:
+        self._pool = pool
+        self._parser = ReplyParser()
+        self.exchange = exchange
+        self.stream: Stream | None = None
+        self.used_at_s = read_clock_s()
+        self.ignored_reply_count = 0
+
+    def on_connected(self, stream: Stream) -> None:
+        """Sends the request that waits for the connection."""
+        del stream
+        if self.exchange is not None:
+            self.send(self.exchange)
+
+    def send(self, exchange: _Exchange) -> None:
+        """Sends a request on the open connection."""
+        self.exchange = exchange
+        exchange.connection = self
+        if self.stream is None:
+            return
+        time_left_s = exchange.request.deadline_at_s - read_clock_s()
+        data = encode_backend_request(
+            exchange.server, exchange.request, time_left_s
+        )
+        exchange.was_sent = self.stream.send(data)
+
+    def send_cancel(self, server: BackendServer, request_id: str) -> None:
+        """Sends a cancellation; its reply carries nothing of interest."""
+        if self.stream is not None:
+            self.ignored_reply_count += 1
+            self.stream.send(encode_cancel(server, request_id))
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Takes bytes of a reply."""
+        try:
+            replies = self._parser.feed(data)
+        except (httptools.HttpParserError, ReplyTooLargeError) as error:
+            stream.close()
+            self._pool.on_broken(self, BackendOutcome.BAD_REPLY, repr(error))
+            return
+        for reply in replies:
+            self._pool.on_reply(self, reply)
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """The connection has ended."""
+        del stream
+        self._pool.on_broken(self, BackendOutcome.CONNECTION_LOST, reason)
+
+
+class _ServerPool:
+    """The connections to one backend server."""
+
+    def __init__(self, server: BackendServer, streams: Streams) -> None:
+        self.server = server
+        self._streams = streams
+        self._idle: list[_Connection] = []
+        self._busy: set[_Connection] = set()
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._idle) + len(self._busy)
+
+    def start(self, exchange: _Exchange) -> bool:
+        """Sends a request; False if the server's connection cap is reached."""
+        if self._idle:
+            connection = self._idle.pop()
+            self._busy.add(connection)
+            connection.send(exchange)
+            return True
+        if self.connection_count >= self.server.connection_cap:
+            return False
+        connection = _Connection(self, exchange)
+        exchange.connection = connection
+        self._busy.add(connection)
+        connection.stream = self._streams.dial(self.server.address, connection)
+        return True
+
+    def cancel(self, exchange: _Exchange) -> None:
+        """Asks the server to stop work, on an idle connection if any."""
+        exchange.is_cancelled = True
+        if self._idle:
+            connection = self._idle.pop()
+            self._busy.add(connection)
+            connection.send_cancel(self.server, exchange.request.request_id)
+
+    def on_reply(self, connection: _Connection, reply: HttpReply) -> None:
+        """Takes a whole reply; the connection is idle after it."""
+        connection.used_at_s = read_clock_s()
+        if connection.ignored_reply_count:
+            connection.ignored_reply_count -= 1
+            self._settle(connection, reply.keeps_alive)
+            return
+        exchange = connection.exchange
+        connection.exchange = None
+        if exchange is None:
+            # Nothing was asked: the server repeats itself or is out of step.
+            self._discard(connection)
+            return
+        result = read_backend_reply(exchange.request, reply)
+        is_sound = result.outcome is not BackendOutcome.BAD_REPLY
+        self._settle(connection, is_sound and reply.keeps_alive)
+        exchange.finish(result)
+
+    def _settle(self, connection: _Connection, is_reusable: bool) -> None:
+        self._busy.discard(connection)
+        if is_reusable and connection.stream is not None:
+            self._idle.append(connection)
+        else:
+            self._discard(connection)
+
+    def _discard(self, connection: _Connection) -> None:
+        self._busy.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if connection.stream is not None:
+            connection.stream.close()
+            connection.stream = None
+
+    def on_broken(
+        self, connection: _Connection, outcome: BackendOutcome, detail: str
+    ) -> None:
+        """Fails the request on a connection that has ended."""
+        exchange = connection.exchange
+        connection.exchange = None
+        self._discard(connection)
+        if exchange is not None:
+            if exchange.is_cancelled:
+                outcome = BackendOutcome.CANCELLED
+            exchange.finish(
+                BackendResult(outcome, exchange.unanswered_state, detail=detail)
+            )
+
+    def abandon(self, exchange: _Exchange, outcome: BackendOutcome) -> None:
+        """Gives a request up and closes its connection.
+
+        Idle connections that have been quiet since before the request are
+        closed too: whatever made this one silent may have reached them.
+        """
+        connection = exchange.connection
+        if connection is not None and connection.exchange is exchange:
+            connection.exchange = None
+            self._discard(connection)
+        if outcome is BackendOutcome.DEADLINE:
+            for idle in list(self._idle):
+                if idle.used_at_s < exchange.started_at_s:
+                    self._discard(idle)
+        exchange.finish(BackendResult(outcome, exchange.unanswered_state))
+
+    def close(self) -> None:
+        """Closes the idle connections; busy ones close as they end."""
+        for connection in list(self._idle):
+            self._discard(connection)
+
+
+class BackendPool:
+    """Speaks to backend servers; see `BackendConnections`."""
+
+    def __init__(self, streams: Streams, timers: Timers) -> None:
+        self._streams = streams
+        self._timers = timers
+        self._pools: dict[str, _ServerPool] = {}
+        self._exchanges: dict[str, _Exchange] = {}
+        self.result_counts: Counter[BackendOutcome] = Counter()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for pool in self._pools.values():
+            pool.close()
+
+    def execute(
+        self,
+        server: BackendServer,
+        request: BackendRequest,
+        reply: BackendResultHandler,
+    ) -> None:
+        """Sends a request; the handler is called exactly once."""
+
+        def on_result(result: BackendResult) -> None:
+            self._exchanges.pop(request.request_id, None)
+            self.result_counts[result.outcome] += 1
+            reply(result)
+
+        exchange = _Exchange(server, request, on_result)
+        self._exchanges[request.request_id] = exchange
+        pool = self._pools.get(server.server_id)
+        if pool is None or pool.server.address != server.address:
+            pool = _ServerPool(server, self._streams)
+            self._pools[server.server_id] = pool
+        exchange.timer = self._timers.call_at(
+            request.deadline_at_s,
+            lambda: pool.abandon(exchange, BackendOutcome.DEADLINE),
+        )
+        if not pool.start(exchange):
+            exchange.finish(
+                BackendResult(
+                    BackendOutcome.SHED,
+                    RunState.NOT_RUN,
+                    detail="the connection cap is reached",
+                )
+            )
+
+    def cancel(self, request_id: str) -> None:
+        """Asks the backend server to stop work on a request."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is None or exchange.is_cancelled:
+            return
+        pool = self._pools[exchange.server.server_id]
+        pool.cancel(exchange)
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        exchange.timer = self._timers.call_later(
+            CANCEL_GRACE_S,
+            lambda: pool.abandon(exchange, BackendOutcome.CANCELLED),
+        )
+
+    def drop_server(self, server_id: str) -> None:
+        """Closes the idle connections to a server no longer held."""
+        pool = self._pools.get(server_id)
+        if pool is not None:
+            pool.close()
+
+    @property
+    def connection_count(self) -> int:
+        """Connections to all backend servers."""
+        return sum(pool.connection_count for pool in self._pools.values())
--- /dev/null
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -0,0 +1,127 @@
+"""The requests to backend servers and what their replies mean."""
+
+import json
+from typing import Final
+
+from mulberrybay_core.attempts import AttemptKind
+from mulberrybay_core.backend_messages import (
+    BackendOutcome,
+    BackendRequest,
+    BackendResult,
+)
+from mulberrybay_core.errors import RunState
+from mulberrybay_core.fleet import BackendServer
+from mulberrybay_runtime.http_exchange import HttpReply, encode_request
+
+JSON_TYPE: Final = ("Content-Type", "application/json")
+
+
+def encode_backend_request(
+    server: BackendServer, request: BackendRequest, time_left_s: float
+) -> bytes:
+    """Returns the bytes of a search or a run."""
+    headers = [
+        JSON_TYPE,
+        ("X-Request-Id", request.request_id),
+        ("X-Deadline-Ms", str(max(0, int(time_left_s * 1000)))),
+    ]
+    if request.kind is AttemptKind.RUN:
+        headers.append(("Idempotency-Key", request.idempotency_key))
+        path = "/v1/run"
+    else:
+        headers.append(("X-Index-Version", str(request.index_version)))
+        headers.append(("X-Shard", str(request.shard)))
+        path = "/v1/search"
+    return encode_request("POST", path, server.address, headers, request.body)
+
+
+def encode_cancel(server: BackendServer, request_id: str) -> bytes:
+    """Returns the bytes of a cancellation."""
+    return encode_request(
+        "DELETE", f"/v1/requests/{request_id}", server.address
+    )
+
+
+def read_backend_reply(
+    request: BackendRequest, reply: HttpReply
+) -> BackendResult:
+    """Decides what a whole reply means for the request it should answer."""
+    is_leaving = reply.headers.get("x-leaving") == "1"
+    if reply.headers.get("x-request-id") != request.request_id:
+        return _bad_reply("the reply is to another request")
+    if reply.status == 200:
+        return _read_success(request, reply)._replace(is_leaving=is_leaving)
+    said_not_run = reply.headers.get("x-not-run") == "1"
+    result = BackendResult(
+        outcome=_OUTCOMES.get(reply.status, BackendOutcome.BAD_REPLY),
+        run_state=RunState.NOT_RUN if said_not_run else RunState.UNKNOWN,
+        is_leaving=is_leaving,
+        detail=f"status {reply.status}",
+    )
+    if result.outcome is BackendOutcome.SHED:
+        return result._replace(retry_after_s=_read_retry_after_s(reply))
+    if result.outcome is BackendOutcome.WRONG_SNAPSHOT:
+        return result._replace(
+            run_state=RunState.NOT_RUN, index_versions=_read_versions(reply)
+        )
+    return result
+
+
+_OUTCOMES: Final = {
+    408: BackendOutcome.DEADLINE,
+    409: BackendOutcome.WRONG_SNAPSHOT,
+    499: BackendOutcome.CANCELLED,
+    503: BackendOutcome.SHED,
+}
+
+
+def _read_success(request: BackendRequest, reply: HttpReply) -> BackendResult:
+    if request.kind is AttemptKind.SEARCH:
+        version = reply.headers.get("x-index-version")
+        shard = reply.headers.get("x-shard")
+        if version != str(request.index_version):
+            return _bad_reply(f"the reply is from snapshot {version}")
+        if shard != str(request.shard):
+            return _bad_reply(f"the reply is from shard {shard}")
+        return _read_hits(reply.body)
+    return _read_run_result(reply.body)
+
+
+def _read_hits(body: bytes) -> BackendResult:
+    """Takes the hits out of a search's reply: a JSON array."""
+    try:
+        hits = json.loads(body)["hits"]
+    except (ValueError, KeyError, TypeError):
+        return _bad_reply("the reply is not an object with hits")
+    if not isinstance(hits, list):
+        return _bad_reply("the hits are not a list")
+    hits_json = json.dumps(hits).encode()
+    return BackendResult(BackendOutcome.OK, RunState.RAN, body=hits_json)
+
+
+def _read_run_result(body: bytes) -> BackendResult:
+    try:
+        json.loads(body)
+    except ValueError:
+        return _bad_reply("the result is not JSON")
+    return BackendResult(BackendOutcome.OK, RunState.RAN, body=body)
+
+
+def _bad_reply(detail: str) -> BackendResult:
+    return BackendResult(
+        BackendOutcome.BAD_REPLY, RunState.UNKNOWN, detail=detail
+    )
+
+
+def _read_retry_after_s(reply: HttpReply) -> float:
+    try:
+        return max(0.0, float(reply.headers.get("retry-after", "0")))
+    except ValueError:
+        return 0.0
+
+
+def _read_versions(reply: HttpReply) -> tuple[int, ...]:
+    text = reply.headers.get("x-index-versions", "")
+    return tuple(
+        int(part) for part in text.split(",") if part.strip().isdigit()
+    )
--- /dev/null
+++ b/packages/core/mulberrybay_core/addresses.py
@@ -0,0 +1,35 @@
+"""Network addresses, shared by every package."""
+
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns the usual HOST:PORT form."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parses HOST:PORT.
+
+    Args:
+        text: The address as written in settings.
+
+    Returns:
+        The address.
+
+    Raises:
+        ValueError: The text has no port, or one outside 1 to 65535.
+    """
+    host, separator, port_text = text.rpartition(":")
+    if not separator or not host or not port_text.isdigit():
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    port = int(port_text)
+    if not 1 <= port <= 65535:
+        raise ValueError(f"port {port} is not between 1 and 65535")
+    return Address(host, port)
--- /dev/null
+++ b/packages/core/mulberrybay_core/configuration.py
@@ -0,0 +1,82 @@
+"""The accepted configuration: classes of work, targets, what is out.
+
+Operators write it, the platform keeps it, every node applies it.
+"""
+
+from typing import Final, NamedTuple
+
+CONFIGURATION_KIND: Final = "configuration"
+CONFIGURATION_NAME: Final = "current"
+MAX_RECENT_CHANGE_COUNT: Final = 64
+
+
+class Targets(NamedTuple):
+    """What operators ask of a class of work.
+
+    Attributes:
+        lateness_ms: An answer later than this is late.
+        lateness_percent: The share of answers that must not be late.
+        coverage_percent: The share of shards that an answer must cover.
+        extra_load_percent: Sub-requests allowed beyond one per shard.
+    """
+
+    lateness_ms: float
+    lateness_percent: float
+    coverage_percent: float
+    extra_load_percent: float
+
+
+class WorkClass(NamedTuple):
+    """A class of work.
+
+    Attributes:
+        name: The name that callers use.
+        allows_runs: Whether callers may send non-idempotent requests.
+        targets: What operators ask of it.
+    """
+
+    name: str
+    allows_runs: bool
+    targets: Targets
+
+
+class Configuration(NamedTuple):
+    """One revision of the configuration.
+
+    Attributes:
+        revision: Grows by one with every accepted change; 0 is "none yet".
+        change_id: Unique identity of the change that led to this revision.
+        author: Who made the change.
+        changed_at_s: Unix time of the change.
+        classes: The classes of work, by name.
+        out_domains: Failure domains that take no new work.
+        out_servers: Identities of backend servers that take no new work.
+        recent_change_ids: Identities of the latest changes, newest last.
+    """
+
+    revision: int
+    change_id: str
+    author: str
+    changed_at_s: float
+    classes: tuple[WorkClass, ...]
+    out_domains: frozenset[str]
+    out_servers: frozenset[str]
+    recent_change_ids: tuple[str, ...] = ()
+
+    def find_class(self, name: str) -> WorkClass | None:
+        """Returns the class of that name, or None."""
+        for work_class in self.classes:
+            if work_class.name == name:
+                return work_class
+        return None
+
+
+EMPTY_CONFIGURATION: Final = Configuration(
+    revision=0,
+    change_id="",
+    author="",
+    changed_at_s=0.0,
+    classes=(),
+    out_domains=frozenset(),
+    out_servers=frozenset(),
+)
--- /dev/null
+++ b/packages/core/mulberrybay_core/hedging.py
@@ -0,0 +1,83 @@
+"""When to send a second attempt for a shard whose reply is slow."""
+
+import bisect
+from collections import deque
+from typing import Final, Protocol
+
+SAMPLE_COUNT: Final = 512
+REFRESH_PERIOD_COUNT: Final = 32
+MIN_SAMPLE_COUNT: Final = 32
+MIN_DELAY_S: Final = 0.002
+
+
+class HedgePolicy(Protocol):
+    """Decides when a shard's second attempt is due."""
+
+    def on_latency(self, latency_s: float) -> None:
+        """Takes the time from sending an attempt to its whole reply."""
+
+    def delay_s(self, extra_load_percent: float) -> float | None:
+        """Returns how long to wait before a hedge; None for never."""
+
+
+class QuantileHedging:
+    """Hedges after the quantile of latency that the extra load allows.
+
+    With 5 % of extra load, the slowest 5 % of attempts are hedged; the
+    token bucket of extra load enforces the target when latency shifts.
+    """
+
+    def __init__(self) -> None:
+        self._samples: deque[float] = deque(maxlen=SAMPLE_COUNT)
+        self._sorted: list[float] = []
+        self._since_refresh_count = 0
+
+    def on_latency(self, latency_s: float) -> None:
+        """Takes the time from sending an attempt to its whole reply."""
+        self._samples.append(latency_s)
+        self._since_refresh_count += 1
+        if self._since_refresh_count >= REFRESH_PERIOD_COUNT:
+            self._since_refresh_count = 0
+            self._sorted = sorted(self._samples)
+
+    def delay_s(self, extra_load_percent: float) -> float | None:
+        """Returns how long to wait before a hedge; None for never."""
+        if len(self._sorted) < MIN_SAMPLE_COUNT or extra_load_percent <= 0:
+            return None
+        share = 1 - min(extra_load_percent, 100) / 100
+        index = min(int(share * len(self._sorted)), len(self._sorted) - 1)
+        return max(MIN_DELAY_S, self._sorted[index])
+
+    def rank(self, latency_s: float) -> float:
+        """Returns the share of recent latencies below one."""
+        if not self._sorted:
+            return 0.0
+        below_count = bisect.bisect_left(self._sorted, latency_s)
+        return below_count / len(self._sorted)
+
+
+class FixedHedging:
+    """Hedges after a fixed time, as a home-grown script would."""
+
+    def __init__(self, after_s: float) -> None:
+        self._after_s = after_s
+
+    def on_latency(self, latency_s: float) -> None:
+        """Ignores latencies."""
+
+    def delay_s(self, extra_load_percent: float) -> float | None:
+        """Returns the fixed time."""
+        del extra_load_percent
+        return self._after_s
+
+
+class NoHedging:
+    """Never hedges."""
+
+    def on_latency(self, latency_s: float) -> None:
+        """Ignores latencies."""
+
+    def delay_s(self, extra_load_percent: float) -> float | None:
+        """Returns None."""
+        del extra_load_percent
+        return None
--- /dev/null
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -0,0 +1,86 @@
+"""The queue of one backend server at its holder."""
+
+import heapq
+import itertools
+from typing import Final, NamedTuple
+
+from mulberrybay_core.attempts import (
+    Attempt,
+    AttemptBatch,
+    AttemptReplyHandler,
+    ServerLoad,
+)
+from mulberrybay_core.concurrency_limit import ConcurrencyLimit
+from mulberrybay_core.fleet import BackendServer
+
+MAX_QUEUED_COUNT: Final = 64
+
+
+class QueuedAttempt(NamedTuple):
+    """An attempt that waits for its dispatch, or runs."""
+
+    batch: AttemptBatch
+    attempt: Attempt
+    reply: AttemptReplyHandler
+
+    @property
+    def request_id(self) -> str:
+        """Identity of the request to the backend server."""
+        return f"{self.batch.query_id}-{self.attempt.attempt_id}"
+
+
+class HeldServer:
+    """A backend server's queue, limit and outstanding attempts."""
+
+    def __init__(self, server: BackendServer) -> None:
+        self.server = server
+        self.limit = ConcurrencyLimit(server.slot_count)
+        self.outstanding: dict[str, QueuedAttempt] = {}
+        self._queue: list[tuple[float, int, QueuedAttempt]] = []
+        self._sequence = itertools.count()
+
+    def load(self) -> ServerLoad:
+        """Returns what coordinators are told of the server."""
+        return ServerLoad(
+            outstanding_count=len(self.outstanding),
+            queued_count=len(self._queue),
+            limit_count=self.limit.limit_count,
+        )
+
+    def enqueue(self, item: QueuedAttempt) -> bool:
+        """Queues an attempt by its deadline; False if the queue is full."""
+        if len(self._queue) >= MAX_QUEUED_COUNT:
+            return False
+        entry = (item.batch.deadline_at_s, next(self._sequence), item)
+        heapq.heappush(self._queue, entry)
+        return True
+
+    def take_next(self, now_s: float) -> QueuedAttempt | None:
+        """Returns the attempt to dispatch now, or None."""
+        if len(self.outstanding) >= self.limit.limit_count:
+            return None
+        if not self._queue or now_s < self.limit.paused_until_s:
+            return None
+        return heapq.heappop(self._queue)[2]
+
+    def take_expired(self, now_s: float) -> list[QueuedAttempt]:
+        """Removes and returns the queued attempts past their deadline."""
+        expired = []
+        while self._queue and self._queue[0][0] <= now_s:
+            expired.append(heapq.heappop(self._queue)[2])
+        return expired
+
+    def take_all(self) -> list[QueuedAttempt]:
+        """Removes and returns all queued attempts."""
+        items = [entry[2] for entry in self._queue]
+        self._queue.clear()
+        return items
+
+    def take_cancelled(self, request_id: str) -> QueuedAttempt | None:
+        """Removes a queued attempt; None if it is not queued."""
+        for index, entry in enumerate(self._queue):
+            if entry[2].request_id == request_id:
+                self._queue.pop(index)
+                heapq.heapify(self._queue)
+                return entry[2]
+        return None
--- /dev/null
+++ b/packages/core/mulberrybay_core/snapshot_catalog.py
@@ -0,0 +1,89 @@
+"""The known index snapshots, and which one a new query should use.
+
+Backend servers move to a new index version one by one. A query should name
+the newest version that every shard can serve; the catalog learns from replies
+which servers lack a version.
+"""
+
+from typing import Final
+
+from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.snapshot import IndexSnapshot
+
+ABSENCE_LIFETIME_S: Final = 1.0
+
+
+class SnapshotCatalog:
+    """The snapshots of every class of work."""
+
+    def __init__(self) -> None:
+        self._snapshots: dict[str, tuple[IndexSnapshot, ...]] = {}
+        self._absent_until_s: dict[tuple[str, str, int], float] = {}
+
+    def set_snapshots(
+        self, class_name: str, snapshots: tuple[IndexSnapshot, ...]
+    ) -> None:
+        """Takes the snapshots of a class as the platform lists them."""
+        ordered = sorted(snapshots, key=lambda item: item.index_version)
+        self._snapshots[class_name] = tuple(reversed(ordered))
+
+    def snapshots(self, class_name: str) -> tuple[IndexSnapshot, ...]:
+        """Returns the snapshots of a class, newest first."""
+        return self._snapshots.get(class_name, ())
+
+    def note_absent(
+        self, class_name: str, server_id: str, index_version: int, now_s: float
+    ) -> None:
+        """Notes that a server said that it lacks a version."""
+        key = (class_name, server_id, index_version)
+        self._absent_until_s[key] = now_s + ABSENCE_LIFETIME_S
+        if len(self._absent_until_s) > 4096:
+            self._forget_expired(now_s)
+
+    def _forget_expired(self, now_s: float) -> None:
+        self._absent_until_s = {
+            key: until_s
+            for key, until_s in self._absent_until_s.items()
+            if until_s > now_s
+        }
+
+    def lacks(
+        self, class_name: str, server_id: str, index_version: int, now_s: float
+    ) -> bool:
+        """Returns whether a server said so within the last second."""
+        key = (class_name, server_id, index_version)
+        return self._absent_until_s.get(key, 0.0) > now_s
+
+    def choose(
+        self, class_name: str, fleet: Fleet, now_s: float
+    ) -> IndexSnapshot | None:
+        """Returns the snapshot for a new query; None if none is known.
+
+        It is the newest with a replica for every shard, else the one that
+        covers the most shards.
+        """
+        best: tuple[float, IndexSnapshot] | None = None
+        for snapshot in self.snapshots(class_name):
+            share = self._covered_share(snapshot, fleet, now_s)
+            if share >= 1:
+                return snapshot
+            if best is None or share > best[0]:
+                best = (share, snapshot)
+        return best[1] if best else None
+
+    def _covered_share(
+        self, snapshot: IndexSnapshot, fleet: Fleet, now_s: float
+    ) -> float:
+        covered_count = sum(
+            any(
+                not self.lacks(
+                    snapshot.class_name,
+                    server.server_id,
+                    snapshot.index_version,
+                    now_s,
+                )
+                for server in fleet.replicas(service)
+            )
+            for service in snapshot.services
+        )
+        return covered_count / max(1, snapshot.shard_count)
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/attempt_router.py
@@ -0,0 +1,153 @@
+"""Carries attempts to the holders of their servers, here or at peers."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from mulberrybay_core.attempts import (
+    Attempt,
+    AttemptBatch,
+    AttemptOutcome,
+    AttemptReply,
+    AttemptReplyHandler,
+)
+from mulberrybay_core.errors import RunState
+from mulberrybay_core.fleet import BackendServer
+from mulberrybay_core.holdings import choose_holder
+from mulberrybay_core.member_messages import NodeInfo
+from mulberrybay_daemon.holder import Holder
+from mulberrybay_nodes.links import Link, NodeLinks
+from mulberrybay_nodes.peer_messages import CancelMessage
+
+
+class _Pending:
+    """An attempt sent to a peer."""
+
+    def __init__(
+        self, attempt: Attempt, link: Link, reply: AttemptReplyHandler
+    ) -> None:
+        self.attempt = attempt
+        self.link = link
+        self.reply = reply
+
+
+class HolderMap:
+    """The holder of each backend server, as this node sees it."""
+
+    def __init__(self) -> None:
+        self._nodes: tuple[NodeInfo, ...] = ()
+        self._holder_ids: dict[str, str] = {}
+
+    def update(
+        self, servers: tuple[BackendServer, ...], nodes: tuple[NodeInfo, ...]
+    ) -> None:
+        """Chooses the holders anew."""
+        self._nodes = nodes
+        holders = {}
+        for server in servers:
+            holder = choose_holder(server, nodes)
+            if holder is not None:
+                holders[server.server_id] = holder.node_id
+        self._holder_ids = holders
+
+    def holder_id(self, server_id: str) -> str | None:
+        """Returns the node that should hold a server, or None."""
+        return self._holder_ids.get(server_id)
+
+    def servers_of(self, node_id: str) -> list[str]:
+        """Returns the servers that a node should hold."""
+        return [
+            server_id
+            for server_id, holder_id in self._holder_ids.items()
+            if holder_id == node_id
+        ]
+
+
+class AttemptRouter:
+    """Sends attempts to holders and pairs the replies; see AttemptCarrier."""
+
+    def __init__(
+        self,
+        node_id: str,
+        holders: HolderMap,
+        holder: Holder,
+        get_links: Callable[[], NodeLinks],
+    ) -> None:
+        self._node_id = node_id
+        self._holders = holders
+        self._holder = holder
+        self._get_links = get_links
+        self._pending: dict[tuple[str, int], _Pending] = {}
+
+    def send(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
+        """Sends a batch to the holders of its servers."""
+        attempts_by_holder: dict[str | None, list[Attempt]] = defaultdict(list)
+        for attempt in batch.attempts:
+            holder_id = self._holders.holder_id(attempt.server_id)
+            attempts_by_holder[holder_id].append(attempt)
+        for holder_id, attempts in attempts_by_holder.items():
+            part = batch._replace(attempts=tuple(attempts))
+            if holder_id is None:
+                self._fail(part, reply)
+            elif holder_id == self._node_id:
+                self._holder.submit(part, reply)
+            else:
+                self._send_to_peer(holder_id, part, reply)
+
+    def _fail(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
+        for attempt in batch.attempts:
+            reply(_unsent_reply(attempt))
+
+    def _send_to_peer(
+        self, peer_id: str, batch: AttemptBatch, reply: AttemptReplyHandler
+    ) -> None:
+        link = self._get_links().send(peer_id, batch)
+        if link is None:
+            self._fail(batch, reply)
+            return
+        for attempt in batch.attempts:
+            key = (batch.query_id, attempt.attempt_id)
+            self._pending[key] = _Pending(attempt, link, reply)
+
+    def on_reply(self, query_id: str, reply: AttemptReply) -> None:
+        """Takes a reply from a peer; one that nobody waits for is dropped."""
+        pending = self._pending.pop((query_id, reply.attempt_id), None)
+        if pending is not None:
+            pending.reply(reply)
+
+    def on_link_lost(self, link: Link) -> None:
+        """Ends the attempts whose replies would have come on a link."""
+        lost = [
+            (key, pending)
+            for key, pending in self._pending.items()
+            if pending.link is link
+        ]
+        for key, pending in lost:
+            del self._pending[key]
+            pending.reply(
+                AttemptReply(
+                    attempt_id=pending.attempt.attempt_id,
+                    server_id=pending.attempt.server_id,
+                    outcome=AttemptOutcome.LINK_LOST,
+                    run_state=RunState.UNKNOWN,
+                )
+            )
+
+    def cancel(self, query_id: str, attempt_ids: tuple[int, ...]) -> None:
+        """Cancels attempts whose replies are no longer wanted."""
+        ids_by_link: dict[Link, list[int]] = defaultdict(list)
+        for attempt_id in attempt_ids:
+            pending = self._pending.pop((query_id, attempt_id), None)
+            if pending is not None:
+                ids_by_link[pending.link].append(attempt_id)
+        for link, ids in ids_by_link.items():
+            link.send(CancelMessage(query_id, tuple(ids)))
+        self._holder.cancel(query_id, attempt_ids)
+
+
+def _unsent_reply(attempt: Attempt) -> AttemptReply:
+    return AttemptReply(
+        attempt_id=attempt.attempt_id,
+        server_id=attempt.server_id,
+        outcome=AttemptOutcome.NOT_HOLDER,
+        run_state=RunState.NOT_RUN,
+    )
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/configuration_task.py
@@ -0,0 +1,137 @@
+"""Brings accepted configurations into force, from the platform and peers.
+
+Only higher revisions are taken, so what is in force never reverts. The two
+live nodes that rank first watch the platform; the others hear from peers.
+"""
+
+import hashlib
+import json
+from collections.abc import Callable
+from typing import Final
+
+from expression import Result
+
+from mulberrybay_core.configuration import (
+    CONFIGURATION_KIND,
+    EMPTY_CONFIGURATION,
+    Configuration,
+)
+from mulberrybay_core.documents import (
+    decode_configuration,
+    encode_configuration,
+)
+from mulberrybay_core.errors import Failure
+from mulberrybay_core.member_messages import (
+    ConfigurationRequest,
+    ConfigurationUpdate,
+    NodeInfo,
+)
+from mulberrybay_core.platform_messages import ObjectList, PlatformStore
+from mulberrybay_nodes.links import Link, NodeLinks
+from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.timers import Timers
+
+WATCHER_COUNT: Final = 2
+WATCH_TIMEOUT_S: Final = 10.0
+IDLE_CHECK_PERIOD_S: Final = 1.0
+
+
+class ConfigurationTask:
+    """Owns the configuration in force at this node."""
+
+    def __init__(
+        self,
+        node_id: str,
+        store: PlatformStore,
+        timers: Timers,
+        get_links: Callable[[], NodeLinks],
+        on_change: Callable[[Configuration], None],
+    ) -> None:
+        self._node_id = node_id
+        self._store = store
+        self._timers = timers
+        self._get_links = get_links
+        self._on_change = on_change
+        self._backoff = Backoff(max_delay_s=1.0)
+        self._store_version = 0
+        self._live_nodes: Callable[[], tuple[NodeInfo, ...]] = tuple
+        self.current: Configuration = EMPTY_CONFIGURATION
+
+    def start(self, live_nodes: Callable[[], tuple[NodeInfo, ...]]) -> None:
+        """Starts to read the platform.
+
+        Args:
+            live_nodes: Returns the live nodes, of which two watch.
+        """
+        self._live_nodes = live_nodes
+        self._read()
+
+    def _is_watcher(self) -> bool:
+        """Returns whether this node should watch; ranks spread by hashing."""
+        ranked = sorted(
+            (info.node_id for info in self._live_nodes()),
+            key=lambda node_id: hashlib.blake2b(node_id.encode()).digest(),
+        )
+        return self._node_id in ranked[:WATCHER_COUNT]
+
+    def _read(self) -> None:
+        self._store.list_kind(CONFIGURATION_KIND, self._on_list)
+
+    def _watch(self) -> None:
+        if self.current.revision and not self._is_watcher():
+            self._timers.call_later(IDLE_CHECK_PERIOD_S, self._watch)
+            return
+        self._store.watch(
+            CONFIGURATION_KIND,
+            self._store_version,
+            WATCH_TIMEOUT_S,
+            self._on_list,
+        )
+
+    def _on_list(self, result: Result[ObjectList, Failure]) -> None:
+        match result:
+            case Result(tag="ok", ok=objects):
+                self._backoff.reset()
+                self._store_version = objects.store_version
+                for item in objects.items:
+                    self._offer_value(item.value)
+                self._watch()
+            case _:
+                delay_s = self._backoff.next_delay_s()
+                self._timers.call_later(delay_s, self._read)
+
+    def _offer_value(self, value: object) -> None:
+        match decode_configuration(value):
+            case Result(tag="ok", ok=configuration):
+                self.offer(configuration)
+            case _:
+                pass
+
+    def offer(self, configuration: Configuration) -> None:
+        """Takes a configuration into force if its revision is higher."""
+        if configuration.revision > self.current.revision:
+            self.current = configuration
+            self._on_change(configuration)
+
+    def on_peer_revision(self, peer_id: str, revision: int) -> None:
+        """Asks a peer for the revision that this node lacks."""
+        if revision > self.current.revision:
+            request = ConfigurationRequest(self._node_id, self.current.revision)
+            self._get_links().send(peer_id, request)
+
+    def on_request(self, request: ConfigurationRequest, link: Link) -> None:
+        """Gives a peer the configuration in force here."""
+        if self.current.revision <= request.known_revision:
+            return
+        document = json.dumps(encode_configuration(self.current)).encode()
+        link.send(
+            ConfigurationUpdate(self._node_id, self.current.revision, document)
+        )
+
+    def on_update(self, update: ConfigurationUpdate) -> None:
+        """Takes a configuration from a peer."""
+        try:
+            value = json.loads(update.document_json)
+        except ValueError:
+            return
+        self._offer_value(value)
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -0,0 +1,211 @@
+"""The coordinator: takes callers' queries and sees them through."""
+
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from expression import Error, Result
+
+from mulberrybay_core.admission import Admission
+from mulberrybay_core.attempts import (
+    AttemptBatch,
+    AttemptCarrier,
+    AttemptKind,
+    AttemptReply,
+)
+from mulberrybay_core.configuration import WorkClass
+from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_core.extra_load import ExtraLoadBudget
+from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.hedging import QuantileHedging
+from mulberrybay_core.queries import QueryAnswer, QueryReply, QueryRequest
+from mulberrybay_core.query_run import (
+    ClassPolicies,
+    QueryContext,
+    QueryRun,
+    QueryStep,
+)
+from mulberrybay_core.replica_choice import LeastExpectedWait
+from mulberrybay_core.snapshot_catalog import SnapshotCatalog
+from mulberrybay_daemon.gate import Gate
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timer, Timers
+
+
+class QueryOutcomes:
+    """Counts answers for the service-level report."""
+
+    def __init__(self) -> None:
+        self.answer_counts: Counter[tuple[str, str]] = Counter()
+
+    def note(self, class_name: str, outcome: str) -> None:
+        """Counts one final answer."""
+        self.answer_counts[class_name, outcome] += 1
+
+
+def make_class_policies() -> ClassPolicies:
+    """Returns fresh policies for one class of work."""
+    return ClassPolicies(
+        replicas=LeastExpectedWait(random.Random()),
+        hedging=QuantileHedging(),
+        budget=ExtraLoadBudget(),
+    )
+
+
+class _ActiveQuery:
+    """A query in progress."""
+
+    def __init__(self, run: QueryRun, query_id: str, reply: QueryReply) -> None:
+        self.run = run
+        self.query_id = query_id
+        self.reply = reply
+        self.timer: Timer | None = None
+        self.is_finished = False
+
+
+class Coordinator:
+    """Owns the queries that callers have sent to this node."""
+
+    def __init__(
+        self,
+        process_id: str,
+        gate: Gate,
+        carrier: AttemptCarrier,
+        admission: Admission,
+        timers: Timers,
+        make_policies: Callable[[], ClassPolicies] = make_class_policies,
+    ) -> None:
+        """Starts without queries.
+
+        Args:
+            process_id: Unique over all nodes and restarts.
+            gate: Whether backend servers may get new work.
+            carrier: Carries attempts to holders.
+            admission: Limits on the node's work.
+            timers: The process's timers.
+            make_policies: Makes the policies that a class's queries share.
+        """
+        self._process_id = process_id
+        self._gate = gate
+        self._carrier = carrier
+        self._admission = admission
+        self._timers = timers
+        self._make_policies = make_policies
+        self._policies: dict[str, ClassPolicies] = {}
+        self._query_sequence = itertools.count(1)
+        self._attempt_sequence = itertools.count(1)
+        self._active: dict[str, _ActiveQuery] = {}
+        self._fleet = Fleet((), ())
+        self.catalog = SnapshotCatalog()
+        self.outcomes = QueryOutcomes()
+        self.attempt_counts: Counter[str] = Counter()
+
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Takes the platform's list of VMs."""
+        self._fleet = fleet
+
+    @property
+    def active_count(self) -> int:
+        """Queries in progress."""
+        return len(self._active)
+
+    def submit(
+        self, request: QueryRequest, work_class: WorkClass, reply: QueryReply
+    ) -> None:
+        """Answers a query whose class is known and in force."""
+        now_s = read_clock_s()
+        refusal = self._admission.try_admit(
+            request.class_name, request.deadline_at_s - now_s
+        )
+        if refusal is not None:
+            self.outcomes.note(request.class_name, "refused")
+            reply(
+                Error(
+                    Failure(
+                        FailureKind.OVERLOADED,
+                        Step.ADMISSION,
+                        "",
+                        refusal.detail,
+                        retry_after_s=refusal.retry_after_s,
+                    )
+                )
+            )
+            return
+        run = QueryRun(request, self._make_context(work_class))
+        query_id = f"{self._process_id}-{next(self._query_sequence)}"
+        active = _ActiveQuery(run, query_id, reply)
+        self._active[query_id] = active
+        self._apply(active, run.start(now_s))
+
+    def _make_context(self, work_class: WorkClass) -> QueryContext:
+        policies = self._policies.get(work_class.name)
+        if policies is None:
+            policies = self._make_policies()
+            self._policies[work_class.name] = policies
+        return QueryContext(
+            targets=work_class.targets,
+            revision=self._gate.configuration.revision,
+            fleet=self._fleet,
+            catalog=self.catalog,
+            may_use=self._gate.may_use,
+            next_attempt_id=lambda: next(self._attempt_sequence),
+            policies=policies,
+        )
+
+    def _apply(self, active: _ActiveQuery, step: QueryStep) -> None:
+        if active.is_finished:
+            return
+        if step.cancelled_ids:
+            self._carrier.cancel(active.query_id, step.cancelled_ids)
+        if step.result is not None:
+            self._finish(active, step.result)
+            return
+        self._rearm(active)
+        if step.attempts:
+            self._send(active, step)
+
+    def _send(self, active: _ActiveQuery, step: QueryStep) -> None:
+        request = active.run.request
+        self.attempt_counts[request.class_name] += len(step.attempts)
+        batch = AttemptBatch(
+            query_id=active.query_id,
+            kind=AttemptKind.SEARCH,
+            class_name=request.class_name,
+            index_version=step.index_version,
+            deadline_at_s=request.deadline_at_s,
+            idempotency_key="",
+            attempts=step.attempts,
+            body=request.body,
+        )
+        self._carrier.send(batch, lambda reply: self._on_reply(active, reply))
+
+    def _on_reply(self, active: _ActiveQuery, reply: AttemptReply) -> None:
+        if not active.is_finished:
+            self._apply(active, active.run.on_reply(reply, read_clock_s()))
+
+    def _rearm(self, active: _ActiveQuery) -> None:
+        if active.timer is not None:
+            active.timer.cancel()
+        active.timer = self._timers.call_at(
+            active.run.wakeup_s, lambda: self._wake(active)
+        )
+
+    def _wake(self, active: _ActiveQuery) -> None:
+        if not active.is_finished:
+            self._apply(active, active.run.on_wakeup(read_clock_s()))
+
+    def _finish(
+        self, active: _ActiveQuery, result: Result[QueryAnswer, Failure]
+    ) -> None:
+        active.is_finished = True
+        if active.timer is not None:
+            active.timer.cancel()
+        del self._active[active.query_id]
+        request = active.run.request
+        latency_s = read_clock_s() - request.received_at_s
+        self._admission.release(request.class_name, latency_s)
+        self.outcomes.note(
+            request.class_name, "answered" if result.is_ok() else "failed"
+        )
+        active.reply(result)
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -0,0 +1,248 @@
+"""The holder: queues and dispatches attempts for the servers it holds."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Final
+
+from mulberrybay_core.attempts import (
+    AttemptBatch,
+    AttemptOutcome,
+    AttemptReply,
+    AttemptReplyHandler,
+)
+from mulberrybay_core.backend_messages import (
+    BackendConnections,
+    BackendOutcome,
+    BackendRequest,
+    BackendResult,
+)
+from mulberrybay_core.concurrency_limit import ConcurrencyLimit
+from mulberrybay_core.errors import RunState
+from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.held_server import HeldServer, QueuedAttempt
+from mulberrybay_core.holdings import Holdings
+from mulberrybay_daemon.gate import Gate
+from mulberrybay_daemon.leaving import LeavingServers
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timers
+
+# No attempt runs longer at a backend server, so that a node that takes over
+# from one that has died knows how long to wait.
+ATTEMPT_LIMIT_S: Final = 2.0
+
+_OUTCOMES: Final = {
+    BackendOutcome.OK: AttemptOutcome.OK,
+    BackendOutcome.WRONG_SNAPSHOT: AttemptOutcome.WRONG_SNAPSHOT,
+    BackendOutcome.SHED: AttemptOutcome.SHED,
+    BackendOutcome.DEADLINE: AttemptOutcome.DEADLINE,
+    BackendOutcome.CANCELLED: AttemptOutcome.CANCELLED,
+    BackendOutcome.CONNECTION_LOST: AttemptOutcome.CONNECTION_LOST,
+    BackendOutcome.BAD_REPLY: AttemptOutcome.BAD_REPLY,
+}
+
+
+class Holder:
+    """Owns the queues of the backend servers that this node holds."""
+
+    def __init__(
+        self,
+        holdings: Holdings,
+        gate: Gate,
+        leaving_servers: LeavingServers,
+        connections: BackendConnections,
+        timers: Timers,
+    ) -> None:
+        self._holdings = holdings
+        self._gate = gate
+        self._leaving_servers = leaving_servers
+        self._connections = connections
+        self._timers = timers
+        self._fleet = Fleet((), ())
+        self._held: dict[str, HeldServer] = {}
+        self._server_by_request: dict[str, str] = {}
+        self.outcome_counts: Counter[AttemptOutcome] = Counter()
+        self.dispatch_counts: Counter[str] = Counter()
+
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Takes the platform's list of VMs."""
+        self._fleet = fleet
+        for held in self._held.values():
+            server = fleet.server(held.server.server_id)
+            if server is not None:
+                held.server = server
+
+    def submit(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
+        """Queues the attempts of a batch; see `AttemptCarrier.send`."""
+        for attempt in batch.attempts:
+            self._submit_one(QueuedAttempt(batch, attempt, reply))
+
+    def _submit_one(self, item: QueuedAttempt) -> None:
+        server = self._fleet.server(item.attempt.server_id)
+        if server is None or not self._holdings.is_wanted(server.server_id):
+            self._refuse(item, AttemptOutcome.NOT_HOLDER)
+            return
+        if not self._gate.may_use(server):
+            self._refuse(item, AttemptOutcome.NOT_ALLOWED)
+            return
+        held = self._held.get(server.server_id)
+        if held is None:
+            held = self._held[server.server_id] = HeldServer(server)
+        if not held.enqueue(item):
+            self._refuse(item, AttemptOutcome.QUEUE_FULL)
+            return
+        self._server_by_request[item.request_id] = server.server_id
+        self._timers.call_at(
+            item.batch.deadline_at_s, lambda: self._expire(held)
+        )
+        self.pump(server.server_id)
+
+    def _refuse(self, item: QueuedAttempt, outcome: AttemptOutcome) -> None:
+        """Ends an attempt that has not been dispatched."""
+        self._server_by_request.pop(item.request_id, None)
+        self.outcome_counts[outcome] += 1
+        held = self._held.get(item.attempt.server_id)
+        reply = AttemptReply(
+            attempt_id=item.attempt.attempt_id,
+            server_id=item.attempt.server_id,
+            outcome=outcome,
+            run_state=RunState.NOT_RUN,
+        )
+        item.reply(reply._replace(load=held.load()) if held else reply)
+
+    def _expire(self, held: HeldServer) -> None:
+        for item in held.take_expired(read_clock_s()):
+            self._refuse(item, AttemptOutcome.DEADLINE)
+
+    def pump(self, server_id: str) -> None:
+        """Dispatches what the server may have now."""
+        held = self._held.get(server_id)
+        if held is None or not self._holdings.is_held(server_id):
+            return
+        while True:
+            now_s = read_clock_s()
+            item = held.take_next(now_s)
+            if item is None:
+                break
+            self._dispatch(held, item, now_s)
+        pause_s = held.limit.paused_until_s - read_clock_s()
+        if pause_s > 0:
+            self._timers.call_later(pause_s, lambda: self.pump(server_id))
+
+    def _dispatch(
+        self, held: HeldServer, item: QueuedAttempt, now_s: float
+    ) -> None:
+        if item.batch.deadline_at_s <= now_s:
+            self._refuse(item, AttemptOutcome.DEADLINE)
+            return
+        if not self._gate.may_dispatch(held.server, now_s):
+            self._refuse(item, AttemptOutcome.NOT_ALLOWED)
+            return
+        held.outstanding[item.request_id] = item
+        self.dispatch_counts[held.server.failure_domain] += 1
+        request = BackendRequest(
+            request_id=item.request_id,
+            kind=item.batch.kind,
+            index_version=item.batch.index_version,
+            shard=item.attempt.shard,
+            idempotency_key=item.batch.idempotency_key,
+            deadline_at_s=min(
+                item.batch.deadline_at_s, now_s + ATTEMPT_LIMIT_S
+            ),
+            body=item.batch.body,
+        )
+        self._connections.execute(
+            held.server,
+            request,
+            lambda result: self._on_result(held, item, result),
+        )
+
+    def _on_result(
+        self, held: HeldServer, item: QueuedAttempt, result: BackendResult
+    ) -> None:
+        server_id = held.server.server_id
+        held.outstanding.pop(item.request_id, None)
+        self._server_by_request.pop(item.request_id, None)
+        self._update_limit(held, result)
+        if result.run_state is RunState.RAN or result.is_leaving:
+            self._leaving_servers.note_reply(server_id, result.is_leaving)
+        outcome = _OUTCOMES[result.outcome]
+        self.outcome_counts[outcome] += 1
+        item.reply(
+            AttemptReply(
+                attempt_id=item.attempt.attempt_id,
+                server_id=server_id,
+                outcome=outcome,
+                run_state=result.run_state,
+                index_versions=result.index_versions,
+                service_time_ms=result.latency_s * 1000,
+                retry_after_ms=result.retry_after_s * 1000,
+                load=held.load(),
+                body=result.body,
+            )
+        )
+        self._settle_release(held)
+        self.pump(server_id)
+
+    def _update_limit(self, held: HeldServer, result: BackendResult) -> None:
+        if result.outcome is BackendOutcome.OK:
+            held.limit.on_success(result.latency_s)
+        elif result.outcome in {
+            BackendOutcome.SHED,
+            BackendOutcome.DEADLINE,
+            BackendOutcome.CONNECTION_LOST,
+        }:
+            held.limit.on_overload(read_clock_s(), result.retry_after_s)
+
+    def cancel(self, query_id: str, attempt_ids: Iterable[int]) -> None:
+        """Cancels attempts, queued or dispatched."""
+        for attempt_id in attempt_ids:
+            request_id = f"{query_id}-{attempt_id}"
+            server_id = self._server_by_request.get(request_id)
+            held = self._held.get(server_id or "")
+            if held is None:
+                continue
+            item = held.take_cancelled(request_id)
+            if item is not None:
+                self._refuse(item, AttemptOutcome.CANCELLED)
+            else:
+                self._connections.cancel(request_id)
+
+    def acquire(self, server_ids: Iterable[str]) -> None:
+        """Starts to dispatch to servers that this node holds from now on."""
+        for server_id in server_ids:
+            self.pump(server_id)
+
+    def release(self, server_ids: Iterable[str]) -> None:
+        """Stops dispatching to servers; queued attempts go back unrun."""
+        for server_id in server_ids:
+            held = self._held.get(server_id)
+            if held is None:
+                self._holdings.mark_drained(server_id)
+                continue
+            for item in held.take_all():
+                self._refuse(item, AttemptOutcome.NOT_HOLDER)
+            self._settle_release(held)
+
+    def _settle_release(self, held: HeldServer) -> None:
+        server_id = held.server.server_id
+        if held.outstanding or self._holdings.is_wanted(server_id):
+            return
+        self._holdings.mark_drained(server_id)
+        self._connections.drop_server(server_id)
+        if self._held.get(server_id) is held:
+            del self._held[server_id]
+
+    def drop_all(self) -> None:
+        """Gives everything up at once, since the lease may have lapsed."""
+        for server_id, held in list(self._held.items()):
+            for item in held.take_all():
+                self._refuse(item, AttemptOutcome.NOT_HOLDER)
+            # What is outstanding still counts if the server is held again.
+            held.limit = ConcurrencyLimit(held.server.slot_count)
+            if not held.outstanding:
+                del self._held[server_id]
+
+    @property
+    def outstanding_count(self) -> int:
+        """Attempts dispatched and not yet answered."""
+        return sum(len(held.outstanding) for held in self._held.values())
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -0,0 +1,190 @@
+"""Keeps the lease and moves holdings: membership carried by messages."""
+
+import time
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.holdings import Holdings
+from mulberrybay_core.member_messages import (
+    Claim,
+    ClaimAnswer,
+    Goodbye,
+    Heartbeat,
+    HeartbeatAck,
+    NodeInfo,
+)
+from mulberrybay_core.membership import Membership, MembershipSettings
+from mulberrybay_daemon.attempt_router import HolderMap
+from mulberrybay_daemon.holder import Holder
+from mulberrybay_nodes.links import Link, NodeLinks
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timers
+
+TICK_PERIOD_S: Final = 0.05
+
+
+class RevisionListener(Protocol):
+    """Hears of revisions that peers have and this node lacks."""
+
+    def on_peer_revision(self, peer_id: str, revision: int) -> None:
+        """A peer has named its revision."""
+
+
+class MemberTask:
+    """Sends heartbeats and claims, and acts on what the decisions say."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        membership: Membership,
+        holdings: Holdings,
+        holders: HolderMap,
+        holder: Holder,
+        timers: Timers,
+        get_links: Callable[[], NodeLinks],
+        revisions: RevisionListener,
+    ) -> None:
+        self._settings = settings
+        self._membership = membership
+        self._holdings = holdings
+        self._holders = holders
+        self._holder = holder
+        self._timers = timers
+        self._get_links = get_links
+        self._revisions = revisions
+        self._fleet = Fleet((), ())
+        self._out_domains: frozenset[str] = frozenset()
+        self._last_view: tuple[object, ...] = ()
+        self.had_lease = False
+        self.epoch_count = 0
+
+    def start(self) -> None:
+        """Starts the periodic work."""
+        self._timers.call_every(TICK_PERIOD_S, self._tick)
+        self._timers.call_every(
+            self._settings.heartbeat_period_s, self._send_heartbeats
+        )
+
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Takes the platform's list of VMs."""
+        self._fleet = fleet
+        self._membership.on_vm_list(fleet.entry_vms, read_clock_s())
+        self._dial_members()
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Takes the configuration in force."""
+        self._membership.revision = configuration.revision
+        self._out_domains = configuration.out_domains
+        self._send_heartbeats()
+
+    def _dial_members(self) -> None:
+        self._get_links().set_peers(
+            {info.node_id: info.peer_address for info in self._membership.peers}
+        )
+
+    def _send_heartbeats(self) -> None:
+        self._dial_members()
+        now_s = read_clock_s()
+        links = self._get_links()
+        links.check_silence(now_s)
+        for info in self._membership.peers:
+            heartbeat = self._membership.make_heartbeat(info.node_id, now_s)
+            links.send(info.node_id, heartbeat)
+        for seed_id in links.seed_ids():
+            links.send(seed_id, self._membership.make_probe(now_s))
+
+    def serving_nodes(self, now_s: float) -> tuple[NodeInfo, ...]:
+        """Returns the live nodes that take new work."""
+        return tuple(
+            info
+            for info in self._membership.live_nodes(now_s)
+            if not info.is_leaving
+            and info.failure_domain not in self._out_domains
+        )
+
+    def _tick(self) -> None:
+        now_s = read_clock_s()
+        if self._membership.tick(now_s, int(time.time() * 1000)):
+            self.epoch_count += 1
+            self._holdings.drop_all()
+            self._holder.drop_all()
+        self.had_lease = self._membership.has_lease(now_s)
+        self._update_holders(now_s)
+        self._move_claims(now_s)
+
+    def _update_holders(self, now_s: float) -> None:
+        nodes = self.serving_nodes(now_s)
+        view = (nodes, self._fleet)
+        if view != self._last_view:
+            self._last_view = view
+            self._holders.update(self._fleet.servers, nodes)
+        wanted = self._holders.servers_of(self._membership.info.node_id)
+        if not self.had_lease:
+            wanted = []
+        self._holder.release(self._holdings.set_wanted(wanted))
+
+    def _move_claims(self, now_s: float) -> None:
+        if not self.had_lease:
+            return
+        peer_ids = [info.node_id for info in self._membership.peers]
+        buried_ids = frozenset(
+            peer_id
+            for peer_id in peer_ids
+            if self._membership.is_buried(peer_id)
+        )
+        acquired = self._holdings.advance(peer_ids, buried_ids, now_s)
+        self._holder.acquire(acquired)
+        links = self._get_links()
+        for target in self._holdings.claims_due(peer_ids):
+            claim = Claim(
+                sender_id=self._membership.info.node_id,
+                epoch=self._membership.epoch,
+                claim_id=target.claim_id,
+                server_ids=target.server_ids,
+            )
+            links.send(target.peer_id, claim)
+
+    def on_heartbeat(self, heartbeat: Heartbeat, link: Link) -> None:
+        """Answers a peer's heartbeat."""
+        ack = self._membership.on_heartbeat(heartbeat, read_clock_s())
+        link.send(ack)
+        self._revisions.on_peer_revision(
+            heartbeat.sender.node_id, heartbeat.revision
+        )
+
+    def on_ack(self, ack: HeartbeatAck) -> None:
+        """Takes a peer's answer to a heartbeat."""
+        self._membership.on_ack(ack)
+        self._revisions.on_peer_revision(ack.sender_id, ack.revision)
+
+    def on_goodbye(self, goodbye: Goodbye) -> None:
+        """Forgets a node that has stopped for good."""
+        self._membership.on_goodbye(goodbye.node_id, goodbye.epoch)
+        self._dial_members()
+
+    def on_claim(self, claim: Claim, link: Link) -> None:
+        """Answers a peer's claim."""
+        released = self._holdings.on_claim(claim.sender_id, claim.server_ids)
+        link.send(
+            ClaimAnswer(
+                sender_id=self._membership.info.node_id,
+                claim_epoch=claim.epoch,
+                claim_id=claim.claim_id,
+                released_ids=tuple(released),
+            )
+        )
+
+    def on_claim_answer(self, answer: ClaimAnswer) -> None:
+        """Takes a peer's answer to a claim."""
+        if answer.claim_epoch == self._membership.epoch:
+            self._holdings.on_released(
+                answer.sender_id, answer.claim_id, answer.released_ids
+            )
+
+    def say_goodbye(self) -> None:
+        """Tells peers that this node has stopped for good."""
+        goodbye = Goodbye(self._membership.info.node_id, self._membership.epoch)
+        for info in self._membership.peers:
+            self._get_links().send(info.node_id, goodbye)
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -0,0 +1,308 @@
+"""The node: joins the tasks of the other modules into one process."""
+
+import contextlib
+import random
+import time
+import uuid
+from types import TracebackType
+from typing import Any, Final, Self
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from mulberrybay_backends.connections import BackendPool
+from mulberrybay_callers.application import CallerApplication
+from mulberrybay_core.admission import Admission
+from mulberrybay_core.attempts import AttemptBatch, AttemptReply
+from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.holdings import Holdings, HoldingState
+from mulberrybay_core.member_messages import (
+    Claim,
+    ClaimAnswer,
+    ConfigurationRequest,
+    ConfigurationUpdate,
+    Goodbye,
+    Heartbeat,
+    HeartbeatAck,
+    NodeInfo,
+)
+from mulberrybay_core.membership import Membership
+from mulberrybay_core.operator_messages import NodeStatus
+from mulberrybay_core.replica_choice import LeastExpectedWait
+from mulberrybay_daemon.attempt_router import AttemptRouter, HolderMap
+from mulberrybay_daemon.configuration_task import ConfigurationTask
+from mulberrybay_daemon.coordinator import Coordinator
+from mulberrybay_daemon.fleet_task import FleetTask
+from mulberrybay_daemon.gate import Gate
+from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
+from mulberrybay_daemon.leaving import LeavingServers
+from mulberrybay_daemon.member_task import MemberTask
+from mulberrybay_daemon.runs import RunCoordinator
+from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
+from mulberrybay_daemon.settings import NodeSettings
+from mulberrybay_nodes.links import Link, NodeLinks
+from mulberrybay_nodes.peer_messages import (
+    AttemptReplyMessage,
+    CancelMessage,
+    PeerMessage,
+)
+from mulberrybay_operators.application import OperatorApplication
+from mulberrybay_platform.client import PlatformClient, PlatformSettings
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_server import HttpServer
+from mulberrybay_runtime.logs import StateLog
+from mulberrybay_runtime.streams import Streams
+from mulberrybay_runtime.timers import Timers
+
+STATUS_PERIOD_S: Final = 0.2
+STOP_GRACE_S: Final = ADDRESS_TIME_TO_LIVE_S + 1.0
+STOP_LIMIT_S: Final = 30.0
+
+
+class Node(BaseComponent):
+    """One node of the query tier, a context manager for its sockets."""
+
+    channel = "node"
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Builds the tasks; nothing listens before the context is entered."""
+        super().__init__()
+        self._settings = settings
+        self._log = StateLog("node")
+        self._exits = contextlib.ExitStack()
+        self._poller = EPoll().register(self)
+        self._timers = Timers().register(self)
+        self._streams = Streams(self._poller).register(self)
+        info = NodeInfo(
+            node_id=settings.node_id,
+            failure_domain=settings.failure_domain,
+            peer_address=settings.peer_address,
+            caller_address=settings.caller_address,
+        )
+        self._membership = Membership(
+            settings.membership, info, int(time.time() * 1000)
+        )
+        self._holdings = Holdings(settings.node_id, ATTEMPT_LIMIT_S)
+        leaving_servers = LeavingServers()
+        self._gate = Gate(self._membership, leaving_servers)
+        self._backends = BackendPool(self._streams, self._timers)
+        self._holder = Holder(
+            self._holdings,
+            self._gate,
+            leaving_servers,
+            self._backends,
+            self._timers,
+        )
+        self._links = NodeLinks(self._streams, self._timers, self)
+        holders = HolderMap()
+        self._router = AttemptRouter(
+            settings.node_id, holders, self._holder, lambda: self._links
+        )
+        self._store = PlatformClient(
+            PlatformSettings(
+                settings.platform_address, settings.platform_timeout_s
+            ),
+            self._streams,
+            self._timers,
+        )
+        self._configuration = ConfigurationTask(
+            settings.node_id,
+            self._store,
+            self._timers,
+            lambda: self._links,
+            self._on_configuration,
+        )
+        self._members = MemberTask(
+            settings.membership,
+            self._membership,
+            self._holdings,
+            holders,
+            self._holder,
+            self._timers,
+            lambda: self._links,
+            self._configuration,
+        )
+        process_id = uuid.uuid4().hex[:12]
+        self._coordinator = Coordinator(
+            process_id,
+            self._gate,
+            self._router,
+            Admission(settings.admission),
+            self._timers,
+        )
+        self._runs = RunCoordinator(
+            process_id,
+            self._gate,
+            self._router,
+            self._store,
+            self._timers,
+            LeastExpectedWait(random.Random()),
+        )
+        self._fleet_task = FleetTask(
+            self._store, self._timers, self._coordinator.catalog, self._on_fleet
+        )
+        self._service = NodeService(
+            self._membership,
+            self._members,
+            self._gate,
+            self._coordinator,
+            self._runs,
+        )
+        self._caller_application = CallerApplication(self._service)
+        self._stop_began_at_s: float | None = None
+
+    def __enter__(self) -> Self:
+        """Starts to listen.
+
+        Raises:
+            OSError: An address is in use or is not this VM's.
+        """
+        settings = self._settings
+        self._exits.enter_context(self._streams)
+        self._exits.enter_context(self._links)
+        self._exits.enter_context(self._store)
+        self._exits.enter_context(self._backends)
+        self._caller_server = HttpServer(
+            settings.caller_address, self._caller_application, "callers"
+        ).register(self)
+        HttpServer(
+            settings.operator_address, OperatorApplication(self), "operators"
+        ).register(self)
+        self._links.listen(settings.peer_address)
+        self._learn_seeds()
+        self._members.start()
+        self._configuration.start(
+            lambda: self._membership.live_nodes(read_clock_s())
+        )
+        self._fleet_task.start()
+        self._timers.call_every(STATUS_PERIOD_S, self._update_serving)
+        self._log.info("listening", callers=str(settings.caller_address))
+        return self
+
+    def __exit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._exits.close()
+
+    def _learn_seeds(self) -> None:
+        """Dials the seeds; their heartbeats name the members."""
+        self._links.set_seeds(self._settings.seed_addresses)
+
+    def _on_fleet(self, fleet: Fleet) -> None:
+        self._gate.set_fleet(fleet)
+        self._holder.set_fleet(fleet)
+        self._coordinator.set_fleet(fleet)
+        self._runs.set_fleet(fleet)
+        self._members.set_fleet(fleet)
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._log.info(
+            "configuration in force", revision=configuration.revision
+        )
+        self._gate.set_configuration(configuration)
+        self._members.set_configuration(configuration)
+
+    def _update_serving(self) -> None:
+        is_serving = (
+            self._membership.has_lease(read_clock_s())
+            and self._configuration.current.revision > 0
+            and self._stop_began_at_s is None
+        )
+        info = self._membership.info
+        if info.is_serving != is_serving:
+            self._log.info("serving" if is_serving else "not serving")
+            self._membership.info = info._replace(is_serving=is_serving)
+
+    def status(self) -> NodeStatus:
+        """Returns what the node says of itself."""
+        states = list(self._holdings.states().values())
+        held_count = states.count(HoldingState.HELD)
+        return NodeStatus(
+            info=self._membership.info,
+            revision=self._configuration.current.revision,
+            has_lease=self._membership.has_lease(read_clock_s()),
+            epoch=self._membership.epoch,
+            members=self._membership.peers,
+            held_count=held_count,
+            claiming_count=len(states) - held_count,
+            active_count=self._active_count(),
+            outstanding_count=self._holder.outstanding_count,
+        )
+
+    def _active_count(self) -> int:
+        return self._coordinator.active_count + self._runs.active_count
+
+    # Messages from peers.
+
+    def on_peer_message(self, message: PeerMessage, link: Link) -> None:
+        """Hands a message to the task that it is for."""
+        match message:
+            case AttemptBatch():
+                self._on_batch(message, link)
+            case AttemptReplyMessage(query_id, reply):
+                self._router.on_reply(query_id, reply)
+            case CancelMessage(query_id, attempt_ids):
+                self._holder.cancel(query_id, attempt_ids)
+            case Heartbeat():
+                self._members.on_heartbeat(message, link)
+            case HeartbeatAck():
+                self._members.on_ack(message)
+            case Goodbye():
+                self._members.on_goodbye(message)
+            case Claim():
+                self._members.on_claim(message, link)
+            case ClaimAnswer():
+                self._members.on_claim_answer(message)
+            case ConfigurationRequest():
+                self._configuration.on_request(message, link)
+            case ConfigurationUpdate():
+                self._configuration.on_update(message)
+
+    def _on_batch(self, batch: AttemptBatch, link: Link) -> None:
+        def reply(answer: AttemptReply) -> None:
+            link.send(AttemptReplyMessage(batch.query_id, answer))
+
+        self._holder.submit(batch, reply)
+
+    def on_peer_lost(self, link: Link) -> None:
+        """Ends what waits for replies on a lost link."""
+        self._router.on_link_lost(link)
+
+    # Stopping.
+
+    @handler("signal", channel="*")
+    def _on_signal(self, event: Any, signal_number: int, _: Any) -> None:  # noqa: ANN401
+        del signal_number
+        event.stop()
+        if self._stop_began_at_s is None:
+            self._begin_stop()
+
+    def _begin_stop(self) -> None:
+        """Leaves the address answers, but keeps serving for their life."""
+        self._log.info("stopping")
+        self._stop_began_at_s = read_clock_s()
+        self._membership.info = self._membership.info._replace(
+            is_leaving=True, is_serving=False
+        )
+        self._caller_application.leave()
+        self._timers.call_later(STOP_GRACE_S, self._finish_stop)
+
+    def _finish_stop(self) -> None:
+        """Exits once nothing is in progress."""
+        self._service.is_closed = True
+        began_at_s = self._stop_began_at_s or 0.0
+        is_idle = (
+            self._active_count() == 0
+            and self._holder.outstanding_count == 0
+            and self._caller_server.pending_count == 0
+        )
+        if is_idle or read_clock_s() - began_at_s > STOP_LIMIT_S:
+            self._members.say_goodbye()
+            self._log.info("stopped", was_idle=is_idle)
+            self._timers.call_later(0.1, self.stop)
+            return
+        self._timers.call_later(0.05, self._finish_stop)
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/service.py
@@ -0,0 +1,118 @@
+"""What a node answers to callers: queries, runs and addresses."""
+
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.configuration import WorkClass
+from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_core.membership import Membership
+from mulberrybay_core.queries import (
+    AddressAnswer,
+    CallerAddress,
+    QueryReply,
+    QueryRequest,
+    RunReply,
+    RunRequest,
+)
+from mulberrybay_daemon.coordinator import Coordinator
+from mulberrybay_daemon.gate import Gate
+from mulberrybay_daemon.member_task import MemberTask
+from mulberrybay_daemon.runs import RunCoordinator
+from mulberrybay_runtime.clock import read_clock_s
+
+ADDRESS_TIME_TO_LIVE_S: Final = 2.0
+NO_LEASE_RETRY_S: Final = 1.0
+
+
+class NodeService:
+    """Admits callers' requests while this node may act."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        members: MemberTask,
+        gate: Gate,
+        coordinator: Coordinator,
+        runs: RunCoordinator,
+    ) -> None:
+        self._membership = membership
+        self._members = members
+        self._gate = gate
+        self._coordinator = coordinator
+        self._runs = runs
+        self.is_closed = False
+
+    def has_class(self, class_name: str) -> bool:
+        """Returns whether the configuration in force has that class."""
+        # Without a configuration nothing is known of any class; the request
+        # is then refused for that reason, with the time to come back.
+        configuration = self._gate.configuration
+        if configuration.revision == 0:
+            return True
+        return configuration.find_class(class_name) is not None
+
+    def _find_class(self, class_name: str) -> Result[WorkClass, Failure]:
+        now_s = read_clock_s()
+        if self.is_closed:
+            return Error(self._refusal(FailureKind.LEAVING, "stopping"))
+        work_class = self._gate.configuration.find_class(class_name)
+        if work_class is None or not self._membership.has_lease(now_s):
+            detail = "no lease from a majority of nodes, or no configuration"
+            return Error(self._refusal(FailureKind.NO_LEASE, detail))
+        return Ok(work_class)
+
+    def _refusal(self, kind: FailureKind, detail: str) -> Failure:
+        return Failure(
+            kind, Step.ADMISSION, "", detail, retry_after_s=NO_LEASE_RETRY_S
+        )
+
+    def submit_query(self, request: QueryRequest, reply: QueryReply) -> None:
+        """Answers a query."""
+        match self._find_class(request.class_name):
+            case Result(tag="ok", ok=work_class):
+                self._coordinator.submit(request, work_class, reply)
+            case Result(error=failure):
+                reply(Error(failure))
+
+    def submit_run(self, request: RunRequest, reply: RunReply) -> None:
+        """Runs a non-idempotent request at most once."""
+        match self._find_class(request.class_name):
+            case Result(tag="ok", ok=work_class):
+                if work_class.allows_runs:
+                    self._runs.submit(request, reply)
+                    return
+                detail = f"class {work_class.name} does not allow runs"
+                failure = Failure(
+                    FailureKind.INVALID, Step.ADMISSION, "caller", detail
+                )
+                reply(Error(failure))
+            case Result(error=failure):
+                reply(Error(failure))
+
+    def list_addresses(
+        self, failure_domain: str
+    ) -> Result[AddressAnswer, Failure]:
+        """Returns the nodes that serve, the caller's domain first."""
+        now_s = read_clock_s()
+        nodes = [
+            info
+            for info in self._members.serving_nodes(now_s)
+            if info.is_serving
+        ]
+        if not nodes:
+            detail = "no node is known to serve"
+            return Error(self._refusal(FailureKind.NO_LEASE, detail))
+        nodes.sort(
+            key=lambda info: (
+                info.failure_domain != failure_domain,
+                info.node_id,
+            )
+        )
+        addresses = tuple(
+            CallerAddress(
+                info.node_id, info.failure_domain, info.caller_address
+            )
+            for info in nodes
+        )
+        return Ok(AddressAnswer(addresses, ADDRESS_TIME_TO_LIVE_S))
--- /dev/null
+++ b/packages/nodes/mulberrybay_nodes/frames.py
@@ -0,0 +1,44 @@
+"""Cuts the byte stream between two nodes into frames of bounded length."""
+
+import struct
+from typing import Final
+
+MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
+_LENGTH: Final = struct.Struct("<I")
+
+
+class FrameTooLongError(Exception):
+    """A frame's length is over MAX_FRAME_BYTES."""
+
+
+def wrap_frame(payload: bytes) -> bytes:
+    """Puts a frame's length before it."""
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class FrameReader:
+    """Collects bytes until whole frames are there."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Takes bytes; returns the frames that are complete.
+
+        Raises:
+            FrameTooLongError: The next frame is too long.
+        """
+        self._buffer += data
+        frames = []
+        start = 0
+        while len(self._buffer) - start >= _LENGTH.size:
+            length = _LENGTH.unpack_from(self._buffer, start)[0]
+            if length > MAX_FRAME_BYTES:
+                raise FrameTooLongError(f"a frame of {length} bytes")
+            end = start + _LENGTH.size + length
+            if len(self._buffer) < end:
+                break
+            frames.append(bytes(self._buffer[start + _LENGTH.size : end]))
+            start = end
+        del self._buffer[:start]
+        return frames
--- /dev/null
+++ b/packages/nodes/mulberrybay_nodes/links.py
@@ -0,0 +1,223 @@
+"""TCP links between nodes.
+
+Each node dials each peer and sends its own requests on that link; answers
+come back on the link of their request. A link on which nothing arrives for a
+while is closed and dialled anew, since a connection can go silent for good.
+"""
+
+from typing import Final, NamedTuple, Protocol, Self
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_nodes.codec import FrameError, decode_message, encode_message
+from mulberrybay_nodes.frames import (
+    FrameReader,
+    FrameTooLongError,
+    wrap_frame,
+)
+from mulberrybay_nodes.peer_messages import PeerMessage
+from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_runtime.timers import Timer, Timers
+
+DIAL_TIMEOUT_S: Final = 1.0
+SILENCE_LIMIT_S: Final = 1.2
+SEED_PREFIX: Final = "seed "
+
+
+class PeerListener(Protocol):
+    """What a node does with messages and with lost links."""
+
+    def on_peer_message(self, message: PeerMessage, link: "Link") -> None:
+        """A message has come; an answer goes back by `link.send`."""
+
+    def on_peer_lost(self, link: "Link") -> None:
+        """A link has ended; what was sent on it may not have arrived."""
+
+
+class Link:
+    """One connection between two nodes."""
+
+    def __init__(
+        self, listener: PeerListener, peer_id: str, stream: Stream | None
+    ) -> None:
+        self._listener = listener
+        self._reader = FrameReader()
+        self.stream = stream
+        self.peer_id = peer_id
+        self.is_connected = False
+        self.heard_at_s = read_clock_s()
+
+    def send(self, message: PeerMessage) -> bool:
+        """Sends a message; False if no byte was handed to the socket."""
+        if self.stream is None or not self.is_connected:
+            return False
+        payload = encode_message(message, read_clock_s())
+        return self.stream.send(wrap_frame(payload))
+
+    def on_connected(self, stream: Stream) -> None:
+        """The dialled connection is open."""
+        del stream
+        self.is_connected = True
+        self.heard_at_s = read_clock_s()
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Takes bytes; a malformed frame closes this link only."""
+        now_s = read_clock_s()
+        self.heard_at_s = now_s
+        try:
+            for payload in self._reader.feed(data):
+                message = decode_message(payload, now_s)
+                self._listener.on_peer_message(message, self)
+        except (FrameError, FrameTooLongError):
+            stream.close()
+            self.on_closed(stream, "malformed frame")
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """The connection has ended."""
+        del stream, reason
+        was_connected = self.is_connected
+        self.is_connected = False
+        self.stream = None
+        if was_connected:
+            self._listener.on_peer_lost(self)
+
+    def close(self, reason: str) -> None:
+        """Closes the connection and tells the listener."""
+        stream = self.stream
+        if stream is not None:
+            stream.close()
+            self.on_closed(stream, reason)
+
+
+class _DialledPeer:
+    def __init__(self, address: Address, link: Link) -> None:
+        self.address = address
+        self.link = link
+        self.backoff = Backoff()
+        self.timer: Timer | None = None
+
+
+class LinkCounts(NamedTuple):
+    """Totals since the process started."""
+
+    dial_count: int
+    silent_count: int
+
+
+class NodeLinks:
+    """The links of one node to all its peers."""
+
+    def __init__(
+        self, streams: Streams, timers: Timers, listener: PeerListener
+    ) -> None:
+        self._streams = streams
+        self._timers = timers
+        self._listener = listener
+        self._dialled: dict[str, _DialledPeer] = {}
+        self._seeds: tuple[Address, ...] = ()
+        self._dial_count = 0
+        self._silent_count = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for peer_id in list(self._dialled):
+            self._forget(peer_id)
+
+    def listen(self, address: Address) -> None:
+        """Accepts links from peers.
+
+        Raises:
+            OSError: The address is in use or is not this VM's.
+        """
+        self._streams.listen(address, self._accept)
+
+    def _accept(self, stream: Stream) -> Link:
+        link = Link(self._listener, "", stream)
+        link.is_connected = True
+        return link
+
+    def set_seeds(self, addresses: tuple[Address, ...]) -> None:
+        """Names addresses to dial while no peer is known there."""
+        self._seeds = addresses
+
+    def _with_seeds(self, addresses: dict[str, Address]) -> dict[str, Address]:
+        known = set(addresses.values())
+        seeds = {
+            f"{SEED_PREFIX}{address}": address
+            for address in self._seeds
+            if address not in known
+        }
+        return addresses | seeds
+
+    def seed_ids(self) -> list[str]:
+        """Returns the names under which seeds are dialled."""
+        return [name for name in self._dialled if name.startswith(SEED_PREFIX)]
+
+    def set_peers(self, peer_addresses: dict[str, Address]) -> None:
+        """Dials peers that are new and drops those that are gone."""
+        addresses = self._with_seeds(peer_addresses)
+        for peer_id in list(self._dialled):
+            if addresses.get(peer_id) != self._dialled[peer_id].address:
+                self._forget(peer_id)
+        for peer_id, address in addresses.items():
+            if peer_id not in self._dialled:
+                link = Link(self._listener, peer_id, None)
+                self._dialled[peer_id] = _DialledPeer(address, link)
+                self._dial(peer_id)
+
+    def _forget(self, peer_id: str) -> None:
+        peer = self._dialled.pop(peer_id)
+        if peer.timer is not None:
+            peer.timer.cancel()
+        peer.link.close("the peer is no longer a member")
+
+    def _dial(self, peer_id: str) -> None:
+        peer = self._dialled.get(peer_id)
+        if peer is None:
+            return
+        self._dial_count += 1
+        peer.link = Link(self._listener, peer_id, None)
+        peer.link.stream = self._streams.dial(peer.address, peer.link)
+        peer.timer = self._timers.call_later(
+            DIAL_TIMEOUT_S, lambda: self._check_dial(peer_id)
+        )
+
+    def _check_dial(self, peer_id: str) -> None:
+        peer = self._dialled.get(peer_id)
+        if peer is None:
+            return
+        if peer.link.is_connected:
+            peer.backoff.reset()
+            return
+        if peer.link.stream is not None:
+            peer.link.stream.close()
+            peer.link.stream = None
+        peer.timer = self._timers.call_later(
+            peer.backoff.next_delay_s(), lambda: self._dial(peer_id)
+        )
+
+    def check_silence(self, now_s: float) -> None:
+        """Closes silent links and redials lost ones."""
+        for peer_id, peer in list(self._dialled.items()):
+            link = peer.link
+            is_silent = now_s - link.heard_at_s > SILENCE_LIMIT_S
+            if link.is_connected and is_silent:
+                self._silent_count += 1
+                link.close("the link is silent")
+            is_waiting = peer.timer is not None and not peer.timer.is_cancelled
+            if not peer.link.is_connected and not is_waiting:
+                self._dial(peer_id)
+
+    def send(self, peer_id: str, message: PeerMessage) -> Link | None:
+        """Sends to a peer; None if no byte was handed to a socket."""
+        peer = self._dialled.get(peer_id)
+        if peer is None or not peer.link.send(message):
+            return None
+        return peer.link
+
+    def counts(self) -> LinkCounts:
+        """Returns the totals of dials and of silent links."""
+        return LinkCounts(self._dial_count, self._silent_count)
--- /dev/null
+++ b/packages/nodes/mulberrybay_nodes/peer_messages.py
@@ -0,0 +1,42 @@
+"""The union of all messages between nodes."""
+
+from typing import NamedTuple
+
+from mulberrybay_core.attempts import AttemptBatch, AttemptReply
+from mulberrybay_core.member_messages import (
+    Claim,
+    ClaimAnswer,
+    ConfigurationRequest,
+    ConfigurationUpdate,
+    Goodbye,
+    Heartbeat,
+    HeartbeatAck,
+)
+
+
+class AttemptReplyMessage(NamedTuple):
+    """An attempt's reply on its way back to the coordinator."""
+
+    query_id: str
+    reply: AttemptReply
+
+
+class CancelMessage(NamedTuple):
+    """Attempts whose replies the coordinator no longer wants."""
+
+    query_id: str
+    attempt_ids: tuple[int, ...]
+
+
+PeerMessage = (
+    Heartbeat
+    | HeartbeatAck
+    | Goodbye
+    | Claim
+    | ClaimAnswer
+    | ConfigurationRequest
+    | ConfigurationUpdate
+    | AttemptBatch
+    | AttemptReplyMessage
+    | CancelMessage
+)
--- /dev/null
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -0,0 +1,411 @@
+"""The client of the platform's object store.
+
+One kept connection carries one request at a time; requests that wait are
+queued up to a limit. Watches have connections of their own. Every request
+has a timer, since the store can be slow or a connection silent.
+"""
+
+import json
+import urllib.parse
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Final, NamedTuple, Self
+
+import httptools
+from expression import Error, Ok, Result
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
+from mulberrybay_core.platform_messages import (
+    FleetReply,
+    JsonObject,
+    ListReply,
+    ObjectList,
+    ObjectReply,
+    StoredObject,
+    WriteOutcome,
+    WriteReply,
+    WriteResult,
+)
+from mulberrybay_platform.vm_list import decode_vm_list
+from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import (
+    HttpReply,
+    ReplyParser,
+    ReplyTooLargeError,
+    encode_request,
+)
+from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_runtime.timers import Timer, Timers
+
+MAX_QUEUED_COUNT: Final = 256
+MAX_CONNECTION_COUNT: Final = 4
+WATCH_GRACE_S: Final = 2.0
+
+HttpResult = Result[HttpReply, Failure]
+
+
+class PlatformSettings(NamedTuple):
+    """How to reach the platform.
+
+    Attributes:
+        address: Where its object API listens.
+        timeout_s: How long a call may take.
+    """
+
+    address: Address
+    timeout_s: float = 1.0
+
+
+class _Call:
+    """One request to the store."""
+
+    def __init__(
+        self,
+        operation: str,
+        data: bytes,
+        timeout_s: float,
+        reply: Callable[[HttpResult], None],
+    ) -> None:
+        self.operation = operation
+        self.data = data
+        self.timeout_s = timeout_s
+        self.reply: Callable[[HttpResult], None] | None = reply
+        self.timer: Timer | None = None
+        self.was_sent = False
+
+    def finish(self, result: HttpResult) -> None:
+        """Gives the result, once."""
+        if self.timer is not None:
+            self.timer.cancel()
+        reply = self.reply
+        self.reply = None
+        if reply is not None:
+            reply(result)
+
+
+class _Connection:
+    """One kept connection, with at most one call on it."""
+
+    def __init__(self, client: "PlatformClient", call: _Call) -> None:
+        self._client = client
+        self._parser = ReplyParser()
+        self.call: _Call | None = call
+        self.stream: Stream | None = None
+
+    def on_connected(self, stream: Stream) -> None:
+        """Sends the call that waits for the connection."""
+        if self.call is not None:
+            self.call.was_sent = stream.send(self.call.data)
+
+    def start(self, call: _Call) -> None:
+        """Sends a call on the open connection."""
+        self.call = call
+        if self.stream is not None:
+            call.was_sent = self.stream.send(call.data)
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Takes bytes of a reply."""
+        try:
+            replies = self._parser.feed(data)
+        except (httptools.HttpParserError, ReplyTooLargeError):
+            stream.close()
+            self._client.on_connection_lost(self, "malformed reply")
+            return
+        for reply in replies:
+            self._client.on_reply(self, reply)
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """The connection has ended."""
+        del stream
+        self._client.on_connection_lost(self, reason)
+
+
+class PlatformClient:
+    """Speaks the platform's object API; see `PlatformStore`."""
+
+    def __init__(
+        self, settings: PlatformSettings, streams: Streams, timers: Timers
+    ) -> None:
+        self._settings = settings
+        self._streams = streams
+        self._timers = timers
+        self._idle: list[_Connection] = []
+        self._busy: set[_Connection] = set()
+        self._queue: deque[_Call] = deque()
+        self._watch_backoff = Backoff()
+        self.call_counts: Counter[str] = Counter()
+        self.failure_counts: Counter[str] = Counter()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for connection in [*self._idle, *self._busy]:
+            if connection.stream is not None:
+                connection.stream.close()
+
+    def read(self, kind: str, name: str, reply: ObjectReply) -> None:
+        """Reads an object; None if there is none."""
+
+        def on_result(result: HttpResult) -> None:
+            reply(result.bind(_decode_object))
+
+        self._request("read", "GET", _object_path(kind, name), on_result)
+
+    def list_kind(self, kind: str, reply: ListReply) -> None:
+        """Reads all objects of a kind."""
+
+        def on_result(result: HttpResult) -> None:
+            reply(result.bind(_decode_list))
+
+        path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+        self._request("list", "GET", path, on_result)
+
+    def write(
+        self,
+        kind: str,
+        name: str,
+        value: JsonObject,
+        expected_version: int,
+        reply: WriteReply,
+    ) -> None:
+        """Writes an object if its version is as expected; 0 for absent."""
+
+        def on_result(result: HttpResult) -> None:
+            reply(result.bind(_decode_write))
+
+        condition = ("If-Match", f'"{expected_version}"')
+        if expected_version == 0:
+            condition = ("If-None-Match", "*")
+        self._request(
+            "write",
+            "PUT",
+            _object_path(kind, name),
+            on_result,
+            headers=(condition, ("Content-Type", "application/json")),
+            body=json.dumps(value).encode(),
+        )
+
+    def delete(
+        self, kind: str, name: str, expected_version: int, reply: WriteReply
+    ) -> None:
+        """Deletes an object if its version is as expected."""
+
+        def on_result(result: HttpResult) -> None:
+            reply(result.bind(_decode_write))
+
+        self._request(
+            "delete",
+            "DELETE",
+            _object_path(kind, name),
+            on_result,
+            headers=(("If-Match", f'"{expected_version}"'),),
+        )
+
+    def watch(
+        self, kind: str, after_version: int, timeout_s: float, reply: ListReply
+    ) -> None:
+        """Waits for objects of a kind written after a version."""
+
+        def on_result(result: HttpResult) -> None:
+            reply(result.bind(_decode_list))
+
+        path = (
+            f"/v1/watch/{urllib.parse.quote(kind, safe='')}"
+            f"?after={after_version}&timeout_s={timeout_s}"
+        )
+        call = _Call(
+            "watch",
+            encode_request("GET", path, self._settings.address),
+            timeout_s + WATCH_GRACE_S,
+            on_result,
+        )
+        self.call_counts["watch"] += 1
+        self._arm(call)
+        self._open(call)
+
+    def list_vms(self, reply: FleetReply) -> None:
+        """Reads the lagging list of VMs."""
+
+        def on_result(result: HttpResult) -> None:
+            reply(result.bind(decode_vm_list))
+
+        self._request("list_vms", "GET", "/v1/vms", on_result)
+
+    def _request(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        reply: Callable[[HttpResult], None],
+        headers: tuple[tuple[str, str], ...] = (),
+        body: bytes = b"",
+    ) -> None:
+        data = encode_request(
+            method, path, self._settings.address, headers, body
+        )
+        call = _Call(operation, data, self._settings.timeout_s, reply)
+        self.call_counts[operation] += 1
+        if len(self._queue) >= MAX_QUEUED_COUNT:
+            self._fail(call, "too many calls wait for the platform")
+            return
+        self._arm(call)
+        self._queue.append(call)
+        self._pump()
+
+    def _arm(self, call: _Call) -> None:
+        call.timer = self._timers.call_at(
+            read_clock_s() + call.timeout_s, lambda: self._on_timeout(call)
+        )
+
+    def _pump(self) -> None:
+        while self._queue:
+            if self._queue[0].reply is None:
+                self._queue.popleft()
+            elif self._idle:
+                connection = self._idle.pop()
+                self._busy.add(connection)
+                connection.start(self._queue.popleft())
+            elif len(self._busy) < MAX_CONNECTION_COUNT:
+                self._open(self._queue.popleft())
+            else:
+                return
+
+    def _open(self, call: _Call) -> None:
+        connection = _Connection(self, call)
+        self._busy.add(connection)
+        connection.stream = self._streams.dial(
+            self._settings.address, connection
+        )
+
+    def _on_timeout(self, call: _Call) -> None:
+        for connection in list(self._busy):
+            if connection.call is call:
+                # The reply may still come: the connection is not used again.
+                self._busy.discard(connection)
+                if connection.stream is not None:
+                    connection.stream.close()
+        self._fail(call, f"no answer within {call.timeout_s} s")
+        self._pump()
+
+    def on_reply(self, connection: _Connection, reply: HttpReply) -> None:
+        """Takes a whole reply."""
+        call = connection.call
+        connection.call = None
+        self._busy.discard(connection)
+        is_reusable = reply.keeps_alive and call is not None
+        if is_reusable and len(self._idle) < MAX_CONNECTION_COUNT:
+            self._idle.append(connection)
+        elif connection.stream is not None:
+            connection.stream.close()
+        if call is not None:
+            call.finish(Ok(reply))
+        self._pump()
+
+    def on_connection_lost(self, connection: _Connection, reason: str) -> None:
+        """Fails the call on a connection that has ended."""
+        self._busy.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        call = connection.call
+        connection.call = None
+        if call is not None:
+            self._fail(call, reason)
+        self._pump()
+
+    def _fail(self, call: _Call, detail: str) -> None:
+        self.failure_counts[call.operation] += 1
+        call.finish(
+            Error(
+                Failure(
+                    kind=FailureKind.PLATFORM,
+                    step=Step.RECORD,
+                    peer=f"platform {self._settings.address}",
+                    detail=f"{call.operation}: {detail}",
+                    retry_after_s=1.0,
+                    run_state=(
+                        RunState.UNKNOWN if call.was_sent else RunState.NOT_RUN
+                    ),
+                )
+            )
+        )
+
+
+def _object_path(kind: str, name: str) -> str:
+    quoted_kind = urllib.parse.quote(kind, safe="")
+    quoted_name = urllib.parse.quote(name, safe="")
+    return f"/v1/objects/{quoted_kind}/{quoted_name}"
+
+
+def _unexpected(reply: HttpReply) -> Failure:
+    return Failure(
+        kind=FailureKind.PLATFORM,
+        step=Step.RECORD,
+        peer="platform",
+        detail=f"the platform answered {reply.status}",
+        retry_after_s=1.0,
+        # A store that is overloaded says so before it writes.
+        run_state=(
+            RunState.NOT_RUN
+            if reply.status in {413, 428, 429}
+            else RunState.UNKNOWN
+        ),
+    )
+
+
+def _parse_json(reply: HttpReply) -> Result[JsonObject, Failure]:
+    try:
+        value = json.loads(reply.body)
+    except ValueError:
+        return Error(_unexpected(reply)._replace(detail="malformed JSON"))
+    if not isinstance(value, dict):
+        return Error(_unexpected(reply)._replace(detail="not a JSON object"))
+    return Ok(value)
+
+
+def _read_object(value: JsonObject) -> StoredObject:
+    return StoredObject(
+        kind=str(value["kind"]),
+        name=str(value["name"]),
+        version=int(value["version"]),
+        value=dict(value["value"]),
+    )
+
+
+def _decode_object(reply: HttpReply) -> Result[StoredObject | None, Failure]:
+    if reply.status == 404:
+        return Ok(None)
+    if reply.status != 200:
+        return Error(_unexpected(reply))
+    return _parse_json(reply).map(_read_object)
+
+
+def _decode_list(reply: HttpReply) -> Result[ObjectList, Failure]:
+    if reply.status != 200:
+        return Error(_unexpected(reply))
+    return _parse_json(reply).map(
+        lambda value: ObjectList(
+            items=tuple(_read_object(item) for item in value["items"]),
+            store_version=int(value["version"]),
+        )
+    )
+
+
+def _decode_write(reply: HttpReply) -> Result[WriteResult, Failure]:
+    if reply.status in {200, 201}:
+        return _parse_json(reply).map(
+            lambda value: WriteResult(
+                WriteOutcome.WRITTEN, int(value["version"])
+            )
+        )
+    if reply.status == 204:
+        return Ok(WriteResult(WriteOutcome.WRITTEN, 0))
+    if reply.status in {404, 412}:
+        return _parse_json(reply).map(
+            lambda value: WriteResult(
+                WriteOutcome.CONFLICT, int(value.get("version", 0))
+            )
+        )
+    return Error(_unexpected(reply))
--- /dev/null
+++ b/packages/platform/mulberrybay_platform/vm_list.py
@@ -0,0 +1,55 @@
+"""Reads the platform's list of VMs."""
+
+import json
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_core.fleet import BackendServer, EntryVm, Fleet, VmState
+from mulberrybay_core.platform_messages import JsonObject
+from mulberrybay_runtime.http_exchange import HttpReply
+
+
+def decode_vm_list(reply: HttpReply) -> Result[Fleet, Failure]:
+    """Parses the answer to GET /v1/vms."""
+    if reply.status != 200:
+        return Error(_failure(f"the platform answered {reply.status}"))
+    try:
+        vms = json.loads(reply.body)["vms"]
+        entry_vms = [_read_entry(vm) for vm in vms if vm["role"] == "entry"]
+        servers = [_read_server(vm) for vm in vms if vm["role"] == "backend"]
+    except (KeyError, TypeError, ValueError) as error:
+        return Error(_failure(f"malformed list: {error!r}"))
+    return Ok(Fleet(entry_vms, servers))
+
+
+def _failure(detail: str) -> Failure:
+    return Failure(
+        FailureKind.PLATFORM, Step.MEMBERSHIP, "platform", f"list_vms: {detail}"
+    )
+
+
+def _read_state(vm: JsonObject) -> VmState:
+    return "leaving" if vm["state"] == "leaving" else "live"
+
+
+def _read_entry(vm: JsonObject) -> EntryVm:
+    return EntryVm(
+        node_id=str(vm["vm_id"]),
+        failure_domain=str(vm["failure_domain"]),
+        peer_address=Address(str(vm["host"]), int(vm["port"])),
+        state=_read_state(vm),
+    )
+
+
+def _read_server(vm: JsonObject) -> BackendServer:
+    return BackendServer(
+        server_id=str(vm["vm_id"]),
+        failure_domain=str(vm["failure_domain"]),
+        address=Address(str(vm["host"]), int(vm["port"])),
+        service=str(vm["service"]),
+        slot_count=int(vm["slot_count"]),
+        connection_cap=int(vm["connection_cap"]),
+        state=_read_state(vm),
+    )
--- /dev/null
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -0,0 +1,95 @@
+"""HTTP/1.1 towards backend servers and the platform: encode and parse.
+
+circuits.web's client carries no request identity in its events and has no
+timeout, so requests are written here and replies parsed by httptools.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple
+
+import httptools
+
+from mulberrybay_core.addresses import Address
+
+MAX_REPLY_BYTES: Final = 4 * 1024 * 1024
+
+
+class HttpReply(NamedTuple):
+    """A whole HTTP reply; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    keeps_alive: bool
+
+
+class ReplyTooLargeError(Exception):
+    """A reply is larger than MAX_REPLY_BYTES."""
+
+
+def encode_request(
+    method: str,
+    path: str,
+    address: Address,
+    headers: Iterable[tuple[str, str]] = (),
+    body: bytes = b"",
+) -> bytes:
+    """Returns the bytes of a request on a kept connection."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}\r\n\r\n")
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+class ReplyParser:
+    """Parses the replies that arrive on one connection."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._finished: list[HttpReply] = []
+
+    def feed(self, data: bytes) -> list[HttpReply]:
+        """Takes bytes from the connection.
+
+        Returns:
+            The replies that are complete now, usually none or one.
+
+        Raises:
+            ReplyTooLargeError: The reply exceeds the limit.
+            httptools.HttpParserError: The bytes are not HTTP.
+        """
+        self._parser.feed_data(data)
+        if self._body_bytes > MAX_REPLY_BYTES:
+            raise ReplyTooLargeError
+        finished = self._finished
+        self._finished = []
+        return finished
+
+    def on_message_begin(self) -> None:
+        """Starts a reply."""
+        self._headers = {}
+        self._body = []
+        self._body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Finishes a reply."""
+        self._finished.append(
+            HttpReply(
+                status=self._parser.get_status_code(),
+                headers=self._headers,
+                body=b"".join(self._body),
+                keeps_alive=self._parser.should_keep_alive(),
+            )
+        )
--- /dev/null
+++ b/packages/runtime/mulberrybay_runtime/logs.py
@@ -0,0 +1,62 @@
+"""Structured logs: one line for each change of state."""
+
+import json
+import sys
+from datetime import UTC
+from typing import Any, Final
+
+import logbook
+
+CONSOLE_FORMAT: Final = (
+    "{record.time:%H:%M:%S.%f} {record.level_name} {record.message} "
+    "{record.extra}"
+)
+
+
+class JsonHandler(logbook.StreamHandler):
+    """Writes each record as one line of JSON."""
+
+    def format(self, record: Any) -> str:  # noqa: ANN401
+        """Returns the line for a record."""
+        document = {
+            "at": record.time.replace(tzinfo=UTC).isoformat(),
+            "level": record.level_name.lower(),
+            "logger": record.channel,
+            "message": record.message,
+            **record.extra,
+        }
+        return json.dumps(document, default=str)
+
+
+def make_log_handler(log_form: str, log_level: str) -> logbook.StreamHandler:
+    """Returns the handler for a process, to be entered as a context.
+
+    Args:
+        log_form: "json" or "console".
+        log_level: The lowest level to write, in lower case.
+    """
+    level = logbook.lookup_level(log_level.upper())
+    if log_form == "json":
+        return JsonHandler(sys.stderr, level=level)
+    handler = logbook.StreamHandler(sys.stderr, level=level)
+    handler.format_string = CONSOLE_FORMAT
+    return handler
+
+
+class StateLog:
+    """Logs changes of state, each with its step and its peer."""
+
+    def __init__(self, name: str) -> None:
+        self._logger = logbook.Logger(name)
+
+    def info(self, message: str, **fields: object) -> None:
+        """Logs a change that is expected."""
+        self._logger.info(message, extra=fields)
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Logs a change that operators may want to act on."""
+        self._logger.warning(message, extra=fields)
+
+    def error(self, message: str, **fields: object) -> None:
+        """Logs a fault in this program."""
+        self._logger.error(message, extra=fields)
--- /dev/null
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -0,0 +1,221 @@
+"""TCP streams on the poller of circuits.
+
+One component owns all the sockets that this process dials or accepts for
+peers other than callers and operators. A TCPClient component of circuits per
+connection would flush the handler cache at every dial and poll while it
+connects; this component registers once.
+"""
+
+import contextlib
+import errno
+import socket
+from collections.abc import Callable
+from typing import Final, Protocol, Self
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from mulberrybay_core.addresses import Address
+
+READ_SIZE_BYTES: Final = 262_144
+MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
+LISTEN_BACKLOG_COUNT: Final = 512
+
+
+class StreamObserver(Protocol):
+    """What the owner of a stream learns of it."""
+
+    def on_connected(self, stream: "Stream") -> None:
+        """The dialled connection is open."""
+
+    def on_data(self, stream: "Stream", data: bytes) -> None:
+        """Bytes have arrived."""
+
+    def on_closed(self, stream: "Stream", reason: str) -> None:
+        """The connection has ended; nothing follows. Called once."""
+
+
+class Stream:
+    """One TCP connection."""
+
+    def __init__(
+        self,
+        owner: "Streams",
+        connection: socket.socket,
+        peer: Address,
+        observer: StreamObserver | None,
+    ) -> None:
+        self._owner = owner
+        self.connection = connection
+        self.peer = peer
+        self.observer = observer
+        self.unsent = bytearray()
+        self.is_connecting = observer is not None
+        self.is_open = True
+
+    def send(self, data: bytes) -> bool:
+        """Hands bytes to the socket; keeps what it does not take yet.
+
+        Returns:
+            False if no byte was handed over, since the stream is closed.
+        """
+        return self._owner.send(self, data)
+
+    def close(self) -> None:
+        """Closes the connection without telling the observer."""
+        self._owner.close_stream(self, reason=None)
+
+
+class Streams(BaseComponent):
+    """Owns TCP connections and tells their observers what happens."""
+
+    channel = "streams"
+
+    def __init__(self, poller: EPoll) -> None:
+        super().__init__()
+        self._poller = poller
+        self._streams: dict[socket.socket, Stream] = {}
+        self._listeners: dict[
+            socket.socket, Callable[[Stream], StreamObserver]
+        ] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for stream in list(self._streams.values()):
+            self.close_stream(stream, reason=None)
+        self.stop_listening()
+
+    def listen(
+        self, address: Address, accept: Callable[[Stream], StreamObserver]
+    ) -> None:
+        """Accepts connections; `accept` names the observer of each.
+
+        Raises:
+            OSError: The address is in use or is not this VM's.
+        """
+        listener = socket.create_server(
+            address, backlog=LISTEN_BACKLOG_COUNT, reuse_port=False
+        )
+        listener.setblocking(False)
+        self._listeners[listener] = accept
+        self._poller.addReader(self, listener)
+
+    def stop_listening(self) -> None:
+        """Closes the listening sockets; open connections stay."""
+        for listener in list(self._listeners):
+            self._poller.discard(listener)
+            listener.close()
+        self._listeners.clear()
+
+    def dial(self, address: Address, observer: StreamObserver) -> Stream:
+        """Starts to connect; the observer hears how it went, later."""
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.setblocking(False)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = Stream(self, connection, address, observer)
+        self._streams[connection] = stream
+        connection.connect_ex(address)
+        # A refused dial shows as an error on the socket when it is polled.
+        self._poller.addWriter(self, connection)
+        return stream
+
+    def send(self, stream: Stream, data: bytes) -> bool:
+        """Sends bytes; see `Stream.send`."""
+        if not stream.is_open or stream.is_connecting:
+            return False
+        if stream.unsent:
+            stream.unsent += data
+        else:
+            self._send_now(stream, data)
+        if len(stream.unsent) > MAX_UNSENT_BYTES:
+            self.close_stream(stream, "the peer does not read")
+        return True
+
+    def _send_now(self, stream: Stream, data: bytes | bytearray) -> None:
+        try:
+            sent_bytes = stream.connection.send(data)
+        except BlockingIOError:
+            sent_bytes = 0
+        except OSError as error:
+            self.close_stream(stream, f"send failed: {error.strerror}")
+            return
+        was_waiting = bool(stream.unsent)
+        stream.unsent = bytearray(data[sent_bytes:])
+        if stream.unsent and not was_waiting:
+            self._poller.addWriter(self, stream.connection)
+        elif was_waiting and not stream.unsent:
+            self._poller.removeWriter(stream.connection)
+
+    def close_stream(self, stream: Stream, reason: str | None) -> None:
+        """Closes a stream; a reason is told to its observer."""
+        if not stream.is_open:
+            return
+        stream.is_open = False
+        self._streams.pop(stream.connection, None)
+        self._poller.discard(stream.connection)
+        with contextlib.suppress(OSError):
+            stream.connection.close()
+        if reason is not None and stream.observer is not None:
+            stream.observer.on_closed(stream, reason)
+
+    @handler("_read", priority=1)
+    def _on_readable(self, connection: socket.socket) -> None:
+        if connection in self._listeners:
+            self._accept(connection)
+            return
+        stream = self._streams.get(connection)
+        if stream is None or stream.observer is None:
+            return
+        try:
+            data = connection.recv(READ_SIZE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.close_stream(stream, f"read failed: {error.strerror}")
+            return
+        if data:
+            stream.observer.on_data(stream, data)
+        else:
+            self.close_stream(stream, "the peer closed the connection")
+
+    def _accept(self, listener: socket.socket) -> None:
+        try:
+            connection, peer = listener.accept()
+        except OSError:
+            return
+        connection.setblocking(False)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = Stream(self, connection, Address(*peer[:2]), None)
+        stream.observer = self._listeners[listener](stream)
+        self._streams[connection] = stream
+        self._poller.addReader(self, connection)
+
+    @handler("_write", priority=1)
+    def _on_writable(self, connection: socket.socket) -> None:
+        stream = self._streams.get(connection)
+        if stream is None:
+            return
+        if stream.is_connecting:
+            self._finish_dial(stream)
+        elif stream.unsent:
+            self._send_now(stream, stream.unsent)
+
+    def _finish_dial(self, stream: Stream) -> None:
+        code = stream.connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            name = errno.errorcode.get(code, str(code))
+            self.close_stream(stream, f"connect failed: {name}")
+            return
+        stream.is_connecting = False
+        self._poller.removeWriter(stream.connection)
+        self._poller.addReader(self, stream.connection)
+        if stream.observer is not None:
+            stream.observer.on_connected(stream)
+
+    @handler("_disconnect", "_error", priority=1)
+    def _on_disconnect(self, connection: socket.socket, *_: object) -> None:
+        stream = self._streams.get(connection)
+        if stream is not None:
+            self.close_stream(stream, "the connection was reset or refused")
--- a/packages/testing/tests/test_standins.py
+++ b/packages/testing/tests/test_standins.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 import pytest
+
 from mulberrybay_testing.backend_model import expected_hits
 from mulberrybay_testing.control_client import get_control, post_control
 from mulberrybay_testing.event_log import Event, read_events
