Refuse unknown control keys and keep silent proxied links open

A misspelt control key changed nothing without a word, and a reset at one end of a silent link reached the other end. Deadlines took a timer each. Control documents are now checked against their typed keys, a swallowed direction swallows resets too, and a wait keeps one timer for its end and its deadline. Tests cover runs, leaving, and the proxy's faults.

--- a/packages/testing/mulberrybay_testing/backend_faults.py
+++ b/packages/testing/mulberrybay_testing/backend_faults.py
@@ -14,7 +14,11 @@
 
 
 class ServerSettings(TypedDict, total=False):
-    """What control may set at a server; absent keys stay as they are."""
+    """What control may set at a server; absent keys stay as they are.
+
+    A connection that was made silent stays so: setting `silent` to false
+    changes nothing, and `silent_new` to false spares only new connections.
+    """
 
     leaving: bool
     cold: bool
--- a/packages/testing/mulberrybay_testing/backend_server.py
+++ b/packages/testing/mulberrybay_testing/backend_server.py
@@ -164,18 +164,18 @@
         deadline_ms = request.headers.get("x-deadline-ms")
         deadline_s = float(deadline_ms) / 1000 if deadline_ms else None
         request_id = request.headers.get("x-request-id", "")
-        with PendingRequest(request_id, deadline_s) as entry:
-            siblings = self._pending.setdefault(request_id, [])
-            siblings.append(entry)
-            try:
-                response = await self._serve(request, entry)
-            except asyncio.CancelledError:
-                self._note_cancelled(entry, "connection_closed")
-                raise
-            finally:
-                siblings.remove(entry)
-                if not siblings:
-                    self._pending.pop(request_id, None)
+        entry = PendingRequest(request_id, deadline_s)
+        siblings = self._pending.setdefault(request_id, [])
+        siblings.append(entry)
+        try:
+            response = await self._serve(request, entry)
+        except asyncio.CancelledError:
+            self._note_cancelled(entry, "connection_closed")
+            raise
+        finally:
+            siblings.remove(entry)
+            if not siblings:
+                self._pending.pop(request_id, None)
         return await self._faults.apply(self._with_headers(entry, response))
 
     def _with_headers(
@@ -210,7 +210,7 @@
     async def _serve(self, request: Request, entry: PendingRequest) -> Response:
         connect_cost_ms = self.spec.connect_cost_ms
         if connect_cost_ms > 0 and request.connection.response_count == 0:
-            await entry.sleep(connect_cost_ms / 1000)
+            await entry.wait(connect_cost_ms / 1000)
         if entry.ending is not None:
             return self._ended(entry)
         if self._lacks_index_version(request):
@@ -273,7 +273,7 @@
             return self._version_not_held()
         entry.work_begun = True
         service_time_s = self.model.service_time_s(time.monotonic())
-        if await entry.sleep(service_time_s) is not None:
+        if await entry.wait(service_time_s) is not None:
             return self._ended(entry)
         self.model.complete()
         if request.path == "/v1/run":
--- a/packages/testing/mulberrybay_testing/backend_standin.py
+++ b/packages/testing/mulberrybay_testing/backend_standin.py
@@ -7,11 +7,12 @@
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, TypedDict, cast
 
 from mulberrybay_testing.backend_faults import ServerSettings
 from mulberrybay_testing.backend_model import ServerSpec
 from mulberrybay_testing.backend_server import BackendServer
+from mulberrybay_testing.control_document import parse_control
 from mulberrybay_testing.event_log import EventLog
 from mulberrybay_testing.http_server import (
     HttpServer,
@@ -77,7 +78,12 @@
                 200,
                 {item.spec.vm_id: item.counters() for item in self._servers},
             )
-        control: BackendControl = json.loads(request.body)
+        document = parse_control(
+            request.body,
+            BackendControl.__annotations__,
+            ServerSettings.__annotations__,
+        )
+        control = cast(BackendControl, document)
         chosen = [item for item in self._servers if _matches(item, control)]
         for server in chosen:
             await server.apply(control["set"])
--- a/packages/testing/mulberrybay_testing/http_server.py
+++ b/packages/testing/mulberrybay_testing/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import functools
 import json
 from collections import deque
 from typing import NamedTuple, Protocol
@@ -11,6 +12,8 @@
 
 import httptools
 
+_JSON_ENCODER = json.JSONEncoder(separators=(",", ":"))
+
 _REASONS = {
     200: "OK",
     201: "Created",
@@ -66,7 +69,7 @@
     status: int, document: object, *headers: tuple[str, str]
 ) -> Response:
     """Returns a response whose body is the document as JSON."""
-    body = json.dumps(document, separators=(",", ":")).encode()
+    body = _JSON_ENCODER.encode(document).encode()
     return Response(status, body, headers)
 
 
@@ -138,7 +141,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header; called by the parser."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._headers[_header_name(name)] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         """Collects a part of the body; called by the parser."""
@@ -149,7 +152,7 @@
         path, _, query = self._url.decode("latin-1").partition("?")
         request = Request(
             self._parser.get_method().decode(),
-            unquote(path),
+            unquote(path) if "%" in path else path,
             dict(parse_qsl(query)) if query else {},
             self._headers,
             b"".join(self._body),
@@ -170,6 +173,8 @@
                 request = self._waiting.popleft()
                 try:
                     response = await self._handler.handle(request)
+                except ValueError as error:
+                    response = json_response(400, {"error": str(error)})
                 except Exception as error:
                     response = json_response(500, {"error": repr(error)})
                 self._send(response)
@@ -194,6 +199,11 @@
         self._transport.write(encoded)
 
 
+@functools.lru_cache(maxsize=256)
+def _header_name(name: bytes) -> str:
+    return name.decode("latin-1").lower()
+
+
 def _encode(response: Response) -> bytes:
     reason = _REASONS.get(response.status, "Unknown")
     lines = [f"HTTP/1.1 {response.status} {reason}"]
--- a/packages/testing/mulberrybay_testing/pending_request.py
+++ b/packages/testing/mulberrybay_testing/pending_request.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import math
 
 
 class Ending(enum.Enum):
@@ -14,32 +15,20 @@
 
 
 class PendingRequest:
-    """One outstanding request; may be ended from outside while it waits.
-
-    A context manager: leaving it stops the deadline timer.
-    """
+    """One outstanding request; may be ended from outside while it waits."""
 
     def __init__(self, request_id: str, deadline_s: float | None) -> None:
         self.request_id = request_id
-        self.ending: Ending | None = None
         self.has_slot = False
         self.work_begun = False
+        self.ending: Ending | None = None
         self._loop = asyncio.get_running_loop()
         self._signal: asyncio.Future[None] | None = None
-        self._deadline: asyncio.TimerHandle | None = None
+        self._deadline_at_s = math.inf
         if deadline_s is not None:
-            self._deadline = self._loop.call_later(
-                deadline_s, self.end, Ending.DEADLINE
-            )
-
-    def __enter__(self) -> PendingRequest:
-        """Returns the request."""
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        """Stops the deadline timer."""
-        if self._deadline is not None:
-            self._deadline.cancel()
+            self._deadline_at_s = self._loop.time() + deadline_s
+            if deadline_s <= 0:
+                self.ending = Ending.DEADLINE
 
     def end(self, ending: Ending) -> None:
         """Ends the request; the first ending stands."""
@@ -52,19 +41,35 @@
         if self._signal is not None and not self._signal.done():
             self._signal.set_result(None)
 
-    async def sleep(self, duration_s: float) -> Ending | None:
-        """Waits for a duration; returns the ending, if one came."""
+    async def wait(self, duration_s: float | None = None) -> Ending | None:
+        """Waits for a duration or to be woken.
+
+        Args:
+          duration_s: how long to wait; None waits until woken.
+
+        Returns:
+          The ending, if it came before or during the wait.
+        """
         if self.ending is not None:
             return self.ending
-        timer = self._loop.call_later(duration_s, self.wake)
+        self._signal = self._loop.create_future()
+        timer = self._start_timer(duration_s)
         try:
-            return await self.wait()
-        finally:
-            timer.cancel()
-
-    async def wait(self) -> Ending | None:
-        """Waits to be woken; returns the ending, if one came."""
-        if self.ending is None:
-            self._signal = self._loop.create_future()
             await self._signal
+        finally:
+            if timer is not None:
+                timer.cancel()
         return self.ending
+
+    def _start_timer(
+        self, duration_s: float | None
+    ) -> asyncio.TimerHandle | None:
+        if duration_s is not None:
+            wake_at_s = self._loop.time() + duration_s
+            if wake_at_s < self._deadline_at_s:
+                return self._loop.call_at(wake_at_s, self.wake)
+        if self._deadline_at_s == math.inf:
+            return None
+        return self._loop.call_at(
+            self._deadline_at_s, self.end, Ending.DEADLINE
+        )
--- a/packages/testing/mulberrybay_testing/platform_standin.py
+++ b/packages/testing/mulberrybay_testing/platform_standin.py
@@ -10,8 +10,9 @@
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
+from mulberrybay_testing.control_document import parse_control
 from mulberrybay_testing.event_log import EventLog
 from mulberrybay_testing.http_server import (
     CLOSE_WITHOUT_RESPONSE,
@@ -239,14 +240,15 @@
                 "outage": self._faults.outage,
             }
             return json_response(200, state)
-        control: PlatformControl = json.loads(request.body)
+        document = parse_control(request.body, PlatformControl.__annotations__)
+        control = cast(PlatformControl, document)
         self._faults.apply(control)
         if "vm_list_lag_s" in control:
             self._vms.lag_s = control["vm_list_lag_s"]
         vms = changed_vms(self._vms.current, control)
         if vms != self._vms.current:
             self._vms.record(vms, time.monotonic())
-        self._log.write("control", {"settings": dict(control)})
+        self._log.write("control", {"settings": document})
         self._announce_change()
         return json_response(200, {})
 
--- a/packages/testing/mulberrybay_testing/proxy_link.py
+++ b/packages/testing/mulberrybay_testing/proxy_link.py
@@ -15,7 +15,11 @@
 
 
 class ProxySettings(TypedDict, total=False):
-    """What control may set at a proxy; absent keys stay as they are."""
+    """What control may set at a proxy; absent keys stay as they are.
+
+    `cut_after_bytes` counts the answers of all connections together; once it
+    is used up, every further answer is cut until it is set to null.
+    """
 
     cut: bool | None
     delay_ms: float | None
@@ -94,8 +98,9 @@
         try:
             await self._receive(reader, pipe)
             await sender
-        except (ConnectionError, OSError):
-            self.abort()
+        except OSError:
+            if not self.swallows(direction):
+                self.abort()
         finally:
             sender.cancel()
 
--- a/packages/testing/mulberrybay_testing/tcp_proxy.py
+++ b/packages/testing/mulberrybay_testing/tcp_proxy.py
@@ -8,8 +8,9 @@
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, TypedDict, cast
 
+from mulberrybay_testing.control_document import parse_control
 from mulberrybay_testing.event_log import EventLog
 from mulberrybay_testing.http_server import (
     HttpServer,
@@ -154,7 +155,12 @@
                 200,
                 {item.spec.name: item.counters() for item in self._proxies},
             )
-        control: ProxyControl = json.loads(request.body)
+        document = parse_control(
+            request.body,
+            ProxyControl.__annotations__,
+            ProxySettings.__annotations__,
+        )
+        control = cast(ProxyControl, document)
         names = control.get("names", [])
         for proxy in self._proxies:
             if control.get("all") or proxy.spec.name in names:
--- a/packages/testing/tests/test_standins.py
+++ b/packages/testing/tests/test_standins.py
@@ -15,7 +15,11 @@
 
 import pytest
 from mulberrybay_testing.backend_model import expected_hits
-from mulberrybay_testing.control_client import get_control, post_control
+from mulberrybay_testing.control_client import (
+    ControlError,
+    get_control,
+    post_control,
+)
 from mulberrybay_testing.event_log import Event, read_events
 from mulberrybay_testing.processes import Processes, free_port
 
@@ -192,7 +196,19 @@
 
 
 def test_outages_and_lagging_vm_list(platform: int) -> None:
+    waiter_errors: list[object] = []
+
+    def wait_for_change() -> None:
+        try:
+            _call(platform, "GET", "/v1/watch/classes?after=0&timeout_s=9")
+        except ConnectionError as error:
+            waiter_errors.append(error)
+
+    waiter = _in_thread(wait_for_change)
+    _wait_until(lambda: get_control(platform)["calls"].get("watch") == 1)
     post_control(platform, {"outage": "refuse"})
+    waiter.join(2)
+    assert len(waiter_errors) == 1
     with pytest.raises((http.client.RemoteDisconnected, ConnectionError)):
         _call(platform, "GET", "/v1/vms")
     post_control(platform, {"outage": "unavailable"})
@@ -225,6 +241,28 @@
     assert missing.headers["x-index-versions"] == "7,8"
 
 
+def test_leaving_server_says_so_and_runs_are_not_deduplicated(
+    start_backend: Callable[..., Backend],
+) -> None:
+    backend = start_backend()
+    settings = {"leaving": True}
+    post_control(
+        backend.control_port, {"failure_domain": "d1", "set": settings}
+    )
+    headers = {"X-Request-Id": "r1", "Idempotency-Key": "k1"}
+    replies = [
+        _call(backend.port, "POST", "/v1/run", "{}", headers) for _ in range(2)
+    ]
+    assert [reply.headers["x-leaving"] for reply in replies] == ["1", "1"]
+    assert replies[0].document != replies[1].document
+    keys = [item["idempotency_key"] for item in backend.events("effect")]
+    assert keys == ["k1", "k1"]
+    health = _call(backend.port, "GET", "/v1/health")
+    assert health.document == {"status": "live"}
+    with pytest.raises(ControlError):
+        post_control(backend.control_port, {"all": True, "set": {"typo": 1}})
+
+
 def test_overfed_cold_server_collapses(
     start_backend: Callable[..., Backend],
 ) -> None:
@@ -352,28 +390,66 @@
     assert received == {"r1": "r2", "r2": "r1"}
 
 
-def test_proxy_silences_open_connections_only(
+class Proxied(NamedTuple):
+    """A backend server behind a proxy."""
+
+    port: int
+    control_port: int
+
+    def set(self, **settings: object) -> None:
+        post_control(self.control_port, {"all": True, "set": settings})
+
+    def health_status(self, timeout_s: float = _TIMEOUT_S) -> int:
+        reply = _call(self.port, "GET", "/v1/health", timeout_s=timeout_s)
+        return reply.status
+
+
+@pytest.fixture
+def proxied(
     processes: Processes,
     start_backend: Callable[..., Backend],
     tmp_path: Path,
-) -> None:
+) -> Proxied:
     backend = start_backend()
     port, control_port = free_port(), free_port()
     target = ("--listen", port, "--target", f"127.0.0.1:{backend.port}")
     control = ("--control-port", control_port, "--log", tmp_path / "p.jsonl")
     _start(processes, "tcp_proxy", *target, *control)
+    return Proxied(port, control_port)
+
+
+def test_proxy_silences_open_connections_only(proxied: Proxied) -> None:
     request = b"GET /v1/health HTTP/1.1\r\n\r\n"
-    with socket.create_connection(("127.0.0.1", port)) as connection:
+    address = ("127.0.0.1", proxied.port)
+    with socket.create_connection(address) as connection:
         connection.sendall(request)
         assert connection.recv(1000).startswith(b"HTTP/1.1 200")
-        post_control(control_port, {"all": True, "set": {"silent": True}})
+        proxied.set(silent=True)
         connection.settimeout(0.2)
         connection.sendall(request)
         with pytest.raises(TimeoutError):
             connection.recv(1000)
-        assert _call(port, "GET", "/v1/health").status == 200
-        post_control(control_port, {"all": True, "set": {"cut": True}})
-        with pytest.raises(ConnectionError):
-            _call(port, "GET", "/v1/health")
-        post_control(control_port, {"all": True, "set": {"cut": False}})
-        assert _call(port, "GET", "/v1/health").status == 200
+        assert proxied.health_status() == 200
+
+
+def _raw_answer(port: int) -> bytes:
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.settimeout(_TIMEOUT_S)
+        connection.sendall(b"GET /v1/health HTTP/1.1\r\n\r\n")
+        with connection.makefile("rb") as answer:
+            return answer.read()
+
+
+def test_proxy_cuts_delays_and_swallows(proxied: Proxied) -> None:
+    proxied.set(cut=True)
+    with pytest.raises(ConnectionError):
+        proxied.health_status()
+    proxied.set(cut=False, cut_after_bytes=20)
+    assert _raw_answer(proxied.port) == b"HTTP/1.1 200 OK\r\nCon"
+    proxied.set(cut_after_bytes=None, one_way="from_target")
+    with pytest.raises(TimeoutError):
+        proxied.health_status(timeout_s=0.2)
+    proxied.set(one_way=None, delay_ms=50)
+    started_s = time.monotonic()
+    assert proxied.health_status() == 200
+    assert time.monotonic() - started_s >= 0.1
