Run the thin whole path as separate processes

Cause: nothing had shown yet that the packages work together. Change: a deployment of platform, backend servers and three nodes for tests; tests of addresses, one query and one booking repeated at another node. Conclusion: the path stands; the packages can now be widened separately.

--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,65 @@
+"""The whole path as separate processes: addresses, a query, a booking."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from mulberrybay_testing.backend_model import expected_hits
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.http_caller import make_key, send_request
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    """A platform, eleven backend servers and three nodes."""
+    with Deployment(tmp_path_factory.mktemp("path")) as running:
+        yield running
+
+
+def test_addresses_start_with_the_callers_domain(
+    deployment: Deployment,
+) -> None:
+    answer = send_request(
+        deployment.nodes[0].caller_port,
+        "GET",
+        "/v1/addresses?failure_domain=d2",
+    )
+    document = answer.json()
+    assert answer.status == 200
+    assert [item["failure_domain"] for item in document["addresses"]] == [
+        "d2",
+        "d1",
+        "d3",
+    ]
+    assert document["time_to_live_s"] > 0
+
+
+def test_query_returns_one_whole_snapshot(deployment: Deployment) -> None:
+    answer = deployment.query(deployment.nodes[0], body="valve")
+    document = answer.json()
+    wanted = [
+        hit["id"]
+        for shard in range(4)
+        for hit in expected_hits(1, shard, b'"valve"')
+    ]
+    assert answer.status == 200
+    assert [hit["id"] for hit in document["hits"]] == wanted
+    assert document["coverage"]["covered_count"] == 4
+    assert document["coverage"]["missing_shards"] == []
+
+
+def test_booking_runs_once_at_whichever_node(deployment: Deployment) -> None:
+    key = make_key()
+    first = deployment.run(deployment.nodes[0], key)
+    second = deployment.run(deployment.nodes[1], key)
+    effects = [
+        event
+        for event in deployment.backend_events("effect")
+        if event["idempotency_key"] == key
+    ]
+    assert first.status == second.status == 200
+    assert first.json()["result"] == second.json()["result"]
+    assert second.json()["was_repeat"] is True
+    assert len(effects) == 1
