--- a/packages/backends/mulberrybay_backends/protocol.py
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -13,6 +13,7 @@
 from mulberrybay_core.fleet import BackendServer
 from mulberrybay_runtime.http_exchange import HttpReply, encode_request
 
+MAX_RETRY_AFTER_S: Final = 60.0
 JSON_TYPE: Final = ("Content-Type", "application/json")
 
 
@@ -91,7 +92,7 @@
     """Takes the hits out of a search's reply: a JSON array."""
     try:
         hits = json.loads(body)["hits"]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return _bad_reply("the reply is not an object with hits")
     if not isinstance(hits, list):
         return _bad_reply("the hits are not a list")
@@ -100,11 +101,12 @@
 
 
 def _read_run_result(body: bytes) -> BackendResult:
+    """Takes a run's result, as JSON in ASCII whatever its encoding was."""
     try:
-        json.loads(body)
-    except ValueError:
+        result_json = json.dumps(json.loads(body)).encode()
+    except (ValueError, RecursionError):
         return _bad_reply("the result is not JSON")
-    return BackendResult(BackendOutcome.OK, RunState.RAN, body=body)
+    return BackendResult(BackendOutcome.OK, RunState.RAN, body=result_json)
 
 
 def _bad_reply(detail: str) -> BackendResult:
@@ -115,13 +117,17 @@
 
 def _read_retry_after_s(reply: HttpReply) -> float:
     try:
-        return max(0.0, float(reply.headers.get("retry-after", "0")))
+        retry_after_s = float(reply.headers.get("retry-after", "0"))
     except ValueError:
         return 0.0
+    is_usable = 0 <= retry_after_s <= MAX_RETRY_AFTER_S
+    return retry_after_s if is_usable else 0.0
 
 
 def _read_versions(reply: HttpReply) -> tuple[int, ...]:
     text = reply.headers.get("x-index-versions", "")
     return tuple(
-        int(part) for part in text.split(",") if part.strip().isdigit()
+        int(part)
+        for part in text.split(",")
+        if part.strip().isascii() and part.strip().isdigit()
     )
--- a/packages/callers/mulberrybay_callers/application.py
+++ b/packages/callers/mulberrybay_callers/application.py
@@ -157,12 +157,13 @@
             return Error(failure._replace(kind=FailureKind.UNKNOWN_CLASS))
         try:
             json.loads(request.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return Error(_invalid(f"the body is not JSON: {error}"))
         text = request.headers.get("X-Deadline-Ms")
         if text is None:
             return Ok(DEFAULT_DEADLINE_S)
-        if not text.isdigit() or not 1 <= int(text) <= MAX_DEADLINE_S * 1000:
+        is_number = text.isascii() and text.isdigit() and len(text) < 8
+        if not is_number or not 1 <= int(text) <= MAX_DEADLINE_S * 1000:
             limit_ms = int(MAX_DEADLINE_S * 1000)
             return Error(_invalid(f"X-Deadline-Ms is not 1 to {limit_ms}"))
         return Ok(int(text) / 1000)
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -38,6 +38,7 @@
 from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
 from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_daemon.member_task import MemberTask
+from mulberrybay_daemon.record_expiry import RecordExpiry
 from mulberrybay_daemon.runs import RunCoordinator
 from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
 from mulberrybay_daemon.settings import NodeSettings
@@ -50,6 +51,7 @@
 from mulberrybay_operators.application import OperatorApplication
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.faults import FaultLog
 from mulberrybay_runtime.http_server import HttpServer
 from mulberrybay_runtime.logs import StateLog
 from mulberrybay_runtime.streams import Streams
@@ -71,6 +73,7 @@
         self._settings = settings
         self._log = StateLog("node")
         self._exits = contextlib.ExitStack()
+        self._faults = FaultLog().register(self)
         self._poller = EPoll().register(self)
         self._timers = Timers().register(self)
         self._streams = Streams(self._poller).register(self)
@@ -133,6 +136,7 @@
         )
         self._runs = RunCoordinator(
             process_id,
+            settings.runs,
             self._gate,
             self._router,
             self._store,
@@ -142,6 +146,9 @@
         self._fleet_task = FleetTask(
             self._store, self._timers, self._coordinator.catalog, self._on_fleet
         )
+        self._expiry = RecordExpiry(
+            settings.runs, self._store, self._timers, self._should_sweep
+        )
         self._service = NodeService(
             self._membership,
             self._members,
@@ -176,6 +183,7 @@
             lambda: self._membership.live_nodes(read_clock_s())
         )
         self._fleet_task.start()
+        self._expiry.start()
         self._timers.call_every(STATUS_PERIOD_S, self._update_serving)
         self._log.info("listening", callers=str(settings.caller_address))
         return self
@@ -206,12 +214,21 @@
         self._gate.set_configuration(configuration)
         self._members.set_configuration(configuration)
 
-    def _update_serving(self) -> None:
-        is_serving = (
+    def _should_sweep(self) -> bool:
+        live = self._membership.live_nodes(read_clock_s())
+        first_id = min(info.node_id for info in live)
+        return first_id == self._settings.node_id and self._can_act()
+
+    def _can_act(self) -> bool:
+        return (
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
-            and self._stop_began_at_s is None
         )
+
+    def _update_serving(self) -> None:
+        is_serving = self._can_act() and self._stop_began_at_s is None
+        live = self._membership.live_nodes(read_clock_s())
+        self._runs.set_node_count(len(live))
         info = self._membership.info
         if info.is_serving != is_serving:
             self._log.info("serving" if is_serving else "not serving")
--- a/packages/daemon/mulberrybay_daemon/settings.py
+++ b/packages/daemon/mulberrybay_daemon/settings.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.addresses import Address, parse_address
 from mulberrybay_core.admission import AdmissionSettings
 from mulberrybay_core.membership import MembershipSettings
+from mulberrybay_core.write_budget import RunSettings
 
 ENVIRONMENT_PREFIX: Final = "MULBERRYBAY_"
 LOG_LEVELS: Final = ("debug", "info", "notice", "warning", "error")
@@ -34,6 +35,7 @@
         log_form: JSON lines for programs, or console lines for people.
         membership: Times of leases.
         admission: Limits on the node's work.
+        runs: Limits on non-idempotent requests.
     """
 
     node_id: str
@@ -49,6 +51,7 @@
     log_form: str = "json"
     membership: MembershipSettings = MembershipSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    runs: RunSettings = RunSettings()
 
 
 class SettingsProblem(NamedTuple):
@@ -77,6 +80,7 @@
 _SECTIONS: Final = {
     "membership": MembershipSettings,
     "admission": AdmissionSettings,
+    "runs": RunSettings,
 }
 _KNOWN_KEYS: Final = frozenset(NodeSettings._fields)
 
--- /dev/null
+++ b/packages/runtime/mulberrybay_runtime/faults.py
@@ -0,0 +1,34 @@
+"""Reports exceptions that no handler of circuits caught."""
+
+import traceback
+from types import TracebackType
+
+from circuits import BaseComponent, handler
+
+from mulberrybay_runtime.logs import StateLog
+
+
+class FaultLog(BaseComponent):
+    """Logs and counts the faults of this program; the process goes on."""
+
+    channel = "faults"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._log = StateLog("faults")
+        self.fault_count = 0
+
+    @handler("exception", channel="*")
+    def _on_exception(
+        self,
+        exception_type: type[BaseException],
+        exception: BaseException,
+        trace: list[str] | TracebackType,
+        **_: object,
+    ) -> None:
+        del exception_type
+        self.fault_count += 1
+        lines = trace if isinstance(trace, list) else traceback.format_tb(trace)
+        self._log.error(
+            "a handler failed", error=repr(exception), trace="".join(lines)
+        )
--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -5,17 +5,22 @@
 has its connection closed after that answer, so answers can't be crossed.
 """
 
+import http
+import json
+import traceback
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple, Protocol
 
 from circuits import BaseComponent, handler
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
+from circuits.web.errors import httperror
 from circuits.web.events import response as response_event
 from circuits.web.http import HTTP
 from circuits.web.wrappers import Request, Response
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_runtime.logs import StateLog
 
 MAX_BODY_BYTES: Final = 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
@@ -66,8 +71,9 @@
 class _BoundedHttp(HTTP):
     """The protocol of circuits.web with bounds on what a client may send.
 
-    Without `override` circuits calls the base class's handlers too, in any
-    order, and each read would be parsed twice.
+    Whatever is refused here gets a JSON error and a closed connection. Without
+    `override` circuits calls the base class's handlers too, in any order, and
+    each read would be parsed twice.
     """
 
     def __init__(self, server: "HttpServer", channel: str) -> None:
@@ -83,25 +89,50 @@
         received_bytes = self._received_bytes.get(sock, 0) + len(data)
         self._received_bytes[sock] = received_bytes
         if received_bytes > MAX_BODY_BYTES + MAX_HEADER_BYTES:
-            self._refuse_large(sock)
+            detail = f"the request is larger than {MAX_BODY_BYTES} bytes"
+            self.refuse(sock, 413, "too_large", detail)
             return
-        super()._on_read(sock, data)
+        try:
+            super()._on_read(sock, data)
+        except (ValueError, LookupError, TypeError, AttributeError) as error:
+            # The parser of circuits.web raises these on malformed input.
+            self.refuse(sock, 400, "invalid", f"not HTTP: {error!r}")
         if sock not in self._buffers:
             self._received_bytes.pop(sock, None)
 
-    def _refuse_large(self, sock: Any) -> None:  # noqa: ANN401
-        body = (
-            b'{"error": {"kind": "too_large", "step": "parse", "peer": '
-            b'"caller", "detail": "the body is larger than %d bytes", '
-            b'"run_state": "not_run"}}' % MAX_BODY_BYTES
-        )
-        head = (
-            "HTTP/1.1 413 Content Too Large\r\nConnection: close\r\n"
-            f"Content-Type: {JSON_TYPE}\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
+    @handler("httperror", override=True)
+    def _on_httperror(
+        self,
+        event: httperror,
+        request: Request,
+        response: Response,
+        code: int | None,
+        **_: object,
+    ) -> None:
+        del response, code
+        detail = f"status {event.code}: {event.description or 'not HTTP'}"
+        kind = "internal" if event.code >= 500 else "invalid"
+        self.refuse(request.sock, event.code, kind, detail)
+
+    def refuse(
+        self,
+        sock: Any,  # noqa: ANN401
+        status: int,
+        kind: str,
+        detail: str,
+    ) -> None:
+        """Answers what never reached the application, and closes."""
+        error = {
+            "kind": kind,
+            "step": "parse",
+            "peer": "caller",
+            "detail": detail,
+            "run_state": "not_run",
+            "retry_after_s": None,
+        }
         self._buffers.pop(sock, None)
         self._clients.pop(sock, None)
-        self.fire(write(sock, head.encode() + body))
+        self.fire(write(sock, encode_raw_answer(status, {"error": error})))
         self.fire(close(sock))
 
     @handler("disconnect", override=True)
@@ -111,6 +142,17 @@
         super()._on_disconnect(sock)
 
 
+def encode_raw_answer(status: int, document: object) -> bytes:
+    """Returns the bytes of a JSON answer that closes the connection."""
+    body = json.dumps(document).encode()
+    reason = http.HTTPStatus(status).phrase
+    head = (
+        f"HTTP/1.1 {status} {reason}\r\nConnection: close\r\n"
+        f"Content-Type: {JSON_TYPE}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 class HttpServer(BaseComponent):
     """Serves one application on one port."""
 
@@ -135,7 +177,9 @@
         self.port = address.port
         self._listener = _Listener(tuple(address), channel=channel)
         self._listener.register(self)
-        _BoundedHttp(self, channel=channel).register(self)
+        self._http = _BoundedHttp(self, channel=channel).register(self)
+        self._log = StateLog(f"http-{channel}")
+        self.fault_count = 0
 
     @property
     def pending_count(self) -> int:
@@ -144,6 +188,10 @@
 
     @handler("request")
     def _on_request(self, request: Request, response: Response) -> bool:
+        if request.method == "HEAD":
+            # circuits.web would leave the exchange open after it.
+            self._http.refuse(request.sock, 405, "invalid", "no HEAD here")
+            return True
         self._pending_count += 1
         is_answered = False
 
@@ -154,7 +202,17 @@
                 self._pending_count -= 1
                 self._send(request, response, answer)
 
-        self._application.on_request(_read_request(request), respond)
+        try:
+            self._application.on_request(_read_request(request), respond)
+        except Exception as error:
+            self.fault_count += 1
+            self._log.error(
+                "a request failed",
+                path=request.path,
+                error=repr(error),
+                trace=traceback.format_exc(),
+            )
+            respond(_internal_error())
         # True tells circuits.web that the answer comes later.
         return True
 
@@ -181,3 +239,16 @@
         headers=request.headers,
         body=request.body.read() if request.body else b"",
     )
+
+
+def _internal_error() -> HttpResponse:
+    # Part of the request may have been done before the fault.
+    error = {
+        "kind": "internal",
+        "step": "dispatch",
+        "peer": "",
+        "detail": "a fault in this program",
+        "run_state": "unknown",
+        "retry_after_s": None,
+    }
+    return HttpResponse(500, json.dumps({"error": error}).encode())
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -125,28 +125,30 @@
         """Sends bytes; see `Stream.send`."""
         if not stream.is_open or stream.is_connecting:
             return False
+        if len(stream.unsent) + len(data) > MAX_UNSENT_BYTES:
+            self.close_stream(stream, "the peer does not read")
+            return False
         if stream.unsent:
             stream.unsent += data
-        else:
-            self._send_now(stream, data)
-        if len(stream.unsent) > MAX_UNSENT_BYTES:
-            self.close_stream(stream, "the peer does not read")
-        return True
+            return True
+        return self._send_now(stream, data)
 
-    def _send_now(self, stream: Stream, data: bytes | bytearray) -> None:
+    def _send_now(self, stream: Stream, data: bytes | bytearray) -> bool:
+        """Hands bytes to the socket; False if it took none and is closed."""
         try:
             sent_bytes = stream.connection.send(data)
         except BlockingIOError:
             sent_bytes = 0
         except OSError as error:
             self.close_stream(stream, f"send failed: {error.strerror}")
-            return
+            return False
         was_waiting = bool(stream.unsent)
         stream.unsent = bytearray(data[sent_bytes:])
         if stream.unsent and not was_waiting:
             self._poller.addWriter(self, stream.connection)
         elif was_waiting and not stream.unsent:
             self._poller.removeWriter(stream.connection)
+        return True
 
     def close_stream(self, stream: Stream, reason: str | None) -> None:
         """Closes a stream; a reason is told to its observer."""
@@ -175,10 +177,15 @@
         except OSError as error:
             self.close_stream(stream, f"read failed: {error.strerror}")
             return
-        if data:
-            stream.observer.on_data(stream, data)
-        else:
+        if not data:
             self.close_stream(stream, "the peer closed the connection")
+            return
+        try:
+            stream.observer.on_data(stream, data)
+        except Exception:
+            # The observer may have lost its place in the byte stream.
+            self.close_stream(stream, "a fault while reading the data")
+            raise
 
     def _accept(self, listener: socket.socket) -> None:
         try:
--- a/packages/runtime/mulberrybay_runtime/timers.py
+++ b/packages/runtime/mulberrybay_runtime/timers.py
@@ -72,7 +72,13 @@
         """Runs the callbacks that are due."""
         while self._heap and self._heap[0][0] <= now_s:
             timer = heapq.heappop(self._heap)[2]
-            timer.fire()
+            try:
+                timer.fire()
+            except Exception:
+                # The other timers that are due run first, then the fault is
+                # raised to the loop, which reports it.
+                self.run_due(now_s)
+                raise
 
     def next_due_s(self) -> float | None:
         """Returns when the next timer is due, or None if there is none."""
