Check deadline, lease and configuration at the write to a backend server

Cause: a request that waited for its connection was sent after a pause of the process although its deadline and the lease had passed; a dead backend server was redialled for every attempt; an unanswered cancellation kept a connection busy for ever; a duplicate reply could be taken for the next request's; a malformed answer of the platform raised in a handler; silent idle connections to the platform cost one timeout each; every run waited for the timeouts of a platform that was known to be down. Change: execute() takes a check that runs right before the write; dials back off; cancellations time out; a second reply closes the connection; the codec of the platform's objects is a module of its own and returns failures; idle connections older than a call that timed out are closed; runs are refused at once, "not run", after three failed calls in a row.

--- a/packages/backends/mulberrybay_backends/connections.py
+++ b/packages/backends/mulberrybay_backends/connections.py
@@ -19,9 +19,11 @@
     BackendRequest,
     BackendResult,
     BackendResultHandler,
+    SendCheck,
 )
 from mulberrybay_core.errors import RunState
 from mulberrybay_core.fleet import BackendServer
+from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import (
     HttpReply,
@@ -32,6 +34,7 @@
 from mulberrybay_runtime.timers import Timer, Timers
 
 CANCEL_GRACE_S: Final = 0.1
+CANCEL_TIMEOUT_S: Final = 1.0
 
 
 class _Exchange:
@@ -41,10 +44,12 @@
         self,
         server: BackendServer,
         request: BackendRequest,
+        may_send: SendCheck,
         reply: BackendResultHandler,
     ) -> None:
         self.server = server
         self.request = request
+        self.may_send = may_send
         self._reply: BackendResultHandler | None = reply
         self.started_at_s = read_clock_s()
         self.was_sent = False
@@ -78,24 +83,39 @@
         self.stream: Stream | None = None
         self.used_at_s = read_clock_s()
         self.ignored_reply_count = 0
+        self.is_connected = False
 
     def on_connected(self, stream: Stream) -> None:
         """Sends the request that waits for the connection."""
         del stream
+        self.is_connected = True
+        self._pool.on_connected()
         if self.exchange is not None:
             self.send(self.exchange)
 
     def send(self, exchange: _Exchange) -> None:
-        """Sends a request on the open connection."""
+        """Sends a request on the open connection, if that is still right.
+
+        The process may have been paused since the request was dispatched:
+        its deadline, the lease and the configuration are checked here, with
+        nothing between the check and the write.
+        """
         self.exchange = exchange
         exchange.connection = self
+        time_left_s = exchange.request.deadline_at_s - read_clock_s()
         if self.stream is None:
             return
-        time_left_s = exchange.request.deadline_at_s - read_clock_s()
-        data = encode_backend_request(
-            exchange.server, exchange.request, time_left_s
-        )
-        exchange.was_sent = self.stream.send(data)
+        if time_left_s <= 0:
+            self._pool.withdraw(self, BackendOutcome.DEADLINE)
+        elif exchange.is_cancelled:
+            self._pool.withdraw(self, BackendOutcome.CANCELLED)
+        elif not exchange.may_send():
+            self._pool.withdraw(self, BackendOutcome.NOT_ALLOWED)
+        else:
+            data = encode_backend_request(
+                exchange.server, exchange.request, time_left_s
+            )
+            exchange.was_sent = self.stream.send(data)
 
     def send_cancel(self, server: BackendServer, request_id: str) -> None:
         """Sends a cancellation; its reply carries nothing of interest."""
@@ -111,8 +131,9 @@
             stream.close()
             self._pool.on_broken(self, BackendOutcome.BAD_REPLY, repr(error))
             return
-        for reply in replies:
-            self._pool.on_reply(self, reply)
+        if replies:
+            # A second reply answers nothing that was asked.
+            self._pool.on_reply(self, replies[0], len(replies) == 1)
 
     def on_closed(self, stream: Stream, reason: str) -> None:
         """The connection has ended."""
@@ -123,9 +144,14 @@
 class _ServerPool:
     """The connections to one backend server."""
 
-    def __init__(self, server: BackendServer, streams: Streams) -> None:
+    def __init__(
+        self, server: BackendServer, streams: Streams, timers: Timers
+    ) -> None:
         self.server = server
         self._streams = streams
+        self._timers = timers
+        self._backoff = Backoff()
+        self._dial_after_s = 0.0
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
 
@@ -134,20 +160,40 @@
         """Connections that are open or being opened."""
         return len(self._idle) + len(self._busy)
 
-    def start(self, exchange: _Exchange) -> bool:
-        """Sends a request; False if the server's connection cap is reached."""
+    def start(self, exchange: _Exchange) -> str | None:
+        """Sends a request.
+
+        Returns:
+            Why there is no connection for it, or None.
+        """
         if self._idle:
             connection = self._idle.pop()
             self._busy.add(connection)
             connection.send(exchange)
-            return True
+            return None
         if self.connection_count >= self.server.connection_cap:
-            return False
+            return "the connection cap is reached"
+        if read_clock_s() < self._dial_after_s:
+            return "the last connection failed"
         connection = _Connection(self, exchange)
         exchange.connection = connection
         self._busy.add(connection)
         connection.stream = self._streams.dial(self.server.address, connection)
-        return True
+        return None
+
+    def on_connected(self) -> None:
+        """The server accepts connections."""
+        self._backoff.reset()
+
+    def withdraw(
+        self, connection: _Connection, outcome: BackendOutcome
+    ) -> None:
+        """Ends a request that was not sent; its connection stays usable."""
+        exchange = connection.exchange
+        connection.exchange = None
+        self._settle(connection, is_reusable=True)
+        if exchange is not None:
+            exchange.finish(BackendResult(outcome, RunState.NOT_RUN))
 
     def cancel(self, exchange: _Exchange) -> None:
         """Asks the server to stop work, on an idle connection if any."""
@@ -156,13 +202,24 @@
             connection = self._idle.pop()
             self._busy.add(connection)
             connection.send_cancel(self.server, exchange.request.request_id)
+            self._timers.call_later(
+                CANCEL_TIMEOUT_S, lambda: self._check_cancel(connection)
+            )
 
-    def on_reply(self, connection: _Connection, reply: HttpReply) -> None:
+    def _check_cancel(self, connection: _Connection) -> None:
+        """Closes a connection on which a cancellation was not answered."""
+        if connection.ignored_reply_count:
+            self._discard(connection)
+
+    def on_reply(
+        self, connection: _Connection, reply: HttpReply, is_alone: bool
+    ) -> None:
         """Takes a whole reply; the connection is idle after it."""
         connection.used_at_s = read_clock_s()
+        is_reusable = reply.keeps_alive and is_alone
         if connection.ignored_reply_count:
             connection.ignored_reply_count -= 1
-            self._settle(connection, reply.keeps_alive)
+            self._settle(connection, is_reusable)
             return
         exchange = connection.exchange
         connection.exchange = None
@@ -172,7 +229,7 @@
             return
         result = read_backend_reply(exchange.request, reply)
         is_sound = result.outcome is not BackendOutcome.BAD_REPLY
-        self._settle(connection, is_sound and reply.keeps_alive)
+        self._settle(connection, is_sound and is_reusable)
         exchange.finish(result)
 
     def _settle(self, connection: _Connection, is_reusable: bool) -> None:
@@ -196,6 +253,9 @@
         """Fails the request on a connection that has ended."""
         exchange = connection.exchange
         connection.exchange = None
+        if not connection.is_connected:
+            delay_s = self._backoff.next_delay_s()
+            self._dial_after_s = read_clock_s() + delay_s
         self._discard(connection)
         if exchange is not None:
             if exchange.is_cancelled:
@@ -247,6 +307,7 @@
         self,
         server: BackendServer,
         request: BackendRequest,
+        may_send: SendCheck,
         reply: BackendResultHandler,
     ) -> None:
         """Sends a request; the handler is called exactly once."""
@@ -256,22 +317,21 @@
             self.result_counts[result.outcome] += 1
             reply(result)
 
-        exchange = _Exchange(server, request, on_result)
+        exchange = _Exchange(server, request, may_send, on_result)
         self._exchanges[request.request_id] = exchange
         pool = self._pools.get(server.server_id)
         if pool is None or pool.server.address != server.address:
-            pool = _ServerPool(server, self._streams)
+            pool = _ServerPool(server, self._streams, self._timers)
             self._pools[server.server_id] = pool
         exchange.timer = self._timers.call_at(
             request.deadline_at_s,
             lambda: pool.abandon(exchange, BackendOutcome.DEADLINE),
         )
-        if not pool.start(exchange):
+        refusal = pool.start(exchange)
+        if refusal is not None:
             exchange.finish(
                 BackendResult(
-                    BackendOutcome.SHED,
-                    RunState.NOT_RUN,
-                    detail="the connection cap is reached",
+                    BackendOutcome.SHED, RunState.NOT_RUN, detail=refusal
                 )
             )
 
--- a/packages/backends/mulberrybay_backends/protocol.py
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -1,6 +1,7 @@
 """The requests to backend servers and what their replies mean."""
 
 import json
+import re
 from typing import Final
 
 from mulberrybay_core.attempts import AttemptKind
@@ -120,8 +121,8 @@
         retry_after_s = float(reply.headers.get("retry-after", "0"))
     except ValueError:
         return 0.0
-    is_usable = 0 <= retry_after_s <= MAX_RETRY_AFTER_S
-    return retry_after_s if is_usable else 0.0
+    # The comparison is false for a NaN too.
+    return min(retry_after_s, MAX_RETRY_AFTER_S) if retry_after_s > 0 else 0.0
 
 
 def _read_versions(reply: HttpReply) -> tuple[int, ...]:
@@ -129,5 +130,5 @@
     return tuple(
         int(part)
         for part in text.split(",")
-        if part.strip().isascii() and part.strip().isdigit()
+        if re.fullmatch(r"\s*[0-9]{1,9}\s*", part)
     )
--- a/packages/core/mulberrybay_core/backend_messages.py
+++ b/packages/core/mulberrybay_core/backend_messages.py
@@ -39,6 +39,7 @@
     SHED = "shed"
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
+    NOT_ALLOWED = "not_allowed"
     CONNECTION_LOST = "connection_lost"
     BAD_REPLY = "bad_reply"
 
@@ -69,6 +70,7 @@
 
 
 BackendResultHandler = Callable[[BackendResult], None]
+SendCheck = Callable[[], bool]
 
 
 class BackendConnections(Protocol):
@@ -78,9 +80,18 @@
         self,
         server: BackendServer,
         request: BackendRequest,
+        may_send: SendCheck,
         reply: BackendResultHandler,
     ) -> None:
-        """Sends a request; the handler is called exactly once."""
+        """Sends a request; the handler is called exactly once.
+
+        Args:
+            server: The server to ask.
+            request: What to ask.
+            may_send: Asked immediately before the bytes are handed to the
+                socket, perhaps long after this call.
+            reply: Takes the result.
+        """
 
     def cancel(self, request_id: str) -> None:
         """Asks the backend server to stop work on a request."""
--- a/packages/core/mulberrybay_core/platform_messages.py
+++ b/packages/core/mulberrybay_core/platform_messages.py
@@ -66,6 +66,10 @@
     effect: its Failure has the run state UNKNOWN if a byte was sent.
     """
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last few calls all failed."""
+
     def read(self, kind: str, name: str, reply: ObjectReply) -> None:
         """Reads an object; None if there is none."""
 
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -38,6 +38,7 @@
     BackendOutcome.CANCELLED: AttemptOutcome.CANCELLED,
     BackendOutcome.CONNECTION_LOST: AttemptOutcome.CONNECTION_LOST,
     BackendOutcome.BAD_REPLY: AttemptOutcome.BAD_REPLY,
+    BackendOutcome.NOT_ALLOWED: AttemptOutcome.NOT_ALLOWED,
 }
 
 
@@ -153,6 +154,7 @@
         self._connections.execute(
             held.server,
             request,
+            lambda: self._gate.may_dispatch(held.server, read_clock_s()),
             lambda result: self._on_result(held, item, result),
         )
 
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -134,6 +134,15 @@
         problem = check_key(request.idempotency_key, time.time())
         if problem is not None:
             return Failure(FailureKind.INVALID, Step.PARSE, "caller", problem)
+        if self._store.is_failing:
+            # Nothing is gained by letting the caller wait for a timeout.
+            return Failure(
+                FailureKind.PLATFORM,
+                Step.RECORD,
+                "platform",
+                "the platform does not answer",
+                retry_after_s=1.0,
+            )
         wait_s = self._budget.take(read_clock_s())
         if wait_s <= 0:
             return None
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -20,15 +20,17 @@
     FleetReply,
     JsonObject,
     ListReply,
-    ObjectList,
     ObjectReply,
-    StoredObject,
-    WriteOutcome,
     WriteReply,
-    WriteResult,
+)
+from mulberrybay_platform.object_codec import (
+    decode_list,
+    decode_object,
+    decode_write,
+    kind_path,
+    object_path,
 )
 from mulberrybay_platform.vm_list import decode_vm_list
-from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import (
     HttpReply,
@@ -42,6 +44,7 @@
 MAX_QUEUED_COUNT: Final = 256
 MAX_CONNECTION_COUNT: Final = 4
 WATCH_GRACE_S: Final = 2.0
+FAILING_COUNT: Final = 3
 
 HttpResult = Result[HttpReply, Failure]
 
@@ -74,6 +77,7 @@
         self.reply: Callable[[HttpResult], None] | None = reply
         self.timer: Timer | None = None
         self.was_sent = False
+        self.started_at_s = read_clock_s()
 
     def finish(self, result: HttpResult) -> None:
         """Gives the result, once."""
@@ -93,6 +97,7 @@
         self._parser = ReplyParser()
         self.call: _Call | None = call
         self.stream: Stream | None = None
+        self.used_at_s = read_clock_s()
 
     def on_connected(self, stream: Stream) -> None:
         """Sends the call that waits for the connection."""
@@ -134,7 +139,7 @@
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
         self._queue: deque[_Call] = deque()
-        self._watch_backoff = Backoff()
+        self._failure_count = 0
         self.call_counts: Counter[str] = Counter()
         self.failure_counts: Counter[str] = Counter()
 
@@ -146,22 +151,29 @@
             if connection.stream is not None:
                 connection.stream.close()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last few calls all failed.
+
+        The list of VMs is read all the time, so that a recovery shows soon.
+        """
+        return self._failure_count >= FAILING_COUNT
+
     def read(self, kind: str, name: str, reply: ObjectReply) -> None:
         """Reads an object; None if there is none."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(_decode_object))
+            reply(result.bind(decode_object))
 
-        self._request("read", "GET", _object_path(kind, name), on_result)
+        self._request("read", "GET", object_path(kind, name), on_result)
 
     def list_kind(self, kind: str, reply: ListReply) -> None:
         """Reads all objects of a kind."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(_decode_list))
+            reply(result.bind(decode_list))
 
-        path = f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
-        self._request("list", "GET", path, on_result)
+        self._request("list", "GET", kind_path(kind), on_result)
 
     def write(
         self,
@@ -174,7 +186,7 @@
         """Writes an object if its version is as expected; 0 for absent."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(_decode_write))
+            reply(result.bind(decode_write))
 
         condition = ("If-Match", f'"{expected_version}"')
         if expected_version == 0:
@@ -182,7 +194,7 @@
         self._request(
             "write",
             "PUT",
-            _object_path(kind, name),
+            object_path(kind, name),
             on_result,
             headers=(condition, ("Content-Type", "application/json")),
             body=json.dumps(value).encode(),
@@ -194,12 +206,12 @@
         """Deletes an object if its version is as expected."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(_decode_write))
+            reply(result.bind(decode_write))
 
         self._request(
             "delete",
             "DELETE",
-            _object_path(kind, name),
+            object_path(kind, name),
             on_result,
             headers=(("If-Match", f'"{expected_version}"'),),
         )
@@ -210,7 +222,7 @@
         """Waits for objects of a kind written after a version."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(_decode_list))
+            reply(result.bind(decode_list))
 
         path = (
             f"/v1/watch/{urllib.parse.quote(kind, safe='')}"
@@ -287,13 +299,29 @@
                 self._busy.discard(connection)
                 if connection.stream is not None:
                     connection.stream.close()
+        self._drop_quiet(call.started_at_s)
         self._fail(call, f"no answer within {call.timeout_s} s")
         self._pump()
 
+    def _drop_quiet(self, since_s: float) -> None:
+        """Closes idle connections not used since a call that timed out.
+
+        Whatever made that call's connection silent may have reached them.
+        """
+        for connection in list(self._idle):
+            if connection.used_at_s < since_s:
+                self._idle.remove(connection)
+                if connection.stream is not None:
+                    connection.stream.close()
+
     def on_reply(self, connection: _Connection, reply: HttpReply) -> None:
         """Takes a whole reply."""
         call = connection.call
         connection.call = None
+        connection.used_at_s = read_clock_s()
+        self._failure_count = (
+            self._failure_count + 1 if reply.status >= 500 else 0
+        )
         self._busy.discard(connection)
         is_reusable = reply.keeps_alive and call is not None
         if is_reusable and len(self._idle) < MAX_CONNECTION_COUNT:
@@ -317,6 +345,7 @@
 
     def _fail(self, call: _Call, detail: str) -> None:
         self.failure_counts[call.operation] += 1
+        self._failure_count += 1
         call.finish(
             Error(
                 Failure(
@@ -331,81 +360,3 @@
                 )
             )
         )
-
-
-def _object_path(kind: str, name: str) -> str:
-    quoted_kind = urllib.parse.quote(kind, safe="")
-    quoted_name = urllib.parse.quote(name, safe="")
-    return f"/v1/objects/{quoted_kind}/{quoted_name}"
-
-
-def _unexpected(reply: HttpReply) -> Failure:
-    return Failure(
-        kind=FailureKind.PLATFORM,
-        step=Step.RECORD,
-        peer="platform",
-        detail=f"the platform answered {reply.status}",
-        retry_after_s=1.0,
-        # A store that is overloaded says so before it writes.
-        run_state=(
-            RunState.NOT_RUN
-            if reply.status in {413, 428, 429}
-            else RunState.UNKNOWN
-        ),
-    )
-
-
-def _parse_json(reply: HttpReply) -> Result[JsonObject, Failure]:
-    try:
-        value = json.loads(reply.body)
-    except ValueError:
-        return Error(_unexpected(reply)._replace(detail="malformed JSON"))
-    if not isinstance(value, dict):
-        return Error(_unexpected(reply)._replace(detail="not a JSON object"))
-    return Ok(value)
-
-
-def _read_object(value: JsonObject) -> StoredObject:
-    return StoredObject(
-        kind=str(value["kind"]),
-        name=str(value["name"]),
-        version=int(value["version"]),
-        value=dict(value["value"]),
-    )
-
-
-def _decode_object(reply: HttpReply) -> Result[StoredObject | None, Failure]:
-    if reply.status == 404:
-        return Ok(None)
-    if reply.status != 200:
-        return Error(_unexpected(reply))
-    return _parse_json(reply).map(_read_object)
-
-
-def _decode_list(reply: HttpReply) -> Result[ObjectList, Failure]:
-    if reply.status != 200:
-        return Error(_unexpected(reply))
-    return _parse_json(reply).map(
-        lambda value: ObjectList(
-            items=tuple(_read_object(item) for item in value["items"]),
-            store_version=int(value["version"]),
-        )
-    )
-
-
-def _decode_write(reply: HttpReply) -> Result[WriteResult, Failure]:
-    if reply.status in {200, 201}:
-        return _parse_json(reply).map(
-            lambda value: WriteResult(
-                WriteOutcome.WRITTEN, int(value["version"])
-            )
-        )
-    if reply.status == 204:
-        return Ok(WriteResult(WriteOutcome.WRITTEN, 0))
-    if reply.status in {404, 412}:
-        return _parse_json(reply).map(
-            lambda value: WriteResult(
-                WriteOutcome.CONFLICT, int(value.get("version", 0))
-            )
-        )
-    return Error(_unexpected(reply))
--- /dev/null
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -0,0 +1,116 @@
+"""Reads and writes the messages of the platform's object API."""
+
+import json
+import urllib.parse
+from collections.abc import Callable
+from typing import TypeVar
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
+from mulberrybay_core.platform_messages import (
+    JsonObject,
+    ObjectList,
+    StoredObject,
+    WriteOutcome,
+    WriteResult,
+)
+from mulberrybay_runtime.http_exchange import HttpReply
+
+T = TypeVar("T")
+
+
+def object_path(kind: str, name: str) -> str:
+    """Returns the path of an object."""
+    quoted_name = urllib.parse.quote(name, safe="")
+    return f"{kind_path(kind)}/{quoted_name}"
+
+
+def kind_path(kind: str) -> str:
+    """Returns the path of all objects of a kind."""
+    return f"/v1/objects/{urllib.parse.quote(kind, safe='')}"
+
+
+def _unexpected(reply: HttpReply, detail: str = "") -> Failure:
+    return Failure(
+        kind=FailureKind.PLATFORM,
+        step=Step.RECORD,
+        peer="platform",
+        detail=detail or f"the platform answered {reply.status}",
+        retry_after_s=1.0,
+        # A store that is overloaded says so before it writes.
+        run_state=(
+            RunState.NOT_RUN
+            if reply.status in {413, 428, 429}
+            else RunState.UNKNOWN
+        ),
+    )
+
+
+def _parse(
+    reply: HttpReply, read: Callable[[JsonObject], T]
+) -> Result[T, Failure]:
+    try:
+        return Ok(read(json.loads(reply.body)))
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        return Error(_unexpected(reply, f"malformed answer: {error!r}"))
+
+
+def _read_object(value: JsonObject) -> StoredObject:
+    return StoredObject(
+        kind=str(value["kind"]),
+        name=str(value["name"]),
+        version=int(value["version"]),
+        value=dict(value["value"]),
+    )
+
+
+def _read_list(value: JsonObject) -> ObjectList:
+    return ObjectList(
+        items=tuple(_read_object(item) for item in value["items"]),
+        store_version=int(value["version"]),
+    )
+
+
+def decode_object(reply: HttpReply) -> Result[StoredObject | None, Failure]:
+    """Parses the answer to the read of an object; None if there is none."""
+    if reply.status == 404:
+        return Ok(None)
+    if reply.status != 200:
+        return Error(_unexpected(reply))
+    return _parse(reply, _read_object)
+
+
+def decode_list(reply: HttpReply) -> Result[ObjectList, Failure]:
+    """Parses the answer to a list or a watch."""
+    if reply.status != 200:
+        return Error(_unexpected(reply))
+    return _parse(reply, _read_list)
+
+
+def decode_write(reply: HttpReply) -> Result[WriteResult, Failure]:
+    """Parses the answer to a conditional write or deletion."""
+    if reply.status in {200, 201}:
+        return _parse(
+            reply,
+            lambda value: WriteResult(
+                WriteOutcome.WRITTEN, int(value["version"])
+            ),
+        )
+    if reply.status == 204:
+        return Ok(WriteResult(WriteOutcome.WRITTEN, 0))
+    if reply.status in {404, 412}:
+        return _parse(
+            reply,
+            lambda value: WriteResult(
+                WriteOutcome.CONFLICT, int(value.get("version", 0))
+            ),
+        )
+    return Error(_unexpected(reply))
