--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -58,8 +58,12 @@
 from mulberrybay_runtime.timers import Timers
 
 STATUS_PERIOD_S: Final = 0.2
+STOP_POLL_S: Final = 0.05
+GOODBYE_S: Final = 0.1
 STOP_GRACE_S: Final = ADDRESS_TIME_TO_LIVE_S + 1.0
 STOP_LIMIT_S: Final = 30.0
+# How long a stop waits for a platform that does not take the outcomes of runs.
+SAVE_LIMIT_S: Final = STOP_GRACE_S + 5.0
 
 
 class Node(BaseComponent):
@@ -311,15 +315,20 @@
     def _finish_stop(self) -> None:
         """Exits once nothing is in progress."""
         self._service.is_closed = True
-        began_at_s = self._stop_began_at_s or 0.0
+        age_s = read_clock_s() - (self._stop_began_at_s or 0.0)
         is_idle = (
             self._active_count() == 0
             and self._holder.outstanding_count == 0
             and self._caller_server.pending_count == 0
         )
-        if is_idle or read_clock_s() - began_at_s > STOP_LIMIT_S:
+        is_saved = self._runs.unsaved_count == 0 or age_s > SAVE_LIMIT_S
+        if (is_idle and is_saved) or age_s > STOP_LIMIT_S:
             self._members.say_goodbye()
-            self._log.info("stopped", was_idle=is_idle)
-            self._timers.call_later(0.1, self.stop)
+            self._log.info(
+                "stopped",
+                was_idle=is_idle,
+                unsaved_count=self._runs.unsaved_count,
+            )
+            self._timers.call_later(GOODBYE_S, self.stop)
             return
-        self._timers.call_later(0.05, self._finish_stop)
+        self._timers.call_later(STOP_POLL_S, self._finish_stop)
