--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -84,7 +84,9 @@
         info = NodeInfo(
             node_id=settings.node_id,
             failure_domain=settings.failure_domain,
-            peer_address=settings.peer_address,
+            peer_address=(
+                settings.advertised_peer_address or settings.peer_address
+            ),
             caller_address=settings.caller_address,
         )
         self._membership = Membership(
--- a/packages/daemon/mulberrybay_daemon/settings.py
+++ b/packages/daemon/mulberrybay_daemon/settings.py
@@ -29,6 +29,8 @@
         operator_address: Where it listens for operators.
         platform_address: The platform's object API.
         platform_timeout_s: How long a call to the platform may take.
+        advertised_peer_address: Where other nodes reach this one, if that is
+            not the address at which it listens.
         seed_addresses: Peers to ask for members when the platform is down.
         operator_token: What operators must show; empty to refuse them all.
         log_level: The lowest level that is logged.
@@ -45,6 +47,7 @@
     operator_address: Address
     platform_address: Address
     platform_timeout_s: float = 1.0
+    advertised_peer_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     operator_token: str = ""
     log_level: str = "info"
@@ -135,6 +138,8 @@
         _take_text(document, key, values, problems)
     for key in _ADDRESS_KEYS:
         _take_address(document, key, values, problems)
+    if "advertised_peer_address" in document:
+        _take_address(document, "advertised_peer_address", values, problems)
     _take_seeds(document, values, problems)
     _take_choice(document, "log_level", LOG_LEVELS, values, problems)
     _take_choice(document, "log_form", LOG_FORMS, values, problems)
--- a/packages/testing/mulberrybay_testing/processes.py
+++ b/packages/testing/mulberrybay_testing/processes.py
@@ -147,6 +147,10 @@
         self._processes.append(process)
         return process
 
+    def find(self, name: str) -> ManagedProcess:
+        """Returns the process that was started under a name."""
+        return next(item for item in self._processes if item.name == name)
+
 
 _port_offsets = itertools.count()
 
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -0,0 +1,113 @@
+"""A deployment in which every connection between processes is proxied."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+
+from mulberrybay_testing.control_client import post_control
+from mulberrybay_testing.deployment import (
+    READY_TIMEOUT_S,
+    ClassSpec,
+    Deployment,
+)
+from mulberrybay_testing.processes import free_port
+
+PLATFORM: str = "platform"
+
+
+class ProxiedDeployment(Deployment):
+    """Puts a proxy before the platform, each backend server and each node.
+
+    The proxies are named "platform", as the backend server's vm_id and as the
+    node's node_id.
+    """
+
+    _proxies: list[dict[str, Any]]
+
+    def _add_proxy(self, name: str, target_port: int) -> int:
+        port = free_port()
+        self._proxies.append(
+            {
+                "name": name,
+                "listen_port": port,
+                "target_host": "127.0.0.1",
+                "target_port": target_port,
+            }
+        )
+        return port
+
+    def _start(self) -> None:
+        self._proxies = []
+        self._proxy_control_port = free_port()
+        port = self._add_proxy(PLATFORM, self.platform_port)
+        self._settings["platform_address"] = f"127.0.0.1:{port}"
+        super()._start()
+
+    def _plan_backend(self, spec: ClassSpec, service: str, index: int) -> None:
+        super()._plan_backend(spec, service, index)
+        vm = self._vms[-1]
+        vm["port"] = self._add_proxy(vm["vm_id"], vm["port"])
+
+    def _plan_node(self, index: int) -> dict[str, Any]:
+        plan = super()._plan_node(index)
+        vm = self._vms[-1]
+        vm["port"] = self._add_proxy(vm["vm_id"], vm["port"])
+        return plan
+
+    def _node_toml(self, plan: dict[str, Any]) -> str:
+        ports = {item["name"]: item["listen_port"] for item in self._proxies}
+        address = f"127.0.0.1:{ports[plan['node_id']]}"
+        text = super()._node_toml(plan)
+        return f'{text}advertised_peer_address = "{address}"\n'
+
+    def _start_platform(self) -> None:
+        spec_path = self._folder / "proxies.json"
+        spec_path.write_text(json.dumps(self._proxies), encoding="utf-8")
+        process = self._processes.start(
+            "proxies",
+            [
+                sys.executable,
+                "-m",
+                "mulberrybay_testing.tcp_proxy",
+                "--spec",
+                str(spec_path),
+                "--control-port",
+                str(self._proxy_control_port),
+                "--log",
+                str(self._folder / "proxies.log"),
+            ],
+        )
+        process.wait_ready(timeout_s=READY_TIMEOUT_S)
+        super()._start_platform()
+
+    def control_proxies(self, *names: str, **settings: Any) -> None:  # noqa: ANN401
+        """Changes the faults of the named proxies."""
+        document = {"names": list(names), "set": settings}
+        post_control(self._proxy_control_port, document)
+
+    def heal(self) -> None:
+        """Ends all faults, thaws all nodes and restarts those that ended."""
+        names = [item["name"] for item in self._proxies]
+        faultless = {"cut": False, "silent": False, "silent_all": False}
+        self.control_proxies(*names, delay_ms=0, one_way=None, **faultless)
+        self.control_platform(outage=None, delay_s=0.0)
+        self.control_backends(
+            {"all": True},
+            reply_fault=None,
+            refuse_shed=False,
+            slow_factor=1.0,
+            down=False,
+            leaving=False,
+        )
+        for name in ("backends", PLATFORM):
+            self.processes.find(name).thaw()
+        for index, node in enumerate(self.nodes):
+            node.process.thaw()
+            if node.process.returncode is not None:
+                self._restart_count += 1
+                self.restart_node(index, f"again-{self._restart_count}")
+        self.wait_serving()
+
+    _restart_count = 0
