Grant a lease to a node that was away for longer than a lease

Cause: after a goodbye, peers count a node's epoch as 0 and bury, at every tick, whatever epoch it may have by now. The first heartbeat of the restarted node was denied and its epoch not noted, so each later epoch was denied too: the node never served again. Ruled out: silent links (its links were new) and the configuration's revision. Change: the epoch of the first heartbeat is noted also when it is denied.

--- a/packages/core/mulberrybay_core/membership.py
+++ b/packages/core/mulberrybay_core/membership.py
@@ -187,8 +187,12 @@
             and heartbeat.revision >= self.revision
         )
         if is_granted:
-            peer.epoch = heartbeat.epoch
             peer.granted_at_s = now_s
+        if is_granted or peer.epoch == 0:
+            # Also when the first one is denied: the peer is not unheard of
+            # any more, so that the bound on its epoch stays where it is and
+            # the peer's next epoch passes.
+            peer.epoch = heartbeat.epoch
         return HeartbeatAck(
             sender_id=self.info.node_id,
             sequence=heartbeat.sequence,
