Process each caller request once

Cause: a handler that a subclass of a circuits component defines runs beside the base class's handler of the same name, not in its place. Each request was parsed twice: a body in one segment got its answer followed by a second one (400, empty body); a body in a segment of its own got 400 first, and a booking so refused as not run was then run. Ruled out: the parser (both handlers removed the shared buffer in turn). Change: override=True on both handlers; bytes after the declared length are no part of the body, and such a connection is closed after its answer. Conclusion: every override of a circuits handler needs override=True.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -70,7 +70,9 @@
         super().__init__(server, channel=channel)
         self._received_bytes: dict[Any, int] = {}
 
-    @handler("read")
+    # Without override, circuits would run the base class's handler as well
+    # and every request would be processed twice.
+    @handler("read", override=True)
     def _on_read(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock in self._clients and sock not in self._buffers:
             # The answer to the earlier request is still due.
@@ -100,7 +102,7 @@
         self.fire(write(sock, head.encode() + body))
         self.fire(close(sock))
 
-    @handler("disconnect")
+    @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:  # noqa: ANN401
         self._buffers.pop(sock, None)
         self._received_bytes.pop(sock, None)
@@ -150,7 +152,10 @@
                 self._pending_count -= 1
                 self._send(request, response, answer)
 
-        self._application.on_request(_read_request(request), respond)
+        parsed, is_pipelined = _read_request(request)
+        if is_pipelined:
+            response.close = True
+        self._application.on_request(parsed, respond)
         # True tells circuits.web that the answer comes later.
         return True
 
@@ -169,11 +174,20 @@
         self.fire(response_event(response), self.channel)
 
 
-def _read_request(request: Request) -> HttpRequest:
-    return HttpRequest(
+def _read_request(request: Request) -> tuple[HttpRequest, bool]:
+    """Returns the request, and whether bytes of another one followed it.
+
+    circuits.web takes those bytes for a part of the body.
+    """
+    received = request.body.read() if request.body else b""
+    body = received
+    if request.headers.get("Transfer-Encoding", "").lower() != "chunked":
+        body = received[: int(request.headers.get("Content-Length", "0"))]
+    parsed = HttpRequest(
         method=request.method,
         path=request.path,
         query=request.qs or "",
         headers=request.headers,
-        body=request.body.read() if request.body else b"",
+        body=body,
     )
+    return parsed, len(body) < len(received)
