--- a/packages/testing/mulberrybay_testing/backend_faults.py
+++ b/packages/testing/mulberrybay_testing/backend_faults.py
@@ -8,7 +8,7 @@
 
 from mulberrybay_testing.http_server import Delivery, Response
 
-ReplyFault = Literal["swap", "duplicate", "cut_short", "wrong_shard"]
+ReplyFault = Literal["swap", "duplicate", "cut_short", "wrong_shard", "empty"]
 
 _SWAP_TIMEOUT_S = 0.2
 
@@ -54,6 +54,8 @@
                 return response._replace(delivery=Delivery.CUT_SHORT)
             case "wrong_shard":
                 return _with_other_shard(response)
+            case "empty":
+                return response._replace(body=b'{"hits": []}')
             case "swap":
                 return await self._swap(response)
 
