Take changes of the configuration through the nodes

Cause: operators had no way in; tests wrote to the platform past the nodes, and /v1/status answered anyone. Weighed for the audit: entries inside the configuration object (bounded by its size), an object written after each change (lost when the node ends between the two writes), and the way taken: the newest entry is part of the configuration object and is copied to an object per revision before the next write, so no accepted change lacks one. Weighed for a lost answer: reading back alone can't tell a write that is still on its way from one that was lost; the same conditional write is repeated, which takes effect once at most since its success moves the version. Change: bearer token compared in constant time, GET status, cluster, configuration, audit; PUT domains/NAME and servers/ID with Change-Id, If-Match and Operator; accepted, not accepted and not known are told apart. Conclusion: changes of other tests can go through `Deployment.change`.

--- a/packages/core/mulberrybay_core/configuration.py
+++ b/packages/core/mulberrybay_core/configuration.py
@@ -52,6 +52,7 @@
         out_domains: Failure domains that take no new work.
         out_servers: Identities of backend servers that take no new work.
         recent_change_ids: Identities of the latest changes, newest last.
+        summary: What the change that led to this revision changed.
     """
 
     revision: int
@@ -62,6 +63,7 @@
     out_domains: frozenset[str]
     out_servers: frozenset[str]
     recent_change_ids: tuple[str, ...] = ()
+    summary: str = ""
 
     def find_class(self, name: str) -> WorkClass | None:
         """Returns the class of that name, or None."""
--- /dev/null
+++ b/packages/core/mulberrybay_core/configuration_change.py
@@ -0,0 +1,141 @@
+"""Changes that operators make to the configuration, as pure decisions.
+
+A change is an edit with a unique identity. Applied to the stored
+configuration it gives the next revision; applied again it is found among the
+recent changes, so a retry has no second effect.
+"""
+
+from typing import Final, NamedTuple
+
+from mulberrybay_core.configuration import (
+    MAX_RECENT_CHANGE_COUNT,
+    Configuration,
+    WorkClass,
+)
+
+MAX_SUMMARY_LENGTH: Final = 200
+
+
+class ReplaceClasses(NamedTuple):
+    """Sets the classes of work; what is out stays out."""
+
+    classes: tuple[WorkClass, ...]
+
+
+class SetDomainState(NamedTuple):
+    """Takes a failure domain out of service or back in."""
+
+    name: str
+    is_out: bool
+
+
+class SetServerState(NamedTuple):
+    """Takes a backend server out of service or back in."""
+
+    server_id: str
+    is_out: bool
+
+
+Edit = ReplaceClasses | SetDomainState | SetServerState
+
+
+class ChangeRequest(NamedTuple):
+    """One change that an operator asks for.
+
+    Attributes:
+        change_id: Unique identity; a retry repeats it.
+        author: Who asks.
+        expected_revision: The only revision to which the change applies;
+            None to apply it to the newest.
+        edit: What to change.
+    """
+
+    change_id: str
+    author: str
+    expected_revision: int | None
+    edit: Edit
+
+
+def find_change(configuration: Configuration, change_id: str) -> int | None:
+    """Returns the revision that a change led to, or None if it is not known.
+
+    Every change adds one identity and one revision, so the place of an
+    identity in the list tells its revision.
+    """
+    if configuration.revision and configuration.change_id == change_id:
+        return configuration.revision
+    recent_ids = configuration.recent_change_ids
+    if change_id not in recent_ids:
+        return None
+    age_count = len(recent_ids) - 1 - recent_ids.index(change_id)
+    return configuration.revision - age_count
+
+
+def make_successor(
+    current: Configuration, change: ChangeRequest, now_s: float
+) -> Configuration:
+    """Returns the revision that a change leads to.
+
+    Args:
+        current: The newest accepted configuration.
+        change: The change.
+        now_s: Unix time.
+    """
+    recent_ids = current.recent_change_ids
+    if not recent_ids and current.revision:
+        recent_ids = (current.change_id,)
+    recent_ids = (*recent_ids, change.change_id)
+    return _apply_edit(current, change.edit)._replace(
+        revision=current.revision + 1,
+        change_id=change.change_id,
+        author=change.author,
+        changed_at_s=now_s,
+        recent_change_ids=recent_ids[-MAX_RECENT_CHANGE_COUNT:],
+        summary=summarize_edit(current, change.edit)[:MAX_SUMMARY_LENGTH],
+    )
+
+
+def _apply_edit(current: Configuration, edit: Edit) -> Configuration:
+    match edit:
+        case ReplaceClasses(classes):
+            return current._replace(classes=classes)
+        case SetDomainState(name, is_out):
+            return current._replace(
+                out_domains=_with_state(current.out_domains, name, is_out)
+            )
+        case SetServerState(server_id, is_out):
+            return current._replace(
+                out_servers=_with_state(current.out_servers, server_id, is_out)
+            )
+
+
+def _with_state(
+    names: frozenset[str], name: str, is_out: bool
+) -> frozenset[str]:
+    return names | {name} if is_out else names - {name}
+
+
+def summarize_edit(current: Configuration, edit: Edit) -> str:
+    """Returns one line on what an edit changes, for the audit."""
+    match edit:
+        case ReplaceClasses(classes):
+            return f"classes: {_summarize_classes(current.classes, classes)}"
+        case SetDomainState(name, is_out):
+            return f"failure domain {name} {'out' if is_out else 'in'}"
+        case SetServerState(server_id, is_out):
+            return f"backend server {server_id} {'out' if is_out else 'in'}"
+
+
+def _summarize_classes(
+    before: tuple[WorkClass, ...], after: tuple[WorkClass, ...]
+) -> str:
+    old = {item.name: item for item in before}
+    new = {item.name: item for item in after}
+    parts = [f"+{name}" for name in new if name not in old]
+    parts += [f"-{name}" for name in old if name not in new]
+    parts += [
+        f"~{name}"
+        for name, item in new.items()
+        if name in old and old[name] != item
+    ]
+    return " ".join(parts) or "unchanged"
--- a/packages/core/mulberrybay_core/documents.py
+++ b/packages/core/mulberrybay_core/documents.py
@@ -29,6 +29,7 @@
         "out_domains": sorted(configuration.out_domains),
         "out_servers": sorted(configuration.out_servers),
         "recent_change_ids": list(configuration.recent_change_ids),
+        "summary": configuration.summary,
     }
 
 
@@ -45,6 +46,7 @@
                 out_domains=frozenset(map(str, value["out_domains"])),
                 out_servers=frozenset(map(str, value["out_servers"])),
                 recent_change_ids=tuple(map(str, value["recent_change_ids"])),
+                summary=str(value["summary"]),
             )
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/packages/core/mulberrybay_core/operator_messages.py
+++ b/packages/core/mulberrybay_core/operator_messages.py
@@ -1,7 +1,14 @@
 """Messages between the operators' interface and a node."""
 
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from expression import Result
+
+from mulberrybay_core.audit import AuditEntry
+from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.configuration_change import ChangeRequest
+from mulberrybay_core.errors import Failure
 from mulberrybay_core.member_messages import NodeInfo
 
 
@@ -31,8 +38,79 @@
     outstanding_count: int
 
 
+class ClusterNode(NamedTuple):
+    """One node as another sees it.
+
+    Attributes:
+        info: The node.
+        revision: The configuration revision that it last named.
+        is_heard: Whether it was heard within the length of a lease.
+    """
+
+    info: NodeInfo
+    revision: int
+    is_heard: bool
+
+
+class ClusterStatus(NamedTuple):
+    """The nodes and their revisions, as one node sees them.
+
+    Attributes:
+        node_id: The node that answers.
+        revision: The revision in force there.
+        nodes: All members, the answering node first.
+    """
+
+    node_id: str
+    revision: int
+    nodes: tuple[ClusterNode, ...]
+
+
+class ChangeAccepted(NamedTuple):
+    """The platform has confirmed a change.
+
+    Attributes:
+        change_id: The change.
+        revision: The revision that it led to.
+        was_repeat: Whether an earlier try had been accepted already.
+    """
+
+    change_id: str
+    revision: int
+    was_repeat: bool
+
+
+class ChangeRefused(NamedTuple):
+    """A change was not accepted, or nobody knows whether it was.
+
+    Attributes:
+        failure: Why; its run state UNKNOWN means that the change may yet
+            prove accepted, so a retry must repeat the change's identity.
+        current_revision: The newest accepted revision known; 0 if unknown.
+    """
+
+    failure: Failure
+    current_revision: int
+
+
+ChangeReply = Callable[[Result[ChangeAccepted, ChangeRefused]], None]
+AuditReply = Callable[[Result[tuple[AuditEntry, ...], Failure]], None]
+
+
 class OperatorService(Protocol):
     """What the operators' interface asks of a node."""
 
     def status(self) -> NodeStatus:
         """Returns what the node says of itself."""
+
+    def cluster(self) -> ClusterStatus:
+        """Returns the nodes and their revisions."""
+
+    def configuration(self) -> Configuration:
+        """Returns the configuration in force at this node."""
+
+    def submit_change(self, change: ChangeRequest, reply: ChangeReply) -> None:
+        """Has a change accepted; the reply is called exactly once."""
+
+    def read_audit(self, entry_count: int, reply: AuditReply) -> None:
+        """Reads the newest audit entries, newest first."""
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/audit_log.py
@@ -0,0 +1,121 @@
+"""Keeps audit entries in the platform's store, one object per revision."""
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.audit import (
+    AUDIT_KEEP_COUNT,
+    AUDIT_KIND,
+    AuditEntry,
+    decode_audit_entry,
+    encode_audit_entry,
+    make_audit_entry,
+)
+from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.errors import Failure
+from mulberrybay_core.platform_messages import (
+    PlatformStore,
+    StoredObject,
+    WriteResult,
+)
+
+KeepReply = Callable[[Result[None, Failure]], None]
+
+
+class AuditLog:
+    """Writes and reads audit entries."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+        self._kept_revision = 0
+
+    def keep(self, entry: AuditEntry, reply: KeepReply) -> None:
+        """Keeps an entry, unless another node has done so."""
+        if entry.revision <= self._kept_revision:
+            reply(Ok(None))
+            return
+
+        def on_written(result: Result[WriteResult, Failure]) -> None:
+            match result:
+                case Result(tag="ok"):
+                    # A conflict means that the entry is there already.
+                    self._kept_revision = entry.revision
+                    self._delete(entry.revision - AUDIT_KEEP_COUNT)
+                    reply(Ok(None))
+                case Result(error=failure):
+                    reply(Error(failure))
+
+        self._store.write(
+            AUDIT_KIND,
+            str(entry.revision),
+            encode_audit_entry(entry),
+            0,
+            on_written,
+        )
+
+    def _delete(self, revision: int) -> None:
+        """Deletes an old entry; one that is missed stays."""
+        if revision <= 0:
+            return
+        name = str(revision)
+
+        def on_read(result: Result[StoredObject | None, Failure]) -> None:
+            match result:
+                case Result(tag="ok", ok=StoredObject() as stored):
+                    self._store.delete(
+                        AUDIT_KIND, name, stored.version, lambda _: None
+                    )
+                case _:
+                    pass
+
+        self._store.read(AUDIT_KIND, name, on_read)
+
+    def read_newest(
+        self,
+        current: Configuration,
+        entry_count: int,
+        reply: Callable[[Result[tuple[AuditEntry, ...], Failure]], None],
+    ) -> None:
+        """Reads the newest entries, newest first.
+
+        Args:
+            current: The configuration in force, which has the newest entry.
+            entry_count: How many to read at most.
+            reply: Called once.
+        """
+        if current.revision == 0:
+            reply(Ok(()))
+            return
+        entries = [make_audit_entry(current)]
+        first_revision = max(1, current.revision - entry_count + 1)
+        names = range(current.revision - 1, first_revision - 1, -1)
+        if not names:
+            reply(Ok(tuple(entries)))
+            return
+        waiting_count = len(names)
+        failures: list[Failure] = []
+
+        def on_read(result: Result[StoredObject | None, Failure]) -> None:
+            nonlocal waiting_count
+            waiting_count -= 1
+            match result:
+                case Result(tag="ok", ok=StoredObject() as stored):
+                    match decode_audit_entry(stored.value):
+                        case Result(tag="ok", ok=entry):
+                            entries.append(entry)
+                        case _:
+                            pass
+                case Result(tag="error", error=failure):
+                    failures.append(failure)
+                case _:
+                    pass
+            if waiting_count == 0:
+                if failures:
+                    reply(Error(failures[0]))
+                    return
+                entries.sort(reverse=True)
+                reply(Ok(tuple(entries)))
+
+        for revision in names:
+            self._store.read(AUDIT_KIND, str(revision), on_read)
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -16,7 +16,7 @@
 from mulberrybay_core.attempts import AttemptBatch, AttemptReply
 from mulberrybay_core.configuration import Configuration
 from mulberrybay_core.fleet import Fleet
-from mulberrybay_core.holdings import Holdings, HoldingState
+from mulberrybay_core.holdings import Holdings
 from mulberrybay_core.member_messages import (
     Claim,
     ClaimAnswer,
@@ -28,7 +28,6 @@
     NodeInfo,
 )
 from mulberrybay_core.membership import Membership
-from mulberrybay_core.operator_messages import NodeStatus
 from mulberrybay_core.replica_choice import LeastExpectedWait
 from mulberrybay_daemon.attempt_router import AttemptRouter, HolderMap
 from mulberrybay_daemon.configuration_task import ConfigurationTask
@@ -38,6 +37,8 @@
 from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
 from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_daemon.member_task import MemberTask
+from mulberrybay_daemon.operator_desk import OperatorDesk
+from mulberrybay_daemon.operator_service import NodeOperatorService
 from mulberrybay_daemon.runs import RunCoordinator
 from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
 from mulberrybay_daemon.settings import NodeSettings
@@ -150,6 +151,23 @@
             self._runs,
         )
         self._caller_application = CallerApplication(self._service)
+        self._desk = OperatorDesk(
+            self._store,
+            self._timers,
+            self._configuration,
+            lambda: self._membership.has_lease(read_clock_s()),
+        )
+        self._operator_application = OperatorApplication(
+            NodeOperatorService(
+                self._membership,
+                self._holdings,
+                self._holder,
+                self._configuration,
+                self._desk,
+                self._active_count,
+            ),
+            settings.operator_token,
+        )
         self._stop_began_at_s: float | None = None
 
     def __enter__(self) -> Self:
@@ -167,7 +185,7 @@
             settings.caller_address, self._caller_application, "callers"
         ).register(self)
         HttpServer(
-            settings.operator_address, OperatorApplication(self), "operators"
+            settings.operator_address, self._operator_application, "operators"
         ).register(self)
         self._links.listen(settings.peer_address)
         self._learn_seeds()
@@ -198,6 +216,7 @@
         self._coordinator.set_fleet(fleet)
         self._runs.set_fleet(fleet)
         self._members.set_fleet(fleet)
+        self._desk.set_fleet(fleet)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._log.info(
@@ -217,22 +236,6 @@
             self._log.info("serving" if is_serving else "not serving")
             self._membership.info = info._replace(is_serving=is_serving)
 
-    def status(self) -> NodeStatus:
-        """Returns what the node says of itself."""
-        states = list(self._holdings.states().values())
-        held_count = states.count(HoldingState.HELD)
-        return NodeStatus(
-            info=self._membership.info,
-            revision=self._configuration.current.revision,
-            has_lease=self._membership.has_lease(read_clock_s()),
-            epoch=self._membership.epoch,
-            members=self._membership.peers,
-            held_count=held_count,
-            claiming_count=len(states) - held_count,
-            active_count=self._active_count(),
-            outstanding_count=self._holder.outstanding_count,
-        )
-
     def _active_count(self) -> int:
         return self._coordinator.active_count + self._runs.active_count
 
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/operator_desk.py
@@ -0,0 +1,298 @@
+"""Has operators' changes accepted by the platform's store.
+
+A change is accepted once its conditional write to the configuration object is
+confirmed. A write whose answer was lost is read back and repeated under the
+same condition: it takes effect once at most, since its success moves the
+object's version. Changes without an expected revision are applied again to
+whatever others wrote in between.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.audit import make_audit_entry
+from mulberrybay_core.configuration import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    EMPTY_CONFIGURATION,
+    Configuration,
+)
+from mulberrybay_core.configuration_change import (
+    ChangeRequest,
+    SetDomainState,
+    SetServerState,
+    find_change,
+    make_successor,
+)
+from mulberrybay_core.documents import (
+    decode_configuration,
+    encode_configuration,
+)
+from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
+from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.operator_messages import (
+    AuditReply,
+    ChangeAccepted,
+    ChangeRefused,
+    ChangeReply,
+)
+from mulberrybay_core.platform_messages import (
+    PlatformStore,
+    StoredObject,
+    WriteOutcome,
+    WriteResult,
+)
+from mulberrybay_daemon.audit_log import AuditLog
+from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timers
+
+CHANGE_LIMIT_S: Final = 5.0
+CHANGE_RETRY_S: Final = 1.0
+
+
+class ConfigurationOwner(Protocol):
+    """Owns the configuration in force at this node."""
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force."""
+
+    def offer(self, configuration: Configuration) -> None:
+        """Takes a configuration into force if its revision is higher."""
+
+
+class _Change:
+    """One change in progress."""
+
+    def __init__(self, request: ChangeRequest, reply: ChangeReply) -> None:
+        self.request = request
+        self.reply: ChangeReply | None = reply
+        self.ends_at_s = read_clock_s() + CHANGE_LIMIT_S
+        self.backoff = Backoff(max_delay_s=0.5)
+        # The version under which an unconfirmed write may take effect.
+        self.unknown_version: int | None = None
+        self.newest_revision = 0
+
+    def finish(self, result: Result[ChangeAccepted, ChangeRefused]) -> None:
+        """Gives the result, once."""
+        reply = self.reply
+        self.reply = None
+        if reply is not None:
+            reply(result)
+
+
+class OperatorDesk:
+    """Owns the changes that operators sent to this node."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        timers: Timers,
+        owner: ConfigurationOwner,
+        has_lease: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._owner = owner
+        self._has_lease = has_lease
+        self._audit = AuditLog(store)
+        self._fleet = Fleet((), ())
+        self.accepted_count = 0
+        self.refused_count = 0
+        self.unknown_count = 0
+
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Takes the platform's list of VMs."""
+        self._fleet = fleet
+
+    def submit(self, request: ChangeRequest, reply: ChangeReply) -> None:
+        """Has a change accepted; the reply is called exactly once."""
+        change = _Change(request, reply)
+        problem = self._find_unknown_name(request)
+        if problem:
+            failure = Failure(
+                FailureKind.NOT_FOUND, Step.CONFIGURATION, "operator", problem
+            )
+            self._refuse(change, failure)
+            return
+        self._read(change)
+
+    def _find_unknown_name(self, request: ChangeRequest) -> str:
+        """Returns what is wrong with a name, since a typo would do nothing."""
+        match request.edit:
+            case SetDomainState(name, True):
+                known = {vm.failure_domain for vm in self._fleet.servers}
+                known |= {vm.failure_domain for vm in self._fleet.entry_vms}
+                if name not in known:
+                    names = ", ".join(sorted(known))
+                    return f"no failure domain {name!r}; known: {names}"
+            case SetServerState(server_id, True):
+                if self._fleet.server(server_id) is None:
+                    return f"no backend server {server_id!r}"
+            case _:
+                pass
+        return ""
+
+    def _read(self, change: _Change) -> None:
+        if not self._has_lease():
+            failure = Failure(
+                FailureKind.NO_LEASE,
+                Step.CONFIGURATION,
+                "",
+                "this node has no lease; ask another",
+                retry_after_s=CHANGE_RETRY_S,
+            )
+            self._refuse(change, failure)
+            return
+        self._store.read(
+            CONFIGURATION_KIND,
+            CONFIGURATION_NAME,
+            lambda result: self._on_read(change, result),
+        )
+
+    def _on_read(
+        self, change: _Change, result: Result[StoredObject | None, Failure]
+    ) -> None:
+        match result:
+            case Result(tag="ok", ok=None):
+                self._apply(change, EMPTY_CONFIGURATION, 0)
+            case Result(tag="ok", ok=StoredObject() as stored):
+                match decode_configuration(stored.value):
+                    case Result(tag="ok", ok=configuration):
+                        self._apply(change, configuration, stored.version)
+                    case Result(error=detail):
+                        self._refuse(change, _platform_failure(detail))
+            case Result(error=failure):
+                self._retry(change, failure)
+
+    def _apply(
+        self, change: _Change, stored: Configuration, version: int
+    ) -> None:
+        request = change.request
+        change.newest_revision = stored.revision
+        was_unknown = change.unknown_version is not None
+        if version != change.unknown_version:
+            # The version has moved on: no earlier try can take effect now.
+            change.unknown_version = None
+        revision = find_change(stored, request.change_id)
+        if revision is not None:
+            self._owner.offer(stored)
+            self._accept(change, revision, was_repeat=not was_unknown)
+            return
+        if stored.revision < self._owner.current.revision:
+            detail = (
+                f"the store answered revision {stored.revision}, older than "
+                f"{self._owner.current.revision} in force here"
+            )
+            self._retry(change, _platform_failure(detail))
+            return
+        self._owner.offer(stored)
+        expected = request.expected_revision
+        if expected is not None and expected != stored.revision:
+            detail = f"revision {stored.revision} is newer than {expected}"
+            self._refuse(
+                change,
+                Failure(FailureKind.CONFLICT, Step.CONFIGURATION, "", detail),
+            )
+            return
+        successor = make_successor(stored, request, time.time())
+        self._archive(change, stored, successor, version)
+
+    def _archive(
+        self,
+        change: _Change,
+        stored: Configuration,
+        successor: Configuration,
+        version: int,
+    ) -> None:
+        """Copies the newest audit entry, which the write will replace."""
+
+        def on_archived(result: Result[None, Failure]) -> None:
+            match result:
+                case Result(tag="ok"):
+                    self._write(change, successor, version)
+                case Result(error=failure):
+                    self._retry(change, failure)
+
+        if stored.revision == 0:
+            on_archived(Ok(None))
+        else:
+            self._audit.keep(make_audit_entry(stored), on_archived)
+
+    def _write(
+        self, change: _Change, successor: Configuration, version: int
+    ) -> None:
+        self._store.write(
+            CONFIGURATION_KIND,
+            CONFIGURATION_NAME,
+            encode_configuration(successor),
+            version,
+            lambda result: self._on_written(change, successor, version, result),
+        )
+
+    def _on_written(
+        self,
+        change: _Change,
+        successor: Configuration,
+        version: int,
+        result: Result[WriteResult, Failure],
+    ) -> None:
+        match result:
+            case Result(tag="ok", ok=write):
+                if write.outcome is WriteOutcome.WRITTEN:
+                    self._owner.offer(successor)
+                    self._accept(change, successor.revision, was_repeat=False)
+                else:
+                    failure = Failure(
+                        FailureKind.OVERLOADED,
+                        Step.CONFIGURATION,
+                        "",
+                        "other changes were always faster",
+                        retry_after_s=CHANGE_RETRY_S,
+                    )
+                    self._retry(change, failure)
+            case Result(error=failure):
+                if failure.run_state is RunState.UNKNOWN:
+                    change.unknown_version = version
+                self._retry(change, failure)
+
+    def _retry(self, change: _Change, failure: Failure) -> None:
+        delay_s = change.backoff.next_delay_s()
+        if read_clock_s() + delay_s >= change.ends_at_s:
+            self._refuse(change, failure)
+            return
+        self._timers.call_later(delay_s, lambda: self._read(change))
+
+    def _accept(self, change: _Change, revision: int, was_repeat: bool) -> None:
+        self.accepted_count += 1
+        change.finish(
+            Ok(ChangeAccepted(change.request.change_id, revision, was_repeat))
+        )
+
+    def _refuse(self, change: _Change, failure: Failure) -> None:
+        run_state = RunState.NOT_RUN
+        if change.unknown_version is not None:
+            self.unknown_count += 1
+            run_state = RunState.UNKNOWN
+        else:
+            self.refused_count += 1
+        failure = failure._replace(step=Step.CONFIGURATION, run_state=run_state)
+        change.finish(Error(ChangeRefused(failure, change.newest_revision)))
+
+    def read_audit(self, entry_count: int, reply: AuditReply) -> None:
+        """Reads the newest audit entries, newest first."""
+        self._audit.read_newest(self._owner.current, entry_count, reply)
+
+
+def _platform_failure(detail: str) -> Failure:
+    return Failure(
+        FailureKind.PLATFORM,
+        Step.CONFIGURATION,
+        "platform",
+        detail,
+        retry_after_s=CHANGE_RETRY_S,
+    )
--- /dev/null
+++ b/packages/operators/mulberrybay_operators/answers.py
@@ -0,0 +1,160 @@
+"""Encodes a node's answers to operators as HTTP with JSON."""
+
+import json
+import math
+from typing import Any, Final
+
+from expression import Result
+
+from mulberrybay_core.audit import AuditEntry, encode_audit_entry
+from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.documents import encode_configuration
+from mulberrybay_core.errors import Failure, FailureKind, RunState
+from mulberrybay_core.operator_messages import (
+    ChangeAccepted,
+    ChangeRefused,
+    ClusterNode,
+    ClusterStatus,
+    NodeStatus,
+)
+from mulberrybay_runtime.http_server import HttpResponse
+
+STATUS_BY_KIND: Final = {
+    FailureKind.INVALID: 400,
+    FailureKind.UNAUTHORIZED: 401,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CONFLICT: 412,
+    FailureKind.TOO_LARGE: 413,
+}
+UNAVAILABLE_STATUS: Final = 503
+OUTCOME_BY_RUN_STATE: Final = {
+    RunState.RAN: "accepted",
+    RunState.NOT_RUN: "not_accepted",
+    RunState.UNKNOWN: "not_known",
+}
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def _respond(
+    status: int, document: object, headers: Headers = ()
+) -> HttpResponse:
+    return HttpResponse(status, json.dumps(document).encode(), headers)
+
+
+def _encode_error(failure: Failure) -> dict[str, Any]:
+    return {
+        "kind": failure.kind.value,
+        "step": failure.step.value,
+        "peer": failure.peer,
+        "detail": failure.detail,
+        "retry_after_s": failure.retry_after_s,
+    }
+
+
+def _failure_headers(failure: Failure) -> Headers:
+    headers = []
+    if failure.kind is FailureKind.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", 'Bearer realm="mulberrybay"'))
+    if failure.retry_after_s is not None:
+        headers.append(("Retry-After", str(math.ceil(failure.retry_after_s))))
+    return tuple(headers)
+
+
+def encode_failure(failure: Failure) -> HttpResponse:
+    """Returns the answer to a request that failed."""
+    return _respond(
+        STATUS_BY_KIND.get(failure.kind, UNAVAILABLE_STATUS),
+        {"error": _encode_error(failure)},
+        _failure_headers(failure),
+    )
+
+
+def encode_change(
+    result: Result[ChangeAccepted, ChangeRefused],
+) -> HttpResponse:
+    """Returns the answer to a change: accepted, not accepted, not known."""
+    match result:
+        case Result(tag="ok", ok=accepted):
+            document = {"outcome": "accepted", **accepted._asdict()}
+            return _respond(200, document, (_etag(accepted.revision),))
+        case Result(error=refused):
+            failure = refused.failure
+            headers = _failure_headers(failure)
+            if refused.current_revision:
+                headers = (*headers, _etag(refused.current_revision))
+            return _respond(
+                STATUS_BY_KIND.get(failure.kind, UNAVAILABLE_STATUS),
+                {
+                    "outcome": OUTCOME_BY_RUN_STATE[failure.run_state],
+                    "current_revision": refused.current_revision,
+                    "error": _encode_error(failure),
+                },
+                headers,
+            )
+
+
+def _etag(revision: int) -> tuple[str, str]:
+    return ("ETag", f'"{revision}"')
+
+
+def encode_configuration_answer(configuration: Configuration) -> HttpResponse:
+    """Returns the configuration in force."""
+    return _respond(
+        200,
+        encode_configuration(configuration),
+        (_etag(configuration.revision),),
+    )
+
+
+def encode_status(status: NodeStatus) -> HttpResponse:
+    """Returns a node's status."""
+    document = {
+        "node_id": status.info.node_id,
+        "failure_domain": status.info.failure_domain,
+        "is_serving": status.info.is_serving,
+        "is_leaving": status.info.is_leaving,
+        "revision": status.revision,
+        "has_lease": status.has_lease,
+        "epoch": status.epoch,
+        "members": [info.node_id for info in status.members],
+        "held_count": status.held_count,
+        "claiming_count": status.claiming_count,
+        "active_count": status.active_count,
+        "outstanding_count": status.outstanding_count,
+    }
+    return _respond(200, document)
+
+
+def encode_cluster(status: ClusterStatus) -> HttpResponse:
+    """Returns all nodes and their revisions."""
+    document = {
+        "node_id": status.node_id,
+        "revision": status.revision,
+        "nodes": [_encode_node(node) for node in status.nodes],
+    }
+    return _respond(200, document)
+
+
+def _encode_node(node: ClusterNode) -> dict[str, Any]:
+    return {
+        "node_id": node.info.node_id,
+        "failure_domain": node.info.failure_domain,
+        "caller_address": str(node.info.caller_address),
+        "is_serving": node.info.is_serving,
+        "is_leaving": node.info.is_leaving,
+        "is_heard": node.is_heard,
+        "revision": node.revision,
+    }
+
+
+def encode_audit(
+    result: Result[tuple[AuditEntry, ...], Failure],
+) -> HttpResponse:
+    """Returns audit entries, newest first."""
+    match result:
+        case Result(tag="ok", ok=entries):
+            document = {"entries": [encode_audit_entry(x) for x in entries]}
+            return _respond(200, document)
+        case Result(error=failure):
+            return encode_failure(failure)
--- a/packages/operators/mulberrybay_operators/application.py
+++ b/packages/operators/mulberrybay_operators/application.py
@@ -1,16 +1,45 @@
-"""The HTTP interface for operators."""
+"""The HTTP interface for operators, on a port that callers never use."""
 
-import json
+import hmac
+import urllib.parse
+from typing import Final, TypeVar
 
-from mulberrybay_core.operator_messages import NodeStatus, OperatorService
-from mulberrybay_runtime.http_server import HttpRequest, HttpResponse, Respond
+from expression import Error, Result
+
+from mulberrybay_core.configuration_change import (
+    Edit,
+    SetDomainState,
+    SetServerState,
+)
+from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_core.operator_messages import OperatorService
+from mulberrybay_operators.answers import (
+    encode_audit,
+    encode_change,
+    encode_cluster,
+    encode_configuration_answer,
+    encode_failure,
+    encode_status,
+)
+from mulberrybay_operators.request_parsing import (
+    parse_change_headers,
+    parse_state,
+)
+from mulberrybay_runtime.http_server import HttpRequest, Respond
+
+EditType = TypeVar("EditType", bound=Edit)
+DEFAULT_AUDIT_COUNT: Final = 20
+MAX_AUDIT_COUNT: Final = 50
 
 
 class OperatorApplication:
-    """Answers operators' requests."""
+    """Checks operators' requests and hands them to the node."""
 
-    def __init__(self, service: OperatorService) -> None:
+    def __init__(self, service: OperatorService, token: str) -> None:
+        """Takes the token that operators must show; empty refuses all."""
         self._service = service
+        self._expected = f"Bearer {token}".encode() if token else b""
+        self.unauthorized_count = 0
 
     def should_close(self) -> bool:
         """Returns False: operators keep their connections."""
@@ -18,26 +47,88 @@
 
     def on_request(self, request: HttpRequest, respond: Respond) -> None:
         """Answers an operator's request."""
-        if (request.method, request.path) == ("GET", "/v1/status"):
-            respond(encode_status(self._service.status()))
+        if not self._is_authorized(request):
+            self.unauthorized_count += 1
+            failure = Failure(
+                FailureKind.UNAUTHORIZED,
+                Step.PARSE,
+                "operator",
+                "the bearer token is missing or wrong",
+            )
+            respond(encode_failure(failure))
+            return
+        parts = request.path.strip("/").split("/")
+        match (request.method, [urllib.parse.unquote(x) for x in parts]):
+            case ("GET", ["v1", "status"]):
+                respond(encode_status(self._service.status()))
+            case ("GET", ["v1", "cluster"]):
+                respond(encode_cluster(self._service.cluster()))
+            case ("GET", ["v1", "configuration"]):
+                configuration = self._service.configuration()
+                respond(encode_configuration_answer(configuration))
+            case ("GET", ["v1", "audit"]):
+                self._answer_audit(request, respond)
+            case ("PUT", ["v1", "domains", name]):
+                self._submit(
+                    request,
+                    parse_state(request.body).map(
+                        lambda is_out: SetDomainState(name, is_out)
+                    ),
+                    respond,
+                )
+            case ("PUT", ["v1", "servers", server_id]):
+                self._submit(
+                    request,
+                    parse_state(request.body).map(
+                        lambda is_out: SetServerState(server_id, is_out)
+                    ),
+                    respond,
+                )
+            case _:
+                failure = Failure(
+                    FailureKind.NOT_FOUND,
+                    Step.PARSE,
+                    "operator",
+                    f"no {request.method} {request.path}",
+                )
+                respond(encode_failure(failure))
+
+    def _is_authorized(self, request: HttpRequest) -> bool:
+        shown = request.headers.get("Authorization", "").encode()
+        is_equal = hmac.compare_digest(shown, self._expected)
+        return bool(self._expected) and is_equal
+
+    def _submit(
+        self,
+        request: HttpRequest,
+        edit: Result[EditType, Failure],
+        respond: Respond,
+    ) -> None:
+        match edit:
+            case Result(tag="ok", ok=wanted):
+                change = parse_change_headers(request, wanted)
+            case Result(error=failure):
+                change = Error(failure)
+        match change:
+            case Result(tag="ok", ok=parsed):
+                self._service.submit_change(
+                    parsed, lambda result: respond(encode_change(result))
+                )
+            case Result(error=failure):
+                respond(encode_failure(failure))
+
+    def _answer_audit(self, request: HttpRequest, respond: Respond) -> None:
+        query = urllib.parse.parse_qs(request.query)
+        text = query.get("count", [str(DEFAULT_AUDIT_COUNT)])[0]
+        if not text.isdecimal() or not 1 <= int(text) <= MAX_AUDIT_COUNT:
+            failure = Failure(
+                FailureKind.INVALID,
+                Step.PARSE,
+                "operator",
+                f"count is not 1 to {MAX_AUDIT_COUNT}",
+            )
+            respond(encode_failure(failure))
             return
-        respond(HttpResponse(404, b'{"error": {"kind": "not_found"}}'))
-
-
-def encode_status(status: NodeStatus) -> HttpResponse:
-    """Returns a node's status as JSON."""
-    document = {
-        "node_id": status.info.node_id,
-        "failure_domain": status.info.failure_domain,
-        "is_serving": status.info.is_serving,
-        "is_leaving": status.info.is_leaving,
-        "revision": status.revision,
-        "has_lease": status.has_lease,
-        "epoch": status.epoch,
-        "members": [info.node_id for info in status.members],
-        "held_count": status.held_count,
-        "claiming_count": status.claiming_count,
-        "active_count": status.active_count,
-        "outstanding_count": status.outstanding_count,
-    }
-    return HttpResponse(200, json.dumps(document).encode())
+        self._service.read_audit(
+            int(text), lambda result: respond(encode_audit(result))
+        )
--- /dev/null
+++ b/packages/operators/mulberrybay_operators/request_parsing.py
@@ -0,0 +1,56 @@
+"""Parses operators' requests into typed changes."""
+
+import json
+import re
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.configuration_change import ChangeRequest, Edit
+from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_runtime.http_server import HttpRequest
+
+CHANGE_ID_PATTERN: Final = re.compile(r"[!-~]{1,128}")
+MAX_AUTHOR_LENGTH: Final = 128
+UNNAMED_AUTHOR: Final = "unnamed"
+
+
+def invalid(detail: str) -> Failure:
+    """Returns the failure of a request that can't be understood."""
+    return Failure(FailureKind.INVALID, Step.PARSE, "operator", detail)
+
+
+def parse_change_headers(
+    request: HttpRequest, edit: Edit
+) -> Result[ChangeRequest, Failure]:
+    """Joins an edit with the identity, author and condition of its change."""
+    change_id = request.headers.get("Change-Id", "")
+    if not CHANGE_ID_PATTERN.fullmatch(change_id):
+        detail = "Change-Id must have 1 to 128 visible ASCII characters"
+        return Error(invalid(detail))
+    author = request.headers.get("Operator", "").strip() or UNNAMED_AUTHOR
+    expected_revision = None
+    tag = request.headers.get("If-Match", "").strip()
+    if tag:
+        number = tag.strip('"')
+        if not number.isdecimal():
+            return Error(invalid(f"If-Match {tag!r} is not a revision"))
+        expected_revision = int(number)
+    return Ok(
+        ChangeRequest(
+            change_id, author[:MAX_AUTHOR_LENGTH], expected_revision, edit
+        )
+    )
+
+
+def parse_state(body: bytes) -> Result[bool, Failure]:
+    """Parses the state of a failure domain or server; Ok(True) is out."""
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        return Error(invalid(f"the body is not JSON: {error}"))
+    match document:
+        case {"state": "out" | "in" as state} if len(document) == 1:
+            return Ok(state == "out")
+        case _:
+            return Error(invalid('write {"state": "out"} or {"state": "in"}'))
--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import time
+import uuid
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final, NamedTuple
@@ -372,6 +373,35 @@
         document: dict[str, Any] = answer.json()
         return document
 
+    def change(
+        self,
+        node: NodeProcess,
+        path: str,
+        document: object,
+        **headers: str,
+    ) -> HttpAnswer:
+        """Sends a change through a node's administration API.
+
+        Args:
+            node: The node to ask.
+            path: As "/v1/domains/d2" or "/v1/servers/vm-1".
+            document: As {"state": "out"}.
+            headers: Further headers; write If_Match for If-Match.
+        """
+        named = {key.replace("_", "-"): text for key, text in headers.items()}
+        return send_request(
+            node.operator_port,
+            "PUT",
+            path,
+            json.dumps(document).encode(),
+            {
+                "Authorization": "Bearer test-token",
+                "Change-Id": uuid.uuid4().hex,
+                "Operator": "test",
+                **named,
+            },
+        )
+
     def is_settled(self, node: NodeProcess) -> bool:
         """Returns whether a node serves and no holding is on the move."""
         try:
--- /dev/null
+++ b/tests/test_operator_api.py
@@ -0,0 +1,192 @@
+"""Changes through the administration API of running nodes."""
+
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.http_caller import HttpAnswer, send_request
+
+IN_FORCE_LIMIT_S = 5.0
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    """A platform, backend servers and three nodes."""
+    with Deployment(tmp_path_factory.mktemp("operators")) as running:
+        yield running
+
+
+def get(deployment: Deployment, path: str, index: int = 0) -> HttpAnswer:
+    return send_request(
+        deployment.nodes[index].operator_port,
+        "GET",
+        path,
+        headers={"Authorization": "Bearer test-token"},
+    )
+
+
+def wait_until(condition: Callable[[], bool], limit_s: float) -> bool:
+    ends_at_s = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > ends_at_s:
+            return False
+        time.sleep(0.02)
+    return True
+
+
+def is_in_force(deployment: Deployment, revision: int) -> bool:
+    return all(
+        deployment.status(node)["revision"] >= revision
+        for node in deployment.nodes
+    )
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [{}, {"Authorization": "Bearer wrong"}, {"Authorization": "test-token"}],
+)
+def test_operators_without_the_token_are_refused(
+    deployment: Deployment, headers: dict[str, str]
+) -> None:
+    port = deployment.nodes[0].operator_port
+    answer = send_request(port, "GET", "/v1/status", headers=headers)
+    assert answer.status == 401
+    assert answer.headers["www-authenticate"].startswith("Bearer")
+
+
+def test_callers_port_has_no_operator_routes(deployment: Deployment) -> None:
+    answer = send_request(
+        deployment.nodes[0].caller_port,
+        "PUT",
+        "/v1/domains/d2",
+        b'{"state": "out"}',
+        {"Authorization": "Bearer test-token", "Change-Id": "sneaky"},
+    )
+    assert answer.status == 404
+
+
+def test_domain_out_is_in_force_everywhere_and_audited(
+    deployment: Deployment,
+) -> None:
+    out = deployment.change(
+        deployment.nodes[1],
+        "/v1/domains/d2",
+        {"state": "out"},
+        Change_Id="out-d2",
+        Operator="amina",
+    )
+    revision = out.json()["revision"]
+    assert out.status == 200
+    assert out.json()["outcome"] == "accepted"
+    assert out.headers["etag"] == f'"{revision}"'
+    assert wait_until(
+        lambda: is_in_force(deployment, revision), IN_FORCE_LIMIT_S
+    )
+    stored = get(deployment, "/v1/configuration").json()
+    assert stored["out_domains"] == ["d2"]
+    back = deployment.change(
+        deployment.nodes[2], "/v1/domains/d2", {"state": "in"}
+    )
+    assert back.json()["revision"] == revision + 1
+    entries = get(deployment, "/v1/audit?count=2", 2).json()["entries"]
+    assert [entry["revision"] for entry in entries] == [revision + 1, revision]
+    assert entries[1]["author"] == "amina"
+    assert entries[1]["summary"] == "failure domain d2 out"
+    assert entries[1]["previous_revision"] == revision - 1
+    assert entries[1]["change_id"] == "out-d2"
+
+
+def test_same_change_again_answers_the_same_revision(
+    deployment: Deployment,
+) -> None:
+    server_id = deployment.backends[0]["vm_id"]
+    path = f"/v1/servers/{server_id}"
+    first = deployment.change(
+        deployment.nodes[0], path, {"state": "out"}, Change_Id="twice"
+    )
+    later = deployment.change(deployment.nodes[1], path, {"state": "in"})
+    second = deployment.change(
+        deployment.nodes[2], path, {"state": "out"}, Change_Id="twice"
+    )
+    assert second.json()["revision"] == first.json()["revision"]
+    assert second.json()["was_repeat"] is True
+    assert later.json()["revision"] == first.json()["revision"] + 1
+    stored = deployment.get_object("configuration", "current").json()["value"]
+    assert stored["out_servers"] == []
+
+
+def test_lost_answer_is_read_back(deployment: Deployment) -> None:
+    before = get(deployment, "/v1/configuration").json()["revision"]
+    deployment.control_platform(
+        lose_answers={"kind": "configuration", "count": 1}
+    )
+    answer = deployment.change(
+        deployment.nodes[0], "/v1/domains/d1", {"state": "out"}
+    )
+    deployment.change(deployment.nodes[0], "/v1/domains/d1", {"state": "in"})
+    stored = deployment.get_object("configuration", "current").json()["value"]
+    assert answer.status == 200
+    assert answer.json()["revision"] == before + 1
+    assert stored["revision"] == before + 2
+
+
+def test_one_of_two_changes_of_a_revision_wins(deployment: Deployment) -> None:
+    stored = deployment.get_object("configuration", "current").json()["value"]
+    tag = f'"{stored["revision"]}"'
+    answers = [
+        deployment.change(
+            node, "/v1/domains/d3", {"state": state}, If_Match=tag
+        )
+        for node, state in zip(deployment.nodes, ("out", "in"), strict=False)
+    ]
+    assert [answer.status for answer in answers] == [200, 412]
+    assert answers[1].json()["outcome"] == "not_accepted"
+    assert answers[1].json()["current_revision"] == stored["revision"] + 1
+    deployment.change(deployment.nodes[0], "/v1/domains/d3", {"state": "in"})
+
+
+@pytest.mark.parametrize(
+    ("path", "document", "headers", "status"),
+    [
+        ("/v1/domains/d9", {"state": "out"}, {}, 404),
+        ("/v1/servers/vm-none", {"state": "out"}, {}, 404),
+        ("/v1/domains/d1", {"state": "gone"}, {}, 400),
+        ("/v1/domains/d1", {"state": "out", "until": 1}, {}, 400),
+        ("/v1/domains/d1", {"state": "out"}, {"Change_Id": ""}, 400),
+        ("/v1/domains/d1", {"state": "out"}, {"If_Match": '"x"'}, 400),
+    ],
+)
+def test_malformed_changes_are_refused(
+    deployment: Deployment,
+    path: str,
+    document: object,
+    headers: dict[str, str],
+    status: int,
+) -> None:
+    answer = deployment.change(deployment.nodes[0], path, document, **headers)
+    assert answer.status == status
+    assert answer.json()["error"]["peer"] == "operator"
+
+
+@pytest.mark.parametrize(
+    ("outage", "outcome"),
+    [("unavailable", "not_accepted"), ("silent", "not_accepted")],
+)
+def test_change_in_an_outage_is_not_accepted(
+    deployment: Deployment, outage: str, outcome: str
+) -> None:
+    before = get(deployment, "/v1/configuration").json()["revision"]
+    deployment.control_platform(outage=outage)
+    answer = deployment.change(
+        deployment.nodes[0], "/v1/domains/d1", {"state": "out"}
+    )
+    deployment.control_platform(outage=None)
+    stored = deployment.get_object("configuration", "current").json()["value"]
+    assert answer.status == 503
+    assert answer.json()["outcome"] == outcome
+    assert int(answer.headers["retry-after"]) >= 1
+    assert stored["revision"] == before
