Check configurations as one model, from TOML and over the API

Cause: there was no form in which operators write classes and targets. Ruled out: a schema library (none is among the dependencies; six keys need a table of checks, not a framework). Conclusion: file and API share one checked model.

--- a/packages/operators/mulberrybay_operators/answers.py
+++ b/packages/operators/mulberrybay_operators/answers.py
@@ -8,6 +8,7 @@
 
 from mulberrybay_core.audit import AuditEntry, encode_audit_entry
 from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.configuration_file import ConfigurationProblem
 from mulberrybay_core.documents import encode_configuration
 from mulberrybay_core.errors import Failure, FailureKind, RunState
 from mulberrybay_core.operator_messages import (
@@ -17,6 +18,7 @@
     ClusterStatus,
     NodeStatus,
 )
+from mulberrybay_operators.request_parsing import invalid
 from mulberrybay_runtime.http_server import HttpResponse
 
 STATUS_BY_KIND: Final = {
@@ -26,6 +28,7 @@
     FailureKind.CONFLICT: 412,
     FailureKind.TOO_LARGE: 413,
 }
+PRECONDITION_REQUIRED_STATUS: Final = 428
 UNAVAILABLE_STATUS: Final = 503
 OUTCOME_BY_RUN_STATE: Final = {
     RunState.RAN: "accepted",
@@ -70,6 +73,23 @@
     )
 
 
+def encode_problems(problems: list[ConfigurationProblem]) -> HttpResponse:
+    """Returns the answer to a configuration that is not valid."""
+    detail = f"{len(problems)} problems in the configuration"
+    error = _encode_error(invalid(detail))
+    error["problems"] = [problem._asdict() for problem in problems]
+    document = {"outcome": "not_accepted", "error": error}
+    return _respond(STATUS_BY_KIND[FailureKind.INVALID], document)
+
+
+def encode_missing_condition() -> HttpResponse:
+    """Returns the answer to a configuration sent without If-Match."""
+    detail = "If-Match must name the revision that the configuration replaces"
+    error = _encode_error(invalid(detail))
+    document = {"outcome": "not_accepted", "error": error}
+    return _respond(PRECONDITION_REQUIRED_STATUS, document)
+
+
 def encode_change(
     result: Result[ChangeAccepted, ChangeRefused],
 ) -> HttpResponse:
--- a/packages/operators/mulberrybay_operators/application.py
+++ b/packages/operators/mulberrybay_operators/application.py
@@ -4,10 +4,11 @@
 import urllib.parse
 from typing import Final, TypeVar
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from mulberrybay_core.configuration_change import (
     Edit,
+    ReplaceClasses,
     SetDomainState,
     SetServerState,
 )
@@ -19,10 +20,13 @@
     encode_cluster,
     encode_configuration_answer,
     encode_failure,
+    encode_missing_condition,
+    encode_problems,
     encode_status,
 )
 from mulberrybay_operators.request_parsing import (
     parse_change_headers,
+    parse_classes,
     parse_state,
 )
 from mulberrybay_runtime.http_server import HttpRequest, Respond
@@ -68,6 +72,8 @@
                 respond(encode_configuration_answer(configuration))
             case ("GET", ["v1", "audit"]):
                 self._answer_audit(request, respond)
+            case ("PUT", ["v1", "configuration"]):
+                self._submit_classes(request, respond)
             case ("PUT", ["v1", "domains", name]):
                 self._submit(
                     request,
@@ -117,6 +123,16 @@
             case Result(error=failure):
                 respond(encode_failure(failure))
 
+    def _submit_classes(self, request: HttpRequest, respond: Respond) -> None:
+        if not request.headers.get("If-Match"):
+            respond(encode_missing_condition())
+            return
+        match parse_classes(request.body):
+            case Result(tag="ok", ok=classes):
+                self._submit(request, Ok(ReplaceClasses(classes)), respond)
+            case Result(error=problems):
+                respond(encode_problems(problems))
+
     def _answer_audit(self, request: HttpRequest, respond: Respond) -> None:
         query = urllib.parse.parse_qs(request.query)
         text = query.get("count", [str(DEFAULT_AUDIT_COUNT)])[0]
--- a/packages/operators/mulberrybay_operators/request_parsing.py
+++ b/packages/operators/mulberrybay_operators/request_parsing.py
@@ -7,6 +7,11 @@
 from expression import Error, Ok, Result
 
 from mulberrybay_core.configuration_change import ChangeRequest, Edit
+from mulberrybay_core.configuration_file import (
+    ClassesResult,
+    ConfigurationProblem,
+    parse_class_tables,
+)
 from mulberrybay_core.errors import Failure, FailureKind, Step
 from mulberrybay_runtime.http_server import HttpRequest
 
@@ -54,3 +59,16 @@
             return Ok(state == "out")
         case _:
             return Error(invalid('write {"state": "out"} or {"state": "in"}'))
+
+
+def parse_classes(body: bytes) -> ClassesResult:
+    """Parses classes of work, as the configuration file but in JSON."""
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        detail = f"the body is not JSON: {error}"
+        return Error([ConfigurationProblem("", detail)])
+    if not isinstance(document, dict):
+        detail = "the body must be a JSON object"
+        return Error([ConfigurationProblem("", detail)])
+    return parse_class_tables(document)
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from mulberrybay_core.configuration_file import encode_class_tables
+from mulberrybay_core.documents import decode_configuration
 from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.http_caller import HttpAnswer, send_request
 
@@ -190,3 +192,28 @@
     assert answer.json()["outcome"] == outcome
     assert int(answer.headers["retry-after"]) >= 1
     assert stored["revision"] == before
+
+
+def test_configuration_needs_its_revision_and_keeps_what_is_out(
+    deployment: Deployment,
+) -> None:
+    node = deployment.nodes[0]
+    path = "/v1/configuration"
+    deployment.change(node, "/v1/domains/d1", {"state": "out"})
+    read = get(deployment, path)
+    tag = read.headers["etag"]
+    document = encode_class_tables(
+        decode_configuration(read.json()).ok.classes[:1]
+    )
+    broken = {"class": [{**document["class"][0], "lateness_ms": -1, "x": 1}]}
+    answers = [
+        deployment.change(node, path, document),
+        deployment.change(node, path, broken, If_Match=tag),
+        deployment.change(node, path, document, If_Match=tag),
+        deployment.change(node, path, document, If_Match=tag),
+    ]
+    assert [answer.status for answer in answers] == [428, 400, 200, 412]
+    assert len(answers[1].json()["error"]["problems"]) == 2
+    stored = get(deployment, path).json()
+    assert [item["name"] for item in stored["classes"]] == ["field-search"]
+    assert stored["out_domains"] == ["d1"]
