--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -39,6 +39,7 @@
 from mulberrybay_daemon.member_task import MemberTask
 from mulberrybay_daemon.operator_desk import OperatorDesk
 from mulberrybay_daemon.operator_service import NodeOperatorService
+from mulberrybay_daemon.record_expiry import RecordExpiry
 from mulberrybay_daemon.runs import RunCoordinator
 from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
 from mulberrybay_daemon.settings import NodeSettings
@@ -51,14 +52,19 @@
 from mulberrybay_operators.application import OperatorApplication
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.faults import FaultLog
 from mulberrybay_runtime.http_server import HttpServer
 from mulberrybay_runtime.logs import StateLog
 from mulberrybay_runtime.streams import Streams
 from mulberrybay_runtime.timers import Timers
 
 STATUS_PERIOD_S: Final = 0.2
+STOP_POLL_S: Final = 0.05
+GOODBYE_S: Final = 0.1
 STOP_GRACE_S: Final = ADDRESS_TIME_TO_LIVE_S + 1.0
 STOP_LIMIT_S: Final = 30.0
+# How long a stop waits for a platform that does not take the outcomes of runs.
+SAVE_LIMIT_S: Final = STOP_GRACE_S + 5.0
 
 
 class Node(BaseComponent):
@@ -72,6 +78,7 @@
         self._settings = settings
         self._log = StateLog("node")
         self._exits = contextlib.ExitStack()
+        self._faults = FaultLog().register(self)
         self._poller = EPoll().register(self)
         self._timers = Timers().register(self)
         self._streams = Streams(self._poller).register(self)
@@ -134,6 +141,7 @@
         )
         self._runs = RunCoordinator(
             process_id,
+            settings.runs,
             self._gate,
             self._router,
             self._store,
@@ -143,6 +151,9 @@
         self._fleet_task = FleetTask(
             self._store, self._timers, self._coordinator.catalog, self._on_fleet
         )
+        self._expiry = RecordExpiry(
+            settings.runs, self._store, self._timers, self._should_sweep
+        )
         self._service = NodeService(
             self._membership,
             self._members,
@@ -194,6 +205,7 @@
             lambda: self._membership.live_nodes(read_clock_s())
         )
         self._fleet_task.start()
+        self._expiry.start()
         self._timers.call_every(STATUS_PERIOD_S, self._update_serving)
         self._log.info("listening", callers=str(settings.caller_address))
         return self
@@ -225,12 +237,21 @@
         self._gate.set_configuration(configuration)
         self._members.set_configuration(configuration)
 
-    def _update_serving(self) -> None:
-        is_serving = (
+    def _should_sweep(self) -> bool:
+        live = self._membership.live_nodes(read_clock_s())
+        first_id = min(info.node_id for info in live)
+        return first_id == self._settings.node_id and self._can_act()
+
+    def _can_act(self) -> bool:
+        return (
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
-            and self._stop_began_at_s is None
         )
+
+    def _update_serving(self) -> None:
+        is_serving = self._can_act() and self._stop_began_at_s is None
+        live = self._membership.live_nodes(read_clock_s())
+        self._runs.set_node_count(len(live))
         info = self._membership.info
         if info.is_serving != is_serving:
             self._log.info("serving" if is_serving else "not serving")
@@ -297,15 +318,20 @@
     def _finish_stop(self) -> None:
         """Exits once nothing is in progress."""
         self._service.is_closed = True
-        began_at_s = self._stop_began_at_s or 0.0
+        age_s = read_clock_s() - (self._stop_began_at_s or 0.0)
         is_idle = (
             self._active_count() == 0
             and self._holder.outstanding_count == 0
             and self._caller_server.pending_count == 0
         )
-        if is_idle or read_clock_s() - began_at_s > STOP_LIMIT_S:
+        is_saved = self._runs.unsaved_count == 0 or age_s > SAVE_LIMIT_S
+        if (is_idle and is_saved) or age_s > STOP_LIMIT_S:
             self._members.say_goodbye()
-            self._log.info("stopped", was_idle=is_idle)
-            self._timers.call_later(0.1, self.stop)
+            self._log.info(
+                "stopped",
+                was_idle=is_idle,
+                unsaved_count=self._runs.unsaved_count,
+            )
+            self._timers.call_later(GOODBYE_S, self.stop)
             return
-        self._timers.call_later(0.05, self._finish_stop)
+        self._timers.call_later(STOP_POLL_S, self._finish_stop)
