Handle every read and write of the HTTP server once

Cause: circuits runs the handlers of a base class beside those of a subclass of the same name unless the latter say override=True. The caller's server parsed each read twice, so that one request became two: the second answer stood in front of the next one on a kept connection.

Ruled out: the load client (the same seen with a bare socket).

After: 4 passed.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -57,7 +57,7 @@
 class _Listener(TCPServer):
     """A TCP server that drops writes to connections that have ended."""
 
-    @handler("write")
+    @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock.fileno() >= 0:
             super().write(sock, data)
@@ -70,7 +70,7 @@
         super().__init__(server, channel=channel)
         self._received_bytes: dict[Any, int] = {}
 
-    @handler("read")
+    @handler("read", override=True)
     def _on_read(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock in self._clients and sock not in self._buffers:
             # The answer to the earlier request is still due.
@@ -100,7 +100,7 @@
         self.fire(write(sock, head.encode() + body))
         self.fire(close(sock))
 
-    @handler("disconnect")
+    @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:  # noqa: ANN401
         self._buffers.pop(sock, None)
         self._received_bytes.pop(sock, None)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """The whole path as separate processes: addresses, a query, a booking."""
 
+import socket
 from collections.abc import Iterator
 
 import pytest
@@ -63,3 +64,20 @@
     assert first.json()["result"] == second.json()["result"]
     assert second.json()["was_repeat"] is True
     assert len(effects) == 1
+
+
+def test_request_in_one_segment_gets_one_answer(
+    deployment: Deployment,
+) -> None:
+    port = deployment.nodes[0].caller_port
+    head = "Host: x\r\nX-Deadline-Ms: 1000\r\nContent-Length: 3\r\n"
+    request = f"POST /v1/query/field-search HTTP/1.1\r\n{head}"
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as client:
+        for closing in ("", "Connection: close\r\n"):
+            client.sendall(f'{request}{closing}\r\n"a"'.encode())
+            if not closing:
+                answers = client.recv(65536)
+        while part := client.recv(65536):
+            answers += part
+    assert answers.count(b"HTTP/1.1 ") == 2
+    assert answers.count(b"HTTP/1.1 200 ") == 2
