--- /dev/null
+++ b/packages/core/mulberrybay_core/policy_arms.py
@@ -0,0 +1,54 @@
+"""Which replica and hedging policies are in force.
+
+Only `adaptive` is meant for service; the other arms are the baselines of
+experiments and differ from it in these two decisions alone.
+"""
+
+import random
+from typing import Final, NamedTuple
+
+from mulberrybay_core.extra_load import ExtraLoadBudget
+from mulberrybay_core.hedging import FixedHedging, NoHedging, QuantileHedging
+from mulberrybay_core.query_run import ClassPolicies
+from mulberrybay_core.replica_choice import (
+    LeastExpectedWait,
+    LeastOutstanding,
+    RandomReplica,
+    RoundRobin,
+)
+
+POLICY_ARMS: Final = ("adaptive", "least_outstanding", "random", "round_robin")
+FIXED_HEDGE_S: Final = 0.1
+
+
+class PolicySettings(NamedTuple):
+    """The choice of policies of one node.
+
+    Attributes:
+        arm: One of `POLICY_ARMS`.
+    """
+
+    arm: str = "adaptive"
+
+
+def make_class_policies(
+    settings: PolicySettings, random_source: random.Random
+) -> ClassPolicies:
+    """Returns fresh policies for one class of work."""
+    budget = ExtraLoadBudget()
+    match settings.arm:
+        case "random":
+            return ClassPolicies(
+                RandomReplica(random_source), NoHedging(), budget
+            )
+        case "round_robin":
+            return ClassPolicies(
+                RoundRobin(), FixedHedging(FIXED_HEDGE_S), budget
+            )
+        case "least_outstanding":
+            return ClassPolicies(
+                LeastOutstanding(random_source), NoHedging(), budget
+            )
+    return ClassPolicies(
+        LeastExpectedWait(random_source), QuantileHedging(), budget
+    )
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -3,7 +3,6 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
 
 from expression import Error, Result
 
@@ -16,9 +15,8 @@
 )
 from mulberrybay_core.configuration import WorkClass
 from mulberrybay_core.errors import Failure, FailureKind, Step
-from mulberrybay_core.extra_load import ExtraLoadBudget
 from mulberrybay_core.fleet import Fleet
-from mulberrybay_core.hedging import QuantileHedging
+from mulberrybay_core.policy_arms import PolicySettings, make_class_policies
 from mulberrybay_core.queries import QueryAnswer, QueryReply, QueryRequest
 from mulberrybay_core.query_run import (
     ClassPolicies,
@@ -26,7 +24,6 @@
     QueryRun,
     QueryStep,
 )
-from mulberrybay_core.replica_choice import LeastExpectedWait
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 from mulberrybay_daemon.gate import Gate
 from mulberrybay_runtime.clock import read_clock_s
@@ -44,15 +41,6 @@
         self.answer_counts[class_name, outcome] += 1
 
 
-def make_class_policies() -> ClassPolicies:
-    """Returns fresh policies for one class of work."""
-    return ClassPolicies(
-        replicas=LeastExpectedWait(random.Random()),
-        hedging=QuantileHedging(),
-        budget=ExtraLoadBudget(),
-    )
-
-
 class _ActiveQuery:
     """A query in progress."""
 
@@ -74,7 +62,7 @@
         carrier: AttemptCarrier,
         admission: Admission,
         timers: Timers,
-        make_policies: Callable[[], ClassPolicies] = make_class_policies,
+        policy: PolicySettings,
     ) -> None:
         """Starts without queries.
 
@@ -84,14 +72,14 @@
             carrier: Carries attempts to holders.
             admission: Limits on the node's work.
             timers: The process's timers.
-            make_policies: Makes the policies that a class's queries share.
+            policy: Which decisions are in force.
         """
         self._process_id = process_id
         self._gate = gate
         self._carrier = carrier
         self._admission = admission
         self._timers = timers
-        self._make_policies = make_policies
+        self._policy = policy
         self._policies: dict[str, ClassPolicies] = {}
         self._query_sequence = itertools.count(1)
         self._attempt_sequence = itertools.count(1)
@@ -141,7 +129,7 @@
     def _make_context(self, work_class: WorkClass) -> QueryContext:
         policies = self._policies.get(work_class.name)
         if policies is None:
-            policies = self._make_policies()
+            policies = make_class_policies(self._policy, random.Random())
             self._policies[work_class.name] = policies
         return QueryContext(
             targets=work_class.targets,
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -130,6 +130,7 @@
             self._router,
             Admission(settings.admission),
             self._timers,
+            settings.policy,
         )
         self._runs = RunCoordinator(
             process_id,
--- a/packages/daemon/mulberrybay_daemon/settings.py
+++ b/packages/daemon/mulberrybay_daemon/settings.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.addresses import Address, parse_address
 from mulberrybay_core.admission import AdmissionSettings
 from mulberrybay_core.membership import MembershipSettings
+from mulberrybay_core.policy_arms import POLICY_ARMS, PolicySettings
 
 ENVIRONMENT_PREFIX: Final = "MULBERRYBAY_"
 LOG_LEVELS: Final = ("debug", "info", "notice", "warning", "error")
@@ -34,6 +35,7 @@
         log_form: JSON lines for programs, or console lines for people.
         membership: Times of leases.
         admission: Limits on the node's work.
+        policy: Which decisions are in force, for experiments.
     """
 
     node_id: str
@@ -49,6 +51,7 @@
     log_form: str = "json"
     membership: MembershipSettings = MembershipSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    policy: PolicySettings = PolicySettings()
 
 
 class SettingsProblem(NamedTuple):
@@ -77,7 +80,9 @@
 _SECTIONS: Final = {
     "membership": MembershipSettings,
     "admission": AdmissionSettings,
+    "policy": PolicySettings,
 }
+_SECTION_CHOICES: Final = {"policy.arm": POLICY_ARMS}
 _KNOWN_KEYS: Final = frozenset(NodeSettings._fields)
 
 
@@ -237,6 +242,9 @@
             problems.append(
                 SettingsProblem(f"{name}.{key}", f"unknown; known: {known}")
             )
+        elif f"{name}.{key}" in _SECTION_CHOICES:
+            choices = _SECTION_CHOICES[f"{name}.{key}"]
+            _take_choice(section, key, choices, defaults, problems)
         elif not _is_positive(value):
             problems.append(
                 SettingsProblem(f"{name}.{key}", "must be a number above 0")
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/experiment.py
@@ -0,0 +1,247 @@
+"""Runs scenarios under each arm with the same load and seeds.
+
+Usage: python -m mulberrybay_testing.experiment SCENARIO... --out DIR
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import math
+import shutil
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.load_generator import LoadGenerator, Sample
+from mulberrybay_testing.plot import plot_scenario
+from mulberrybay_testing.scenario import (
+    Scenario,
+    load_scenario,
+    perform_actions,
+)
+
+ARMS: Final = ("adaptive", "least_outstanding", "random", "round_robin")
+WINDOW_S: Final = 1.0
+MAX_LATENCY_US: Final = 60_000_000
+
+
+class RunResult(NamedTuple):
+    """The figures of one run of one arm.
+
+    Attributes:
+        scenario: The scenario.
+        arm: The policy arm.
+        seed: The seed of the load.
+        query_count: Queries sent after the settling time.
+        ok_percent: The share that got an answer.
+        refused_percent: The share refused with a time to come back.
+        failed_percent: The rest.
+        p50_ms: Median latency of answers.
+        p99_ms: 99th percentile of the latency of answers.
+        p999_ms: 99.9th percentile of the latency of answers.
+        refusal_p99_ms: 99th percentile of the latency of refusals.
+        late_percent: Queries without an answer within the lateness target.
+        coverage_percent: Mean over the answers.
+        worst_coverage_percent: Mean over the answers of the worst window.
+        extra_load_percent: Requests at backend servers beyond one a shard.
+        overfed_count: Violations that cold backend servers logged.
+        bad_since_s: Last window in which 1 % or more was late or unanswered;
+            -1 if none.
+    """
+
+    scenario: str
+    arm: str
+    seed: int
+    query_count: int
+    ok_percent: float
+    refused_percent: float
+    failed_percent: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    refusal_p99_ms: float
+    late_percent: float
+    coverage_percent: float
+    worst_coverage_percent: float
+    extra_load_percent: float
+    overfed_count: int
+    bad_since_s: float
+
+
+async def _drive(
+    scenario: Scenario, deployment: Deployment, seed: int
+) -> list[Sample]:
+    ports = [node.caller_port for node in deployment.nodes]
+    generator = LoadGenerator(scenario.load, ports, seed)
+    samples, _ = await asyncio.gather(
+        generator.run(), perform_actions(scenario, deployment)
+    )
+    return samples
+
+
+def run_once(
+    scenario: Scenario, arm: str, seed: int, folder: Path
+) -> tuple[RunResult, list[Sample]]:
+    """Starts a deployment, sends the load and returns the figures."""
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    with scenario.deployment(folder, arm) as deployment:
+        samples = asyncio.run(_drive(scenario, deployment, seed))
+        events = deployment.backend_events()
+    result = summarize(scenario, arm, seed, samples, events)
+    return result, samples
+
+
+def summarize(
+    scenario: Scenario,
+    arm: str,
+    seed: int,
+    samples: Sequence[Sample],
+    events: Sequence[Any],
+) -> RunResult:
+    """Returns the figures of one run."""
+    counted = [item for item in samples if item.at_s >= scenario.settle_s]
+    answers = [item for item in counted if item.status == 200]
+    refusals = [item for item in counted if item.status == 503]
+    count = max(1, len(counted))
+    late_count = sum(_is_bad(scenario, item) for item in counted)
+    latency = _histogram(answers)
+    return RunResult(
+        scenario=scenario.name,
+        arm=arm,
+        seed=seed,
+        query_count=len(counted),
+        ok_percent=100 * len(answers) / count,
+        refused_percent=100 * len(refusals) / count,
+        failed_percent=100 * (count - len(answers) - len(refusals)) / count,
+        p50_ms=latency.get_value_at_percentile(50) / 1000,
+        p99_ms=latency.get_value_at_percentile(99) / 1000,
+        p999_ms=latency.get_value_at_percentile(99.9) / 1000,
+        refusal_p99_ms=_histogram(refusals).get_value_at_percentile(99) / 1000,
+        late_percent=100 * late_count / count,
+        coverage_percent=_mean_coverage(answers),
+        worst_coverage_percent=min(
+            (_mean_coverage(part) for part in _windows(answers).values()),
+            default=0.0,
+        ),
+        extra_load_percent=extra_load_percent(events),
+        overfed_count=sum(event["event"] == "overfed" for event in events),
+        bad_since_s=_last_bad_window_s(scenario, counted),
+    )
+
+
+def extra_load_percent(events: Sequence[Any]) -> float:
+    """Returns what backend servers got beyond one request per shard."""
+    counts: Counter[tuple[str, str]] = Counter()
+    for event in events:
+        if event["event"] == "request":
+            query_id = event["request_id"].rpartition("-")[0]
+            counts[query_id, event["shard"]] += 1
+    extra_count = counts.total() - len(counts)
+    return 100 * extra_count / max(1, len(counts))
+
+
+def _is_bad(scenario: Scenario, sample: Sample) -> bool:
+    in_time = sample.latency_ms <= scenario.targets.lateness_ms
+    return sample.status != 200 or not in_time
+
+
+def _histogram(samples: Sequence[Sample]) -> HdrHistogram:
+    histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
+    for sample in samples:
+        histogram.record_value(max(1, int(sample.latency_ms * 1000)))
+    return histogram
+
+
+def _mean_coverage(samples: Sequence[Sample]) -> float:
+    if not samples:
+        return 0.0
+    return statistics.fmean(item.coverage_percent for item in samples)
+
+
+def _windows(samples: Sequence[Sample]) -> dict[int, list[Sample]]:
+    windows: dict[int, list[Sample]] = defaultdict(list)
+    for sample in samples:
+        windows[int(sample.at_s / WINDOW_S)].append(sample)
+    return windows
+
+
+def _last_bad_window_s(scenario: Scenario, samples: Sequence[Sample]) -> float:
+    last_s = -1.0
+    for number, part in _windows(samples).items():
+        bad_count = sum(_is_bad(scenario, item) for item in part)
+        if bad_count >= math.ceil(len(part) / 100):
+            last_s = max(last_s, number * WINDOW_S)
+    return last_s
+
+
+_COLUMNS: Final = RunResult._fields[4:]
+
+
+def format_table(results: Sequence[RunResult]) -> str:
+    """Returns a Markdown table: the median over seeds, and the spread."""
+    names = [name.removesuffix("_percent") for name in _COLUMNS]
+    lines = ["| arm | " + " | ".join(names) + " |"]
+    lines.append("|---" * (len(names) + 1) + "|")
+    by_arm: dict[str, list[RunResult]] = defaultdict(list)
+    for result in results:
+        by_arm[result.arm].append(result)
+    for arm, runs in by_arm.items():
+        cells = [
+            _format_cell([getattr(run, name) for run in runs])
+            for name in _COLUMNS
+        ]
+        lines.append(f"| {arm} | " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def _format_cell(values: Sequence[float]) -> str:
+    low, high = min(values), max(values)
+    middle = f"{statistics.median(values):.4g}"
+    return middle if low == high else f"{middle} ({low:.4g}-{high:.4g})"
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("scenarios", nargs="+")
+    parser.add_argument("--seeds", default="1,2,3")
+    parser.add_argument("--arms", default=",".join(ARMS))
+    parser.add_argument("--out", type=Path, required=True)
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Runs what the arguments ask for."""
+    arguments = _parse_arguments()
+    arguments.out.mkdir(parents=True, exist_ok=True)
+    for name in arguments.scenarios:
+        _run_scenario(load_scenario(name), arguments)
+
+
+def _run_scenario(scenario: Scenario, arguments: argparse.Namespace) -> None:
+    results = []
+    curves: dict[str, list[Sample]] = {}
+    lines_path = arguments.out / f"{scenario.name}.jsonl"
+    with lines_path.open("w", encoding="utf-8") as lines:
+        for seed in arguments.seeds.split(","):
+            for arm in arguments.arms.split(","):
+                folder = arguments.out / f"{scenario.name}-{arm}-{seed}"
+                result, samples = run_once(scenario, arm, int(seed), folder)
+                results.append(result)
+                curves.setdefault(arm, samples)
+                lines.write(json.dumps(result._asdict()) + "\n")
+                lines.flush()
+    plot_scenario(scenario, curves, arguments.out / f"{scenario.name}.png")
+    print(f"\n{scenario.name}, seeds {arguments.seeds}\n")
+    print(format_table(results), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/scenario.py
@@ -0,0 +1,132 @@
+"""Scenarios: a deployment, a load and what happens while it runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import tomllib
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from mulberrybay_core.configuration import Targets
+from mulberrybay_core.documents import encode_snapshots
+from mulberrybay_core.snapshot import IndexSnapshot
+from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.load_generator import LoadSpec
+
+SCENARIO_FOLDER: Final = Path(__file__).with_name("scenarios")
+_SIGNALS: Final = {
+    "kill": signal.SIGKILL,
+    "freeze": signal.SIGSTOP,
+    "thaw": signal.SIGCONT,
+}
+
+
+class Scenario(NamedTuple):
+    """One scenario, as read from its TOML file.
+
+    Attributes:
+        name: The name of the file.
+        load: The load.
+        settle_s: Queries before this time count in no figure.
+        targets: The targets of the class of work.
+        shard_count: Shards, each with its own service.
+        node_count: Nodes.
+        class_options: Further options of the class of work.
+        actions: What happens: tables with `at_s` and one of `backends`,
+            `platform`, `out_domains`, `index_version` or `node`.
+    """
+
+    name: str
+    load: LoadSpec
+    settle_s: float
+    targets: Targets
+    shard_count: int
+    node_count: int
+    class_options: dict[str, Any]
+    actions: tuple[dict[str, Any], ...]
+
+    def deployment(self, folder: Path, arm: str) -> Deployment:
+        """Returns the deployment, not yet started."""
+        work_class = search_class(
+            self.load.class_name,
+            self.shard_count,
+            targets=self.targets,
+            **self.class_options,
+        )
+        return Deployment(
+            folder, (work_class,), self.node_count, {"policy.arm": arm}
+        )
+
+
+def load_scenario(name: str) -> Scenario:
+    """Reads a scenario of this package, or a file.
+
+    Raises:
+        OSError: There is no such file.
+        tomllib.TOMLDecodeError: The file is not TOML.
+    """
+    path = Path(name)
+    if path.suffix != ".toml":
+        path = SCENARIO_FOLDER / f"{name}.toml"
+    document = tomllib.loads(path.read_text(encoding="utf-8"))
+    return Scenario(
+        name=path.stem,
+        load=LoadSpec(**document["load"]),
+        settle_s=document.get("settle_s", 0.0),
+        targets=Targets(**document["targets"]),
+        shard_count=document["shard_count"],
+        node_count=document.get("node_count", 3),
+        class_options=document.get("class", {}),
+        actions=tuple(
+            sorted(document.get("actions", []), key=lambda act: act["at_s"])
+        ),
+    )
+
+
+async def perform_actions(scenario: Scenario, deployment: Deployment) -> None:
+    """Does the scenario's actions, each at its time from now."""
+    started_at_s = asyncio.get_running_loop().time()
+    for action in scenario.actions:
+        now_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0, started_at_s + action["at_s"] - now_s))
+        await asyncio.to_thread(_perform, action, deployment)
+
+
+def _perform(action: dict[str, Any], deployment: Deployment) -> None:
+    match action:
+        case {"backends": target, "set": changes}:
+            if "servers" in target:
+                ids = [
+                    deployment.backends[i]["vm_id"] for i in target["servers"]
+                ]
+                target = {"vm_ids": ids}
+            deployment.control_backends(target, **changes)
+        case {"platform": document}:
+            deployment.control_platform(**document)
+        case {"out_domains": domains}:
+            deployment.put_configuration(out_domains=frozenset(domains))
+        case {"index_version": version}:
+            _put_next_snapshot(deployment, version, action.get("services"))
+        case {"node": index, "do": what}:
+            deployment.nodes[index].process.signal(_SIGNALS[what])
+        case _:
+            raise ValueError(f"unknown action {json.dumps(action)}")
+
+
+def _put_next_snapshot(
+    deployment: Deployment, version: int, service_count: int | None
+) -> None:
+    """Adds an index version, perhaps over another number of services."""
+    spec = deployment.classes[0]
+    name = spec.work_class.name
+    stored = deployment.get_object("snapshots", name).json()
+    services = spec.services[:service_count]
+    snapshots = (
+        IndexSnapshot(name, version - 1, spec.services),
+        IndexSnapshot(name, version, services),
+    )
+    deployment.put_object(
+        "snapshots", name, encode_snapshots(snapshots), stored["version"]
+    )
