--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -62,7 +62,7 @@
 class _Listener(TCPServer):
     """A TCP server that drops writes to connections that have ended."""
 
-    @handler("write")
+    @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock.fileno() >= 0:
             super().write(sock, data)
