Run each HTTP request once

Cause: circuits registers a base class's handler beside one of the same name unless it says override, in an arbitrary order; _BoundedHttp parsed each request twice and the second, with an empty body, was often answered first (400, the body is not JSON). Change: override=True on both handlers; a test that a query asks each shard once.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -64,13 +64,17 @@
 
 
 class _BoundedHttp(HTTP):
-    """The protocol of circuits.web with bounds on what a client may send."""
+    """The protocol of circuits.web with bounds on what a client may send.
+
+    Its handlers say `override`: circuits would call those of the base class
+    as well, in any order, and so run each request twice.
+    """
 
     def __init__(self, server: "HttpServer", channel: str) -> None:
         super().__init__(server, channel=channel)
         self._received_bytes: dict[Any, int] = {}
 
-    @handler("read")
+    @handler("read", override=True)
     def _on_read(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock in self._clients and sock not in self._buffers:
             # The answer to the earlier request is still due.
@@ -100,7 +104,7 @@
         self.fire(write(sock, head.encode() + body))
         self.fire(close(sock))
 
-    @handler("disconnect")
+    @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:  # noqa: ANN401
         self._buffers.pop(sock, None)
         self._received_bytes.pop(sock, None)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -50,6 +50,17 @@
     assert document["coverage"]["missing_shards"] == []
 
 
+def test_query_asks_each_shard_once(deployment: Deployment) -> None:
+    def count_requests() -> int:
+        counters = deployment.backend_counters()
+        return sum(item["requests"] for item in counters.values())
+
+    before_count = count_requests()
+    answer = deployment.query(deployment.nodes[2], body="salt")
+    assert answer.status == 200
+    assert count_requests() - before_count == 4
+
+
 def test_booking_runs_once_at_whichever_node(deployment: Deployment) -> None:
     key = make_key()
     first = deployment.run(deployment.nodes[0], key)
