--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -66,8 +66,8 @@
 class _BoundedHttp(HTTP):
     """The protocol of circuits.web with bounds on what a client may send.
 
-    Its handlers say `override`: circuits would call those of the base class
-    as well, in any order, and so run each request twice.
+    Without `override` circuits calls the base class's handlers too, in any
+    order, and each read would be parsed twice.
     """
 
     def __init__(self, server: "HttpServer", channel: str) -> None:
