Say that the effect is unknown when a server error is answered

Cause: an HTTP 5xx that circuits raises after the application began was answered with run_state not_run, which may be untrue. Change: run_state unknown from status 500 on. Seen: tests/test_whole_path.py green; no test raises such an error yet. Conclusion: only refusals before the application are not run.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -129,7 +129,8 @@
             "step": "parse",
             "peer": "caller",
             "detail": detail,
-            "run_state": "not_run",
+            # A server error may come after the application began the work.
+            "run_state": "not_run" if status < 500 else "unknown",
             "retry_after_s": None,
         }
         self._buffers.pop(sock, None)
