--- a/packages/daemon/mulberrybay_daemon/settings.py
+++ b/packages/daemon/mulberrybay_daemon/settings.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.addresses import Address, parse_address
 from mulberrybay_core.admission import AdmissionSettings
 from mulberrybay_core.membership import MembershipSettings
+from mulberrybay_core.policy_arms import POLICY_ARMS, PolicySettings
 from mulberrybay_core.write_budget import RunSettings
 
 ENVIRONMENT_PREFIX: Final = "MULBERRYBAY_"
@@ -38,6 +39,7 @@
         membership: Times of leases.
         admission: Limits on the node's work.
         runs: Limits on non-idempotent requests.
+        policy: Which decisions are in force, for experiments.
     """
 
     node_id: str
@@ -55,6 +57,7 @@
     membership: MembershipSettings = MembershipSettings()
     admission: AdmissionSettings = AdmissionSettings()
     runs: RunSettings = RunSettings()
+    policy: PolicySettings = PolicySettings()
 
 
 class SettingsProblem(NamedTuple):
@@ -84,7 +87,9 @@
     "membership": MembershipSettings,
     "admission": AdmissionSettings,
     "runs": RunSettings,
+    "policy": PolicySettings,
 }
+_SECTION_CHOICES: Final = {"policy.arm": POLICY_ARMS}
 _KNOWN_KEYS: Final = frozenset(NodeSettings._fields)
 
 
@@ -246,6 +251,9 @@
             problems.append(
                 SettingsProblem(f"{name}.{key}", f"unknown; known: {known}")
             )
+        elif f"{name}.{key}" in _SECTION_CHOICES:
+            choices = _SECTION_CHOICES[f"{name}.{key}"]
+            _take_choice(section, key, choices, defaults, problems)
         elif not _is_positive(value):
             problems.append(
                 SettingsProblem(f"{name}.{key}", "must be a number above 0")
--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -62,7 +62,7 @@
 class _Listener(TCPServer):
     """A TCP server that drops writes to connections that have ended."""
 
-    @handler("write")
+    @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock.fileno() >= 0:
             super().write(sock, data)
@@ -80,6 +80,8 @@
         super().__init__(server, channel=channel)
         self._received_bytes: dict[Any, int] = {}
 
+    # Without override, circuits would run the base class's handler as well
+    # and every request would be processed twice.
     @handler("read", override=True)
     def _on_read(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
         if sock in self._clients and sock not in self._buffers:
@@ -127,7 +129,8 @@
             "step": "parse",
             "peer": "caller",
             "detail": detail,
-            "run_state": "not_run",
+            # A server error may come after the application began the work.
+            "run_state": "not_run" if status < 500 else "unknown",
             "retry_after_s": None,
         }
         self._buffers.pop(sock, None)
@@ -202,8 +205,11 @@
                 self._pending_count -= 1
                 self._send(request, response, answer)
 
+        parsed, is_pipelined = _read_request(request)
+        if is_pipelined:
+            response.close = True
         try:
-            self._application.on_request(_read_request(request), respond)
+            self._application.on_request(parsed, respond)
         except Exception as error:
             self.fault_count += 1
             self._log.error(
@@ -231,14 +237,23 @@
         self.fire(response_event(response), self.channel)
 
 
-def _read_request(request: Request) -> HttpRequest:
-    return HttpRequest(
+def _read_request(request: Request) -> tuple[HttpRequest, bool]:
+    """Returns the request, and whether bytes of another one followed it.
+
+    circuits.web takes those bytes for a part of the body.
+    """
+    received = request.body.read() if request.body else b""
+    body = received
+    if request.headers.get("Transfer-Encoding", "").lower() != "chunked":
+        body = received[: int(request.headers.get("Content-Length", "0"))]
+    parsed = HttpRequest(
         method=request.method,
         path=request.path,
         query=request.qs or "",
         headers=request.headers,
-        body=request.body.read() if request.body else b"",
+        body=body,
     )
+    return parsed, len(body) < len(received)
 
 
 def _internal_error() -> HttpResponse:
