Check that "not run" is true, final and given at once

Cause: nothing proved it. A version of HTTP that is not supported is "not run", since the request was never handed on.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -113,7 +113,7 @@
     ) -> None:
         del response, code
         detail = f"status {event.code}: {event.description or 'not HTTP'}"
-        kind = "internal" if event.code >= 500 else "invalid"
+        kind = "internal" if event.code == 500 else "invalid"
         self.refuse(request.sock, event.code, kind, detail)
 
     def refuse(
@@ -130,7 +130,7 @@
             "peer": "caller",
             "detail": detail,
             # A server error may come after the application began the work.
-            "run_state": "not_run" if status < 500 else "unknown",
+            "run_state": "unknown" if status == 500 else "not_run",
             "retry_after_s": None,
         }
         self._buffers.pop(sock, None)
--- a/packages/testing/mulberrybay_testing/proxied_deployment.py
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -15,6 +15,7 @@
     Deployment,
     NodeProcess,
 )
+from mulberrybay_testing.http_caller import make_key
 from mulberrybay_testing.processes import free_port
 
 PLATFORM: Final = "platform"
@@ -115,6 +116,16 @@
                 self._restart_count += 1
                 self.restart_node(index, f"again-{self._restart_count}")
         self.wait_serving()
+        for node in self.nodes:
+            self._wait_runs(node)
+
+    def _wait_runs(self, node: NodeProcess) -> None:
+        """Waits until a node reaches the platform and takes runs."""
+        ends_at_s = time.monotonic() + READY_TIMEOUT_S
+        while self.run(node, make_key()).status != 200:
+            if time.monotonic() > ends_at_s:
+                raise TimeoutError(f"{node.node_id} takes no runs")
+            time.sleep(POLL_PERIOD_S)
 
     def _has_ended(self, node: NodeProcess) -> bool:
         """Returns whether a node has ended; waits for one that is stopping."""
