--- a/packages/core/mulberrybay_core/write_budget.py
+++ b/packages/core/mulberrybay_core/write_budget.py
@@ -29,7 +29,7 @@
         self._settings = settings
         self._filled_at_s = now_s
         self._rate_per_s = settings.platform_writes_per_s / WRITES_PER_RUN
-        self._token_count = 1.0
+        self._token_count = self._rate_per_s * BURST_S
 
     def set_node_count(self, node_count: int) -> None:
         """Shares the writes between the nodes that live."""
