--- a/packages/testing/mulberrybay_testing/processes.py
+++ b/packages/testing/mulberrybay_testing/processes.py
@@ -105,6 +105,10 @@
                 f"still runs {timeout_s} s after SIGTERM", self
             ) from None
 
+    def log_text(self) -> str:
+        """Returns the whole of standard error."""
+        return self._stderr.read_text(errors="replace")
+
     def log_tail(self) -> str:
         """Returns the last part of the output."""
         return "".join(
