--- a/packages/core/mulberrybay_core/admission.py
+++ b/packages/core/mulberrybay_core/admission.py
@@ -5,10 +5,15 @@
 classes leave idle is open to all.
 """
 
+from collections.abc import Sequence
 from typing import Final, NamedTuple
 
+from mulberrybay_core.server_waits import WaitEstimate
+
 LATENCY_WEIGHT: Final = 0.1
 MIN_RETRY_AFTER_S: Final = 0.05
+# Less than this many service times of waiting is no reason to refuse.
+MIN_QUEUE_RATIO: Final = 1.5
 
 
 class AdmissionSettings(NamedTuple):
@@ -71,3 +76,34 @@
     def query_count(self) -> int:
         """Queries in progress."""
         return sum(self._counts.values())
+
+
+def expected_excess_s(
+    estimates: Sequence[WaitEstimate],
+    needed_count: int,
+    lateness_left_s: float,
+    deadline_left_s: float,
+) -> float:
+    """Returns how long a query should wait before it is sent again.
+
+    Args:
+        estimates: What the best replica of each shard is expected to take.
+        needed_count: Shards that the coverage target asks for.
+        lateness_left_s: Until the query is late.
+        deadline_left_s: Until the query is given up.
+
+    Returns:
+        0 if the query is expected to be in time. Queues alone count: where
+        the service itself is too slow, waiting would not help.
+    """
+    if not estimates or needed_count <= 0:
+        return 0.0
+    ordered = sorted(estimates)
+    worst = ordered[min(needed_count, len(ordered)) - 1]
+    left_s = deadline_left_s
+    if 2 * worst.service_s <= lateness_left_s:
+        left_s = min(left_s, lateness_left_s)
+    has_queue = worst.total_s >= MIN_QUEUE_RATIO * worst.service_s
+    if not has_queue or worst.total_s <= left_s:
+        return 0.0
+    return max(MIN_RETRY_AFTER_S, worst.total_s - left_s)
--- a/packages/core/mulberrybay_core/hedging.py
+++ b/packages/core/mulberrybay_core/hedging.py
@@ -8,6 +8,8 @@
 REFRESH_PERIOD_COUNT: Final = 32
 MIN_SAMPLE_COUNT: Final = 32
 MIN_DELAY_S: Final = 0.002
+# The rest of the extra load is left for bursts and retries.
+HEDGE_SHARE: Final = 0.7
 
 
 class HedgePolicy(Protocol):
@@ -23,7 +25,7 @@
 class QuantileHedging:
     """Hedges after the quantile of latency that the extra load allows.
 
-    With 5 % of extra load, the slowest 5 % of attempts are hedged; the
+    With 5 % of extra load, the slowest 3.5 % of attempts are hedged; the
     token bucket of extra load enforces the target when latency shifts.
     """
 
@@ -44,7 +46,7 @@
         """Returns how long to wait before a hedge; None for never."""
         if len(self._sorted) < MIN_SAMPLE_COUNT or extra_load_percent <= 0:
             return None
-        share = 1 - min(extra_load_percent, 100) / 100
+        share = 1 - HEDGE_SHARE * min(extra_load_percent, 100) / 100
         index = min(int(share * len(self._sorted)), len(self._sorted) - 1)
         return max(MIN_DELAY_S, self._sorted[index])
 
--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -36,6 +36,7 @@
         self.server = server
         self.limit = ConcurrencyLimit(server.slot_count)
         self.outstanding: dict[str, QueuedAttempt] = {}
+        self._dispatched_at_s: dict[str, float] = {}
         self._queue: list[tuple[float, int, QueuedAttempt]] = []
         self._sequence = itertools.count()
 
@@ -57,12 +58,33 @@
 
     def take_next(self, now_s: float) -> QueuedAttempt | None:
         """Returns the attempt to dispatch now, or None."""
-        if len(self.outstanding) >= self.limit.limit_count:
-            return None
         if not self._queue or now_s < self.limit.paused_until_s:
             return None
+        self.limit.check_idle(now_s)
+        if len(self.outstanding) >= self._allowed_count(now_s):
+            return None
         return heapq.heappop(self._queue)[2]
 
+    def _allowed_count(self, now_s: float) -> int:
+        """Returns the limit; one while a request is overdue."""
+        if any(
+            self.limit.is_overdue(now_s - dispatched_at_s)
+            for dispatched_at_s in self._dispatched_at_s.values()
+        ):
+            return 1
+        return self.limit.limit_count
+
+    def begin(self, item: QueuedAttempt, now_s: float) -> None:
+        """Notes that an attempt is dispatched."""
+        self.outstanding[item.request_id] = item
+        self._dispatched_at_s[item.request_id] = now_s
+        self.limit.on_dispatch(now_s)
+
+    def end(self, request_id: str) -> None:
+        """Notes that a dispatched attempt has ended."""
+        self.outstanding.pop(request_id, None)
+        self._dispatched_at_s.pop(request_id, None)
+
     def take_expired(self, now_s: float) -> list[QueuedAttempt]:
         """Removes and returns the queued attempts past their deadline."""
         expired = []
--- a/packages/core/mulberrybay_core/policy_arms.py
+++ b/packages/core/mulberrybay_core/policy_arms.py
@@ -9,13 +9,14 @@
 
 from mulberrybay_core.extra_load import ExtraLoadBudget
 from mulberrybay_core.hedging import FixedHedging, NoHedging, QuantileHedging
-from mulberrybay_core.query_run import ClassPolicies
+from mulberrybay_core.query_context import ClassPolicies
 from mulberrybay_core.replica_choice import (
     LeastExpectedWait,
     LeastOutstanding,
     RandomReplica,
     RoundRobin,
 )
+from mulberrybay_core.server_waits import ServerWaits
 
 POLICY_ARMS: Final = ("adaptive", "least_outstanding", "random", "round_robin")
 FIXED_HEDGE_S: Final = 0.1
@@ -36,19 +37,23 @@
 ) -> ClassPolicies:
     """Returns fresh policies for one class of work."""
     budget = ExtraLoadBudget()
+    waits = ServerWaits()
     match settings.arm:
         case "random":
             return ClassPolicies(
-                RandomReplica(random_source), NoHedging(), budget
+                RandomReplica(random_source), NoHedging(), budget, waits
             )
         case "round_robin":
             return ClassPolicies(
-                RoundRobin(), FixedHedging(FIXED_HEDGE_S), budget
+                RoundRobin(), FixedHedging(FIXED_HEDGE_S), budget, waits
             )
         case "least_outstanding":
             return ClassPolicies(
-                LeastOutstanding(random_source), NoHedging(), budget
+                LeastOutstanding(random_source), NoHedging(), budget, waits
             )
     return ClassPolicies(
-        LeastExpectedWait(random_source), QuantileHedging(), budget
+        LeastExpectedWait(random_source, waits),
+        QuantileHedging(),
+        budget,
+        waits,
     )
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -5,26 +5,27 @@
 late or crossed reply finds no attempt and is dropped.
 """
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from expression import Error, Ok, Result
+from expression import Error, Ok
 
+from mulberrybay_core.admission import expected_excess_s
 from mulberrybay_core.attempts import Attempt, AttemptOutcome, AttemptReply
-from mulberrybay_core.configuration import Targets
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
-from mulberrybay_core.extra_load import ExtraLoadBudget
-from mulberrybay_core.fleet import BackendServer, Fleet
-from mulberrybay_core.hedging import HedgePolicy
+from mulberrybay_core.fleet import BackendServer
 from mulberrybay_core.queries import QueryAnswer, QueryRequest, ShardHits
-from mulberrybay_core.replica_choice import ReplicaPolicy
+from mulberrybay_core.query_context import QueryContext, QueryStep
 from mulberrybay_core.snapshot import IndexSnapshot
-from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 
 EARLY_SHARE: Final = 0.9
 RETRY_DELAY_S: Final = 0.02
 MAX_RETRY_DELAY_S: Final = 0.2
 MAX_RESTART_COUNT: Final = 3
+# A hedge that finds the budget empty is tried again after this time.
+HEDGE_RETRY_S: Final = 0.005
+NO_REPLICA_RETRY_S: Final = 1.0
 
 UNSENT_OUTCOMES: Final = frozenset(
     {
@@ -35,52 +36,6 @@
 )
 
 
-class ClassPolicies(NamedTuple):
-    """What the queries of one class share."""
-
-    replicas: ReplicaPolicy
-    hedging: HedgePolicy
-    budget: ExtraLoadBudget
-
-
-class QueryContext(NamedTuple):
-    """What a query is planned with.
-
-    Attributes:
-        targets: The class's targets.
-        revision: The configuration revision in force.
-        fleet: The VMs.
-        catalog: The index snapshots.
-        may_use: Whether a backend server may get new work.
-        next_attempt_id: Returns identities unique in this process.
-        policies: What the class's queries share.
-    """
-
-    targets: Targets
-    revision: int
-    fleet: Fleet
-    catalog: SnapshotCatalog
-    may_use: Callable[[BackendServer], bool]
-    next_attempt_id: Callable[[], int]
-    policies: ClassPolicies
-
-
-class QueryStep(NamedTuple):
-    """What the coordinator must do next.
-
-    Attributes:
-        index_version: The snapshot that the attempts are for.
-        attempts: Sub-requests to send.
-        cancelled_ids: Attempts to cancel.
-        result: The final answer; None while the query runs.
-    """
-
-    index_version: int
-    attempts: tuple[Attempt, ...] = ()
-    cancelled_ids: tuple[int, ...] = ()
-    result: Result[QueryAnswer, Failure] | None = None
-
-
 class _SentAttempt(NamedTuple):
     shard: int
     server_id: str
@@ -100,6 +55,8 @@
         self.retry_at_s: float | None = None
         self.hedge_at_s: float | None = None
         self.failure_count = 0
+        # Whether a backend server may have got a request for this shard.
+        self.was_reached = False
 
 
 class QueryRun:
@@ -132,13 +89,46 @@
             for number, service in enumerate(snapshot.services)
         ]
         self._covered_count = 0
+        excess_s = self._expected_excess_s(now_s)
+        if excess_s > 0 and self._restart_count == 0:
+            detail = "the backend servers have too much queued"
+            return self._fail(FailureKind.OVERLOADED, detail, excess_s)
         attempts = self._send(self._shards, now_s, is_extra=False)
         self._context.policies.budget.on_first_attempts(
             len(attempts), self._context.targets.extra_load_percent
         )
         self._schedule(now_s)
+        if self._is_hopeless():
+            return self._finish((), now_s)
         return QueryStep(snapshot.index_version, tuple(attempts))
 
+    def _expected_excess_s(self, now_s: float) -> float:
+        """Returns how much too late the query is expected to be."""
+        waits = self._context.policies.waits
+        estimates = []
+        for shard in self._shards:
+            usable = self._usable_replicas(shard, now_s)
+            if usable:
+                estimates.append(
+                    min(waits.estimate(s.server_id, now_s) for s in usable)
+                )
+        targets = self._context.targets
+        return expected_excess_s(
+            estimates,
+            math.ceil(len(self._shards) * targets.coverage_percent / 100),
+            self.request.received_at_s + targets.lateness_ms / 1000 - now_s,
+            self.request.deadline_at_s - now_s,
+        )
+
+    def _is_hopeless(self) -> bool:
+        """Returns whether no missing shard has a replica in service."""
+        return not self._open and not any(
+            self._context.may_use(server)
+            for shard in self._shards
+            if shard.hits_json is None
+            for server in self._context.fleet.replicas(shard.service)
+        )
+
     def _send(
         self, shards: Iterable[_Shard], now_s: float, is_extra: bool
     ) -> list[Attempt]:
@@ -162,6 +152,7 @@
             if hedge_delay_s is not None and len(shard.open_ids) == 1:
                 shard.hedge_at_s = now_s + hedge_delay_s
             policies.replicas.on_sent(server.server_id)
+            policies.waits.on_sent(server.server_id)
             attempts.append(Attempt(attempt_id, server.server_id, shard.number))
         return attempts
 
@@ -177,7 +168,7 @@
         if not candidates:
             return None
         return self._context.policies.replicas.choose(
-            candidates, self.request.failure_domain
+            candidates, self.request.failure_domain, now_s
         )
 
     def _usable_replicas(
@@ -209,14 +200,17 @@
         if reply.run_state is not RunState.NOT_RUN:
             self._may_have_run = True
         latency_s = now_s - sent.sent_at_s
-        self._context.policies.replicas.on_reply(reply, latency_s)
+        policies = self._context.policies
+        policies.replicas.on_ended(reply.server_id)
+        policies.waits.on_reply(reply, now_s)
         shard = self._shards[sent.shard]
+        shard.was_reached |= _reached_server(reply)
         shard.open_ids.discard(reply.attempt_id)
         if reply.outcome is AttemptOutcome.OK:
-            self._context.policies.hedging.on_latency(latency_s)
+            policies.hedging.on_latency(latency_s)
             return self._on_hits(shard, reply, now_s)
         if sent.is_extra and reply.outcome in UNSENT_OUTCOMES:
-            self._context.policies.budget.refund()
+            policies.budget.refund()
         if reply.outcome is AttemptOutcome.WRONG_SNAPSHOT:
             return self._on_wrong_snapshot(shard, reply, now_s)
         return self._on_attempt_failed(shard, reply, now_s)
@@ -232,23 +226,24 @@
         self._covered_count += 1
         losers = tuple(shard.open_ids)
         for attempt_id in losers:
-            self._close_attempt(attempt_id)
+            self._close_attempt(attempt_id, now_s)
         is_early_enough = now_s >= self._early_at_s and self._meets_coverage()
-        if self._covered_count == len(self._shards) or is_early_enough:
-            return self._finish(losers)
+        is_whole = self._covered_count == len(self._shards)
+        if is_whole or is_early_enough or self._is_hopeless():
+            return self._finish(losers, now_s)
         return self._nothing()._replace(cancelled_ids=losers)
 
-    def _close_attempt(self, attempt_id: int) -> None:
+    def _close_attempt(self, attempt_id: int, now_s: float) -> None:
         sent = self._open.pop(attempt_id)
         self._may_have_run = True
         self._shards[sent.shard].open_ids.discard(attempt_id)
-        cancelled = AttemptReply(
-            attempt_id,
-            sent.server_id,
-            AttemptOutcome.CANCELLED,
-            RunState.UNKNOWN,
-        )
-        self._context.policies.replicas.on_reply(cancelled, 0.0)
+        policies = self._context.policies
+        policies.replicas.on_ended(sent.server_id)
+        policies.waits.on_cancelled(sent.server_id)
+        if not sent.is_extra:
+            # It took at least so long; without it the slow ones would be
+            # missing from the latencies that the hedge delay follows.
+            policies.hedging.on_latency(now_s - sent.sent_at_s)
 
     def _on_wrong_snapshot(
         self, shard: _Shard, reply: AttemptReply, now_s: float
@@ -279,7 +274,7 @@
         self._restart_count += 1
         abandoned = tuple(self._open)
         for attempt_id in abandoned:
-            self._close_attempt(attempt_id)
+            self._close_attempt(attempt_id, now_s)
         step = self.start(now_s)
         return step._replace(cancelled_ids=abandoned)
 
@@ -307,10 +302,10 @@
 
     def on_wakeup(self, now_s: float) -> QueryStep:
         """Does what is due: answer, hedge or retry."""
-        if now_s >= self.request.deadline_at_s:
-            return self._finish(())
+        if now_s >= self.request.deadline_at_s or self._is_hopeless():
+            return self._finish((), now_s)
         if now_s >= self._early_at_s and self._meets_coverage():
-            return self._finish(())
+            return self._finish((), now_s)
         attempts: list[Attempt] = []
         for shard in self._shards:
             if shard.hits_json is None and self._is_due(shard, now_s):
@@ -324,16 +319,19 @@
 
     def _send_extra(self, shard: _Shard, now_s: float) -> list[Attempt]:
         shard.hedge_at_s = None
+        is_extra = bool(shard.open_ids) or shard.was_reached
         budget = self._context.policies.budget
-        if not budget.try_spend():
-            if not shard.open_ids:
-                shard.retry_at_s = now_s + MAX_RETRY_DELAY_S
+        if is_extra and not budget.try_spend():
+            if shard.open_ids:
+                shard.hedge_at_s = now_s + HEDGE_RETRY_S
+            else:
+                shard.retry_at_s = now_s + RETRY_DELAY_S
             return []
-        attempts = self._send([shard], now_s, is_extra=True)
-        if not attempts:
+        attempts = self._send([shard], now_s, is_extra)
+        if not attempts and is_extra:
             budget.refund()
-            if shard.open_ids:
-                shard.retry_at_s = None
+        if not attempts and shard.open_ids:
+            shard.retry_at_s = None
         return attempts
 
     def _meets_coverage(self) -> bool:
@@ -357,14 +355,16 @@
         version = self._snapshot.index_version if self._snapshot else 0
         return QueryStep(version)
 
-    def _finish(self, cancelled_ids: tuple[int, ...]) -> QueryStep:
+    def _finish(
+        self, cancelled_ids: tuple[int, ...], now_s: float
+    ) -> QueryStep:
         """Answers with what has come from the one snapshot."""
         snapshot = self._current_snapshot()
         abandoned = tuple(self._open)
         for attempt_id in abandoned:
-            self._close_attempt(attempt_id)
+            self._close_attempt(attempt_id, now_s)
         if self._covered_count == 0:
-            step = self._fail(FailureKind.DEADLINE, "no shard replied", 0.5)
+            step = self._fail_empty(now_s)
             return step._replace(cancelled_ids=cancelled_ids + abandoned)
         answer = QueryAnswer(
             request_id=self.request.request_id,
@@ -388,6 +388,12 @@
             result=Ok(answer),
         )
 
+    def _fail_empty(self, now_s: float) -> QueryStep:
+        if now_s >= self.request.deadline_at_s:
+            return self._fail(FailureKind.DEADLINE, "no shard replied", 0.5)
+        detail = "no shard has a replica in service"
+        return self._fail(FailureKind.NO_REPLICA, detail, NO_REPLICA_RETRY_S)
+
     def _fail(
         self, kind: FailureKind, detail: str, retry_after_s: float
     ) -> QueryStep:
@@ -401,3 +407,12 @@
             run_state=run_state,
         )
         return self._nothing()._replace(result=Error(failure))
+
+
+def _reached_server(reply: AttemptReply) -> bool:
+    """Returns whether the backend server may have got the request."""
+    was_lost_unsent = (
+        reply.outcome is AttemptOutcome.CONNECTION_LOST
+        and reply.run_state is RunState.NOT_RUN
+    )
+    return reply.outcome not in UNSENT_OUTCOMES and not was_lost_unsent
--- /dev/null
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -0,0 +1,103 @@
+"""How long one more attempt at a backend server is expected to take.
+
+A coordinator learns it from the replies to its own attempts, which carry what
+the holder knows of the server. What is known grows old: meanwhile the server
+works its queue off.
+"""
+
+import math
+from typing import Final, NamedTuple
+
+from mulberrybay_core.attempts import AttemptOutcome, AttemptReply, ServerLoad
+
+LATENCY_WEIGHT: Final = 0.2
+INITIAL_LATENCY_S: Final = 0.01
+FAILURE_WEIGHT: Final = 0.2
+FAILURE_PENALTY_S: Final = 0.5
+# A server that failed is tried again when its failures have been forgotten.
+FAILURE_HALF_LIFE_S: Final = 2.0
+
+
+class WaitEstimate(NamedTuple):
+    """What one more attempt at a server is expected to take.
+
+    Attributes:
+        total_s: From sending it to its reply.
+        service_s: The part of it that the server works.
+    """
+
+    total_s: float
+    service_s: float
+
+
+class _ServerView:
+    """What this coordinator knows of one backend server."""
+
+    def __init__(self) -> None:
+        self.sent_count = 0
+        self.load = ServerLoad(0, 0, 1)
+        self.load_at_s = 0.0
+        self.latency_s = INITIAL_LATENCY_S
+        self.failure_share = 0.0
+        self.failure_at_s = 0.0
+
+    def turns(self, now_s: float) -> float:
+        """Returns how many service times one more attempt takes."""
+        limit_count = max(1, self.load.limit_count)
+        known_count = self.load.outstanding_count + self.load.queued_count
+        elapsed_s = max(0.0, now_s - self.load_at_s)
+        done_count = elapsed_s * limit_count / max(self.latency_s, 0.001)
+        waiting_count = max(known_count - done_count, self.sent_count)
+        return 1 + max(0, waiting_count + 1 - limit_count) / limit_count
+
+    def failure_penalty_s(self, now_s: float) -> float:
+        """Returns the cost of recent failures."""
+        age_s = max(0.0, now_s - self.failure_at_s)
+        forgotten = math.pow(0.5, age_s / FAILURE_HALF_LIFE_S)
+        return self.failure_share * forgotten * FAILURE_PENALTY_S
+
+
+class ServerWaits:
+    """The backend servers as one coordinator's class of work sees them."""
+
+    def __init__(self) -> None:
+        self._views: dict[str, _ServerView] = {}
+
+    def _view(self, server_id: str) -> _ServerView:
+        view = self._views.get(server_id)
+        if view is None:
+            view = self._views[server_id] = _ServerView()
+        return view
+
+    def estimate(self, server_id: str, now_s: float) -> WaitEstimate:
+        """Returns what one more attempt is expected to take."""
+        view = self._view(server_id)
+        return WaitEstimate(view.turns(now_s) * view.latency_s, view.latency_s)
+
+    def cost_s(self, server_id: str, now_s: float) -> float:
+        """Returns the expected time with a penalty for recent failures."""
+        penalty_s = self._view(server_id).failure_penalty_s(now_s)
+        return self.estimate(server_id, now_s).total_s + penalty_s
+
+    def on_sent(self, server_id: str) -> None:
+        """An attempt was sent."""
+        self._view(server_id).sent_count += 1
+
+    def on_cancelled(self, server_id: str) -> None:
+        """An attempt's reply is no longer waited for."""
+        view = self._view(server_id)
+        view.sent_count = max(0, view.sent_count - 1)
+
+    def on_reply(self, reply: AttemptReply, now_s: float) -> None:
+        """An attempt ended."""
+        view = self._view(reply.server_id)
+        view.sent_count = max(0, view.sent_count - 1)
+        view.load = reply.load
+        view.load_at_s = now_s
+        succeeded = reply.outcome is AttemptOutcome.OK
+        if succeeded:
+            change_s = reply.service_time_ms / 1000 - view.latency_s
+            view.latency_s += LATENCY_WEIGHT * change_s
+        failure = 0.0 if succeeded else 1.0
+        view.failure_share += FAILURE_WEIGHT * (failure - view.failure_share)
+        view.failure_at_s = now_s
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -18,12 +18,12 @@
 from mulberrybay_core.fleet import Fleet
 from mulberrybay_core.policy_arms import PolicySettings, make_class_policies
 from mulberrybay_core.queries import QueryAnswer, QueryReply, QueryRequest
-from mulberrybay_core.query_run import (
+from mulberrybay_core.query_context import (
     ClassPolicies,
     QueryContext,
-    QueryRun,
     QueryStep,
 )
+from mulberrybay_core.query_run import QueryRun
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 from mulberrybay_daemon.gate import Gate
 from mulberrybay_runtime.clock import read_clock_s
@@ -41,6 +41,13 @@
         self.answer_counts[class_name, outcome] += 1
 
 
+def _outcome_name(result: Result[QueryAnswer, Failure]) -> str:
+    if result.is_ok():
+        return "answered"
+    is_refusal = result.error.kind is FailureKind.OVERLOADED
+    return "refused" if is_refusal else "failed"
+
+
 class _ActiveQuery:
     """A query in progress."""
 
@@ -193,7 +200,5 @@
         request = active.run.request
         latency_s = read_clock_s() - request.received_at_s
         self._admission.release(request.class_name, latency_s)
-        self.outcomes.note(
-            request.class_name, "answered" if result.is_ok() else "failed"
-        )
+        self.outcomes.note(request.class_name, _outcome_name(result))
         active.reply(result)
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -70,6 +70,13 @@
             server = fleet.server(held.server.server_id)
             if server is not None:
                 held.server = server
+        self.restart_unused()
+
+    def restart_unused(self) -> None:
+        """Lets servers that are out of service start at one on return."""
+        for held in self._held.values():
+            if not self._gate.may_use(held.server):
+                held.limit.restart()
 
     def submit(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
         """Queues the attempts of a batch; see `AttemptCarrier.send`."""
@@ -137,7 +144,7 @@
         if not self._gate.may_dispatch(held.server, now_s):
             self._refuse(item, AttemptOutcome.NOT_ALLOWED)
             return
-        held.outstanding[item.request_id] = item
+        held.begin(item, now_s)
         self.dispatch_counts[held.server.failure_domain] += 1
         request = BackendRequest(
             request_id=item.request_id,
@@ -160,7 +167,7 @@
         self, held: HeldServer, item: QueuedAttempt, result: BackendResult
     ) -> None:
         server_id = held.server.server_id
-        held.outstanding.pop(item.request_id, None)
+        held.end(item.request_id)
         self._server_by_request.pop(item.request_id, None)
         self._update_limit(held, result)
         if result.run_state is RunState.RAN or result.is_leaving:
@@ -186,11 +193,10 @@
     def _update_limit(self, held: HeldServer, result: BackendResult) -> None:
         if result.outcome is BackendOutcome.OK:
             held.limit.on_success(result.latency_s)
-        elif result.outcome in {
-            BackendOutcome.SHED,
-            BackendOutcome.DEADLINE,
-            BackendOutcome.CONNECTION_LOST,
-        }:
+        elif result.outcome is BackendOutcome.CONNECTION_LOST:
+            # The server may have restarted, and be cold.
+            held.limit.restart()
+        elif result.outcome in {BackendOutcome.SHED, BackendOutcome.DEADLINE}:
             held.limit.on_overload(read_clock_s(), result.retry_after_s)
 
     def cancel(self, query_id: str, attempt_ids: Iterable[int]) -> None:
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -30,6 +30,7 @@
 from mulberrybay_core.membership import Membership
 from mulberrybay_core.operator_messages import NodeStatus
 from mulberrybay_core.replica_choice import LeastExpectedWait
+from mulberrybay_core.server_waits import ServerWaits
 from mulberrybay_daemon.attempt_router import AttemptRouter, HolderMap
 from mulberrybay_daemon.configuration_task import ConfigurationTask
 from mulberrybay_daemon.coordinator import Coordinator
@@ -138,7 +139,7 @@
             self._router,
             self._store,
             self._timers,
-            LeastExpectedWait(random.Random()),
+            LeastExpectedWait(random.Random(), ServerWaits()),
         )
         self._fleet_task = FleetTask(
             self._store, self._timers, self._coordinator.catalog, self._on_fleet
@@ -205,6 +206,7 @@
             "configuration in force", revision=configuration.revision
         )
         self._gate.set_configuration(configuration)
+        self._holder.restart_unused()
         self._members.set_configuration(configuration)
 
     def _update_serving(self) -> None:
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -40,6 +40,7 @@
 )
 from mulberrybay_daemon.gate import Gate
 from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timer, Timers
 
 MAX_OUTCOME_TRY_COUNT: Final = 60
@@ -231,7 +232,7 @@
         run.tried_ids.add(server.server_id)
         run.dispatched_to = server.server_id
         run.attempt_id += 1
-        self._replicas.on_sent(server.server_id)
+        self._replicas.waits.on_sent(server.server_id)
         batch = AttemptBatch(
             query_id=run.run_id,
             kind=AttemptKind.RUN,
@@ -255,10 +256,12 @@
         ]
         if not candidates:
             return None
-        return self._replicas.choose(candidates, run.request.failure_domain)
+        return self._replicas.choose(
+            candidates, run.request.failure_domain, read_clock_s()
+        )
 
     def _on_reply(self, run: _Run, reply: AttemptReply) -> None:
-        self._replicas.on_reply(reply, 0.0)
+        self._replicas.waits.on_reply(reply, read_clock_s())
         run.dispatched_to = ""
         if reply.run_state is RunState.RAN:
             self._record_outcome(run, RunState.RAN, reply.body.decode())
