--- a/packages/core/mulberrybay_core/membership.py
+++ b/packages/core/mulberrybay_core/membership.py
@@ -25,6 +25,9 @@
 )
 
 MAX_UNACKED_COUNT: Final = 32
+# Reported of a peer that the reporting node has never heard of: whatever
+# epoch it names first will be denied.
+ANY_EPOCH: Final = 2**63 - 1
 
 
 class MembershipSettings(NamedTuple):
@@ -57,12 +60,17 @@
         # counts every peer as granted until that lease must have run out.
         self.granted_at_s = now_s
         self.lapsed_epoch = 0
+        self.denies_first_epoch = False
         self.renewed_at_s: float | None = None
         self.revision = 0
         self.reported_lapsed: dict[str, int] = {}
         self.reported_granted: dict[str, int] = {}
         self.sent_at_s: dict[int, float] = {}
 
+    def reported_epoch(self) -> int:
+        """The highest epoch to which this node grants nothing any more."""
+        return ANY_EPOCH if self.denies_first_epoch else self.lapsed_epoch
+
 
 class Membership:
     """Decides on leases; sends nothing itself."""
@@ -147,9 +155,9 @@
             sequence=sequence,
             revision=self.revision,
             lapsed=tuple(
-                NodeEpoch(node_id, other.lapsed_epoch)
+                NodeEpoch(node_id, other.reported_epoch())
                 for node_id, other in self._peers.items()
-                if other.lapsed_epoch
+                if other.reported_epoch()
             ),
             granted=tuple(
                 NodeEpoch(node_id, other.epoch)
@@ -175,6 +183,9 @@
         self.learn_member(heartbeat.sender, now_s)
         peer = self._peers[peer_id]
         self._lapse_if_due(peer, now_s)
+        if peer.denies_first_epoch:
+            peer.denies_first_epoch = False
+            peer.epoch = peer.lapsed_epoch = heartbeat.epoch
         peer.info = heartbeat.sender
         peer.heard_at_s = now_s
         peer.revision = heartbeat.revision
@@ -232,9 +243,13 @@
         self._epoch_clock = max(self._epoch_clock, epoch_now)
         for peer in self._peers.values():
             self._lapse_if_due(peer, now_s)
-        lost_lease = self._held_lease and not self.has_lease(now_s)
-        self._held_lease = self.has_lease(now_s)
-        if not lost_lease and self._denied_epoch < self.epoch:
+        has_lease = self.has_lease(now_s)
+        lost_lease = self._held_lease and not has_lease
+        self._held_lease = has_lease
+        # While a majority renews the lease, the denial of a node that has
+        # forgotten this one is no reason to give anything up.
+        is_denied = self._denied_epoch >= self.epoch and not has_lease
+        if not lost_lease and not is_denied:
             return False
         self.epoch = max(self._epoch_clock, self._denied_epoch, self.epoch) + 1
         self._held_lease = False
@@ -248,10 +263,9 @@
     def _lapse_if_due(self, peer: _Peer, now_s: float) -> None:
         if now_s - peer.granted_at_s <= self._settings.lease_s:
             return
-        # A peer never heard of may act in an epoch unknown here; it gets a
-        # grant again only in an epoch later than this moment.
-        unheard_epoch = self._epoch_clock if peer.epoch == 0 else 0
-        peer.lapsed_epoch = max(peer.lapsed_epoch, peer.epoch, unheard_epoch)
+        if peer.epoch == 0:
+            peer.denies_first_epoch = True
+        peer.lapsed_epoch = max(peer.lapsed_epoch, peer.epoch)
 
     def lease_until_s(self) -> float:
         """Returns until when this node may act; the past if it may not."""
@@ -310,7 +324,7 @@
         peer = self._peers.get(node_id)
         if peer is None:
             return True
-        lapsed_count = int(peer.lapsed_epoch >= max(peer.epoch, 1))
+        lapsed_count = int(peer.reported_epoch() >= max(peer.epoch, 1))
         for other_id, other in self._peers.items():
             if other_id == node_id:
                 continue
