Make the checks of runs and stops see each mechanism removed

Cause: with a mechanism removed in a scratch copy, five tests still passed: the state machine rarely got two dispatches before the deadline, a late record was always answered, keep-alive callers left by themselves, and the backend server's own deadline hid a late dispatch. Change: calls of the store often complete at once; the answer to a late record is also lost; keep-alive callers leave only when told; nothing may be sent. Ruled out: removing the deadline checks fails the state machine, but not the frozen node: after a thaw the event loop runs its timers before it reads.

--- a/packages/core/tests/test_run_life.py
+++ b/packages/core/tests/test_run_life.py
@@ -95,6 +95,13 @@
             result = Error(LOST._replace(run_state=RunState.UNKNOWN))
         self.replies.append(call._replace(result=result))
 
+    @precondition(lambda self: self.calls)
+    @rule(index=INDEX, loses_answer=strategies.booleans())
+    def complete(self, index: int, loses_answer: bool) -> None:
+        self.take_effect(index, loses_answer)
+        if self.replies:
+            self.deliver(-1)
+
     @precondition(lambda self: self.calls)
     @rule(index=INDEX, was_sent=strategies.booleans())
     def time_out(self, index: int, was_sent: bool) -> None:
@@ -140,17 +147,21 @@
     @precondition(lambda self: any(t.is_dispatched for t in self.tries))
     @rule(
         index=INDEX,
-        state=strategies.sampled_from(RunState),
-        has_effect=strategies.booleans(),
+        ending=strategies.sampled_from(
+            [
+                (RunState.RAN, True),
+                (RunState.UNKNOWN, True),
+                (RunState.UNKNOWN, False),
+                (RunState.NOT_RUN, False),
+            ]
+        ),
     )
-    def end_dispatch(
-        self, index: int, state: RunState, has_effect: bool
-    ) -> None:
+    def end_dispatch(self, index: int, ending: tuple[RunState, bool]) -> None:
+        state, has_effect = ending
         dispatched = [t for t in self.tries if t.is_dispatched]
         owner = dispatched[index % len(dispatched)]
         owner.is_dispatched = False
-        has_effect &= state is RunState.UNKNOWN
-        owner.effect_count += state is RunState.RAN or has_effect
+        owner.effect_count += has_effect
         actions = owner.life.on_reply(state, b'"ok"', "server", self.now_s)
         self.perform(owner, actions)
 
@@ -165,7 +176,7 @@
     @rule(pauses=strategies.booleans())
     def pass_time(self, pauses: bool) -> None:
         """After a pause, replies may be read before the timers run."""
-        self.now_s += 4.0
+        self.now_s += 2.0
         if self.now_s >= DEADLINE_S and not pauses:
             for owner in self.tries:
                 if owner.answer is None:
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -134,8 +134,7 @@
     def on_peer_revision(self, peer_id: str, revision: int) -> None:
         """Takes a peer's revision, as if asking for it took no time."""
         del peer_id
-        if revision > self.membership.revision:
-            self.membership.revision = revision
+        self.membership.revision = max(self.membership.revision, revision)
 
     def clock_s(self) -> float:
         """The time on this process's clock."""
--- a/tests/test_promise_at_most_once.py
+++ b/tests/test_promise_at_most_once.py
@@ -136,12 +136,15 @@
     bookings: Bookings,
 ) -> None:
     key = make_key()
+    began_at_s = time.time()
     run = start_recorded(bookings, key)
     bookings.process(0).freeze()
     time.sleep(FREEZE_S)
     bookings.process(0).thaw()
     assert run.result().outcome == "not_run"
-    assert bookings.effect_count(key) == 0
+    # Nothing was sent, so it did not take the backend server's own check.
+    sent = bookings.deployment.backend_events("request")
+    assert [event for event in sent if event["at_s"] > began_at_s] == []
     bookings.deployment.heal()
     bookings.wait_record(key, "not_run")
     assert bookings.run(1, key).outcome == "ran"
--- a/tests/test_promise_graceful_stop.py
+++ b/tests/test_promise_graceful_stop.py
@@ -38,7 +38,12 @@
 
 
 class Caller(threading.Thread):
-    """Sends queries and runs to the addresses that it keeps for their life."""
+    """Sends queries and runs.
+
+    One that keeps no connection keeps the addresses for their time to live.
+    One that keeps its connection asks for addresses again only once it is
+    told, by the close of the connection, to go elsewhere.
+    """
 
     def __init__(
         self,
@@ -53,7 +58,7 @@
         self._run_share = run_share
         self._ports = [node.caller_port for node in deployment.nodes]
         self._addresses_end_s = 0.0
-        self._connections: dict[int, http.client.HTTPConnection] = {}
+        self._kept: http.client.HTTPConnection | None = None
         self._ends = threading.Event()
         self.answered: list[Answered] = []
         self.runs: list[RunTry] = []
@@ -72,7 +77,8 @@
 
     def _call(self) -> str:
         try:
-            if time.monotonic() >= self._addresses_end_s:
+            is_due = time.monotonic() >= self._addresses_end_s
+            if is_due and self._kept is None:
                 self._read_addresses()
             if self._random.random() < self._run_share:
                 return self._run()
@@ -89,8 +95,6 @@
             for item in document["addresses"]
         ]
         self._addresses_end_s = began_at_s + document["time_to_live_s"]
-        for port in set(self._connections) - set(self._ports):
-            self._connections.pop(port).close()
 
     def _query(self) -> str:
         status, document = self._send("POST", "/v1/query/field-search", 1, {})
@@ -112,9 +116,9 @@
     def _send(
         self, method: str, path: str, body: object, headers: dict[str, str]
     ) -> tuple[int, dict[str, object]]:
-        port = self._random.choice(self._ports)
-        connection = self._connections.pop(port, None)
+        connection, self._kept = self._kept, None
         if connection is None:
+            port = self._random.choice(self._ports)
             connection = http.client.HTTPConnection(
                 "127.0.0.1", port, timeout=TIMEOUT_S
             )
@@ -123,7 +127,7 @@
         response = connection.getresponse()
         document = json.loads(response.read())
         if self._keeps_alive and not response.will_close:
-            self._connections[port] = connection
+            self._kept = connection
         else:
             connection.close()
         return response.status, document
--- a/tests/test_promise_not_run.py
+++ b/tests/test_promise_not_run.py
@@ -112,12 +112,15 @@
         assert entry.outcome == "ran", entry
 
 
+@pytest.mark.parametrize("lost_count", [0, 1])
 def test_deadline_passes_before_the_record_is_known(
-    deployment: ProxiedDeployment, history: RunHistory
+    deployment: ProxiedDeployment, history: RunHistory, lost_count: int
 ) -> None:
-    """The write of the record arrives after the caller was refused."""
+    """The answer to the write of the record comes late, or never."""
     deployment.control_proxies("platform", delay_ms=250)
     node, key = deployment.nodes[0], make_key()
+    order = {"kind": record_kind(key), "count": lost_count}
+    deployment.control_platform(lose_answers=order)
     entry = history.run(node.node_id, node.caller_port, key, deadline_ms=300)
     assert (entry.outcome, entry.kind) == ("not_run", "deadline")
     deployment.heal()
