Add the operators' command line and the service-level report

Cause: operators had no program. Weighed: waiting for "in force" by the asked node's own word (says nothing of others), by asking each node (addresses of operators are not shared between nodes), and by /v1/cluster, which has what each node named in its heartbeats: taken. A node that is silent counts as not confirmed. Ruled out: retries without the change's identity; a timeout shorter than a node's own tries (seen: an outage gave "not known", exit code 6, where every node would have said "not accepted"; the node is now told when to answer). Change: config validate, show, diff, apply; domain and server out, in; status, audit, report burn (text, JSON, a page with plots), addresses, query, run. Conclusion: every command is run against processes by a test.

--- /dev/null
+++ b/packages/operators/mulberrybay_operators/change_commands.py
@@ -0,0 +1,141 @@
+"""Commands that change the configuration and wait until it is in force."""
+
+import json
+import time
+import uuid
+from typing import Any, Final, NamedTuple
+
+from expression import Error, Ok, Result
+
+from mulberrybay_operators.exit_codes import CommandFailure, ExitCode
+from mulberrybay_operators.node_client import (
+    NodeAnswer,
+    NodeClient,
+    NodeRequest,
+)
+from mulberrybay_operators.tables import ProgressLine
+
+POLL_PERIOD_S: Final = 0.1
+POLL_TIMEOUT_S: Final = 1.0
+CONFLICT_STATUS: Final = 412
+INVALID_STATUSES: Final = frozenset({400, 404, 413, 428})
+
+
+class WantedChange(NamedTuple):
+    """A change to send.
+
+    Attributes:
+        path: The resource, as "/v1/domains/d2".
+        document: Its new state.
+        author: Who asks.
+        expected_revision: The only revision to replace; None for the newest.
+        change_id: Repeats an earlier change; empty for a new one.
+    """
+
+    path: str
+    document: object
+    author: str
+    expected_revision: int | None = None
+    change_id: str = ""
+
+
+class ChangeReport(NamedTuple):
+    """What became of an accepted change.
+
+    Attributes:
+        change_id: Its identity.
+        revision: The revision that it led to.
+        unconfirmed: Nodes that have not confirmed that it is in force.
+        node_count: Nodes that the last asked node knows of.
+        waited_s: From the acceptance to the last look.
+    """
+
+    change_id: str
+    revision: int
+    unconfirmed: tuple[str, ...]
+    node_count: int
+    waited_s: float
+
+    def document(self) -> dict[str, Any]:
+        """Returns the report for programs."""
+        return {"outcome": "accepted", **self._asdict()}
+
+
+def make_change(
+    client: NodeClient, wanted: WantedChange
+) -> Result[ChangeReport, CommandFailure]:
+    """Has a change accepted, then waits until it is in force everywhere."""
+    change_id = wanted.change_id or uuid.uuid4().hex
+    headers = {"Change-Id": change_id, "Operator": wanted.author}
+    if wanted.expected_revision is not None:
+        headers["If-Match"] = f'"{wanted.expected_revision}"'
+    request = NodeRequest(
+        "PUT", wanted.path, json.dumps(wanted.document).encode(), headers
+    )
+    match client.send(request).bind(_read_accepted):
+        case Result(tag="ok", ok=revision):
+            return Ok(_wait_in_force(client, change_id, revision))
+        case Result(error=failure):
+            hint = ""
+            if failure.exit_code is ExitCode.NOT_KNOWN:
+                hint = f"\nrepeat the command with --change-id {change_id}"
+            return Error(failure._replace(detail=failure.detail + hint))
+
+
+def _read_accepted(answer: NodeAnswer) -> Result[int, CommandFailure]:
+    document = answer.json()
+    if answer.status == 200 and "revision" in document:
+        return Ok(int(document["revision"]))
+    problems = document.get("error", {}).get("problems", [])
+    lines = [f"{item['key']}: {item['detail']}" for item in problems]
+    detail = "\n".join([f"not accepted: {answer.describe()}", *lines])
+    if answer.status == CONFLICT_STATUS:
+        return Error(CommandFailure(ExitCode.CONFLICT, detail))
+    if answer.status in INVALID_STATUSES:
+        return Error(CommandFailure(ExitCode.USAGE, detail))
+    return Error(CommandFailure(ExitCode.FAILED, detail))
+
+
+def _wait_in_force(
+    client: NodeClient, change_id: str, revision: int
+) -> ChangeReport:
+    began_at_s = time.monotonic()
+    progress = ProgressLine()
+    nodes: list[dict[str, Any]] = []
+    late: list[dict[str, Any]] = []
+    while True:
+        nodes = _read_nodes(client) or nodes
+        late = [node for node in nodes if node["revision"] < revision]
+        waited_s = time.monotonic() - began_at_s
+        confirmed_count = len(nodes) - len(late)
+        progress.update(
+            f"revision {revision} accepted; in force at "
+            f"{confirmed_count} of {len(nodes)} nodes"
+        )
+        if (nodes and not late) or waited_s >= client.timeout_s:
+            break
+        time.sleep(POLL_PERIOD_S)
+    progress.finish()
+    unconfirmed = tuple(_describe_late(node) for node in late)
+    if not nodes:
+        unconfirmed = ("no node told what is in force",)
+    return ChangeReport(
+        change_id, revision, unconfirmed, len(nodes), round(waited_s, 3)
+    )
+
+
+def _read_nodes(client: NodeClient) -> list[dict[str, Any]]:
+    request = NodeRequest("GET", "/v1/cluster")
+    for address in client.addresses:
+        match client.ask(address, request, POLL_TIMEOUT_S):
+            case Result(tag="ok", ok=answer) if answer.status == 200:
+                nodes: list[dict[str, Any]] = answer.json()["nodes"]
+                return nodes
+            case _:
+                pass
+    return []
+
+
+def _describe_late(node: dict[str, Any]) -> str:
+    state = "" if node["is_heard"] else ", silent"
+    return f"{node['node_id']} (revision {node['revision']}{state})"
--- /dev/null
+++ b/packages/operators/mulberrybay_operators/command_line.py
@@ -0,0 +1,300 @@
+"""The command line of `mulberrybay`: commands and their arguments."""
+
+import pathlib
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+import cappa
+
+Json = Annotated[
+    bool,
+    cappa.Arg(
+        long="--json", propagate=True, show_default=False, help="Print JSON."
+    ),
+]
+Expect = Annotated[
+    int | None,
+    cappa.Arg(
+        long="--expect",
+        value_name="REVISION",
+        help="Change only this revision; a newer one is a conflict.",
+    ),
+]
+ChangeId = Annotated[
+    str,
+    cappa.Arg(
+        long="--change-id",
+        help="Repeat a change whose outcome is not known.",
+    ),
+]
+FileArgument = Annotated[
+    pathlib.Path, cappa.Arg(help="The TOML file of the classes of work.")
+]
+
+
+@cappa.command(name="validate", help="Check a configuration file.")
+@dataclass
+class ConfigValidate:
+    """Checks a configuration file; asks no node."""
+
+    file: FileArgument
+
+
+@cappa.command(name="show", help="Show the configuration in force.")
+@dataclass
+class ConfigShow:
+    """Shows the configuration in force."""
+
+    toml: Annotated[
+        bool,
+        cappa.Arg(
+            long="--toml",
+            show_default=False,
+            help="Print a configuration file.",
+        ),
+    ] = False
+
+
+@cappa.command(
+    name="diff", help="Compare a file with the configuration in force."
+)
+@dataclass
+class ConfigDiff:
+    """Compares a file with the configuration in force."""
+
+    file: FileArgument
+
+
+@cappa.command(
+    name="apply",
+    help="Make a file the configuration and wait until it is in force.",
+    epilog="Example: mulberrybay config apply hardwell.toml --expect 12",
+)
+@dataclass
+class ConfigApply:
+    """Makes a file the configuration."""
+
+    file: FileArgument
+    expect: Expect = None
+    change_id: ChangeId = ""
+
+
+@cappa.command(name="config", help="Classes of work and their targets.")
+@dataclass
+class Config:
+    """Commands on the configuration."""
+
+    command: cappa.Subcommands[
+        ConfigValidate | ConfigShow | ConfigDiff | ConfigApply
+    ]
+
+
+@cappa.command(name="out", help="Take out of service: no new work.")
+@dataclass
+class Out:
+    """Takes a failure domain or a backend server out of service."""
+
+    name: Annotated[str, cappa.Arg(help="Its name or identity.")]
+    expect: Expect = None
+    change_id: ChangeId = ""
+
+
+@cappa.command(name="in", help="Put back into service.")
+@dataclass
+class In:
+    """Puts a failure domain or a backend server back into service."""
+
+    name: Annotated[str, cappa.Arg(help="Its name or identity.")]
+    expect: Expect = None
+    change_id: ChangeId = ""
+
+
+@cappa.command(
+    name="domain",
+    help="Take a failure domain out of service or back in.",
+    epilog="Example: mulberrybay domain out kigali-2",
+)
+@dataclass
+class Domain:
+    """Commands on failure domains."""
+
+    command: cappa.Subcommands[Out | In]
+
+
+@cappa.command(
+    name="server",
+    help="Take a backend server out of service or back in.",
+    epilog="Example: mulberrybay server out vm-billing-desk-3",
+)
+@dataclass
+class Server:
+    """Commands on backend servers."""
+
+    command: cappa.Subcommands[Out | In]
+
+
+@cappa.command(
+    name="status", help="Show nodes, revisions, holdings and drains."
+)
+@dataclass
+class Status:
+    """Shows the nodes."""
+
+
+@cappa.command(name="audit", help="Show the newest accepted changes.")
+@dataclass
+class Audit:
+    """Shows the newest accepted changes."""
+
+    count: Annotated[
+        int, cappa.Arg(long="--count", help="How many, at most 50.")
+    ] = 20
+
+
+@cappa.command(
+    name="burn",
+    help="Show what of each class's targets is spent, over all given nodes.",
+    epilog="Example: mulberrybay report burn --html burn.html",
+)
+@dataclass
+class ReportBurn:
+    """Shows the service-level burn."""
+
+    html: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long="--html", help="Write a page with plots to this file."),
+    ] = None
+
+
+@cappa.command(name="report", help="Reports on service levels.")
+@dataclass
+class Report:
+    """Reports."""
+
+    command: cappa.Subcommands[ReportBurn]
+
+
+@cappa.command(name="addresses", help="Show the addresses for callers.")
+@dataclass
+class Addresses:
+    """Shows what callers are told to use."""
+
+    failure_domain: Annotated[
+        str,
+        cappa.Arg(long="--failure-domain", help="The caller's domain."),
+    ] = ""
+
+
+@cappa.command(
+    name="query",
+    help="Send a query as a caller.",
+    epilog="""Example: mulberrybay query field-search '"valve 7"'""",
+)
+@dataclass
+class Query:
+    """Sends a query."""
+
+    class_name: Annotated[
+        str, cappa.Arg(value_name="CLASS", help="The class of work.")
+    ]
+    body: Annotated[str, cappa.Arg(help="The query, as JSON.")]
+
+
+@cappa.command(
+    name="run",
+    help="Send a non-idempotent request as a caller.",
+    epilog="""Example: mulberrybay run route-planner '"van 3"'""",
+)
+@dataclass
+class Run:
+    """Sends a non-idempotent request."""
+
+    class_name: Annotated[
+        str, cappa.Arg(value_name="CLASS", help="The class of work.")
+    ]
+    body: Annotated[str, cappa.Arg(help="The request, as JSON.")]
+    key: Annotated[
+        str,
+        cappa.Arg(
+            long="--key",
+            help="Repeat a request; a fresh idempotency key by default.",
+        ),
+    ] = ""
+
+
+def _split_nodes(text: str) -> list[str]:
+    return [part for part in text.replace(",", " ").split() if part]
+
+
+def _flatten(value: Any) -> list[str]:  # noqa: ANN401
+    """Splits what the environment or each use of --node gives."""
+    texts = [value] if isinstance(value, str) else value
+    return [part for text in texts for part in _split_nodes(text)]
+
+
+@cappa.command(
+    name="mulberrybay",
+    help="Drives the nodes of a query tier.",
+    epilog=(
+        "Exit codes: 0 done, 1 failed or not accepted, 2 usage or invalid "
+        "file, 3 conflict with another change, 4 accepted but not yet in "
+        "force everywhere, 5 differences found, 6 not known whether accepted."
+    ),
+)
+@dataclass
+class Mulberrybay:
+    """Drives the nodes of a query tier."""
+
+    command: cappa.Subcommands[
+        Config
+        | Domain
+        | Server
+        | Status
+        | Audit
+        | Report
+        | Addresses
+        | Query
+        | Run
+    ]
+    nodes: Annotated[
+        list[str],
+        cappa.Arg(
+            long="--node",
+            value_name="HOST:PORT",
+            propagate=True,
+            action=cappa.ArgAction.append,
+            num_args=1,
+            parse=_flatten,
+            default=cappa.Env("MULBERRYBAY_NODES"),
+            help="A node's operator address; may be repeated.",
+        ),
+    ] = field(default_factory=list)
+    token: Annotated[
+        str,
+        cappa.Arg(
+            long="--token",
+            propagate=True,
+            default=cappa.Env("MULBERRYBAY_TOKEN"),
+            show_default=False,
+            help="The operators' token; the variable keeps it out of ps.",
+        ),
+    ] = ""
+    operator: Annotated[
+        str,
+        cappa.Arg(
+            long="--operator",
+            propagate=True,
+            default=cappa.Env("MULBERRYBAY_OPERATOR", "USER"),
+            help="Your name, for the audit.",
+        ),
+    ] = ""
+    timeout_s: Annotated[
+        float,
+        cappa.Arg(
+            long="--timeout",
+            value_name="SECONDS",
+            propagate=True,
+            help="How long to try, and to wait until a change is in force.",
+        ),
+    ] = 10.0
+    json: Json = False
--- /dev/null
+++ b/tests/test_operator_commands.py
@@ -0,0 +1,147 @@
+"""The program `mulberrybay` against a running deployment."""
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.processes import free_port
+
+PROGRAM = Path(sys.executable).with_name("mulberrybay")
+EXAMPLES = Path(__file__).parents[1] / "packages" / "operators" / "examples"
+TIMEOUT_S = 30
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    """A platform, backend servers and three nodes."""
+    with Deployment(tmp_path_factory.mktemp("commands")) as running:
+        yield running
+
+
+def start_command(
+    deployment: Deployment, *arguments: str
+) -> subprocess.CompletedProcess[str]:
+    ports = [node.operator_port for node in deployment.nodes]
+    # The first address refuses connections: the others must do.
+    addresses = [f"127.0.0.1:{port}" for port in (free_port(), *ports)]
+    return subprocess.run(
+        [str(PROGRAM), *arguments],
+        env={
+            **os.environ,
+            "MULBERRYBAY_NODES": ",".join(addresses),
+            "MULBERRYBAY_TOKEN": "test-token",
+            "MULBERRYBAY_OPERATOR": "amina",
+        },
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+
+
+def run_json(deployment: Deployment, *arguments: str) -> dict[str, object]:
+    done = start_command(deployment, *arguments, "--json")
+    assert done.returncode == 0, done.stderr
+    document: dict[str, object] = json.loads(done.stdout)
+    return document
+
+
+def test_file_is_compared_applied_and_in_force(deployment: Deployment) -> None:
+    path = str(EXAMPLES / "ikirezi.toml")
+    before = run_json(deployment, "config", "show")
+    differs = start_command(deployment, "config", "diff", path)
+    applied = run_json(deployment, "config", "apply", path)
+    again = run_json(deployment, "config", "apply", path)
+    same = start_command(deployment, "config", "diff", path)
+    stale = str(before["revision"])
+    conflict = start_command(
+        deployment, "config", "apply", path, "--expect", stale
+    )
+    assert differs.returncode == 5
+    assert "+ courier-desk" in differs.stdout
+    assert applied["revision"] == int(stale) + 1
+    assert applied["unconfirmed"] == []
+    assert applied["node_count"] == 3
+    assert again["outcome"] == "unchanged"
+    assert same.returncode == 0
+    assert conflict.returncode == 3
+    assert [deployment.status(n)["revision"] for n in deployment.nodes] == [
+        applied["revision"]
+    ] * 3
+
+
+def test_node_that_does_not_confirm_is_named(deployment: Deployment) -> None:
+    deployment.nodes[2].process.freeze()
+    done = start_command(deployment, "domain", "out", "d1", "--timeout", "2")
+    deployment.nodes[2].process.thaw()
+    assert done.returncode == 4
+    assert "node-3 (revision" in done.stdout
+    assert "in force at 2 of 3 nodes" in done.stderr
+    back = run_json(deployment, "domain", "in", "d1")
+    assert back["unconfirmed"] == []
+
+
+def test_outage_says_not_accepted(deployment: Deployment) -> None:
+    deployment.control_platform(outage="unavailable")
+    done = start_command(deployment, "domain", "out", "d1", "--timeout", "2")
+    deployment.control_platform(outage=None)
+    stored = deployment.get_object("configuration", "current").json()["value"]
+    assert done.returncode == 1
+    assert "not accepted" in done.stderr
+    assert stored["out_domains"] == []
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "text"),
+    [
+        (["status"], 0, "node-2"),
+        (["audit", "--count", "1"], 0, "amina"),
+        (["addresses", "--failure-domain", "d3"], 0, "node-3  d3"),
+        (["report", "burn"], 0, "OBJECTIVE"),
+        (["config", "show", "--toml"], 0, "[[class]]"),
+        (["--completion", "generate"], 0, "mulberrybay"),
+        (["domain", "out", "d9"], 2, "known: d1, d2, d3"),
+        (["config", "validate", "/nonexistent"], 2, "No such file"),
+        (["config", "rewrite"], 2, "rewrite"),
+        (["status", "--node", "nowhere"], 2, "not HOST:PORT"),
+        (["status", "--token", "wrong"], 1, "401"),
+        (["query", "no-such-class", '"x"'], 1, "404"),
+    ],
+)
+def test_exit_codes_and_texts(
+    deployment: Deployment, arguments: list[str], code: int, text: str
+) -> None:
+    done = start_command(deployment, *arguments)
+    assert done.returncode == code, done.stderr
+    assert text in done.stdout + done.stderr
+
+
+def test_burn_names_late_answers_and_the_server_to_blame(
+    tmp_path: Path,
+) -> None:
+    page = tmp_path / "burn.html"
+    with Deployment(tmp_path / "burning", node_count=1) as burning:
+        slow_ids = [vm["vm_id"] for vm in burning.backends[:2]]
+        burning.control_backends({"vm_ids": slow_ids}, slow_factor=1000)
+        for number in range(5):
+            burning.query(burning.nodes[0], body=number, deadline_ms=400)
+        report = run_json(burning, "report", "burn", "--html", str(page))
+    item = report["classes"][0]  # type: ignore[index]
+    objectives = {x["objective"]: x for x in item["objectives"]}
+    worst = {x["server_id"] for x in item["contributors"]}
+    text = page.read_text(encoding="utf-8")
+    assert item["since_start"]["answer_count"] == 5
+    assert item["since_start"]["missing_count"] == 5
+    assert objectives["coverage"]["state"] == "burning_fast"
+    assert objectives["lateness"]["bad_percent"] == 100
+    assert worst >= set(slow_ids)
+    assert "data:image/png;base64," in text
+    assert "http" not in text
