--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -39,6 +39,7 @@
     BackendOutcome.CANCELLED: AttemptOutcome.CANCELLED,
     BackendOutcome.CONNECTION_LOST: AttemptOutcome.CONNECTION_LOST,
     BackendOutcome.BAD_REPLY: AttemptOutcome.BAD_REPLY,
+    BackendOutcome.NOT_ALLOWED: AttemptOutcome.NOT_ALLOWED,
 }
 
 
@@ -154,6 +155,7 @@
         self._connections.execute(
             held.server,
             request,
+            lambda: self._gate.may_dispatch(held.server, read_clock_s()),
             lambda result: self._on_result(held, item, result),
         )
 
