Serve metrics and log changes of state

Cause: a node could not be observed but by its status. Weighed for metrics: prometheus_client's own counters (a label look-up and a lock for each event on the hot path) against a collector that reads the components' plain counters once per scrape: taken. Weighed for log lines: calls in every component against one comparison of the node's state, five times a second: taken; a change that lasts less than that gives no line, its counter still counts it. Ruled out: labels by backend server (unbounded); the worst ones are in the service-level report. Change: /metrics without a token, docs/METRICS.md checked against it, lines for lease, epoch, peers, platform, what is out, holdings; console lines as key=value; the operators' parts of node.py in modules of their own. Conclusion: every metric is named once in code and once on the page.

--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -37,8 +37,8 @@
 from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
 from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_daemon.member_task import MemberTask
-from mulberrybay_daemon.operator_desk import OperatorDesk
-from mulberrybay_daemon.operator_service import NodeOperatorService
+from mulberrybay_daemon.node_parts import NodeParts
+from mulberrybay_daemon.operator_side import OperatorSide
 from mulberrybay_daemon.record_expiry import RecordExpiry
 from mulberrybay_daemon.runs import RunCoordinator
 from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
@@ -49,7 +49,6 @@
     CancelMessage,
     PeerMessage,
 )
-from mulberrybay_operators.application import OperatorApplication
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.faults import FaultLog
@@ -163,24 +162,21 @@
             self._runs,
         )
         self._caller_application = CallerApplication(self._service)
-        self._desk = OperatorDesk(
-            self._store,
-            self._timers,
-            self._configuration,
-            lambda: self._membership.has_lease(read_clock_s()),
-        )
-        self._operator_application = OperatorApplication(
-            NodeOperatorService(
-                self._membership,
-                self._holdings,
-                self._holder,
-                self._configuration,
-                self._desk,
-                self._coordinator.levels,
-                self._active_count,
-            ),
-            settings.operator_token,
+        parts = NodeParts(
+            timers=self._timers,
+            faults=self._faults,
+            membership=self._membership,
+            holdings=self._holdings,
+            holder=self._holder,
+            backends=self._backends,
+            links=self._links,
+            store=self._store,
+            configuration=self._configuration,
+            members=self._members,
+            coordinator=self._coordinator,
+            runs=self._runs,
         )
+        self._operators = OperatorSide(settings, parts, self._log)
         self._stop_began_at_s: float | None = None
 
     def __enter__(self) -> Self:
@@ -198,7 +194,7 @@
             settings.caller_address, self._caller_application, "callers"
         ).register(self)
         HttpServer(
-            settings.operator_address, self._operator_application, "operators"
+            settings.operator_address, self._operators.application, "operators"
         ).register(self)
         self._links.listen(settings.peer_address)
         self._learn_seeds()
@@ -208,8 +204,15 @@
         )
         self._fleet_task.start()
         self._expiry.start()
+        self._operators.start()
         self._timers.call_every(STATUS_PERIOD_S, self._update_serving)
-        self._log.info("listening", callers=str(settings.caller_address))
+        self._log.info(
+            "listening",
+            step="start",
+            peer="",
+            callers=str(settings.caller_address),
+            operators=str(settings.operator_address),
+        )
         return self
 
     def __exit__(
@@ -230,11 +233,14 @@
         self._coordinator.set_fleet(fleet)
         self._runs.set_fleet(fleet)
         self._members.set_fleet(fleet)
-        self._desk.set_fleet(fleet)
+        self._operators.set_fleet(fleet)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._log.info(
-            "configuration in force", revision=configuration.revision
+            "configuration in force",
+            step="configuration",
+            peer="",
+            revision=configuration.revision,
         )
         self._gate.set_configuration(configuration)
         self._members.set_configuration(configuration)
@@ -257,7 +263,8 @@
         self._runs.set_node_count(len(live))
         info = self._membership.info
         if info.is_serving != is_serving:
-            self._log.info("serving" if is_serving else "not serving")
+            message = "serving" if is_serving else "not serving"
+            self._log.info(message, step="admission", peer="")
             self._membership.info = info._replace(is_serving=is_serving)
 
     def _active_count(self) -> int:
@@ -310,7 +317,7 @@
 
     def _begin_stop(self) -> None:
         """Leaves the address answers, but keeps serving for their life."""
-        self._log.info("stopping")
+        self._log.info("stopping", step="stop", peer="")
         self._stop_began_at_s = read_clock_s()
         self._membership.info = self._membership.info._replace(
             is_leaving=True, is_serving=False
@@ -332,6 +339,8 @@
             self._members.say_goodbye()
             self._log.info(
                 "stopped",
+                step="stop",
+                peer="",
                 was_idle=is_idle,
                 unsaved_count=self._runs.unsaved_count,
             )
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/node_parts.py
@@ -0,0 +1,46 @@
+"""The components of one node, for what only reads them."""
+
+from typing import NamedTuple
+
+from mulberrybay_backends.connections import BackendPool
+from mulberrybay_core.holdings import Holdings, HoldingState
+from mulberrybay_core.membership import Membership
+from mulberrybay_daemon.configuration_task import ConfigurationTask
+from mulberrybay_daemon.coordinator import Coordinator
+from mulberrybay_daemon.holder import Holder
+from mulberrybay_daemon.member_task import MemberTask
+from mulberrybay_daemon.runs import RunCoordinator
+from mulberrybay_nodes.links import NodeLinks
+from mulberrybay_platform.client import PlatformClient
+from mulberrybay_runtime.faults import FaultLog
+from mulberrybay_runtime.timers import Timers
+
+
+class NodeParts(NamedTuple):
+    """The components of one node."""
+
+    timers: Timers
+    faults: FaultLog
+    membership: Membership
+    holdings: Holdings
+    holder: Holder
+    backends: BackendPool
+    links: NodeLinks
+    store: PlatformClient
+    configuration: ConfigurationTask
+    members: MemberTask
+    coordinator: Coordinator
+    runs: RunCoordinator
+
+    def active_count(self) -> int:
+        """Returns the requests of callers in progress."""
+        return self.coordinator.active_count + self.runs.active_count
+
+    def held_count(self) -> int:
+        """Returns the backend servers that the node holds."""
+        states = list(self.holdings.states().values())
+        return states.count(HoldingState.HELD)
+
+    def claiming_count(self) -> int:
+        """Returns the backend servers that the node is about to hold."""
+        return len(self.holdings.states()) - self.held_count()
--- a/packages/daemon/mulberrybay_daemon/operator_service.py
+++ b/packages/daemon/mulberrybay_daemon/operator_service.py
@@ -1,11 +1,7 @@
 """What a node answers to operators: status, the cluster, changes."""
 
-from collections.abc import Callable
-
 from mulberrybay_core.configuration import Configuration
 from mulberrybay_core.configuration_change import ChangeRequest
-from mulberrybay_core.holdings import Holdings, HoldingState
-from mulberrybay_core.membership import Membership
 from mulberrybay_core.operator_messages import (
     AuditReply,
     ChangeReply,
@@ -14,9 +10,7 @@
     NodeBurn,
     NodeStatus,
 )
-from mulberrybay_core.service_levels import ServiceLevels
-from mulberrybay_daemon.configuration_task import ConfigurationTask
-from mulberrybay_daemon.holder import Holder
+from mulberrybay_daemon.node_parts import NodeParts
 from mulberrybay_daemon.operator_desk import OperatorDesk
 from mulberrybay_runtime.clock import read_clock_s
 
@@ -24,40 +18,27 @@
 class NodeOperatorService:
     """Answers for one node; see `OperatorService`."""
 
-    def __init__(
-        self,
-        membership: Membership,
-        holdings: Holdings,
-        holder: Holder,
-        configuration_task: ConfigurationTask,
-        desk: OperatorDesk,
-        levels: ServiceLevels,
-        active_count: Callable[[], int],
-    ) -> None:
-        self._membership = membership
-        self._holdings = holdings
-        self._holder = holder
-        self._configuration = configuration_task
+    def __init__(self, parts: NodeParts, desk: OperatorDesk) -> None:
+        self._parts = parts
+        self._membership = parts.membership
+        self._configuration = parts.configuration
         self._desk = desk
-        self._levels = levels
-        self._active_count = active_count
         self._began_at_s = read_clock_s()
 
     def status(self) -> NodeStatus:
         """Returns what the node says of itself."""
-        states = list(self._holdings.states().values())
-        held_count = states.count(HoldingState.HELD)
+        parts = self._parts
         return NodeStatus(
             info=self._membership.info,
             revision=self._configuration.current.revision,
             has_lease=self._membership.has_lease(read_clock_s()),
             epoch=self._membership.epoch,
             members=self._membership.peers,
-            held_count=held_count,
-            claiming_count=len(states) - held_count,
-            active_count=self._active_count(),
-            outstanding_count=self._holder.outstanding_count,
-            drains=self._holder.drains(),
+            held_count=parts.held_count(),
+            claiming_count=parts.claiming_count(),
+            active_count=parts.active_count(),
+            outstanding_count=parts.holder.outstanding_count,
+            drains=parts.holder.drains(),
         )
 
     def cluster(self) -> ClusterStatus:
@@ -84,7 +65,7 @@
         return NodeBurn(
             node_id=self._membership.info.node_id,
             uptime_s=now_s - self._began_at_s,
-            classes=self._levels.burn(
+            classes=self._parts.coordinator.levels.burn(
                 now_s, self._configuration.current, self._desk.fleet
             ),
         )
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/state_watch.py
@@ -0,0 +1,54 @@
+"""Logs changes of a node's state, by comparing it a few times a second."""
+
+from typing import Final
+
+from mulberrybay_core.state_changes import NodeState, find_changes
+from mulberrybay_daemon.node_parts import NodeParts
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.logs import StateLog
+
+WATCH_PERIOD_S: Final = 0.2
+
+
+class StateWatch:
+    """Looks at the components and logs what has changed."""
+
+    def __init__(self, parts: NodeParts, log: StateLog) -> None:
+        self._parts = parts
+        self._log = log
+        self._last = NodeState()
+
+    def start(self) -> None:
+        """Starts the periodic look."""
+        self._parts.timers.call_every(WATCH_PERIOD_S, self.look)
+
+    def look(self) -> None:
+        """Logs what has changed since the last look."""
+        state = self._read()
+        for change in find_changes(self._last, state):
+            write = self._log.warning if change.is_warning else self._log.info
+            fields = {"step": change.step, "peer": change.peer}
+            if change.detail:
+                fields["detail"] = change.detail
+            write(change.message, **fields)
+        # What is claimed is still on the move: the next settled look counts.
+        if state.claiming_count:
+            state = state._replace(held_count=self._last.held_count)
+        self._last = state
+
+    def _read(self) -> NodeState:
+        parts = self._parts
+        now_s = read_clock_s()
+        membership = parts.membership
+        live = membership.live_nodes(now_s)
+        configuration = parts.configuration.current
+        return NodeState(
+            has_lease=membership.has_lease(now_s),
+            epoch=membership.epoch,
+            is_platform_failing=parts.store.is_failing,
+            heard_ids=frozenset(info.node_id for info in live[1:]),
+            out_domains=configuration.out_domains,
+            out_servers=configuration.out_servers,
+            held_count=parts.held_count(),
+            claiming_count=parts.claiming_count(),
+        )
--- a/packages/operators/mulberrybay_operators/application.py
+++ b/packages/operators/mulberrybay_operators/application.py
@@ -30,7 +30,12 @@
     parse_classes,
     parse_state,
 )
-from mulberrybay_runtime.http_server import HttpRequest, Respond
+from mulberrybay_runtime.http_server import (
+    HttpRequest,
+    HttpResponse,
+    Respond,
+)
+from mulberrybay_runtime.metrics import CONTENT_TYPE, MetricsPage
 
 EditType = TypeVar("EditType", bound=Edit)
 DEFAULT_AUDIT_COUNT: Final = 20
@@ -40,11 +45,19 @@
 class OperatorApplication:
     """Checks operators' requests and hands them to the node."""
 
-    def __init__(self, service: OperatorService, token: str) -> None:
-        """Takes the token that operators must show; empty refuses all."""
+    def __init__(
+        self, service: OperatorService, token: str, metrics: MetricsPage
+    ) -> None:
+        """Starts without connections.
+
+        Args:
+            service: The node.
+            token: What operators must show; empty refuses them all.
+            metrics: The page for scrapers, which needs no token.
+        """
         self._service = service
+        self._metrics = metrics
         self._expected = f"Bearer {token}".encode() if token else b""
-        self.unauthorized_count = 0
 
     def should_close(self) -> bool:
         """Returns False: operators keep their connections."""
@@ -52,8 +65,11 @@
 
     def on_request(self, request: HttpRequest, respond: Respond) -> None:
         """Answers an operator's request."""
+        if (request.method, request.path) == ("GET", "/metrics"):
+            page = self._metrics.render()
+            respond(HttpResponse(200, page, content_type=CONTENT_TYPE))
+            return
         if not self._is_authorized(request):
-            self.unauthorized_count += 1
             failure = Failure(
                 FailureKind.UNAUTHORIZED,
                 Step.PARSE,
--- a/packages/runtime/mulberrybay_runtime/logs.py
+++ b/packages/runtime/mulberrybay_runtime/logs.py
@@ -3,15 +3,10 @@
 import json
 import sys
 from datetime import UTC
-from typing import Any, Final
+from typing import Any
 
 import logbook
 
-CONSOLE_FORMAT: Final = (
-    "{record.time:%H:%M:%S.%f} {record.level_name} {record.message} "
-    "{record.extra}"
-)
-
 
 class JsonHandler(logbook.StreamHandler):
     """Writes each record as one line of JSON."""
@@ -28,6 +23,19 @@
         return json.dumps(document, default=str)
 
 
+class ConsoleHandler(logbook.StreamHandler):
+    """Writes each record as one line for people."""
+
+    def format(self, record: Any) -> str:  # noqa: ANN401
+        """Returns the line for a record."""
+        fields = " ".join(
+            f"{key}={value}" for key, value in record.extra.items() if value
+        )
+        level = record.level_name.lower()
+        at = record.time.strftime("%H:%M:%S.%f")[:-3]
+        return f"{at} {level:<7} {record.message}  {fields}".rstrip()
+
+
 def make_log_handler(log_form: str, log_level: str) -> logbook.StreamHandler:
     """Returns the handler for a process, to be entered as a context.
 
@@ -38,9 +46,7 @@
     level = logbook.lookup_level(log_level.upper())
     if log_form == "json":
         return JsonHandler(sys.stderr, level=level)
-    handler = logbook.StreamHandler(sys.stderr, level=level)
-    handler.format_string = CONSOLE_FORMAT
-    return handler
+    return ConsoleHandler(sys.stderr, level=level)
 
 
 class StateLog:
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -1,7 +1,9 @@
 """Changes through the administration API of running nodes."""
 
+import re
 import time
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 import pytest
 
@@ -217,3 +219,27 @@
     stored = get(deployment, path).json()
     assert [item["name"] for item in stored["classes"]] == ["field-search"]
     assert stored["out_domains"] == ["d1"]
+
+
+def test_metrics_are_those_of_the_page(deployment: Deployment) -> None:
+    deployment.query(deployment.nodes[0])
+    port = deployment.nodes[0].operator_port
+    text = send_request(port, "GET", "/metrics").body.decode()
+    page = (Path(__file__).parents[1] / "docs" / "METRICS.md").read_text()
+    scraped = {
+        line.split()[2] for line in text.splitlines() if "# TYPE" in line
+    }
+    listed = set(re.findall(r"^\| `(\w+)`", page, re.MULTILINE))
+    values = dict(
+        line.rsplit(" ", 1)
+        for line in text.splitlines()
+        if not line.startswith("#")
+    )
+    count_key = (
+        'mulberrybay_request_latency_seconds_count{class="field-search"}'
+    )
+    assert scraped == listed
+    assert float(values[count_key]) >= 1
+    assert float(values["mulberrybay_lease"]) == 1
+    assert float(values['mulberrybay_members{state="heard"}']) == 2
+    assert "vm-" not in text
