Override settings by flags and name the source of each problem

Cause: settings.py held model, parser and sources in one; flags were missing; TOML errors named no line by themselves, and a host name passed as an address. Ruled out: variables that are refused when unknown, since the command line shares their prefix. Change: model, checks and sources in modules of their own; a table of checks; variables for keys of sections; flags for identity, addresses and logs; IP numbers only; a lease no longer than its margins and two equal addresses are refused. Conclusion: a wrong setting is named with its key, what is allowed, and the variable or flag that set it.

--- a/packages/daemon/mulberrybay_daemon/main.py
+++ b/packages/daemon/mulberrybay_daemon/main.py
@@ -2,32 +2,74 @@
 
 import pathlib
 import sys
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Annotated
 
 import cappa
 from expression import Result
 
 from mulberrybay_daemon.node import Node
-from mulberrybay_daemon.settings import NodeSettings, load_settings
+from mulberrybay_daemon.settings import NodeSettings
+from mulberrybay_daemon.settings_checks import LOG_FORMS, LOG_LEVELS
+from mulberrybay_daemon.settings_sources import load_settings
 from mulberrybay_runtime.logs import make_log_handler
 
+FAILED_EXIT_CODE = 1
+USAGE_EXIT_CODE = 2
 
+
+def _override(help_text: str) -> cappa.Arg[str | None]:
+    """Returns a flag that overrides a key of the settings."""
+    return cappa.Arg(long=True, help=help_text, show_default=False)
+
+
+@cappa.command(
+    name="mulberrybayd",
+    help="Runs one node of the query tier.",
+    epilog=(
+        "Flags override variables, as MULBERRYBAY_LOG_LEVEL, which override "
+        "the file. Exit codes: 0 stopped or checked, 1 failed to start, "
+        "2 usage or invalid settings. "
+        "Example: mulberrybayd node.toml --log-form console"
+    ),
+)
 @dataclass
 class Mulberrybayd:
-    """Runs one node of the query tier.
-
-    Attributes:
-        settings: The node's settings.
-        check: Whether to check the settings and exit.
-    """
+    """Runs one node of the query tier."""
 
     settings: Annotated[
         pathlib.Path, cappa.Arg(help="The TOML file of settings.")
     ]
     check: Annotated[
-        bool, cappa.Arg(long="--check", help="Check the settings and exit.")
+        bool,
+        cappa.Arg(
+            long="--check",
+            show_default=False,
+            help="Check the settings and exit.",
+        ),
     ] = False
+    node_id: Annotated[str | None, _override("This node's identity.")] = None
+    failure_domain: Annotated[
+        str | None, _override("The failure domain it runs in.")
+    ] = None
+    caller_address: Annotated[
+        str | None, _override("IP:PORT to listen on for callers.")
+    ] = None
+    peer_address: Annotated[
+        str | None, _override("IP:PORT to listen on for other nodes.")
+    ] = None
+    operator_address: Annotated[
+        str | None, _override("IP:PORT to listen on for operators.")
+    ] = None
+    platform_address: Annotated[
+        str | None, _override("IP:PORT of the platform's object API.")
+    ] = None
+    log_level: Annotated[
+        str | None, _override(f"One of {', '.join(LOG_LEVELS)}.")
+    ] = None
+    log_form: Annotated[
+        str | None, _override(f"One of {', '.join(LOG_FORMS)}.")
+    ] = None
 
 
 def run_node(settings: NodeSettings) -> int:
@@ -40,17 +82,23 @@
                 node.run()
         except OSError as error:
             print(f"mulberrybayd: {error}", file=sys.stderr)
-            return 1
+            return FAILED_EXIT_CODE
     return 0
 
 
 def main() -> None:
     """Parses the command line and runs the node."""
     arguments = cappa.parse(Mulberrybayd, backend=cappa.backend)
-    match load_settings(arguments.settings):
+    flags = asdict(arguments)
+    path = flags.pop("settings")
+    is_check = flags.pop("check")
+    match load_settings(path, flags):
         case Result(tag="ok", ok=settings):
-            sys.exit(0 if arguments.check else run_node(settings))
+            if is_check:
+                print(f"{path}: valid settings of {settings.node_id}")
+                sys.exit(0)
+            sys.exit(run_node(settings))
         case Result(error=problems):
             for problem in problems:
                 print(f"mulberrybayd: {problem}", file=sys.stderr)
-            sys.exit(2)
+            sys.exit(USAGE_EXIT_CODE)
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/settings_checks.py
@@ -0,0 +1,219 @@
+"""Checks a settings document and reports all its problems at once."""
+
+import ipaddress
+import math
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.addresses import Address, parse_address
+from mulberrybay_core.admission import AdmissionSettings
+from mulberrybay_core.membership import MembershipSettings
+from mulberrybay_core.policy_arms import POLICY_ARMS, PolicySettings
+from mulberrybay_core.write_budget import RunSettings
+from mulberrybay_daemon.settings import NodeSettings
+
+LOG_LEVELS: Final = ("debug", "info", "notice", "warning", "error")
+LOG_FORMS: Final = ("json", "console")
+ADDRESS_KEYS: Final = (
+    "caller_address",
+    "peer_address",
+    "operator_address",
+    "platform_address",
+)
+
+
+class SettingsProblem(NamedTuple):
+    """One thing wrong with the settings.
+
+    Attributes:
+        key: The key, or the file and line if it is not TOML.
+        detail: What is wrong and what is allowed.
+        source: The variable or flag that set it; empty for the file.
+    """
+
+    key: str
+    detail: str
+    source: str = ""
+
+    def __str__(self) -> str:
+        """Returns the problem as a line for people."""
+        place = f"{self.key} ({self.source})" if self.source else self.key
+        return f"{place}: {self.detail}"
+
+
+CheckResult = Result[Any, str]
+Check = Callable[[Any], CheckResult]
+
+
+def _check_text(value: object) -> CheckResult:
+    if isinstance(value, str) and value.strip():
+        return Ok(value)
+    return Error("must be a non-empty string")
+
+
+def _check_any_text(value: object) -> CheckResult:
+    return Ok(value) if isinstance(value, str) else Error("must be a string")
+
+
+def _check_address(value: object) -> CheckResult:
+    try:
+        address = parse_address(str(value))
+        ipaddress.ip_address(address.host)
+    except ValueError as error:
+        return Error(f"{error}; write IP:PORT")
+    return Ok(address)
+
+
+def _check_addresses(value: object) -> CheckResult:
+    if not isinstance(value, list):
+        return Error("must be a list of IP:PORT")
+    addresses: list[Address] = []
+    for item in value:
+        match _check_address(item):
+            case Result(tag="ok", ok=address):
+                addresses.append(address)
+            case Result(error=detail):
+                return Error(detail)
+    return Ok(tuple(addresses))
+
+
+def _check_number(value: object) -> CheckResult:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0 < float(str(value)) < math.inf:
+        return Ok(value)
+    return Error("must be a number above 0")
+
+
+def _check_count(value: object) -> CheckResult:
+    is_count = isinstance(value, int) and not isinstance(value, bool)
+    if is_count and int(str(value)) > 0:
+        return Ok(value)
+    return Error("must be a whole number above 0")
+
+
+def _make_choice_check(choices: tuple[str, ...]) -> Check:
+    def check(value: object) -> CheckResult:
+        if value in choices:
+            return Ok(value)
+        return Error(f"must be one of {', '.join(choices)}")
+
+    return check
+
+
+CHECKS: Final[Mapping[str, Check]] = {
+    "node_id": _check_text,
+    "failure_domain": _check_text,
+    **dict.fromkeys(ADDRESS_KEYS, _check_address),
+    "platform_timeout_s": _check_number,
+    "seed_addresses": _check_addresses,
+    "operator_token": _check_any_text,
+    "log_level": _make_choice_check(LOG_LEVELS),
+    "log_form": _make_choice_check(LOG_FORMS),
+}
+SECTIONS: Final[Mapping[str, Any]] = {
+    "membership": MembershipSettings(),
+    "admission": AdmissionSettings(),
+    "runs": RunSettings(),
+    "policy": PolicySettings(),
+}
+_SECTION_CHECKS: Final = {"policy.arm": _make_choice_check(POLICY_ARMS)}
+
+
+def _find_section_check(path: str, default: object) -> Check:
+    check = _SECTION_CHECKS.get(path)
+    if check is not None:
+        return check
+    return _check_count if isinstance(default, int) else _check_number
+
+
+def parse_settings(
+    document: Mapping[str, Any], sources: Mapping[str, str] | None = None
+) -> Result[NodeSettings, list[SettingsProblem]]:
+    """Checks a settings document.
+
+    Args:
+        document: The keys and values from all sources.
+        sources: Which variable or flag set a key, for messages.
+    """
+    known = {*CHECKS, *SECTIONS}
+    problems = [
+        SettingsProblem(key, f"unknown key; known: {', '.join(sorted(known))}")
+        for key in document
+        if key not in known
+    ]
+    values: dict[str, Any] = {}
+    for key, check in CHECKS.items():
+        if key in document:
+            _take(key, check, document[key], values, problems)
+        elif key not in NodeSettings._field_defaults:
+            problems.append(SettingsProblem(key, "missing"))
+    for name, defaults in SECTIONS.items():
+        section = document.get(name, {})
+        values[name] = _read_section(name, section, defaults, problems)
+    problems += _check_together(values)
+    if problems:
+        named = sources or {}
+        return Error(
+            [x._replace(source=named.get(x.key, "")) for x in problems]
+        )
+    return Ok(NodeSettings(**values))
+
+
+def _take(
+    key: str,
+    check: Check,
+    value: object,
+    values: dict[str, Any],
+    problems: list[SettingsProblem],
+) -> None:
+    match check(value):
+        case Result(tag="ok", ok=checked):
+            values[key] = checked
+        case Result(error=detail):
+            problems.append(SettingsProblem(key, detail))
+
+
+def _read_section(
+    name: str,
+    section: object,
+    defaults: Any,  # noqa: ANN401
+    problems: list[SettingsProblem],
+) -> Any:  # noqa: ANN401
+    if not isinstance(section, dict):
+        problems.append(SettingsProblem(name, "must be a table"))
+        return defaults
+    known = defaults._asdict()
+    taken: dict[str, Any] = {}
+    for key, value in section.items():
+        path = f"{name}.{key}"
+        if key not in known:
+            detail = f"unknown key; known: {', '.join(known)}"
+            problems.append(SettingsProblem(path, detail))
+            continue
+        check = _find_section_check(path, known[key])
+        _take(path, check, value, taken, problems)
+    changes = {
+        path.partition(".")[2]: type(known[path.partition(".")[2]])(value)
+        for path, value in taken.items()
+    }
+    return defaults._replace(**changes)
+
+
+def _check_together(values: Mapping[str, Any]) -> list[SettingsProblem]:
+    """Checks what no key alone can tell."""
+    problems = []
+    times = values["membership"]
+    if times.lease_s <= times.clock_margin_s + times.heartbeat_period_s:
+        detail = "must be above heartbeat_period_s and clock_margin_s together"
+        problems.append(SettingsProblem("membership.lease_s", detail))
+    seen: dict[Address, str] = {}
+    for key in ADDRESS_KEYS:
+        address = values.get(key)
+        if address in seen:
+            detail = f"is the same as {seen[address]}"
+            problems.append(SettingsProblem(key, detail))
+        if address is not None:
+            seen[address] = key
+    return problems
