Test bad input at every door of a node

Cause: nothing tested what callers, peers and operators get for malformed input. Change: a body that its headers announce as over 1 MiB is refused at once with 413; after it the connection stays open for reading until the client closes, since a close with unread data resets it and may take the answer along. Ruled out: refusing in the application (it runs after the whole body). Conclusion: malformed frames between nodes already closed their own link only.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -24,6 +24,7 @@
 
 MAX_BODY_BYTES: Final = 1024 * 1024
 MAX_HEADER_BYTES: Final = 16 * 1024
+MAX_DISCARDED_BYTES: Final = 64 * 1024 * 1024
 JSON_TYPE: Final = "application/json"
 
 
@@ -79,6 +80,7 @@
     def __init__(self, server: "HttpServer", channel: str) -> None:
         super().__init__(server, channel=channel)
         self._received_bytes: dict[Any, int] = {}
+        self._refused: set[Any] = set()
 
     # Without override, circuits would run the base class's handler as well
     # and every request would be processed twice.
@@ -90,18 +92,37 @@
             return
         received_bytes = self._received_bytes.get(sock, 0) + len(data)
         self._received_bytes[sock] = received_bytes
+        if sock in self._refused:
+            if received_bytes > MAX_DISCARDED_BYTES:
+                self.fire(close(sock))
+            return
         if received_bytes > MAX_BODY_BYTES + MAX_HEADER_BYTES:
-            detail = f"the request is larger than {MAX_BODY_BYTES} bytes"
-            self.refuse(sock, 413, "too_large", detail)
+            self._refuse_too_large(sock)
             return
         try:
             super()._on_read(sock, data)
+            if sock in self._buffers and self._expects_too_much(sock):
+                self._refuse_too_large(sock)
         except (ValueError, LookupError, TypeError, AttributeError) as error:
             # The parser of circuits.web raises these on malformed input.
             self.refuse(sock, 400, "invalid", f"not HTTP: {error!r}")
-        if sock not in self._buffers:
+        if sock not in self._buffers and sock not in self._refused:
             self._received_bytes.pop(sock, None)
 
+    def _expects_too_much(self, sock: Any) -> bool:  # noqa: ANN401
+        """Whether the headers announce a body over the limit."""
+        if sock not in self._clients:
+            return False
+        request = self._clients[sock][0]
+        return int(request.headers.get("Content-Length", 0)) > MAX_BODY_BYTES
+
+    def _refuse_too_large(self, sock: Any) -> None:  # noqa: ANN401
+        # A close with unread data would reset the connection, and the client
+        # would lose the answer; what it still sends is discarded.
+        self._refused.add(sock)
+        detail = f"the request is larger than {MAX_BODY_BYTES} bytes"
+        self.refuse(sock, 413, "too_large", detail)
+
     @handler("httperror", override=True)
     def _on_httperror(
         self,
@@ -135,10 +156,12 @@
         self._buffers.pop(sock, None)
         self._clients.pop(sock, None)
         self.fire(write(sock, encode_raw_answer(status, {"error": error})))
-        self.fire(close(sock))
+        if sock not in self._refused:
+            self.fire(close(sock))
 
     @handler("disconnect", override=True)
     def _on_disconnect(self, sock: Any) -> None:  # noqa: ANN401
+        self._refused.discard(sock)
         self._buffers.pop(sock, None)
         self._received_bytes.pop(sock, None)
         super()._on_disconnect(sock)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,288 @@
+"""Bad input: a clear refusal, nothing lost, and no process dies of it."""
+
+import json
+import pathlib
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import Iterator
+
+import pytest
+
+from mulberrybay_core.member_messages import (
+    ConfigurationRequest,
+    ConfigurationUpdate,
+)
+from mulberrybay_nodes.codec import decode_message, encode_message
+from mulberrybay_nodes.frames import MAX_FRAME_BYTES, FrameReader, wrap_frame
+from mulberrybay_nodes.peer_messages import PeerMessage
+from mulberrybay_runtime.http_server import MAX_BODY_BYTES
+from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.http_caller import make_key
+
+TIMEOUT_S = 5.0
+QUERY = "/v1/query/field-search"
+RUN = "/v1/run/route-planner"
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    """Three nodes; each must run to the end and log no exception."""
+    folder = tmp_path_factory.mktemp("bad")
+    with Deployment(folder) as running:
+        yield running
+        assert all(n.process.returncode is None for n in running.nodes)
+    for path in folder.glob("node-*.stderr"):
+        assert "Traceback" not in path.read_text(encoding="utf-8")
+
+
+@pytest.fixture
+def node(deployment: Deployment) -> Iterator[NodeProcess]:
+    """A node that still answers a query in full after the bad input."""
+    yield deployment.nodes[0]
+    answer = deployment.query(deployment.nodes[0])
+    assert answer.status == 200
+    assert answer.json()["coverage"]["missing_shards"] == []
+
+
+def exchange(port: int, data: bytes) -> tuple[int, dict[str, object]]:
+    """Sends bytes on a new connection; returns status and error."""
+    with socket.create_connection(("127.0.0.1", port), TIMEOUT_S) as client:
+        client.sendall(data)
+        stream = client.makefile("rb")
+        status = int(stream.readline().split()[1])
+        length = 0
+        while line := stream.readline().strip():
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        text = stream.read(length)
+    error: dict[str, object] = json.loads(text)["error"]
+    return status, error
+
+
+def make_request(
+    path: str, body: bytes = b'"x"', *headers: str, method: str = "POST"
+) -> bytes:
+    """Returns a well-formed HTTP request."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: n", *headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def with_deadline(text: str) -> bytes:
+    """Returns a query with a deadline header."""
+    return make_request(QUERY, b"1", f"X-Deadline-Ms: {text}")
+
+
+BAD_REQUESTS = {
+    "malformed JSON": (make_request(QUERY, b'{"a": '), 400, "not JSON"),
+    "no body": (make_request(QUERY, b""), 400, "not JSON"),
+    "body not UTF-8": (make_request(QUERY, b'"\xff"'), 400, "not JSON"),
+    "body nested deeply": (
+        make_request(QUERY, b"[" * 100_000),
+        400,
+        "not JSON",
+    ),
+    "unknown class": (make_request("/v1/query/nope"), 404, "'nope'"),
+    "unknown path": (make_request("/v2/query/x"), 404, "/v2/query/x"),
+    "unknown method": (
+        make_request(QUERY, method="PUT"),
+        404,
+        "no PUT",
+    ),
+    "deadline is text": (with_deadline("soon"), 400, "1 to 30000"),
+    "deadline is 0": (with_deadline("0"), 400, "1 to 30000"),
+    "deadline is negative": (with_deadline("-1"), 400, "1 to 30000"),
+    "deadline is over the limit": (with_deadline("30001"), 400, "1 to 30000"),
+    "deadline is no ASCII digit": (with_deadline("\xb2"), 400, "1 to 30000"),
+    "request identity too long": (
+        make_request(QUERY, b"1", "X-Request-Id: " + "i" * 65),
+        400,
+        "64 characters",
+    ),
+    "run without a key": (make_request(RUN), 400, "UNIX_SECONDS-RANDOM"),
+    "run with a key without time": (
+        make_request(RUN, b"1", "Idempotency-Key: abc"),
+        400,
+        "UNIX_SECONDS-RANDOM",
+    ),
+    "run of a class without runs": (
+        make_request(
+            "/v1/run/field-search", b"1", f"Idempotency-Key: {make_key()}"
+        ),
+        400,
+        "does not allow runs",
+    ),
+    "body too large": (
+        make_request(QUERY, b" " * (8 * MAX_BODY_BYTES)),
+        413,
+        str(MAX_BODY_BYTES),
+    ),
+    "length too large": (
+        b"POST " + QUERY.encode() + b" HTTP/1.1\r\nHost: n\r\n"
+        b"Content-Length: 9000000000\r\n\r\n",
+        413,
+        str(MAX_BODY_BYTES),
+    ),
+    "length is text": (
+        b"POST " + QUERY.encode() + b" HTTP/1.1\r\nHost: n\r\n"
+        b"Content-Length: many\r\n\r\n",
+        400,
+        "HTTP",
+    ),
+    "length is negative": (
+        b"POST " + QUERY.encode() + b" HTTP/1.1\r\nHost: n\r\n"
+        b"Content-Length: -1\r\n\r\n",
+        400,
+        "not JSON",
+    ),
+    "headers too large": (
+        b"GET / HTTP/1.1\r\nHost: n\r\nX: " + b"x" * (8 * MAX_BODY_BYTES),
+        413,
+        str(MAX_BODY_BYTES),
+    ),
+    "no HTTP": (b"no such thing\r\n\r\n", 400, "HTTP"),
+    "HTTP of another version": (
+        b"GET /v1/addresses HTTP/9.9\r\nHost: n\r\n\r\n",
+        505,
+        "HTTP",
+    ),
+    "no host": (b"GET /v1/addresses HTTP/1.1\r\n\r\n", 400, "host"),
+}
+
+
+@pytest.mark.parametrize("name", BAD_REQUESTS)
+def test_bad_request_is_refused_with_the_reason(
+    node: NodeProcess, name: str
+) -> None:
+    data, wanted_status, wanted_detail = BAD_REQUESTS[name]
+    status, error = exchange(node.caller_port, data)
+    assert status == wanted_status
+    assert wanted_detail in str(error["detail"])
+    assert error["step"]
+    assert error["run_state"] == "not_run"
+
+
+def make_frame(version: int) -> bytes:
+    """Returns a whole frame of a protocol version."""
+    message = ConfigurationRequest("tester", 0)
+    payload = bytearray(encode_message(message, 0.0))
+    # The version is the first field of the root struct, after the header of
+    # the message and the pointer to the root.
+    struct.pack_into("<H", payload, 16, version)
+    return wrap_frame(bytes(payload))
+
+
+BAD_FRAMES = {
+    "noise": wrap_frame(b"\xff" * 64),
+    "empty": wrap_frame(b""),
+    "truncated": wrap_frame(
+        encode_message(ConfigurationRequest("t", 0), 0)[:24]
+    ),
+    "other version": make_frame(2),
+    "unknown message": wrap_frame(
+        bytes(make_frame(1)[4:20] + b"\x01\x00\xff\x00" + make_frame(1)[24:])
+    ),
+    "too long": struct.pack("<I", MAX_FRAME_BYTES + 1),
+    "HTTP": b"GET / HTTP/1.1\r\nHost: n\r\n\r\n",
+}
+
+
+def read_message(client: socket.socket) -> PeerMessage:
+    """Returns the next message of a link to a node."""
+    reader = FrameReader()
+    while True:
+        data = client.recv(65536)
+        assert data, "the link was closed"
+        for payload in reader.feed(data):
+            return decode_message(payload, 0.0)
+
+
+@pytest.mark.parametrize("name", BAD_FRAMES)
+def test_malformed_frame_closes_its_own_link_only(
+    node: NodeProcess, name: str
+) -> None:
+    address = ("127.0.0.1", node.peer_port)
+    with (
+        socket.create_connection(address, TIMEOUT_S) as bad,
+        socket.create_connection(address, TIMEOUT_S) as good,
+    ):
+        good.sendall(make_frame(1))
+        assert isinstance(read_message(good), ConfigurationUpdate)
+        bad.sendall(BAD_FRAMES[name])
+        assert bad.recv(1) == b""
+        good.sendall(make_frame(1))
+        assert isinstance(read_message(good), ConfigurationUpdate)
+
+
+GOOD_SETTINGS = """
+node_id = "n"
+failure_domain = "d1"
+caller_address = "127.0.0.1:1"
+peer_address = "127.0.0.1:2"
+operator_address = "127.0.0.1:3"
+platform_address = "127.0.0.1:4"
+"""
+
+BAD_SETTINGS = {
+    "not TOML": ("colour = = 1", ["line 8"]),
+    "unknown key": ("colour = 1", ["colour", "failure_domain"]),
+    "choice": ('log_form = "xml"', ["log_form", "json, console"]),
+    "level": ("log_level = 3", ["log_level", "debug, info"]),
+    "timeout": ("platform_timeout_s = -1", ["platform_timeout_s", "above 0"]),
+    "seeds": ('seed_addresses = ["x"]', ["seed_addresses", "HOST:PORT"]),
+    "section": ("membership = 1", ["membership", "table"]),
+    "section key": (
+        "[membership]\nlease_ms = 5",
+        ["membership.lease_ms", "heartbeat_period_s", "lease_s"],
+    ),
+    "two at once": (
+        'log_form = "xml"\nlog_level = "loud"',
+        ["log_form", "log_level"],
+    ),
+}
+
+
+def run_daemon(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Runs mulberrybayd until it exits."""
+    program = pathlib.Path(sys.executable).with_name("mulberrybayd")
+    return subprocess.run(
+        [program, *arguments],
+        capture_output=True,
+        text=True,
+        timeout=20,
+        check=False,
+    )
+
+
+def test_good_settings_pass_the_check(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD_SETTINGS, encoding="utf-8")
+    assert run_daemon(str(path), "--check").returncode == 0
+
+
+@pytest.mark.parametrize("name", BAD_SETTINGS)
+def test_bad_settings_name_the_key_and_what_is_allowed(
+    tmp_path: pathlib.Path, name: str
+) -> None:
+    text, wanted = BAD_SETTINGS[name]
+    path = tmp_path / "node.toml"
+    path.write_text(GOOD_SETTINGS + text, encoding="utf-8")
+    done = run_daemon(str(path))
+    assert done.returncode == 2
+    assert "Traceback" not in done.stderr
+    for part in wanted:
+        assert part in done.stderr
+
+
+@pytest.mark.parametrize(
+    "arguments", [["--colour"], [], ["missing.toml"], ["a", "b"]]
+)
+def test_bad_command_line_exits_with_2(arguments: list[str]) -> None:
+    done = run_daemon(*arguments)
+    assert done.returncode == 2
+    assert "Traceback" not in done.stderr
+    assert done.stderr + done.stdout
