--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -358,6 +358,10 @@
         events = read_events(self._folder / "backends.log")
         return [e for e in events if name is None or e["event"] == name]
 
+    def vms(self) -> list[dict[str, Any]]:
+        """Returns the VMs that the platform was started with."""
+        return list(self._vms)
+
     def platform_events(self) -> list[Event]:
         """Returns what the platform logged."""
         return read_events(self._folder / "platform.log")
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/node_costs.py
@@ -0,0 +1,323 @@
+"""Measures what a node costs: CPU, latency, memory and bytes.
+
+    python -m mulberrybay_testing.node_costs [queries|latency|idle|memory]...
+
+Every measurement starts a deployment of its own and prints one line a figure.
+CPU is that of the node's process, from /proc.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import statistics
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.member_messages import HeartbeatAck, NodeEpoch, NodeInfo
+from mulberrybay_core.membership import Membership, MembershipSettings
+from mulberrybay_nodes.codec import encode_message
+from mulberrybay_nodes.frames import wrap_frame
+from mulberrybay_testing.deployment import (
+    Deployment,
+    NodeProcess,
+    search_class,
+)
+
+SHARD_COUNT: Final = 20
+QUERY_COUNT: Final = 2000
+WARM_UP_COUNT: Final = 300
+WORKER_COUNT: Final = 8
+LATENCY_SAMPLE_COUNT: Final = 400
+LOW_LOAD_PAUSE_S: Final = 0.02
+IDLE_S: Final = 10.0
+SETTLE_S: Final = 3.0
+CONNECTION_COUNT: Final = 1000
+SERVER_COUNT: Final = 1000
+CHANGE_COUNT: Final = 40
+MEMBER_COUNTS: Final = (3, 24, 100, 1000)
+TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+
+
+class Usage(NamedTuple):
+    """What a process has used: CPU time and resident memory."""
+
+    cpu_s: float
+    resident_kb: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Reads the usage of a process from /proc."""
+    stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    fields = stat.rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+    return Usage(cpu_s, int(line.split()[1]))
+
+
+def read_cpu_s(deployment: Deployment) -> float:
+    """Returns the CPU time of all nodes together."""
+    return sum(read_usage(n.process.pid).cpu_s for n in deployment.nodes)
+
+
+def show(name: str, value: float, unit: str) -> None:
+    """Prints one figure."""
+    print(f"{name:<58} {value:>10.2f} {unit}", flush=True)
+
+
+@contextmanager
+def start_nodes(node_count: int) -> Iterator[Deployment]:
+    """Starts nodes over a class of 20 shards whose servers answer at once."""
+    work_class = search_class(
+        "field-search", SHARD_COUNT, service_time_ms=0.0, slot_count=8
+    )
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Deployment(Path(folder), (work_class,), node_count) as deployment,
+    ):
+        yield deployment
+
+
+class QueryClient:
+    """Sends queries one after the other on a kept connection."""
+
+    def __init__(self, port: int, path: str, headers: dict[str, str]) -> None:
+        self._connection = http.client.HTTPConnection("127.0.0.1", port)
+        self._path = path
+        self._headers = headers
+
+    def send(self) -> float:
+        """Sends a request; returns its latency.
+
+        Raises:
+            RuntimeError: The answer is not whole.
+        """
+        began_at_s = time.perf_counter()
+        self._connection.request("POST", self._path, b'"valve"', self._headers)
+        answer = self._connection.getresponse()
+        body = answer.read()
+        latency_s = time.perf_counter() - began_at_s
+        if answer.status != 200 or b'"missing_shards": [0' in body:
+            raise RuntimeError(f"status {answer.status}: {body[:300]!r}")
+        return latency_s
+
+
+def make_client(node: NodeProcess) -> QueryClient:
+    """Returns a client of a node's queries."""
+    return QueryClient(
+        node.caller_port, "/v1/query/field-search", {"X-Deadline-Ms": "5000"}
+    )
+
+
+def send_queries(nodes: list[NodeProcess], query_count: int) -> float:
+    """Sends queries from several connections; returns the time taken."""
+
+    def work(client: QueryClient) -> None:
+        for _ in range(query_count // WORKER_COUNT):
+            client.send()
+
+    began_at_s = time.perf_counter()
+    threads = [
+        threading.Thread(
+            target=work, args=(make_client(nodes[index % len(nodes)]),)
+        )
+        for index in range(WORKER_COUNT)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return time.perf_counter() - began_at_s
+
+
+def measure_queries() -> None:
+    """CPU per query and per sub-request, and queries a second."""
+    for node_count in (1, 3):
+        with start_nodes(node_count) as deployment:
+            send_queries(deployment.nodes, WARM_UP_COUNT)
+            cpu_s = read_cpu_s(deployment)
+            took_s = send_queries(deployment.nodes, QUERY_COUNT)
+            cpu_s = read_cpu_s(deployment) - cpu_s
+        label = f"{node_count} node(s)"
+        query_us = cpu_s / QUERY_COUNT * 1e6
+        show(f"{label}: CPU per query", query_us, "µs")
+        show(f"{label}: CPU per sub-request", query_us / SHARD_COUNT, "µs")
+        show(f"{label}: queries a second", QUERY_COUNT / took_s, "1/s")
+        show(f"{label}: cores busy meanwhile", cpu_s / took_s, "cores")
+        show(f"{label}: queries/s of one busy core", 1e6 / query_us, "1/s")
+
+
+def measure_latency() -> None:
+    """Latency of queries one at a time, against one backend server."""
+    for node_count in (1, 3):
+        with start_nodes(node_count) as deployment:
+            backend = QueryClient(
+                deployment.backends[0]["port"],
+                "/v1/search",
+                {
+                    "X-Request-Id": "direct",
+                    "X-Deadline-Ms": "5000",
+                    "X-Index-Version": "1",
+                    "X-Shard": "0",
+                },
+            )
+            direct_ms = sample_latencies(backend)
+            tier_ms = sample_latencies(make_client(deployment.nodes[0]))
+        label = f"{node_count} node(s)"
+        show(f"{label}: a backend server alone, median", direct_ms[0], "ms")
+        for index, name in enumerate(("median", "99th percentile")):
+            added_ms = tier_ms[index] - direct_ms[index]
+            show(f"{label}: query at 20 shards, {name}", tier_ms[index], "ms")
+            show(f"{label}: added by the tier, {name}", added_ms, "ms")
+
+
+def sample_latencies(client: QueryClient) -> tuple[float, float]:
+    """Returns the median and the 99th percentile at low load, in ms."""
+    for _ in range(50):
+        client.send()
+    samples = []
+    for _ in range(LATENCY_SAMPLE_COUNT):
+        time.sleep(LOW_LOAD_PAUSE_S)
+        samples.append(client.send() * 1000)
+    cuts = statistics.quantiles(samples, n=100)
+    return cuts[49], cuts[98]
+
+
+def measure_idle() -> None:
+    """CPU of idle nodes by number of peers, of changes and of VM lists."""
+    for node_count in (1, 3, 6, 12):
+        with start_nodes(node_count) as deployment:
+            time.sleep(SETTLE_S)
+            idle_percent = sample_idle_percent(deployment)
+            show(f"{node_count} node(s): idle CPU of one", idle_percent, "%")
+            if node_count == 3:
+                measure_changes(deployment, idle_percent)
+    for count in MEMBER_COUNTS:
+        heartbeat_bytes, ack_bytes = size_heartbeats(count)
+        show(f"{count} members: one heartbeat", heartbeat_bytes, "bytes")
+        period_s = MembershipSettings().heartbeat_period_s
+        rate = 2 * (heartbeat_bytes + ack_bytes) / period_s
+        show(f"{count} members: sent and received a peer", rate, "bytes/s")
+
+
+def sample_idle_percent(deployment: Deployment) -> float:
+    """Returns the mean CPU of a node while nothing is asked of it."""
+    cpu_s = read_cpu_s(deployment)
+    time.sleep(IDLE_S)
+    cpu_s = read_cpu_s(deployment) - cpu_s
+    return 100 * cpu_s / IDLE_S / len(deployment.nodes)
+
+
+def measure_changes(deployment: Deployment, idle_percent: float) -> None:
+    """Prints the CPU at a node of one configuration change."""
+    cpu_s = read_cpu_s(deployment)
+    began_at_s = time.monotonic()
+    for _ in range(CHANGE_COUNT):
+        deployment.put_configuration()
+        time.sleep(0.1)
+    took_s = time.monotonic() - began_at_s
+    node_count = len(deployment.nodes)
+    cpu_s = (read_cpu_s(deployment) - cpu_s) / node_count
+    change_s = (cpu_s - idle_percent / 100 * took_s) / CHANGE_COUNT
+    show("3 node(s): CPU of a node per change", change_s * 1000, "ms")
+
+
+def make_member(index: int) -> NodeInfo:
+    """Returns a member as a heartbeat names it."""
+    address = Address(f"10.0.{index // 250}.{index % 250}", 7400)
+    return NodeInfo(f"node-{index:04d}", f"d{index % 4}", address, address)
+
+
+def size_heartbeats(member_count: int) -> tuple[int, int]:
+    """Returns the bytes of a heartbeat and of its answer."""
+    membership = Membership(MembershipSettings(), make_member(0), 1)
+    for index in range(1, member_count):
+        membership.learn_member(make_member(index), 0.0)
+    heartbeat = membership.make_heartbeat("node-0001", 0.0)
+    granted = [make_member(index).node_id for index in range(1, member_count)]
+    heartbeat = heartbeat._replace(
+        granted=tuple(NodeEpoch(node_id, 1) for node_id in granted)
+    )
+    ack = HeartbeatAck("node-0001", 1, True, 0, 1)
+    return (
+        len(wrap_frame(encode_message(heartbeat, 0.0))),
+        len(wrap_frame(encode_message(ack, 0.0))),
+    )
+
+
+def measure_memory() -> None:
+    """Resident memory of a node and what it grows by."""
+    with start_nodes(1) as deployment, ExitStack() as exits:
+        node = deployment.nodes[0]
+        time.sleep(SETTLE_S)
+        idle = read_usage(node.process.pid)
+        show("resident memory of an idle node", idle.resident_kb / 1024, "MiB")
+        for _ in range(CONNECTION_COUNT):
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", node.caller_port
+            )
+            exits.callback(connection.close)
+            connection.request("GET", "/v1/addresses")
+            connection.getresponse().read()
+        grown_kb = read_usage(node.process.pid).resident_kb - idle.resident_kb
+        show("per 1,000 callers' connections", grown_kb / 1024, "MiB")
+    with start_nodes(1) as deployment:
+        measure_held_servers(deployment)
+
+
+def measure_held_servers(deployment: Deployment) -> None:
+    """Prints the memory and CPU of 1,000 more backend servers held."""
+    pid = deployment.nodes[0].process.pid
+    time.sleep(SETTLE_S)
+    idle_percent = sample_idle_percent(deployment)
+    resident_kb = read_usage(pid).resident_kb
+    backend = deployment.vms()[0]
+    more = [
+        {**backend, "vm_id": f"more-{index}", "service": f"more/{index}"}
+        for index in range(SERVER_COUNT)
+    ]
+    deployment.control_platform(vms=[*deployment.vms(), *more])
+    time.sleep(SETTLE_S)
+    held_count = deployment.status(deployment.nodes[0])["held_count"]
+    show("backend servers held", held_count, "servers")
+    grown_percent = sample_idle_percent(deployment) - idle_percent
+    grown_kb = read_usage(pid).resident_kb - resident_kb
+    show("per 1,000 servers listed and held", grown_kb / 1024, "MiB")
+    show("a list of 1,000 VMs each second", grown_percent, "% of a core")
+    list_bytes = len(json.dumps(more))
+    show("a list of 1,000 VMs", list_bytes / 1024, "KiB")
+
+
+MEASUREMENTS: Final[dict[str, Callable[[], None]]] = {
+    "queries": measure_queries,
+    "latency": measure_latency,
+    "idle": measure_idle,
+    "memory": measure_memory,
+}
+
+
+def main(names: list[str]) -> int:
+    """Runs the named measurements, or all; returns the exit code."""
+    unknown = [name for name in names if name not in MEASUREMENTS]
+    if unknown:
+        known = ", ".join(MEASUREMENTS)
+        print(f"unknown: {unknown}; known: {known}", file=sys.stderr)
+        return 2
+    load_average = os.getloadavg()[0]
+    show("load average of the machine before", load_average, "")
+    for name in names or MEASUREMENTS:
+        MEASUREMENTS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
