--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -28,6 +28,7 @@
 )
 from mulberrybay_core.membership import Membership
 from mulberrybay_core.replica_choice import LeastExpectedWait
+from mulberrybay_core.server_waits import ServerWaits
 from mulberrybay_daemon.attempt_router import AttemptRouter, HolderMap
 from mulberrybay_daemon.configuration_task import ConfigurationTask
 from mulberrybay_daemon.coordinator import Coordinator
@@ -84,7 +85,9 @@
         info = NodeInfo(
             node_id=settings.node_id,
             failure_domain=settings.failure_domain,
-            peer_address=settings.peer_address,
+            peer_address=(
+                settings.advertised_peer_address or settings.peer_address
+            ),
             caller_address=settings.caller_address,
         )
         self._membership = Membership(
@@ -146,7 +149,7 @@
             self._router,
             self._store,
             self._timers,
-            LeastExpectedWait(random.Random()),
+            LeastExpectedWait(random.Random(), ServerWaits()),
         )
         self._fleet_task = FleetTask(
             self._store, self._timers, self._coordinator.catalog, self._on_fleet
@@ -235,6 +238,7 @@
             "configuration in force", revision=configuration.revision
         )
         self._gate.set_configuration(configuration)
+        self._holder.restart_unused()
         self._members.set_configuration(configuration)
 
     def _should_sweep(self) -> bool:
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -203,7 +203,7 @@
             self._perform(run, run.life.on_no_server())
             return
         run.tried_ids.add(server.server_id)
-        self._replicas.on_sent(server.server_id)
+        self._replicas.waits.on_sent(server.server_id)
         attempt = Attempt(len(run.tried_ids), server.server_id, 0)
         batch = AttemptBatch(
             query_id=run.run_id,
@@ -228,10 +228,12 @@
         ]
         if not candidates:
             return None
-        return self._replicas.choose(candidates, run.request.failure_domain)
+        return self._replicas.choose(
+            candidates, run.request.failure_domain, read_clock_s()
+        )
 
     def _on_reply(self, run: _Run, reply: AttemptReply) -> None:
-        self._replicas.on_reply(reply, 0.0)
+        self._replicas.waits.on_reply(reply, read_clock_s())
         peer = f"backend server {reply.server_id}: {reply.outcome.name.lower()}"
         actions = run.life.on_reply(
             reply.run_state, reply.body, peer, read_clock_s()
