Do less for each sub-request

Cause: a profile of the hot path is flat, about 370 calls a sub-request; no single step stands out, so several are cut. Change: one expiry timer a batch in place of one an attempt; the query's timer is set anew only when its time changes; hits are cut out of the reply where they stand and not dumped again; request heads are one format string; header names are cached; replies to a peer leave together at the end of the turn; batches to peers leave before this node serves its own part. Ruled out: caching the lease in Membership (3 µs at most, and it decides on safety); a cheaper clock call (0.13 µs each).

--- a/packages/backends/mulberrybay_backends/protocol.py
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -15,26 +15,31 @@
 from mulberrybay_runtime.http_exchange import HttpReply, encode_request
 
 MAX_RETRY_AFTER_S: Final = 60.0
-JSON_TYPE: Final = ("Content-Type", "application/json")
 
 
 def encode_backend_request(
     server: BackendServer, request: BackendRequest, time_left_s: float
 ) -> bytes:
     """Returns the bytes of a search or a run."""
-    headers = [
-        JSON_TYPE,
-        ("X-Request-Id", request.request_id),
-        ("X-Deadline-Ms", str(max(0, int(time_left_s * 1000)))),
-    ]
     if request.kind is AttemptKind.RUN:
-        headers.append(("Idempotency-Key", request.idempotency_key))
         path = "/v1/run"
+        headers = f"Idempotency-Key: {request.idempotency_key}\r\n"
     else:
-        headers.append(("X-Index-Version", str(request.index_version)))
-        headers.append(("X-Shard", str(request.shard)))
         path = "/v1/search"
-    return encode_request("POST", path, server.address, headers, request.body)
+        headers = (
+            f"X-Index-Version: {request.index_version}\r\n"
+            f"X-Shard: {request.shard}\r\n"
+        )
+    deadline_ms = max(0, int(time_left_s * 1000))
+    # Written out in one piece: this runs for every sub-request.
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {server.address}\r\n"
+        "Content-Type: application/json\r\n"
+        f"X-Request-Id: {request.request_id}\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\n{headers}"
+        f"Content-Length: {len(request.body)}\r\n\r\n"
+    )
+    return head.encode("latin-1") + request.body
 
 
 def encode_cancel(server: BackendServer, request_id: str) -> bytes:
@@ -52,7 +57,8 @@
     if reply.headers.get("x-request-id") != request.request_id:
         return _bad_reply("the reply is to another request")
     if reply.status == 200:
-        return _read_success(request, reply)._replace(is_leaving=is_leaving)
+        result = _read_success(request, reply)
+        return result._replace(is_leaving=True) if is_leaving else result
     said_not_run = reply.headers.get("x-not-run") == "1"
     result = BackendResult(
         outcome=_OUTCOMES.get(reply.status, BackendOutcome.BAD_REPLY),
@@ -92,12 +98,19 @@
 def _read_hits(body: bytes) -> BackendResult:
     """Takes the hits out of a search's reply: a JSON array."""
     try:
-        hits = json.loads(body)["hits"]
+        document = json.loads(body.decode())
+        hits = document["hits"]
     except (ValueError, KeyError, TypeError, RecursionError):
         return _bad_reply("the reply is not an object with hits")
     if not isinstance(hits, list):
         return _bad_reply("the hits are not a list")
-    hits_json = json.dumps(hits).encode()
+    if not hits:
+        hits_json = b"[]"
+    elif len(document) == 1 and body.count(b'"hits"') == 1:
+        # The array is all that stands between the outermost brackets.
+        hits_json = body[body.index(b"[") : body.rindex(b"]") + 1]
+    else:
+        hits_json = json.dumps(hits).encode()
     return BackendResult(BackendOutcome.OK, RunState.RAN, body=hits_json)
 
 
--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -17,16 +17,19 @@
 
 
 class QueuedAttempt(NamedTuple):
-    """An attempt that waits for its dispatch, or runs."""
+    """An attempt that waits for its dispatch, or runs.
+
+    Attributes:
+        batch: The batch that it came in.
+        attempt: The attempt.
+        reply: Takes its end.
+        request_id: Identity of the request to the backend server.
+    """
 
     batch: AttemptBatch
     attempt: Attempt
     reply: AttemptReplyHandler
-
-    @property
-    def request_id(self) -> str:
-        """Identity of the request to the backend server."""
-        return f"{self.batch.query_id}-{self.attempt.attempt_id}"
+    request_id: str
 
 
 class HeldServer:
--- a/packages/daemon/mulberrybay_daemon/attempt_router.py
+++ b/packages/daemon/mulberrybay_daemon/attempt_router.py
@@ -84,14 +84,17 @@
         for attempt in batch.attempts:
             holder_id = self._holders.holder_id(attempt.server_id)
             attempts_by_holder[holder_id].append(attempt)
+        # Peers first, so that they work while this node serves its own part.
+        own_attempts = attempts_by_holder.pop(self._node_id, [])
         for holder_id, attempts in attempts_by_holder.items():
             part = batch._replace(attempts=tuple(attempts))
             if holder_id is None:
                 self._fail(part, reply)
-            elif holder_id == self._node_id:
-                self._holder.submit(part, reply)
             else:
                 self._send_to_peer(holder_id, part, reply)
+        if own_attempts:
+            own_part = batch._replace(attempts=tuple(own_attempts))
+            self._holder.submit(own_part, reply)
 
     def _fail(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
         for attempt in batch.attempts:
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -56,6 +56,7 @@
         self.query_id = query_id
         self.reply = reply
         self.timer: Timer | None = None
+        self.timer_due_s = 0.0
         self.is_finished = False
 
 
@@ -180,8 +181,11 @@
             self._apply(active, active.run.on_reply(reply, read_clock_s()))
 
     def _rearm(self, active: _ActiveQuery) -> None:
-        if active.timer is not None:
+        if active.timer is not None and not active.timer.is_cancelled:
+            if active.timer_due_s == active.run.wakeup_s:
+                return
             active.timer.cancel()
+        active.timer_due_s = active.run.wakeup_s
         active.timer = self._timers.call_at(
             active.run.wakeup_s, lambda: self._wake(active)
         )
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -82,7 +82,9 @@
     def submit(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
         """Queues the attempts of a batch; see `AttemptCarrier.send`."""
         for attempt in batch.attempts:
-            self._submit_one(QueuedAttempt(batch, attempt, reply))
+            request_id = f"{batch.query_id}-{attempt.attempt_id}"
+            self._submit_one(QueuedAttempt(batch, attempt, reply, request_id))
+        self._timers.call_at(batch.deadline_at_s, lambda: self._expire(batch))
 
     def _submit_one(self, item: QueuedAttempt) -> None:
         server = self._fleet.server(item.attempt.server_id)
@@ -99,9 +101,6 @@
             self._refuse(item, AttemptOutcome.QUEUE_FULL)
             return
         self._server_by_request[item.request_id] = server.server_id
-        self._timers.call_at(
-            item.batch.deadline_at_s, lambda: self._expire(held)
-        )
         self.pump(server.server_id)
 
     def _refuse(self, item: QueuedAttempt, outcome: AttemptOutcome) -> None:
@@ -117,22 +116,23 @@
         )
         item.reply(reply._replace(load=held.load()) if held else reply)
 
-    def _expire(self, held: HeldServer) -> None:
-        for item in held.take_expired(read_clock_s()):
-            self._refuse(item, AttemptOutcome.DEADLINE)
+    def _expire(self, batch: AttemptBatch) -> None:
+        now_s = read_clock_s()
+        for attempt in batch.attempts:
+            held = self._held.get(attempt.server_id)
+            for item in held.take_expired(now_s) if held else ():
+                self._refuse(item, AttemptOutcome.DEADLINE)
 
     def pump(self, server_id: str) -> None:
         """Dispatches what the server may have now."""
         held = self._held.get(server_id)
         if held is None or not self._holdings.is_held(server_id):
             return
-        while True:
-            now_s = read_clock_s()
-            item = held.take_next(now_s)
-            if item is None:
-                break
+        now_s = read_clock_s()
+        while (item := held.take_next(now_s)) is not None:
             self._dispatch(held, item, now_s)
-        pause_s = held.limit.paused_until_s - read_clock_s()
+            now_s = read_clock_s()
+        pause_s = held.limit.paused_until_s - now_s
         if pause_s > 0:
             self._timers.call_later(pause_s, lambda: self.pump(server_id))
 
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -292,7 +292,7 @@
 
     def _on_batch(self, batch: AttemptBatch, link: Link) -> None:
         def reply(answer: AttemptReply) -> None:
-            link.send(AttemptReplyMessage(batch.query_id, answer))
+            link.send_soon(AttemptReplyMessage(batch.query_id, answer))
 
         self._holder.submit(batch, reply)
 
--- a/packages/nodes/mulberrybay_nodes/links.py
+++ b/packages/nodes/mulberrybay_nodes/links.py
@@ -55,6 +55,13 @@
         payload = encode_message(message, read_clock_s())
         return self.stream.send(wrap_frame(payload))
 
+    def send_soon(self, message: PeerMessage) -> bool:
+        """Sends a message together with others of this turn of the loop."""
+        if self.stream is None or not self.is_connected:
+            return False
+        payload = encode_message(message, read_clock_s())
+        return self.stream.send_soon(wrap_frame(payload))
+
     def on_connected(self, stream: Stream) -> None:
         """The dialled connection is open."""
         del stream
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -4,6 +4,7 @@
 timeout, so requests are written here and replies parsed by httptools.
 """
 
+import functools
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
@@ -41,6 +42,11 @@
     return "\r\n".join(lines).encode("latin-1") + body
 
 
+@functools.lru_cache(maxsize=256)
+def _lower_name(name: bytes) -> str:
+    return name.decode("latin-1").lower()
+
+
 class ReplyParser:
     """Parses the replies that arrive on one connection."""
 
@@ -76,7 +82,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Takes a header."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._headers[_lower_name(name)] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -84,6 +84,7 @@
         self.peer = peer
         self.observer = observer
         self.unsent = bytearray()
+        self.postponed: list[bytes] = []
         self.is_connecting = observer is not None
         self.is_open = True
 
@@ -95,6 +96,14 @@
         """
         return self._owner.send(self, data)
 
+    def send_soon(self, data: bytes) -> bool:
+        """Sends bytes at the end of this turn, together with others.
+
+        Returns:
+            False if the stream is closed.
+        """
+        return self._owner.send_soon(self, data)
+
     def close(self) -> None:
         """Closes the connection without telling the observer."""
         self._owner.close_stream(self, reason=None)
@@ -109,6 +118,7 @@
         super().__init__()
         self._poller = poller
         self._streams: dict[socket.socket, Stream] = {}
+        self._postponed: list[Stream] = []
         self._listeners: dict[
             socket.socket, Callable[[Stream], StreamObserver]
         ] = {}
@@ -155,10 +165,31 @@
         self._poller.addWriter(self, connection)
         return stream
 
+    def send_soon(self, stream: Stream, data: bytes) -> bool:
+        """Sends bytes at the end of the turn; see `Stream.send_soon`."""
+        if not stream.is_open or stream.is_connecting:
+            return False
+        if not stream.postponed:
+            self._postponed.append(stream)
+        stream.postponed.append(data)
+        return True
+
+    # After the timers, whose callbacks send too, and before the poller sleeps.
+    @handler("generate_events", channel="*", priority=-5)
+    def _on_turn_end(self, event: Event) -> None:
+        del event
+        while self._postponed:
+            self.send(self._postponed.pop(), b"")
+
     def send(self, stream: Stream, data: bytes) -> bool:
         """Sends bytes; see `Stream.send`."""
         if not stream.is_open or stream.is_connecting:
             return False
+        if stream.postponed:
+            data = b"".join(stream.postponed) + data
+            stream.postponed.clear()
+        if not data:
+            return True
         if len(stream.unsent) + len(data) > MAX_UNSENT_BYTES:
             self.close_stream(stream, "the peer does not read")
             return False
