--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -66,6 +66,7 @@
         self.query_id = query_id
         self.reply = reply
         self.timer: Timer | None = None
+        self.timer_due_s = 0.0
         self.is_finished = False
         # The servers of attempts without a reply; slow ones are counted.
         self.waiting: dict[int, str] = {}
@@ -237,8 +238,11 @@
                 )
 
     def _rearm(self, active: _ActiveQuery) -> None:
-        if active.timer is not None:
+        if active.timer is not None and not active.timer.is_cancelled:
+            if active.timer_due_s == active.run.wakeup_s:
+                return
             active.timer.cancel()
+        active.timer_due_s = active.run.wakeup_s
         active.timer = self._timers.call_at(
             active.run.wakeup_s, lambda: self._wake(active)
         )
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -8,11 +8,12 @@
 
 import contextlib
 import errno
+import select
 import socket
 from collections.abc import Callable
 from typing import Final, Protocol, Self
 
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 
 from mulberrybay_core.addresses import Address
@@ -22,6 +23,39 @@
 LISTEN_BACKLOG_COUNT: Final = 512
 
 
+class streams_ready(Event):  # noqa: N801
+    """Streams have bytes to read; circuits names events in lower case."""
+
+
+class StreamPoller(EPoll):
+    """Fires one event a turn for all the streams that have bytes to read.
+
+    An event costs more than the read that it announces.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._ready: list[socket.socket] = []
+
+    def take_ready(self) -> list[socket.socket]:
+        """Returns the sockets with bytes to read and forgets them."""
+        ready = self._ready
+        self._ready = []
+        return ready
+
+    def _process(self, fileno: int, event: int) -> None:
+        connection = self._map.get(fileno)
+        if event != select.EPOLLIN or not self._is_stream(connection):
+            super()._process(fileno, event)
+            return
+        if not self._ready:
+            self.fire(streams_ready(), Streams.channel)
+        self._ready.append(connection)
+
+    def _is_stream(self, connection: object) -> bool:
+        return bool(self.getTarget(connection) == Streams.channel)
+
+
 class StreamObserver(Protocol):
     """What the owner of a stream learns of it."""
 
@@ -50,6 +84,7 @@
         self.peer = peer
         self.observer = observer
         self.unsent = bytearray()
+        self.postponed: list[bytes] = []
         self.is_connecting = observer is not None
         self.is_open = True
 
@@ -61,6 +96,14 @@
         """
         return self._owner.send(self, data)
 
+    def send_soon(self, data: bytes) -> bool:
+        """Sends bytes at the end of this turn, together with others.
+
+        Returns:
+            False if the stream is closed.
+        """
+        return self._owner.send_soon(self, data)
+
     def close(self) -> None:
         """Closes the connection without telling the observer."""
         self._owner.close_stream(self, reason=None)
@@ -71,10 +114,11 @@
 
     channel = "streams"
 
-    def __init__(self, poller: EPoll) -> None:
+    def __init__(self, poller: StreamPoller) -> None:
         super().__init__()
         self._poller = poller
         self._streams: dict[socket.socket, Stream] = {}
+        self._postponed: list[Stream] = []
         self._listeners: dict[
             socket.socket, Callable[[Stream], StreamObserver]
         ] = {}
@@ -121,10 +165,31 @@
         self._poller.addWriter(self, connection)
         return stream
 
+    def send_soon(self, stream: Stream, data: bytes) -> bool:
+        """Sends bytes at the end of the turn; see `Stream.send_soon`."""
+        if not stream.is_open or stream.is_connecting:
+            return False
+        if not stream.postponed:
+            self._postponed.append(stream)
+        stream.postponed.append(data)
+        return True
+
+    # After the timers, whose callbacks send too, and before the poller sleeps.
+    @handler("generate_events", channel="*", priority=-5)
+    def _on_turn_end(self, event: Event) -> None:
+        del event
+        while self._postponed:
+            self.send(self._postponed.pop(), b"")
+
     def send(self, stream: Stream, data: bytes) -> bool:
         """Sends bytes; see `Stream.send`."""
         if not stream.is_open or stream.is_connecting:
             return False
+        if stream.postponed:
+            data = b"".join(stream.postponed) + data
+            stream.postponed.clear()
+        if not data:
+            return True
         if len(stream.unsent) + len(data) > MAX_UNSENT_BYTES:
             self.close_stream(stream, "the peer does not read")
             return False
@@ -162,6 +227,12 @@
         if reason is not None and stream.observer is not None:
             stream.observer.on_closed(stream, reason)
 
+    @handler("streams_ready")
+    def _on_ready(self) -> None:
+        # A socket that a fault leaves unread is ready again at the next poll.
+        for connection in self._poller.take_ready():
+            self._on_readable(connection)
+
     @handler("_read", priority=1)
     def _on_readable(self, connection: socket.socket) -> None:
         if connection in self._listeners:
