--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -6,9 +6,9 @@
 
 import os
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from types import SimpleNamespace
-from typing import Any, Final
+from typing import Final
 
 import pytest
 from hypothesis import HealthCheck, settings, strategies
@@ -102,7 +102,9 @@
 class _Node:
     """One process of a node, on a clock of its own."""
 
-    def __init__(self, world: "MemberMachine", index: int, now_s: float):
+    def __init__(
+        self, world: "MemberMachine", index: int, now_s: float
+    ) -> None:
         self.world = world
         self.index = index
         self.node_id = f"node-{index}"
@@ -140,7 +142,7 @@
         """The time on this process's clock."""
         return self.world.now_s + self.skew_s
 
-    def run(self, method: Any, *arguments: Any) -> None:
+    def run(self, method: Callable[..., object], *arguments: object) -> None:
         """Calls the task on this process's clock."""
         world = self.world
         member_task.read_clock_s = self.clock_s  # type: ignore[assignment]
