--- a/packages/backends/mulberrybay_backends/protocol.py
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -1,6 +1,7 @@
 """The requests to backend servers and what their replies mean."""
 
 import json
+import re
 from typing import Final
 
 from mulberrybay_core.attempts import AttemptKind
@@ -13,26 +14,32 @@
 from mulberrybay_core.fleet import BackendServer
 from mulberrybay_runtime.http_exchange import HttpReply, encode_request
 
-JSON_TYPE: Final = ("Content-Type", "application/json")
+MAX_RETRY_AFTER_S: Final = 60.0
 
 
 def encode_backend_request(
     server: BackendServer, request: BackendRequest, time_left_s: float
 ) -> bytes:
     """Returns the bytes of a search or a run."""
-    headers = [
-        JSON_TYPE,
-        ("X-Request-Id", request.request_id),
-        ("X-Deadline-Ms", str(max(0, int(time_left_s * 1000)))),
-    ]
     if request.kind is AttemptKind.RUN:
-        headers.append(("Idempotency-Key", request.idempotency_key))
         path = "/v1/run"
+        headers = f"Idempotency-Key: {request.idempotency_key}\r\n"
     else:
-        headers.append(("X-Index-Version", str(request.index_version)))
-        headers.append(("X-Shard", str(request.shard)))
         path = "/v1/search"
-    return encode_request("POST", path, server.address, headers, request.body)
+        headers = (
+            f"X-Index-Version: {request.index_version}\r\n"
+            f"X-Shard: {request.shard}\r\n"
+        )
+    deadline_ms = max(0, int(time_left_s * 1000))
+    # Written out in one piece: this runs for every sub-request.
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {server.address}\r\n"
+        "Content-Type: application/json\r\n"
+        f"X-Request-Id: {request.request_id}\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\n{headers}"
+        f"Content-Length: {len(request.body)}\r\n\r\n"
+    )
+    return head.encode("latin-1") + request.body
 
 
 def encode_cancel(server: BackendServer, request_id: str) -> bytes:
@@ -50,7 +57,8 @@
     if reply.headers.get("x-request-id") != request.request_id:
         return _bad_reply("the reply is to another request")
     if reply.status == 200:
-        return _read_success(request, reply)._replace(is_leaving=is_leaving)
+        result = _read_success(request, reply)
+        return result._replace(is_leaving=True) if is_leaving else result
     said_not_run = reply.headers.get("x-not-run") == "1"
     result = BackendResult(
         outcome=_OUTCOMES.get(reply.status, BackendOutcome.BAD_REPLY),
@@ -90,21 +98,29 @@
 def _read_hits(body: bytes) -> BackendResult:
     """Takes the hits out of a search's reply: a JSON array."""
     try:
-        hits = json.loads(body)["hits"]
-    except (ValueError, KeyError, TypeError):
+        document = json.loads(body.decode())
+        hits = document["hits"]
+    except (ValueError, KeyError, TypeError, RecursionError):
         return _bad_reply("the reply is not an object with hits")
     if not isinstance(hits, list):
         return _bad_reply("the hits are not a list")
-    hits_json = json.dumps(hits).encode()
+    if not hits:
+        hits_json = b"[]"
+    elif len(document) == 1 and body.count(b'"hits"') == 1:
+        # The array is all that stands between the outermost brackets.
+        hits_json = body[body.index(b"[") : body.rindex(b"]") + 1]
+    else:
+        hits_json = json.dumps(hits).encode()
     return BackendResult(BackendOutcome.OK, RunState.RAN, body=hits_json)
 
 
 def _read_run_result(body: bytes) -> BackendResult:
+    """Takes a run's result, as JSON in ASCII whatever its encoding was."""
     try:
-        json.loads(body)
-    except ValueError:
+        result_json = json.dumps(json.loads(body)).encode()
+    except (ValueError, RecursionError):
         return _bad_reply("the result is not JSON")
-    return BackendResult(BackendOutcome.OK, RunState.RAN, body=body)
+    return BackendResult(BackendOutcome.OK, RunState.RAN, body=result_json)
 
 
 def _bad_reply(detail: str) -> BackendResult:
@@ -115,13 +131,17 @@
 
 def _read_retry_after_s(reply: HttpReply) -> float:
     try:
-        return max(0.0, float(reply.headers.get("retry-after", "0")))
+        retry_after_s = float(reply.headers.get("retry-after", "0"))
     except ValueError:
         return 0.0
+    # The comparison is false for a NaN too.
+    return min(retry_after_s, MAX_RETRY_AFTER_S) if retry_after_s > 0 else 0.0
 
 
 def _read_versions(reply: HttpReply) -> tuple[int, ...]:
     text = reply.headers.get("x-index-versions", "")
     return tuple(
-        int(part) for part in text.split(",") if part.strip().isdigit()
+        int(part)
+        for part in text.split(",")
+        if re.fullmatch(r"\s*[0-9]{1,9}\s*", part)
     )
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -21,6 +21,7 @@
 from mulberrybay_core.fleet import Fleet
 from mulberrybay_core.held_server import HeldServer, QueuedAttempt
 from mulberrybay_core.holdings import Holdings
+from mulberrybay_core.operator_messages import Drain
 from mulberrybay_daemon.gate import Gate
 from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_runtime.clock import read_clock_s
@@ -38,6 +39,7 @@
     BackendOutcome.CANCELLED: AttemptOutcome.CANCELLED,
     BackendOutcome.CONNECTION_LOST: AttemptOutcome.CONNECTION_LOST,
     BackendOutcome.BAD_REPLY: AttemptOutcome.BAD_REPLY,
+    BackendOutcome.NOT_ALLOWED: AttemptOutcome.NOT_ALLOWED,
 }
 
 
@@ -70,11 +72,20 @@
             server = fleet.server(held.server.server_id)
             if server is not None:
                 held.server = server
+        self.restart_unused()
+
+    def restart_unused(self) -> None:
+        """Lets servers that are out of service start at one on return."""
+        for held in self._held.values():
+            if not self._gate.may_use(held.server):
+                held.limit.restart()
 
     def submit(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
         """Queues the attempts of a batch; see `AttemptCarrier.send`."""
         for attempt in batch.attempts:
-            self._submit_one(QueuedAttempt(batch, attempt, reply))
+            request_id = f"{batch.query_id}-{attempt.attempt_id}"
+            self._submit_one(QueuedAttempt(batch, attempt, reply, request_id))
+        self._timers.call_at(batch.deadline_at_s, lambda: self._expire(batch))
 
     def _submit_one(self, item: QueuedAttempt) -> None:
         server = self._fleet.server(item.attempt.server_id)
@@ -91,9 +102,6 @@
             self._refuse(item, AttemptOutcome.QUEUE_FULL)
             return
         self._server_by_request[item.request_id] = server.server_id
-        self._timers.call_at(
-            item.batch.deadline_at_s, lambda: self._expire(held)
-        )
         self.pump(server.server_id)
 
     def _refuse(self, item: QueuedAttempt, outcome: AttemptOutcome) -> None:
@@ -109,22 +117,23 @@
         )
         item.reply(reply._replace(load=held.load()) if held else reply)
 
-    def _expire(self, held: HeldServer) -> None:
-        for item in held.take_expired(read_clock_s()):
-            self._refuse(item, AttemptOutcome.DEADLINE)
+    def _expire(self, batch: AttemptBatch) -> None:
+        now_s = read_clock_s()
+        for attempt in batch.attempts:
+            held = self._held.get(attempt.server_id)
+            for item in held.take_expired(now_s) if held else ():
+                self._refuse(item, AttemptOutcome.DEADLINE)
 
     def pump(self, server_id: str) -> None:
         """Dispatches what the server may have now."""
         held = self._held.get(server_id)
         if held is None or not self._holdings.is_held(server_id):
             return
-        while True:
-            now_s = read_clock_s()
-            item = held.take_next(now_s)
-            if item is None:
-                break
+        now_s = read_clock_s()
+        while (item := held.take_next(now_s)) is not None:
             self._dispatch(held, item, now_s)
-        pause_s = held.limit.paused_until_s - read_clock_s()
+            now_s = read_clock_s()
+        pause_s = held.limit.paused_until_s - now_s
         if pause_s > 0:
             self._timers.call_later(pause_s, lambda: self.pump(server_id))
 
@@ -137,7 +146,7 @@
         if not self._gate.may_dispatch(held.server, now_s):
             self._refuse(item, AttemptOutcome.NOT_ALLOWED)
             return
-        held.outstanding[item.request_id] = item
+        held.begin(item, now_s)
         self.dispatch_counts[held.server.failure_domain] += 1
         request = BackendRequest(
             request_id=item.request_id,
@@ -153,6 +162,7 @@
         self._connections.execute(
             held.server,
             request,
+            lambda: self._gate.may_dispatch(held.server, read_clock_s()),
             lambda result: self._on_result(held, item, result),
         )
 
@@ -160,11 +170,13 @@
         self, held: HeldServer, item: QueuedAttempt, result: BackendResult
     ) -> None:
         server_id = held.server.server_id
-        held.outstanding.pop(item.request_id, None)
+        held.end(item.request_id)
         self._server_by_request.pop(item.request_id, None)
         self._update_limit(held, result)
         if result.run_state is RunState.RAN or result.is_leaving:
-            self._leaving_servers.note_reply(server_id, result.is_leaving)
+            self._leaving_servers.note_reply(
+                server_id, result.is_leaving, read_clock_s()
+            )
         outcome = _OUTCOMES[result.outcome]
         self.outcome_counts[outcome] += 1
         item.reply(
@@ -186,11 +198,10 @@
     def _update_limit(self, held: HeldServer, result: BackendResult) -> None:
         if result.outcome is BackendOutcome.OK:
             held.limit.on_success(result.latency_s)
-        elif result.outcome in {
-            BackendOutcome.SHED,
-            BackendOutcome.DEADLINE,
-            BackendOutcome.CONNECTION_LOST,
-        }:
+        elif result.outcome is BackendOutcome.CONNECTION_LOST:
+            # The server may have restarted, and be cold.
+            held.limit.restart()
+        elif result.outcome in {BackendOutcome.SHED, BackendOutcome.DEADLINE}:
             held.limit.on_overload(read_clock_s(), result.retry_after_s)
 
     def cancel(self, query_id: str, attempt_ids: Iterable[int]) -> None:
@@ -251,3 +262,11 @@
     def outstanding_count(self) -> int:
         """Attempts dispatched and not yet answered."""
         return sum(len(held.outstanding) for held in self._held.values())
+
+    def drains(self) -> tuple[Drain, ...]:
+        """Returns the servers that get no new work and still have some."""
+        return tuple(
+            Drain(server_id, held.server.failure_domain, len(held.outstanding))
+            for server_id, held in self._held.items()
+            if held.outstanding and not self._gate.may_use(held.server)
+        )
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -8,9 +8,9 @@
 from typing import Any, Final, Self
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
 
 from mulberrybay_backends.connections import BackendPool
+from mulberrybay_backends.health import HealthConnections
 from mulberrybay_callers.application import CallerApplication
 from mulberrybay_core.admission import Admission
 from mulberrybay_core.attempts import AttemptBatch, AttemptReply
@@ -29,16 +29,19 @@
 )
 from mulberrybay_core.membership import Membership
 from mulberrybay_core.replica_choice import LeastExpectedWait
+from mulberrybay_core.server_waits import ServerWaits
 from mulberrybay_daemon.attempt_router import AttemptRouter, HolderMap
 from mulberrybay_daemon.configuration_task import ConfigurationTask
 from mulberrybay_daemon.coordinator import Coordinator
 from mulberrybay_daemon.fleet_task import FleetTask
 from mulberrybay_daemon.gate import Gate
+from mulberrybay_daemon.health_task import HealthTask
 from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
 from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_daemon.member_task import MemberTask
-from mulberrybay_daemon.operator_desk import OperatorDesk
-from mulberrybay_daemon.operator_service import NodeOperatorService
+from mulberrybay_daemon.node_parts import NodeParts
+from mulberrybay_daemon.operator_side import OperatorSide
+from mulberrybay_daemon.record_expiry import RecordExpiry
 from mulberrybay_daemon.runs import RunCoordinator
 from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
 from mulberrybay_daemon.settings import NodeSettings
@@ -48,17 +51,21 @@
     CancelMessage,
     PeerMessage,
 )
-from mulberrybay_operators.application import OperatorApplication
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.faults import FaultLog
 from mulberrybay_runtime.http_server import HttpServer
 from mulberrybay_runtime.logs import StateLog
-from mulberrybay_runtime.streams import Streams
+from mulberrybay_runtime.streams import StreamPoller, Streams
 from mulberrybay_runtime.timers import Timers
 
 STATUS_PERIOD_S: Final = 0.2
+STOP_POLL_S: Final = 0.05
+GOODBYE_S: Final = 0.1
 STOP_GRACE_S: Final = ADDRESS_TIME_TO_LIVE_S + 1.0
 STOP_LIMIT_S: Final = 30.0
+# How long a stop waits for a platform that does not take the outcomes of runs.
+SAVE_LIMIT_S: Final = STOP_GRACE_S + 5.0
 
 
 class Node(BaseComponent):
@@ -72,13 +79,16 @@
         self._settings = settings
         self._log = StateLog("node")
         self._exits = contextlib.ExitStack()
-        self._poller = EPoll().register(self)
+        self._faults = FaultLog().register(self)
+        self._poller = StreamPoller().register(self)
         self._timers = Timers().register(self)
         self._streams = Streams(self._poller).register(self)
         info = NodeInfo(
             node_id=settings.node_id,
             failure_domain=settings.failure_domain,
-            peer_address=settings.peer_address,
+            peer_address=(
+                settings.advertised_peer_address or settings.peer_address
+            ),
             caller_address=settings.caller_address,
         )
         self._membership = Membership(
@@ -86,6 +96,13 @@
         )
         self._holdings = Holdings(settings.node_id, ATTEMPT_LIMIT_S)
         leaving_servers = LeavingServers()
+        self._health_connections = HealthConnections(self._streams)
+        self._health = HealthTask(
+            self._holdings,
+            leaving_servers,
+            self._health_connections,
+            self._timers,
+        )
         self._gate = Gate(self._membership, leaving_servers)
         self._backends = BackendPool(self._streams, self._timers)
         self._holder = Holder(
@@ -131,18 +148,23 @@
             self._router,
             Admission(settings.admission),
             self._timers,
+            settings.policy,
         )
         self._runs = RunCoordinator(
             process_id,
+            settings.runs,
             self._gate,
             self._router,
             self._store,
             self._timers,
-            LeastExpectedWait(random.Random()),
+            LeastExpectedWait(random.Random(), ServerWaits()),
         )
         self._fleet_task = FleetTask(
             self._store, self._timers, self._coordinator.catalog, self._on_fleet
         )
+        self._expiry = RecordExpiry(
+            settings.runs, self._store, self._timers, self._should_sweep
+        )
         self._service = NodeService(
             self._membership,
             self._members,
@@ -151,23 +173,21 @@
             self._runs,
         )
         self._caller_application = CallerApplication(self._service)
-        self._desk = OperatorDesk(
-            self._store,
-            self._timers,
-            self._configuration,
-            lambda: self._membership.has_lease(read_clock_s()),
-        )
-        self._operator_application = OperatorApplication(
-            NodeOperatorService(
-                self._membership,
-                self._holdings,
-                self._holder,
-                self._configuration,
-                self._desk,
-                self._active_count,
-            ),
-            settings.operator_token,
+        parts = NodeParts(
+            timers=self._timers,
+            faults=self._faults,
+            membership=self._membership,
+            holdings=self._holdings,
+            holder=self._holder,
+            backends=self._backends,
+            links=self._links,
+            store=self._store,
+            configuration=self._configuration,
+            members=self._members,
+            coordinator=self._coordinator,
+            runs=self._runs,
         )
+        self._operators = OperatorSide(settings, parts, self._log)
         self._stop_began_at_s: float | None = None
 
     def __enter__(self) -> Self:
@@ -181,21 +201,31 @@
         self._exits.enter_context(self._links)
         self._exits.enter_context(self._store)
         self._exits.enter_context(self._backends)
+        self._exits.enter_context(self._health_connections)
         self._caller_server = HttpServer(
             settings.caller_address, self._caller_application, "callers"
         ).register(self)
         HttpServer(
-            settings.operator_address, self._operator_application, "operators"
+            settings.operator_address, self._operators.application, "operators"
         ).register(self)
         self._links.listen(settings.peer_address)
         self._learn_seeds()
         self._members.start()
+        self._health.start()
         self._configuration.start(
             lambda: self._membership.live_nodes(read_clock_s())
         )
         self._fleet_task.start()
+        self._expiry.start()
+        self._operators.start()
         self._timers.call_every(STATUS_PERIOD_S, self._update_serving)
-        self._log.info("listening", callers=str(settings.caller_address))
+        self._log.info(
+            "listening",
+            step="start",
+            peer="",
+            callers=str(settings.caller_address),
+            operators=str(settings.operator_address),
+        )
         return self
 
     def __exit__(
@@ -212,29 +242,45 @@
 
     def _on_fleet(self, fleet: Fleet) -> None:
         self._gate.set_fleet(fleet)
+        self._health.set_fleet(fleet)
         self._holder.set_fleet(fleet)
         self._coordinator.set_fleet(fleet)
         self._runs.set_fleet(fleet)
         self._members.set_fleet(fleet)
-        self._desk.set_fleet(fleet)
+        self._operators.set_fleet(fleet)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._log.info(
-            "configuration in force", revision=configuration.revision
+            "configuration in force",
+            step="configuration",
+            peer="",
+            revision=configuration.revision,
         )
         self._gate.set_configuration(configuration)
+        self._holder.restart_unused()
         self._members.set_configuration(configuration)
+        self._coordinator.levels.set_configuration(configuration)
 
-    def _update_serving(self) -> None:
-        is_serving = (
+    def _should_sweep(self) -> bool:
+        live = self._membership.live_nodes(read_clock_s())
+        first_id = min(info.node_id for info in live)
+        return first_id == self._settings.node_id and self._can_act()
+
+    def _can_act(self) -> bool:
+        return (
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
             and not self._membership.steps_down
-            and self._stop_began_at_s is None
         )
+
+    def _update_serving(self) -> None:
+        is_serving = self._can_act() and self._stop_began_at_s is None
+        live = self._membership.live_nodes(read_clock_s())
+        self._runs.set_node_count(len(live))
         info = self._membership.info
         if info.is_serving != is_serving:
-            self._log.info("serving" if is_serving else "not serving")
+            message = "serving" if is_serving else "not serving"
+            self._log.info(message, step="admission", peer="")
             self._membership.info = info._replace(is_serving=is_serving)
 
     def _active_count(self) -> int:
@@ -268,7 +314,7 @@
 
     def _on_batch(self, batch: AttemptBatch, link: Link) -> None:
         def reply(answer: AttemptReply) -> None:
-            link.send(AttemptReplyMessage(batch.query_id, answer))
+            link.send_soon(AttemptReplyMessage(batch.query_id, answer))
 
         self._holder.submit(batch, reply)
 
@@ -287,7 +333,7 @@
 
     def _begin_stop(self) -> None:
         """Leaves the address answers, but keeps serving for their life."""
-        self._log.info("stopping")
+        self._log.info("stopping", step="stop", peer="")
         self._stop_began_at_s = read_clock_s()
         self._membership.info = self._membership.info._replace(
             is_leaving=True, is_serving=False
@@ -298,15 +344,22 @@
     def _finish_stop(self) -> None:
         """Exits once nothing is in progress."""
         self._service.is_closed = True
-        began_at_s = self._stop_began_at_s or 0.0
+        age_s = read_clock_s() - (self._stop_began_at_s or 0.0)
         is_idle = (
             self._active_count() == 0
             and self._holder.outstanding_count == 0
             and self._caller_server.pending_count == 0
         )
-        if is_idle or read_clock_s() - began_at_s > STOP_LIMIT_S:
+        is_saved = self._runs.unsaved_count == 0 or age_s > SAVE_LIMIT_S
+        if (is_idle and is_saved) or age_s > STOP_LIMIT_S:
             self._members.say_goodbye()
-            self._log.info("stopped", was_idle=is_idle)
-            self._timers.call_later(0.1, self.stop)
+            self._log.info(
+                "stopped",
+                step="stop",
+                peer="",
+                was_idle=is_idle,
+                unsaved_count=self._runs.unsaved_count,
+            )
+            self._timers.call_later(GOODBYE_S, self.stop)
             return
-        self._timers.call_later(0.05, self._finish_stop)
+        self._timers.call_later(STOP_POLL_S, self._finish_stop)
