--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -259,6 +259,7 @@
         self._gate.set_configuration(configuration)
         self._holder.restart_unused()
         self._members.set_configuration(configuration)
+        self._service.set_configuration(configuration)
         self._coordinator.levels.set_configuration(configuration)
 
     def _should_sweep(self) -> bool:
--- a/packages/daemon/mulberrybay_daemon/service.py
+++ b/packages/daemon/mulberrybay_daemon/service.py
@@ -5,7 +5,7 @@
 from expression import Error, Ok, Result
 
 from mulberrybay_core.burn import RequestEnd
-from mulberrybay_core.configuration import WorkClass
+from mulberrybay_core.configuration import Configuration, WorkClass
 from mulberrybay_core.errors import Failure, FailureKind, Step
 from mulberrybay_core.membership import Membership
 from mulberrybay_core.queries import (
@@ -45,8 +45,24 @@
         self._gate = gate
         self._coordinator = coordinator
         self._runs = runs
+        self._out_since_s: float | None = None
         self.is_closed = False
 
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Takes the configuration in force."""
+        domain = self._membership.info.failure_domain
+        if domain not in configuration.out_domains:
+            self._out_since_s = None
+        elif self._out_since_s is None:
+            self._out_since_s = read_clock_s()
+
+    def _is_out(self, now_s: float) -> bool:
+        """Whether callers have had the time to learn of other addresses."""
+        return (
+            self._out_since_s is not None
+            and now_s - self._out_since_s > ADDRESS_TIME_TO_LIVE_S
+        )
+
     def has_class(self, class_name: str) -> bool:
         """Returns whether the configuration in force has that class."""
         # Without a configuration nothing is known of any class; the request
@@ -68,6 +84,9 @@
             self._note_end(work_class, "refused", RequestEnd(0.0, False))
         if self.is_closed:
             return Error(self._refusal(FailureKind.LEAVING, "stopping"))
+        if self._is_out(now_s):
+            detail = "this node's failure domain is out of service"
+            return Error(self._refusal(FailureKind.OUT_OF_SERVICE, detail))
         if work_class is None or not has_lease:
             detail = "no lease from a majority of nodes, or no configuration"
             return Error(self._refusal(FailureKind.NO_LEASE, detail))
--- /dev/null
+++ b/tests/test_promise_domain_out.py
@@ -0,0 +1,140 @@
+"""Promise 4: a failure domain taken out gets no new work 3 s later."""
+
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.history import (
+    CallerLoad,
+    answer_problems,
+    ask,
+    requests_within,
+    wait_until,
+)
+
+OUT_DOMAIN = "d2"
+GRACE_S = 3.0
+WATCH_S = 2.0
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    """Four nodes, so that one failure domain has two."""
+    with Deployment(
+        tmp_path_factory.mktemp("out"), (search_class(),), node_count=4
+    ) as running:
+        yield running
+
+
+def _servers_in(deployment: Deployment, domain: str) -> set[str]:
+    return {
+        server["vm_id"]
+        for server in deployment.backends
+        if server["failure_domain"] == domain
+    }
+
+
+def _watch_after(changed_at_s: float) -> None:
+    ends_at_s = changed_at_s + GRACE_S + WATCH_S
+    wait_until(lambda: time.time() > ends_at_s, 10, "the watched time")
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {},
+        # Queues fill, attempts are retried and hedged.
+        {
+            "slow_factor": 30.0,
+            "reply_fault": "cut_short",
+            "reply_fault_probability": 0.3,
+        },
+    ],
+)
+def test_domain_out_gets_no_new_work(
+    deployment: Deployment, fault: dict[str, object]
+) -> None:
+    vm_ids = _servers_in(deployment, OUT_DOMAIN)
+    deployment.control_backends({"all": True}, **fault)
+    with CallerLoad(deployment, caller_count=8, deadline_ms=800) as load:
+        load.wait_answers(10)
+        changed_at_s = time.time()
+        deployment.put_configuration(out_domains=frozenset({OUT_DOMAIN}))
+        _watch_after(changed_at_s)
+    events = deployment.backend_events()
+    assert requests_within(events, vm_ids, 0, changed_at_s)
+    assert requests_within(events, vm_ids, changed_at_s + GRACE_S) == []
+    assert answer_problems(load.records, {1: 4}) == []
+    _check_nodes_take_no_work(deployment)
+    deployment.control_backends(
+        {"all": True}, slow_factor=1.0, reply_fault=None
+    )
+    returned_at_s = time.time()
+    deployment.put_configuration(out_domains=frozenset())
+    with CallerLoad(deployment, caller_count=8):
+        wait_until(
+            lambda: bool(
+                requests_within(
+                    deployment.backend_events(), vm_ids, returned_at_s
+                )
+            ),
+            10,
+            "work again",
+        )
+    deployment.wait_serving()
+
+
+def _check_nodes_take_no_work(deployment: Deployment) -> None:
+    """Nodes of the domain hold nothing and refuse callers as not run."""
+    for node in deployment.nodes:
+        record = ask(node, "field-search", "late", b'"late"')
+        if node.failure_domain != OUT_DOMAIN:
+            assert record.status == 200
+            continue
+        assert record.status == 503
+        assert record.document["error"]["run_state"] == "not_run"
+        assert deployment.status(node)["held_count"] == 0
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"outage": "silent"},
+        {"outage": "unavailable"},
+        {"lose_answers": {"kind": "configuration", "count": 1}},
+    ],
+)
+def test_change_in_an_outage_is_refused_or_in_force_everywhere(
+    deployment: Deployment, fault: dict[str, object]
+) -> None:
+    vm_ids = _servers_in(deployment, OUT_DOMAIN)
+    deployment.wait_serving()
+    deployment.control_platform(**fault)
+    with CallerLoad(deployment, caller_count=4) as load:
+        answer = deployment.change(
+            deployment.nodes[0], f"/v1/domains/{OUT_DOMAIN}", {"state": "out"}
+        )
+        answered_at_s = time.time()
+        deployment.control_platform(outage=None)
+        outcome = answer.json()["outcome"]
+        _watch_after(answered_at_s)
+    late = requests_within(
+        deployment.backend_events(), vm_ids, answered_at_s + GRACE_S
+    )
+    is_out = OUT_DOMAIN in _stored_configuration(deployment)["out_domains"]
+    assert outcome in {"accepted", "not_accepted", "not_known"}
+    assert outcome != "accepted" or (is_out and late == [])
+    assert outcome != "not_accepted" or (not is_out and late != [])
+    assert answer_problems(load.records, {1: 4}) == []
+    deployment.put_configuration(out_domains=frozenset())
+
+
+def _stored_configuration(deployment: Deployment) -> dict[str, Any]:
+    stored = deployment.get_object("configuration", "current").json()
+    value: dict[str, Any] = stored["value"]
+    return value
