--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -174,7 +174,9 @@
         self._server_by_request.pop(item.request_id, None)
         self._update_limit(held, result)
         if result.run_state is RunState.RAN or result.is_leaving:
-            self._leaving_servers.note_reply(server_id, result.is_leaving)
+            self._leaving_servers.note_reply(
+                server_id, result.is_leaving, read_clock_s()
+            )
         outcome = _OUTCOMES[result.outcome]
         self.outcome_counts[outcome] += 1
         item.reply(
@@ -251,6 +253,11 @@
             if not held.outstanding:
                 del self._held[server_id]
 
+    def has_outstanding(self, server_id: str) -> bool:
+        """Returns whether a server still works on attempts of this node."""
+        held = self._held.get(server_id)
+        return held is not None and bool(held.outstanding)
+
     @property
     def outstanding_count(self) -> int:
         """Attempts dispatched and not yet answered."""
--- /dev/null
+++ b/tests/test_promise_server_leaving.py
@@ -0,0 +1,101 @@
+"""Promise 8: a leaving backend server gets no new work a few seconds on."""
+
+import functools
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.history import (
+    CallerLoad,
+    answer_problems,
+    requests_within,
+    wait_until,
+)
+
+GRACE_S = 3.0
+WATCH_S = 3.0
+LIST_LAG_S = 10.0
+
+
+@pytest.fixture(scope="module")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Deployment]:
+    """Four shards, two replicas of each, and a list that lags 10 s."""
+    with Deployment(
+        tmp_path_factory.mktemp("leaving"), (search_class(),)
+    ) as running:
+        running.control_platform(vm_list_lag_s=LIST_LAG_S)
+        yield running
+
+
+def _reached(deployment: Deployment, vm_id: str, from_s: float) -> bool:
+    events = deployment.backend_events("request")
+    return bool(requests_within(events, {vm_id}, from_s))
+
+
+@pytest.mark.parametrize(
+    ("health_by_replica", "pause_s"),
+    [
+        # One of them with health that goes on to say live.
+        ({0: None, 2: "live"}, 0.01),
+        # Too little traffic for replies to tell: one query in 4 s.
+        ({4: None}, 4.0),
+    ],
+)
+def test_leaving_server_gets_no_new_work_and_comes_back(
+    deployment: Deployment,
+    health_by_replica: dict[int, str | None],
+    pause_s: float,
+) -> None:
+    vm_ids = [deployment.backends[n]["vm_id"] for n in health_by_replica]
+    with CallerLoad(deployment, caller_count=3) as load:
+        load.wait_answers(30)
+    with CallerLoad(deployment, caller_count=3, pause_s=pause_s) as load:
+        began_at_s = time.time()
+        for vm_id, health in zip(
+            vm_ids, health_by_replica.values(), strict=True
+        ):
+            deployment.control_backends(
+                {"vm_ids": [vm_id]}, leaving=True, health_says=health
+            )
+        ends_at_s = began_at_s + GRACE_S + WATCH_S
+        wait_until(lambda: time.time() > ends_at_s, 10, "the watched time")
+    late = requests_within(
+        deployment.backend_events(), vm_ids, began_at_s + GRACE_S
+    )
+    assert late == []
+    assert load.answered()
+    assert answer_problems(load.records, {1: 4}) == []
+    for record in load.answered():
+        assert record.document["coverage"]["missing_shards"] == []
+    deployment.control_backends(
+        {"vm_ids": vm_ids}, leaving=False, health_says=None
+    )
+    back_at_s = time.time()
+    with CallerLoad(deployment, caller_count=3):
+        for vm_id in vm_ids:
+            wait_until(
+                functools.partial(_reached, deployment, vm_id, back_at_s),
+                25,
+                "work again",
+            )
+
+
+def test_false_health_takes_no_busy_server_out(deployment: Deployment) -> None:
+    """All servers call themselves leaving, and none is."""
+    with CallerLoad(deployment, caller_count=3) as load:
+        load.wait_answers(30)
+        deployment.control_backends({"all": True}, health_says="leaving")
+        began_at_s = time.time()
+        ends_at_s = began_at_s + 4.0
+        wait_until(lambda: time.time() > ends_at_s, 10, "the watched time")
+    deployment.control_backends({"all": True}, health_says=None)
+    late = [
+        item for item in load.answered() if item.started_at_s > ends_at_s - 1
+    ]
+    assert late
+    for record in late:
+        assert record.document["coverage"]["missing_shards"] == []
