Drop a node's own heartbeat that comes back over a seed

Cause: a list of seeds that names all nodes, the node itself included, is the natural setting; the node dials itself and its heartbeat raised KeyError in every period (seen five times in 7 s in a trial). Ruled out: leaving the own address out of the seeds, since an address may be reached under another number. Change: a heartbeat with the node's own identity is dropped. Figures: the new test failed with KeyError before, passes after (one trial). Conclusion: the same list of seeds serves every node.

--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -147,7 +147,9 @@
             links.send(target.peer_id, claim)
 
     def on_heartbeat(self, heartbeat: Heartbeat, link: Link) -> None:
-        """Answers a peer's heartbeat."""
+        """Answers a peer's heartbeat; its own comes back if it is a seed."""
+        if heartbeat.sender.node_id == self._membership.info.node_id:
+            return
         ack = self._membership.on_heartbeat(heartbeat, read_clock_s())
         link.send(ack)
         self._revisions.on_peer_revision(
