--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -21,13 +21,12 @@
 from mulberrybay_core.fleet import Fleet
 from mulberrybay_core.policy_arms import PolicySettings, make_class_policies
 from mulberrybay_core.queries import QueryAnswer, QueryReply, QueryRequest
-from mulberrybay_core.query_run import (
-    UNSENT_OUTCOMES,
+from mulberrybay_core.query_context import (
     ClassPolicies,
     QueryContext,
-    QueryRun,
     QueryStep,
 )
+from mulberrybay_core.query_run import UNSENT_OUTCOMES, QueryRun
 from mulberrybay_core.service_levels import ServiceLevels
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 from mulberrybay_daemon.gate import Gate
@@ -45,6 +44,13 @@
 )
 
 
+def _outcome_name(result: Result[QueryAnswer, Failure]) -> str:
+    if result.is_ok():
+        return "answered"
+    is_refusal = result.error.kind is FailureKind.OVERLOADED
+    return "refused" if is_refusal else "failed"
+
+
 class _ActiveQuery:
     """A query in progress."""
 
@@ -259,6 +265,7 @@
             covered_count=active.run.covered_count,
             attempt_count=active.attempt_count,
         )
-        outcome = "answered" if result.is_ok() else "failed"
-        self.levels.note_end(now_s, active.work_class, outcome, end)
+        self.levels.note_end(
+            now_s, active.work_class, _outcome_name(result), end
+        )
         active.reply(result)
--- a/packages/daemon/mulberrybay_daemon/settings.py
+++ b/packages/daemon/mulberrybay_daemon/settings.py
@@ -20,6 +20,8 @@
         operator_address: Where it listens for operators.
         platform_address: The platform's object API.
         platform_timeout_s: How long a call to the platform may take.
+        advertised_peer_address: Where other nodes reach this one, if that is
+            not the address at which it listens.
         seed_addresses: Peers to ask for members when the platform is down.
         operator_token: What operators must show; empty to refuse them all.
         log_level: The lowest level that is logged.
@@ -37,6 +39,7 @@
     operator_address: Address
     platform_address: Address
     platform_timeout_s: float = 1.0
+    advertised_peer_address: Address | None = None
     seed_addresses: tuple[Address, ...] = ()
     operator_token: str = ""
     log_level: str = "info"
--- a/packages/daemon/mulberrybay_daemon/settings_checks.py
+++ b/packages/daemon/mulberrybay_daemon/settings_checks.py
@@ -107,6 +107,7 @@
     "failure_domain": _check_text,
     **dict.fromkeys(ADDRESS_KEYS, _check_address),
     "platform_timeout_s": _check_number,
+    "advertised_peer_address": _check_address,
     "seed_addresses": _check_addresses,
     "operator_token": _check_any_text,
     "log_level": _make_choice_check(LOG_LEVELS),
