Name the nodes that the burn report does not cover

Cause: the report adds up the nodes that are named and was silent on others. Change: the cluster's other nodes are listed as not covered. Conclusion: a partial report says so.

--- a/packages/operators/mulberrybay_operators/burn_command.py
+++ b/packages/operators/mulberrybay_operators/burn_command.py
@@ -22,7 +22,7 @@
 
     Attributes:
         nodes: What each node counted.
-        silent: Nodes that gave no answer.
+        silent: Nodes that gave no answer or were not asked.
         classes: The sums, by class of work.
     """
 
@@ -69,10 +69,27 @@
                 silent.append(answer.describe())
             case Result(error=no_answer):
                 silent.append(no_answer.detail)
+    silent += _find_unasked(session, {node.node_id for node in nodes})
     classes = merge_classes(item for node in nodes for item in node.classes)
     return BurnReport(tuple(nodes), tuple(silent), classes)
 
 
+def _find_unasked(session: Session, asked_ids: set[str]) -> list[str]:
+    """Returns the nodes that the cluster has and that were not asked."""
+    request = NodeRequest("GET", "/v1/cluster")
+    for address in session.client.addresses:
+        match session.client.ask(address, request, BURN_TIMEOUT_S):
+            case Result(tag="ok", ok=answer) if answer.status == 200:
+                return [
+                    f"{node['node_id']} (not named with --node)"
+                    for node in answer.json()["nodes"]
+                    if node["node_id"] not in asked_ids
+                ]
+            case _:
+                pass
+    return []
+
+
 def encode_report(report: BurnReport) -> dict[str, Any]:
     """Returns the report for programs."""
     return {
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -70,6 +70,10 @@
     objectives = {x["objective"]: x for x in item["objectives"]}
     worst = {x["server_id"] for x in item["contributors"]}
     text = page.read_text(encoding="utf-8")
+    only_one = f"127.0.0.1:{deployment.nodes[0].operator_port}"
+    part = run_json(deployment, "report", "burn", "--node", only_one)
+    assert [str(x).split()[0] for x in part["silent"]] == ["node-2", "node-3"]  # type: ignore[attr-defined]
+    assert len(report["silent"]) == 1  # type: ignore[arg-type]
     assert item["since_start"]["answer_count"] == 6
     assert item["since_start"]["missing_count"] == 6
     assert objectives["coverage"]["state"] == "burning_fast"
