Learn warm latency from replies and suspect what is overdue

Change: a cancelled request that was overdue counts as a slow reply; while a request is overdue a server gets no second one and new searches are turned back at once, unsent, to go to the other replica; the running median of servers that any holder found warm is the baseline of those that are unknown; a hedge that was turned back is tried again; own attempts since the last reply count into the expected wait.

--- a/packages/core/mulberrybay_core/admission.py
+++ b/packages/core/mulberrybay_core/admission.py
@@ -14,6 +14,9 @@
 MIN_RETRY_AFTER_S: Final = 0.05
 # Less than this many service times of waiting is no reason to refuse.
 MIN_QUEUE_RATIO: Final = 1.5
+# The share of the time left that the expected wait may fill: other nodes
+# send to the same queues.
+WAIT_SHARE: Final = 0.7
 
 
 class AdmissionSettings(NamedTuple):
@@ -104,6 +107,7 @@
     if 2 * worst.service_s <= lateness_left_s:
         left_s = min(left_s, lateness_left_s)
     has_queue = worst.total_s >= MIN_QUEUE_RATIO * worst.service_s
-    if not has_queue or worst.total_s <= left_s:
+    allowed_s = WAIT_SHARE * left_s
+    if not has_queue or worst.total_s <= allowed_s:
         return 0.0
-    return max(MIN_RETRY_AFTER_S, worst.total_s - left_s)
+    return max(MIN_RETRY_AFTER_S, worst.total_s - allowed_s)
--- a/packages/core/mulberrybay_core/concurrency_limit.py
+++ b/packages/core/mulberrybay_core/concurrency_limit.py
@@ -19,9 +19,11 @@
 MAX_WINDOW_COUNT: Final = 8
 FALLING_RATIO: Final = 0.92
 FALLEN_RATIO: Final = 0.7
-STILL_WARMING_RATIO: Final = 0.88
+STILL_WARMING_RATIO: Final = 0.75
+BASELINE_WEIGHT: Final = 0.2
 WARM_RATIO: Final = 1.25
 SLOW_RATIO: Final = 2.5
+OVERDUE_RATIO: Final = 1.8
 IDLE_RESTART_S: Final = 10.0
 
 
@@ -48,6 +50,11 @@
         """The latency of the warm server, if it is known."""
         return self._baseline_s
 
+    @property
+    def is_suspended(self) -> bool:
+        """Whether the last reply was slow and the next is to tell why."""
+        return self._suspended_count is not None
+
     def on_dispatch(self, now_s: float) -> None:
         """Notes a dispatch."""
         self._used_at_s = now_s
@@ -60,14 +67,29 @@
 
     def is_overdue(self, age_s: float) -> bool:
         """Returns whether a request is out for longer than a warm one."""
-        return (
-            self._baseline_s is not None
-            and age_s > SLOW_RATIO * self._baseline_s
-        )
+        return self._is_above(OVERDUE_RATIO, age_s)
+
+    def _is_above(self, ratio: float, latency_s: float) -> bool:
+        baseline_s = self._baseline_s
+        return baseline_s is not None and latency_s > ratio * baseline_s
+
+    def on_cancelled(self, age_s: float) -> None:
+        """Takes the age of a request that was cancelled without a reply.
+
+        Slow requests are hedged and cancelled, so a server that turned cold
+        may show in nothing else.
+        """
+        if self.is_overdue(age_s):
+            self._on_slow()
+
+    def adopt_baseline(self, baseline_s: float) -> None:
+        """Takes the latency of the warm server as others have seen it."""
+        if self._baseline_s is None:
+            self._baseline_s = baseline_s
 
     def on_success(self, latency_s: float) -> None:
         """Takes the latency of a whole reply."""
-        if self.is_overdue(latency_s):
+        if self._is_above(SLOW_RATIO, latency_s):
             self._on_slow()
         elif self._suspended_count is not None:
             # Only a straggler: the server is as fast as before.
@@ -101,7 +123,8 @@
             self._baseline_s = median_s
             self.limit_count = 1
         elif median_s <= WARM_RATIO * baseline_s:
-            self._baseline_s = min(baseline_s, median_s)
+            change_s = BASELINE_WEIGHT * (median_s - baseline_s)
+            self._baseline_s = baseline_s + change_s
             self._medians_s.clear()
             self._grow()
         elif self._has_settled():
--- a/packages/core/mulberrybay_core/hedging.py
+++ b/packages/core/mulberrybay_core/hedging.py
@@ -9,7 +9,7 @@
 MIN_SAMPLE_COUNT: Final = 32
 MIN_DELAY_S: Final = 0.002
 # The rest of the extra load is left for bursts and retries.
-HEDGE_SHARE: Final = 0.7
+HEDGE_SHARE: Final = 0.9
 
 
 class HedgePolicy(Protocol):
@@ -25,7 +25,7 @@
 class QuantileHedging:
     """Hedges after the quantile of latency that the extra load allows.
 
-    With 5 % of extra load, the slowest 3.5 % of attempts are hedged; the
+    With 5 % of extra load, the slowest 4.5 % of attempts are hedged; the
     token bucket of extra load enforces the target when latency shifts.
     """
 
--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -67,12 +67,23 @@
 
     def _allowed_count(self, now_s: float) -> int:
         """Returns the limit; one while a request is overdue."""
-        if any(
+        return 1 if self._is_overdue(now_s) else self.limit.limit_count
+
+    def _is_overdue(self, now_s: float) -> bool:
+        return any(
             self.limit.is_overdue(now_s - dispatched_at_s)
             for dispatched_at_s in self._dispatched_at_s.values()
-        ):
-            return 1
-        return self.limit.limit_count
+        )
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Returns whether the server may be cold, which nobody knows yet.
+
+        New attempts had better go to another replica than wait here.
+        """
+        return bool(self.outstanding) and (
+            self.limit.is_suspended
+            or (self.limit.limit_count > 1 and self._is_overdue(now_s))
+        )
 
     def begin(self, item: QueuedAttempt, now_s: float) -> None:
         """Notes that an attempt is dispatched."""
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -25,6 +25,8 @@
 MAX_RESTART_COUNT: Final = 3
 # A hedge that finds the budget empty is tried again after this time.
 HEDGE_RETRY_S: Final = 0.005
+# Where every replica is busy, one may be free after this time.
+BUSY_RETRY_S: Final = 0.01
 NO_REPLICA_RETRY_S: Final = 1.0
 
 UNSENT_OUTCOMES: Final = frozenset(
@@ -239,11 +241,12 @@
         self._shards[sent.shard].open_ids.discard(attempt_id)
         policies = self._context.policies
         policies.replicas.on_ended(sent.server_id)
-        policies.waits.on_cancelled(sent.server_id)
+        age_s = now_s - sent.sent_at_s
+        policies.waits.on_cancelled(sent.server_id, age_s)
         if not sent.is_extra:
             # It took at least so long; without it the slow ones would be
             # missing from the latencies that the hedge delay follows.
-            policies.hedging.on_latency(now_s - sent.sent_at_s)
+            policies.hedging.on_latency(age_s)
 
     def _on_wrong_snapshot(
         self, shard: _Shard, reply: AttemptReply, now_s: float
@@ -281,7 +284,11 @@
     def _on_attempt_failed(
         self, shard: _Shard, reply: AttemptReply, now_s: float
     ) -> QueryStep:
-        if shard.hits_json is not None or shard.open_ids:
+        if shard.open_ids:
+            if reply.outcome in UNSENT_OUTCOMES:
+                # The hedge has reached no server; another try is free.
+                shard.hedge_at_s = now_s + HEDGE_RETRY_S
+                self.wakeup_s = min(self.wakeup_s, shard.hedge_at_s)
             return self._nothing()
         shard.failure_count += 1
         shard.hedge_at_s = None
@@ -292,6 +299,9 @@
             server.server_id not in shard.tried_ids
             for server in self._usable_replicas(shard, now_s)
         )
+        if reply.outcome is AttemptOutcome.QUEUE_FULL:
+            shard.failure_count = 1
+            delay_s = BUSY_RETRY_S
         if has_untried and shard.failure_count == 1:
             delay_s = 0.0
         shard.retry_at_s = now_s + max(delay_s, reply.retry_after_ms / 1000)
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -12,6 +12,12 @@
 
 LATENCY_WEIGHT: Final = 0.2
 INITIAL_LATENCY_S: Final = 0.01
+# Admission takes a server that has not replied yet to be slow, as it may be
+# cold; the choice among replicas does not, so that each gets tried.
+UNKNOWN_LATENCY_S: Final = 0.1
+MEDIAN_STEP_RATIO: Final = 0.05
+# From this limit on, the holder has found a server to be warm.
+WARM_LIMIT_COUNT: Final = 2
 FAILURE_WEIGHT: Final = 0.2
 FAILURE_PENALTY_S: Final = 0.5
 # A server that failed is tried again when its failures have been forgotten.
@@ -35,9 +41,12 @@
 
     def __init__(self) -> None:
         self.sent_count = 0
+        self.sent_since_load_count = 0
         self.load = ServerLoad(0, 0, 1)
         self.load_at_s = 0.0
         self.latency_s = INITIAL_LATENCY_S
+        self.is_known = False
+        self.warm_latency_s: float | None = None
         self.failure_share = 0.0
         self.failure_at_s = 0.0
 
@@ -47,9 +56,19 @@
         known_count = self.load.outstanding_count + self.load.queued_count
         elapsed_s = max(0.0, now_s - self.load_at_s)
         done_count = elapsed_s * limit_count / max(self.latency_s, 0.001)
-        waiting_count = max(known_count - done_count, self.sent_count)
+        waiting_count = max(
+            known_count - done_count + self.sent_since_load_count,
+            self.sent_count,
+        )
         return 1 + max(0, waiting_count + 1 - limit_count) / limit_count
 
+    def note_latency(self, latency_s: float) -> None:
+        """Takes the service time of a whole reply."""
+        self.is_known = True
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+        if self.load.limit_count >= WARM_LIMIT_COUNT:
+            self.warm_latency_s = _step_median(self.warm_latency_s, latency_s)
+
     def failure_penalty_s(self, now_s: float) -> float:
         """Returns the cost of recent failures."""
         age_s = max(0.0, now_s - self.failure_at_s)
@@ -57,11 +76,21 @@
         return self.failure_share * forgotten * FAILURE_PENALTY_S
 
 
+def _step_median(median_s: float | None, latency_s: float) -> float:
+    """Moves a running median, which stragglers do not shift much."""
+    if median_s is None:
+        return latency_s
+    return median_s * (
+        1 + math.copysign(MEDIAN_STEP_RATIO, latency_s - median_s)
+    )
+
+
 class ServerWaits:
     """The backend servers as one coordinator's class of work sees them."""
 
     def __init__(self) -> None:
         self._views: dict[str, _ServerView] = {}
+        self._class_warm_s: float | None = None
 
     def _view(self, server_id: str) -> _ServerView:
         view = self._views.get(server_id)
@@ -72,21 +101,37 @@
     def estimate(self, server_id: str, now_s: float) -> WaitEstimate:
         """Returns what one more attempt is expected to take."""
         view = self._view(server_id)
-        return WaitEstimate(view.turns(now_s) * view.latency_s, view.latency_s)
+        service_s = view.latency_s if view.is_known else UNKNOWN_LATENCY_S
+        return WaitEstimate(view.turns(now_s) * service_s, service_s)
+
+    def warm_latency_s(self, server_id: str) -> float | None:
+        """Returns the median service time of the warm server.
+
+        While nothing is known of it, that of the class's other servers; None
+        if none of them is known to be warm.
+        """
+        return self._view(server_id).warm_latency_s or self._class_warm_s
 
     def cost_s(self, server_id: str, now_s: float) -> float:
         """Returns the expected time with a penalty for recent failures."""
-        penalty_s = self._view(server_id).failure_penalty_s(now_s)
-        return self.estimate(server_id, now_s).total_s + penalty_s
+        view = self._view(server_id)
+        wait_s = view.turns(now_s) * view.latency_s
+        return wait_s + view.failure_penalty_s(now_s)
 
     def on_sent(self, server_id: str) -> None:
         """An attempt was sent."""
-        self._view(server_id).sent_count += 1
+        view = self._view(server_id)
+        view.sent_count += 1
+        view.sent_since_load_count += 1
 
-    def on_cancelled(self, server_id: str) -> None:
+    def on_cancelled(self, server_id: str, age_s: float) -> None:
         """An attempt's reply is no longer waited for."""
         view = self._view(server_id)
         view.sent_count = max(0, view.sent_count - 1)
+        # It would have taken longer than that.
+        wait_s = view.latency_s * max(1, view.load.queued_count)
+        if age_s > wait_s:
+            view.latency_s += LATENCY_WEIGHT * (age_s - wait_s)
 
     def on_reply(self, reply: AttemptReply, now_s: float) -> None:
         """An attempt ended."""
@@ -94,10 +139,16 @@
         view.sent_count = max(0, view.sent_count - 1)
         view.load = reply.load
         view.load_at_s = now_s
+        view.sent_since_load_count = 0
         succeeded = reply.outcome is AttemptOutcome.OK
         if succeeded:
-            change_s = reply.service_time_ms / 1000 - view.latency_s
-            view.latency_s += LATENCY_WEIGHT * change_s
+            latency_s = reply.service_time_ms / 1000
+            view.note_latency(latency_s)
+            if reply.load.limit_count >= WARM_LIMIT_COUNT:
+                self._class_warm_s = _step_median(self._class_warm_s, latency_s)
+        if reply.outcome is AttemptOutcome.QUEUE_FULL:
+            # Its load says all of it.
+            return
         failure = 0.0 if succeeded else 1.0
         view.failure_share += FAILURE_WEIGHT * (failure - view.failure_share)
         view.failure_at_s = now_s
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -105,6 +105,11 @@
         """Queries in progress."""
         return len(self._active)
 
+    def warm_latency_s(self, class_name: str, server_id: str) -> float | None:
+        """Returns what a warm server takes, as replies to us have shown."""
+        policies = self._policies.get(class_name)
+        return policies.waits.warm_latency_s(server_id) if policies else None
+
     def submit(
         self, request: QueryRequest, work_class: WorkClass, reply: QueryReply
     ) -> None:
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -1,11 +1,12 @@
 """The holder: queues and dispatches attempts for the servers it holds."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from mulberrybay_core.attempts import (
     AttemptBatch,
+    AttemptKind,
     AttemptOutcome,
     AttemptReply,
     AttemptReplyHandler,
@@ -52,12 +53,14 @@
         leaving_servers: LeavingServers,
         connections: BackendConnections,
         timers: Timers,
+        get_warm_latency_s: Callable[[str, str], float | None],
     ) -> None:
         self._holdings = holdings
         self._gate = gate
         self._leaving_servers = leaving_servers
         self._connections = connections
         self._timers = timers
+        self._get_warm_latency_s = get_warm_latency_s
         self._fleet = Fleet((), ())
         self._held: dict[str, HeldServer] = {}
         self._server_by_request: dict[str, str] = {}
@@ -95,7 +98,9 @@
         held = self._held.get(server.server_id)
         if held is None:
             held = self._held[server.server_id] = HeldServer(server)
-        if not held.enqueue(item):
+        is_search = item.batch.kind is AttemptKind.SEARCH
+        is_suspect = is_search and held.is_suspect(read_clock_s())
+        if is_suspect or not held.enqueue(item):
             self._refuse(item, AttemptOutcome.QUEUE_FULL)
             return
         self._server_by_request[item.request_id] = server.server_id
@@ -171,7 +176,7 @@
         server_id = held.server.server_id
         held.end(item.request_id)
         self._server_by_request.pop(item.request_id, None)
-        self._update_limit(held, result)
+        self._update_limit(held, item.batch.class_name, result)
         if result.run_state is RunState.RAN or result.is_leaving:
             self._leaving_servers.note_reply(server_id, result.is_leaving)
         outcome = _OUTCOMES[result.outcome]
@@ -192,9 +197,19 @@
         self._settle_release(held)
         self.pump(server_id)
 
-    def _update_limit(self, held: HeldServer, result: BackendResult) -> None:
+    def _update_limit(
+        self, held: HeldServer, class_name: str, result: BackendResult
+    ) -> None:
         if result.outcome is BackendOutcome.OK:
+            if held.limit.baseline_s is None:
+                warm_s = self._get_warm_latency_s(
+                    class_name, held.server.server_id
+                )
+                if warm_s is not None:
+                    held.limit.adopt_baseline(warm_s)
             held.limit.on_success(result.latency_s)
+        elif result.outcome is BackendOutcome.CANCELLED:
+            held.limit.on_cancelled(result.latency_s)
         elif result.outcome is BackendOutcome.CONNECTION_LOST:
             # The server may have restarted, and be cold.
             held.limit.restart()
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -102,6 +102,7 @@
             leaving_servers,
             self._backends,
             self._timers,
+            self._warm_latency_s,
         )
         self._links = NodeLinks(self._streams, self._timers, self)
         holders = HolderMap()
@@ -263,6 +264,9 @@
     def _active_count(self) -> int:
         return self._coordinator.active_count + self._runs.active_count
 
+    def _warm_latency_s(self, class_name: str, server_id: str) -> float | None:
+        return self._coordinator.warm_latency_s(class_name, server_id)
+
     # Messages from peers.
 
     def on_peer_message(self, message: PeerMessage, link: Link) -> None:
