Give silent searches up in time for another replica; test the decisions

Change: a search without a reply is given up after half the class's lateness target, but not before 20 times what the warm server takes; runs keep their limit.

packages/core/tests/test_decisions.py: 50 passed.

--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from typing import Final, NamedTuple
 
 from mulberrybay_core.attempts import (
@@ -14,6 +15,7 @@
 from mulberrybay_core.fleet import BackendServer
 
 MAX_QUEUED_COUNT: Final = 64
+PATIENCE_RATIO: Final = 20.0
 
 
 class QueuedAttempt(NamedTuple):
@@ -78,6 +80,17 @@
             for dispatched_at_s in self._dispatched_at_s.values()
         )
 
+    def patience_s(self, lateness_ms: float) -> float:
+        """Returns how long a search may go without a reply.
+
+        A silent connection must not use up the time in which another replica
+        could answer; but what the server usually takes is waited for.
+        """
+        baseline_s = self.limit.baseline_s
+        if baseline_s is None:
+            return math.inf
+        return max(PATIENCE_RATIO * baseline_s, lateness_ms / 2000)
+
     def is_suspect(self, now_s: float) -> bool:
         """Returns whether the server may be cold, which nobody knows yet.
 
--- /dev/null
+++ b/packages/core/tests/test_decisions.py
@@ -0,0 +1,275 @@
+"""Tests of the decisions: limits, waits, admission and the life of a query."""
+
+import itertools
+import random
+from collections.abc import Callable
+
+import pytest
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.admission import expected_excess_s
+from mulberrybay_core.attempts import (
+    Attempt,
+    AttemptBatch,
+    AttemptKind,
+    AttemptOutcome,
+    AttemptReply,
+    ServerLoad,
+)
+from mulberrybay_core.concurrency_limit import ConcurrencyLimit
+from mulberrybay_core.configuration import Targets
+from mulberrybay_core.errors import FailureKind, RunState
+from mulberrybay_core.extra_load import ExtraLoadBudget
+from mulberrybay_core.fleet import BackendServer, Fleet
+from mulberrybay_core.hedging import FixedHedging
+from mulberrybay_core.held_server import HeldServer, QueuedAttempt
+from mulberrybay_core.queries import QueryRequest
+from mulberrybay_core.query_context import (
+    ClassPolicies,
+    QueryContext,
+    QueryStep,
+)
+from mulberrybay_core.query_run import QueryRun
+from mulberrybay_core.replica_choice import LeastExpectedWait
+from mulberrybay_core.server_waits import ServerWaits, WaitEstimate
+from mulberrybay_core.snapshot import IndexSnapshot
+from mulberrybay_core.snapshot_catalog import SnapshotCatalog
+
+SLOT_COUNT = 3
+
+
+def _server(server_id: str, service: str = "s0") -> BackendServer:
+    return BackendServer(
+        server_id,
+        "d1",
+        Address("127.0.0.1", 1),
+        service,
+        SLOT_COUNT,
+        30,
+        "live",
+    )
+
+
+def _bearable_count(done_count: int, warm_up_count: int) -> int:
+    """Returns what a server bears that warms up evenly, as the stand-in."""
+    warmth = min(1.0, done_count / warm_up_count)
+    return 1 + int((SLOT_COUNT - 1) * max(0.0, warmth - 0.5) * 2)
+
+
+@pytest.mark.parametrize("warm_up_count", [20, 30, 60])
+@pytest.mark.parametrize("seed", range(10))
+def test_limit_never_passes_what_a_cold_server_bears(
+    warm_up_count: int, seed: int
+) -> None:
+    source = random.Random(seed)
+    limit = ConcurrencyLimit(SLOT_COUNT)
+    reached_count = 0
+    for done_count in range(8 * warm_up_count):
+        assert limit.limit_count <= _bearable_count(done_count, warm_up_count)
+        warmth = min(1.0, done_count / warm_up_count)
+        latency_s = 0.01 * (4 - 3 * warmth) * source.lognormvariate(0, 0.2)
+        limit.on_success(latency_s * (10 if source.random() < 0.01 else 1))
+        reached_count = max(reached_count, limit.limit_count)
+    assert reached_count == SLOT_COUNT
+
+
+def _warm_limit() -> ConcurrencyLimit:
+    limit = ConcurrencyLimit(SLOT_COUNT)
+    limit.adopt_baseline(0.01)
+    for _ in range(20):
+        limit.on_success(0.01)
+    assert limit.limit_count == SLOT_COUNT
+    return limit
+
+
+@pytest.mark.parametrize(
+    ("react", "limit_count"),
+    [
+        (lambda limit: limit.on_success(0.04), 1),
+        (lambda limit: limit.on_cancelled(0.03), 1),
+        (lambda limit: limit.on_cancelled(0.01), SLOT_COUNT),
+        (lambda limit: limit.on_overload(0.0, 0.05), 1),
+        (lambda limit: limit.check_idle(60.0), 1),
+        (lambda limit: limit.check_idle(5.0), SLOT_COUNT),
+    ],
+)
+def test_limit_falls_on_signs_of_cold(
+    react: Callable[[ConcurrencyLimit], None], limit_count: int
+) -> None:
+    limit = _warm_limit()
+    limit.on_dispatch(0.0)
+    react(limit)
+    assert limit.limit_count == limit_count
+
+
+def test_limit_comes_back_after_one_straggler_but_not_after_two() -> None:
+    limit = _warm_limit()
+    limit.on_success(0.1)
+    limit.on_success(0.01)
+    assert limit.limit_count == SLOT_COUNT
+    limit.on_success(0.04)
+    limit.on_success(0.04)
+    limit.on_success(0.01)
+    assert limit.limit_count == 1
+
+
+def test_server_with_an_overdue_request_gets_no_second_one() -> None:
+    held = HeldServer(_server("a"))
+    held.limit = _warm_limit()
+    attempts = tuple(Attempt(number, "a", 0) for number in range(2))
+    batch = AttemptBatch(
+        "q", AttemptKind.SEARCH, "c", 1, 9.0, "", attempts, b"{}"
+    )
+    first, second = (
+        QueuedAttempt(batch, a, print, str(a.attempt_id)) for a in attempts
+    )
+    held.begin(first, 0.0)
+    held.enqueue(second)
+    assert not held.is_suspect(0.01)
+    assert held.is_suspect(0.02)
+    assert held.take_next(0.02) is None
+    held.end(first.request_id)
+    assert held.take_next(0.02) == second
+
+
+@pytest.mark.parametrize(
+    ("total_s", "service_s", "lateness_s", "deadline_s", "is_refused"),
+    [
+        (0.10, 0.01, 0.25, 1.0, False),
+        (0.30, 0.01, 0.25, 1.0, True),
+        (2.00, 0.01, 0.25, 1.0, True),
+        # Too slow a service is no reason to refuse: there is no queue.
+        (0.60, 0.60, 0.25, 0.5, False),
+        # Nor does lateness count that the service can't meet.
+        (0.40, 0.20, 0.25, 1.0, False),
+    ],
+)
+def test_admission_refuses_what_queues_make_late(
+    total_s: float,
+    service_s: float,
+    lateness_s: float,
+    deadline_s: float,
+    is_refused: bool,
+) -> None:
+    estimates = [WaitEstimate(0.01, 0.01), WaitEstimate(total_s, service_s)]
+    excess_s = expected_excess_s(estimates, 2, lateness_s, deadline_s)
+    assert (excess_s > 0) is is_refused
+    assert expected_excess_s(estimates, 1, lateness_s, deadline_s) == 0
+
+
+def test_known_queue_is_worked_off_while_nothing_is_sent() -> None:
+    waits = ServerWaits()
+    reply = _reply(0, "a", AttemptOutcome.OK)
+    waits.on_sent("a")
+    waits.on_reply(reply._replace(load=ServerLoad(1, 60, 1)), 0.0)
+    assert waits.estimate("a", 0.0).total_s > 0.4
+    assert waits.estimate("a", 2.0).total_s < 0.05
+
+
+class _Query:
+    """A query on two shards with two replicas each."""
+
+    def __init__(self, may_use: Callable[[BackendServer], bool]) -> None:
+        servers = [
+            _server(f"{service}{replica}", service)
+            for service in ("s0", "s1")
+            for replica in "ab"
+        ]
+        catalog = SnapshotCatalog()
+        catalog.set_snapshots("c", (IndexSnapshot("c", 1, ("s0", "s1")),))
+        self.waits = ServerWaits()
+        self.budget = ExtraLoadBudget()
+        sequence = itertools.count()
+        replicas = LeastExpectedWait(random.Random(1), self.waits)
+        context = QueryContext(
+            targets=Targets(200.0, 99.0, 50.0, 5.0),
+            revision=1,
+            fleet=Fleet((), servers),
+            catalog=catalog,
+            may_use=may_use,
+            next_attempt_id=lambda: next(sequence),
+            policies=ClassPolicies(
+                replicas, FixedHedging(0.02), self.budget, self.waits
+            ),
+        )
+        request = QueryRequest("r", "c", "d1", 1.0, 0.0, b"{}")
+        self.run = QueryRun(request, context)
+
+    def reply(
+        self, attempt: Attempt, outcome: AttemptOutcome, now_s: float
+    ) -> QueryStep:
+        """Ends an attempt."""
+        reply = _reply(attempt.attempt_id, attempt.server_id, outcome)
+        return self.run.on_reply(reply, now_s)
+
+
+def _reply(
+    attempt_id: int, server_id: str, outcome: AttemptOutcome
+) -> AttemptReply:
+    state = RunState.NOT_RUN
+    if outcome is AttemptOutcome.OK:
+        state = RunState.RAN
+    return AttemptReply(attempt_id, server_id, outcome, state, body=b"[]")
+
+
+def test_hedge_goes_to_the_other_server_and_the_loser_is_cancelled() -> None:
+    query = _Query(lambda server: True)
+    first, second = query.run.start(0.0).attempts
+    query.reply(first, AttemptOutcome.OK, 0.01)
+    assert query.run.wakeup_s == pytest.approx(0.02)
+    (hedge,) = query.run.on_wakeup(0.02).attempts
+    assert hedge.shard == second.shard
+    assert hedge.server_id != second.server_id
+    step = query.reply(hedge, AttemptOutcome.OK, 0.03)
+    assert step.cancelled_ids == (second.attempt_id,)
+    assert step.result is not None
+    assert len(step.result.ok.parts) == 2
+
+
+def test_hedge_waits_for_a_token() -> None:
+    query = _Query(lambda server: True)
+    query.run.start(0.0)
+    while query.budget.try_spend():
+        pass
+    assert query.run.on_wakeup(0.02).attempts == ()
+    assert 0.02 < query.run.wakeup_s < 0.03
+    query.budget.refund()
+    assert len(query.run.on_wakeup(query.run.wakeup_s).attempts) == 1
+
+
+def test_first_request_that_reached_no_server_is_repeated_free() -> None:
+    query = _Query(lambda server: True)
+    first, _ = query.run.start(0.0).attempts
+    while query.budget.try_spend():
+        pass
+    (again,) = query.reply(first, AttemptOutcome.QUEUE_FULL, 0.001).attempts
+    assert again.server_id != first.server_id
+
+
+def test_answer_does_not_wait_for_shards_without_a_replica() -> None:
+    query = _Query(lambda server: server.service == "s0")
+    (attempt,) = query.run.start(0.0).attempts
+    step = query.reply(attempt, AttemptOutcome.OK, 0.01)
+    assert step.result is not None
+    assert step.result.ok.missing_shards == (1,)
+
+
+def test_query_without_any_replica_fails_at_once() -> None:
+    step = _Query(lambda server: False).run.start(0.0)
+    assert step.result is not None
+    assert step.result.error.kind is FailureKind.NO_REPLICA
+    assert step.result.error.run_state is RunState.NOT_RUN
+
+
+def test_query_behind_long_queues_is_refused_unsent() -> None:
+    query = _Query(lambda server: True)
+    for server_id in ("s0a", "s0b", "s1a", "s1b"):
+        reply = _reply(0, server_id, AttemptOutcome.OK)
+        reply = reply._replace(service_time_ms=20.0)
+        query.waits.on_reply(reply._replace(load=ServerLoad(1, 60, 1)), 0.0)
+    step = query.run.start(0.0)
+    assert step.attempts == ()
+    assert step.result is not None
+    assert step.result.error.kind is FailureKind.OVERLOADED
+    assert step.result.error.run_state is RunState.NOT_RUN
+    assert step.result.error.retry_after_s > 0
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -160,7 +160,7 @@
             shard=item.attempt.shard,
             idempotency_key=item.batch.idempotency_key,
             deadline_at_s=min(
-                item.batch.deadline_at_s, now_s + ATTEMPT_LIMIT_S
+                item.batch.deadline_at_s, now_s + self._limit_s(held, item)
             ),
             body=item.batch.body,
         )
@@ -171,6 +171,14 @@
             lambda result: self._on_result(held, item, result),
         )
 
+    def _limit_s(self, held: HeldServer, item: QueuedAttempt) -> float:
+        """Returns how long an attempt may run at the backend server."""
+        work_class = self._gate.configuration.find_class(item.batch.class_name)
+        if work_class is None or item.batch.kind is not AttemptKind.SEARCH:
+            return ATTEMPT_LIMIT_S
+        lateness_ms = work_class.targets.lateness_ms
+        return min(ATTEMPT_LIMIT_S, held.patience_s(lateness_ms))
+
     def _on_result(
         self, held: HeldServer, item: QueuedAttempt, result: BackendResult
     ) -> None:
