--- a/packages/core/mulberrybay_core/admission.py
+++ b/packages/core/mulberrybay_core/admission.py
@@ -16,7 +16,7 @@
 MIN_QUEUE_RATIO: Final = 1.5
 # The share of the time left that the expected wait may fill: other nodes
 # send to the same queues.
-WAIT_SHARE: Final = 0.7
+WAIT_SHARE: Final = 0.4
 
 
 class AdmissionSettings(NamedTuple):
