--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Iterable
-from typing import Final, NamedTuple
+from typing import Final
 
 from expression import Error, Ok
 
@@ -15,8 +15,15 @@
 from mulberrybay_core.attempts import Attempt, AttemptOutcome, AttemptReply
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.fleet import BackendServer
-from mulberrybay_core.queries import QueryAnswer, QueryRequest, ShardHits
+from mulberrybay_core.queries import QueryRequest
 from mulberrybay_core.query_context import QueryContext, QueryStep
+from mulberrybay_core.query_shard import (
+    UNSENT_OUTCOMES,
+    QueryShard,
+    SentAttempt,
+    build_answer,
+    reached_server,
+)
 from mulberrybay_core.snapshot import IndexSnapshot
 
 EARLY_SHARE: Final = 0.9
@@ -29,37 +36,6 @@
 BUSY_RETRY_S: Final = 0.01
 NO_REPLICA_RETRY_S: Final = 1.0
 
-UNSENT_OUTCOMES: Final = frozenset(
-    {
-        AttemptOutcome.NOT_HOLDER,
-        AttemptOutcome.NOT_ALLOWED,
-        AttemptOutcome.QUEUE_FULL,
-    }
-)
-
-
-class _SentAttempt(NamedTuple):
-    shard: int
-    server_id: str
-    sent_at_s: float
-    is_extra: bool
-
-
-class _Shard:
-    """One shard of the query's snapshot."""
-
-    def __init__(self, number: int, service: str) -> None:
-        self.number = number
-        self.service = service
-        self.hits_json: bytes | None = None
-        self.open_ids: set[int] = set()
-        self.tried_ids: set[str] = set()
-        self.retry_at_s: float | None = None
-        self.hedge_at_s: float | None = None
-        self.failure_count = 0
-        # Whether a backend server may have got a request for this shard.
-        self.was_reached = False
-
 
 class QueryRun:
     """The state of one query."""
@@ -68,8 +44,8 @@
         self.request = request
         self._context = context
         self._snapshot: IndexSnapshot | None = None
-        self._shards: list[_Shard] = []
-        self._open: dict[int, _SentAttempt] = {}
+        self._shards: list[QueryShard] = []
+        self._open: dict[int, SentAttempt] = {}
         self._covered_count = 0
         self._restart_count = 0
         self._may_have_run = False
@@ -97,7 +73,7 @@
             return self._fail(FailureKind.NOT_FOUND, "no index snapshot", 1.0)
         self._snapshot = snapshot
         self._shards = [
-            _Shard(number, service)
+            QueryShard(number, service)
             for number, service in enumerate(snapshot.services)
         ]
         self._covered_count = 0
@@ -106,9 +82,10 @@
             detail = "the backend servers have too much queued"
             return self._fail(FailureKind.OVERLOADED, detail, excess_s)
         attempts = self._send(self._shards, now_s, is_extra=False)
-        self._context.policies.budget.on_first_attempts(
-            len(attempts), self._context.targets.extra_load_percent
-        )
+        if self._restart_count == 0:
+            self._context.policies.budget.on_first_attempts(
+                len(attempts), self._context.targets.extra_load_percent
+            )
         self._schedule(now_s)
         if self._is_hopeless():
             return self._finish((), now_s)
@@ -117,13 +94,12 @@
     def _expected_excess_s(self, now_s: float) -> float:
         """Returns how much too late the query is expected to be."""
         waits = self._context.policies.waits
-        estimates = []
-        for shard in self._shards:
-            usable = self._usable_replicas(shard, now_s)
-            if usable:
-                estimates.append(
-                    min(waits.estimate(s.server_id, now_s) for s in usable)
-                )
+        replicas = [self._usable_replicas(item, now_s) for item in self._shards]
+        estimates = [
+            min(waits.estimate(server.server_id, now_s) for server in usable)
+            for usable in replicas
+            if usable
+        ]
         targets = self._context.targets
         return expected_excess_s(
             estimates,
@@ -142,7 +118,7 @@
         )
 
     def _send(
-        self, shards: Iterable[_Shard], now_s: float, is_extra: bool
+        self, shards: Iterable[QueryShard], now_s: float, is_extra: bool
     ) -> list[Attempt]:
         attempts = []
         policies = self._context.policies
@@ -155,7 +131,7 @@
                 shard.retry_at_s = now_s + RETRY_DELAY_S
                 continue
             attempt_id = self._context.next_attempt_id()
-            self._open[attempt_id] = _SentAttempt(
+            self._open[attempt_id] = SentAttempt(
                 shard.number, server.server_id, now_s, is_extra
             )
             shard.open_ids.add(attempt_id)
@@ -169,7 +145,7 @@
         return attempts
 
     def _choose_server(
-        self, shard: _Shard, now_s: float
+        self, shard: QueryShard, now_s: float
     ) -> BackendServer | None:
         usable = self._usable_replicas(shard, now_s)
         busy_ids = {self._open[item].server_id for item in shard.open_ids}
@@ -184,7 +160,7 @@
         )
 
     def _usable_replicas(
-        self, shard: _Shard, now_s: float
+        self, shard: QueryShard, now_s: float
     ) -> list[BackendServer]:
         snapshot = self._current_snapshot()
         return [
@@ -216,7 +192,7 @@
         policies.replicas.on_ended(reply.server_id)
         policies.waits.on_reply(reply, now_s)
         shard = self._shards[sent.shard]
-        shard.was_reached |= _reached_server(reply)
+        shard.was_reached |= reached_server(reply)
         shard.open_ids.discard(reply.attempt_id)
         if reply.outcome is AttemptOutcome.OK:
             policies.hedging.on_latency(latency_s)
@@ -228,7 +204,7 @@
         return self._on_attempt_failed(shard, reply, now_s)
 
     def _on_hits(
-        self, shard: _Shard, reply: AttemptReply, now_s: float
+        self, shard: QueryShard, reply: AttemptReply, now_s: float
     ) -> QueryStep:
         if shard.hits_json is not None:
             return self._nothing()
@@ -259,7 +235,7 @@
             policies.hedging.on_latency(age_s)
 
     def _on_wrong_snapshot(
-        self, shard: _Shard, reply: AttemptReply, now_s: float
+        self, shard: QueryShard, reply: AttemptReply, now_s: float
     ) -> QueryStep:
         snapshot = self._current_snapshot()
         self._context.catalog.note_absent(
@@ -292,7 +268,7 @@
         return step._replace(cancelled_ids=abandoned)
 
     def _on_attempt_failed(
-        self, shard: _Shard, reply: AttemptReply, now_s: float
+        self, shard: QueryShard, reply: AttemptReply, now_s: float
     ) -> QueryStep:
         if shard.open_ids:
             if reply.outcome in UNSENT_OUTCOMES:
@@ -333,11 +309,11 @@
         self._schedule(now_s)
         return self._nothing()._replace(attempts=tuple(attempts))
 
-    def _is_due(self, shard: _Shard, now_s: float) -> bool:
+    def _is_due(self, shard: QueryShard, now_s: float) -> bool:
         due_s = shard.retry_at_s if not shard.open_ids else shard.hedge_at_s
         return due_s is not None and now_s >= due_s
 
-    def _send_extra(self, shard: _Shard, now_s: float) -> list[Attempt]:
+    def _send_extra(self, shard: QueryShard, now_s: float) -> list[Attempt]:
         shard.hedge_at_s = None
         is_extra = bool(shard.open_ids) or shard.was_reached
         budget = self._context.policies.budget
@@ -386,21 +362,11 @@
         if self._covered_count == 0:
             step = self._fail_empty(now_s)
             return step._replace(cancelled_ids=cancelled_ids + abandoned)
-        answer = QueryAnswer(
-            request_id=self.request.request_id,
-            index_version=snapshot.index_version,
-            shard_count=snapshot.shard_count,
-            parts=tuple(
-                ShardHits(shard.number, shard.hits_json)
-                for shard in self._shards
-                if shard.hits_json is not None
-            ),
-            missing_shards=tuple(
-                shard.number
-                for shard in self._shards
-                if shard.hits_json is None
-            ),
-            revision=self._context.revision,
+        answer = build_answer(
+            self.request.request_id,
+            snapshot.index_version,
+            self._shards,
+            self._context.revision,
         )
         return QueryStep(
             snapshot.index_version,
@@ -427,12 +393,3 @@
             run_state=run_state,
         )
         return self._nothing()._replace(result=Error(failure))
-
-
-def _reached_server(reply: AttemptReply) -> bool:
-    """Returns whether the backend server may have got the request."""
-    was_lost_unsent = (
-        reply.outcome is AttemptOutcome.CONNECTION_LOST
-        and reply.run_state is RunState.NOT_RUN
-    )
-    return reply.outcome not in UNSENT_OUTCOMES and not was_lost_unsent
--- /dev/null
+++ b/packages/core/mulberrybay_core/query_shard.py
@@ -0,0 +1,80 @@
+"""One shard of a query and the attempts sent for it."""
+
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from mulberrybay_core.attempts import AttemptOutcome, AttemptReply
+from mulberrybay_core.errors import RunState
+from mulberrybay_core.queries import QueryAnswer, ShardHits
+
+UNSENT_OUTCOMES: Final = frozenset(
+    {
+        AttemptOutcome.NOT_HOLDER,
+        AttemptOutcome.NOT_ALLOWED,
+        AttemptOutcome.QUEUE_FULL,
+    }
+)
+
+
+class SentAttempt(NamedTuple):
+    """An attempt whose end is waited for.
+
+    Attributes:
+        shard: The shard that it is for.
+        server_id: The backend server to ask.
+        sent_at_s: When it was sent.
+        is_extra: Whether it took a token of the extra load.
+    """
+
+    shard: int
+    server_id: str
+    sent_at_s: float
+    is_extra: bool
+
+
+class QueryShard:
+    """One shard of the query's snapshot."""
+
+    def __init__(self, number: int, service: str) -> None:
+        self.number = number
+        self.service = service
+        self.hits_json: bytes | None = None
+        self.open_ids: set[int] = set()
+        self.tried_ids: set[str] = set()
+        self.retry_at_s: float | None = None
+        self.hedge_at_s: float | None = None
+        self.failure_count = 0
+        # Whether a backend server may have got a request for this shard.
+        self.was_reached = False
+
+
+def reached_server(reply: AttemptReply) -> bool:
+    """Returns whether the backend server may have got the request."""
+    was_lost_unsent = (
+        reply.outcome is AttemptOutcome.CONNECTION_LOST
+        and reply.run_state is RunState.NOT_RUN
+    )
+    return reply.outcome not in UNSENT_OUTCOMES and not was_lost_unsent
+
+
+def build_answer(
+    request_id: str,
+    index_version: int,
+    shards: Sequence[QueryShard],
+    revision: int,
+) -> QueryAnswer:
+    """Returns the answer from the shards that have replied."""
+    return QueryAnswer(
+        request_id=request_id,
+        index_version=index_version,
+        shard_count=len(shards),
+        parts=tuple(
+            ShardHits(shard.number, shard.hits_json)
+            for shard in shards
+            if shard.hits_json is not None
+        ),
+        missing_shards=tuple(
+            shard.number for shard in shards if shard.hits_json is None
+        ),
+        revision=revision,
+    )
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -26,7 +26,8 @@
     QueryContext,
     QueryStep,
 )
-from mulberrybay_core.query_run import UNSENT_OUTCOMES, QueryRun
+from mulberrybay_core.query_run import QueryRun
+from mulberrybay_core.query_shard import UNSENT_OUTCOMES
 from mulberrybay_core.service_levels import ServiceLevels
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 from mulberrybay_daemon.gate import Gate
--- a/packages/testing/mulberrybay_testing/experiment.py
+++ b/packages/testing/mulberrybay_testing/experiment.py
@@ -29,6 +29,7 @@
 
 ARMS: Final = ("adaptive", "least_outstanding", "random", "round_robin")
 WINDOW_S: Final = 1.0
+OUT_GRACE_S: Final = 3.0
 MAX_LATENCY_US: Final = 60_000_000
 
 
@@ -52,6 +53,8 @@
         worst_coverage_percent: Mean over the answers of the worst window.
         extra_load_percent: Requests at backend servers beyond one a shard.
         overfed_count: Violations that cold backend servers logged.
+        work_when_out_count: Requests to a failure domain that is out, from
+            3 s after the change was accepted on.
         bad_since_s: Last window in which 1 % or more was late or unanswered;
             -1 if none.
     """
@@ -72,6 +75,7 @@
     worst_coverage_percent: float
     extra_load_percent: float
     overfed_count: int
+    work_when_out_count: int
     bad_since_s: float
 
 
@@ -95,8 +99,35 @@
     with scenario.deployment(folder, arm) as deployment:
         samples = asyncio.run(_drive(scenario, deployment, seed))
         events = deployment.backend_events()
+        out_count = work_when_out_count(scenario, deployment, events)
     result = summarize(scenario, arm, seed, samples, events)
-    return result, samples
+    return result._replace(work_when_out_count=out_count), samples
+
+
+def work_when_out_count(
+    scenario: Scenario, deployment: Deployment, events: Sequence[Any]
+) -> int:
+    """Returns the requests that went to failure domains that are out."""
+    changes = [act for act in scenario.actions if "out_domains" in act]
+    accepted_at_s = [
+        event["at_s"]
+        for event in deployment.platform_events()
+        if event["event"] == "call"
+        and event["method"] == "PUT"
+        and event["kind"] == "configuration"
+    ][-len(changes) :]
+    domains = {vm["vm_id"]: vm["failure_domain"] for vm in deployment.backends}
+    count = 0
+    for number, change in enumerate(changes):
+        from_s = accepted_at_s[number] + OUT_GRACE_S
+        until_s = [*accepted_at_s, math.inf][number + 1]
+        count += sum(
+            event["event"] == "request"
+            and from_s < event["at_s"] < until_s
+            and domains[event["vm_id"]] in change["out_domains"]
+            for event in events
+        )
+    return count
 
 
 def summarize(
@@ -133,6 +164,7 @@
         ),
         extra_load_percent=extra_load_percent(events),
         overfed_count=sum(event["event"] == "overfed" for event in events),
+        work_when_out_count=0,
         bad_since_s=_last_bad_window_s(scenario, counted),
     )
 
--- a/packages/testing/mulberrybay_testing/load_generator.py
+++ b/packages/testing/mulberrybay_testing/load_generator.py
@@ -29,12 +29,23 @@
         rate_per_s: Mean arrivals a second.
         duration_s: How long queries are sent.
         deadline_ms: What each query names as its time left.
+        burst_rate_per_s: Mean arrivals a second during the burst.
+        burst_from_s: When the burst begins.
+        burst_until_s: When it ends; at or before its begin for none.
     """
 
     class_name: str
     rate_per_s: float
     duration_s: float
     deadline_ms: int = 1000
+    burst_rate_per_s: float = 0.0
+    burst_from_s: float = 0.0
+    burst_until_s: float = 0.0
+
+    def rate_at(self, at_s: float) -> float:
+        """Returns the mean arrivals a second at a time."""
+        is_burst = self.burst_from_s <= at_s < self.burst_until_s
+        return self.burst_rate_per_s if is_burst else self.rate_per_s
 
 
 class Sample(NamedTuple):
@@ -80,7 +91,7 @@
         """Sends the whole load; returns the samples by intended time."""
         started_at_s = time.monotonic()
         refresh = asyncio.create_task(self._refresh_ports())
-        at_s = self._random.expovariate(self._spec.rate_per_s)
+        at_s = self._random.expovariate(self._spec.rate_at(0.0))
         while at_s < self._spec.duration_s:
             wait_s = started_at_s + at_s - time.monotonic()
             if wait_s > 0:
@@ -88,7 +99,7 @@
             task = asyncio.create_task(self._query(at_s, started_at_s))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            at_s += self._random.expovariate(self._spec.rate_per_s)
+            at_s += self._random.expovariate(self._spec.rate_at(at_s))
         await asyncio.gather(*self._tasks)
         refresh.cancel()
         self._close()
