--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -10,6 +10,7 @@
 from circuits import BaseComponent, handler
 
 from mulberrybay_backends.connections import BackendPool
+from mulberrybay_backends.health import HealthConnections
 from mulberrybay_callers.application import CallerApplication
 from mulberrybay_core.admission import Admission
 from mulberrybay_core.attempts import AttemptBatch, AttemptReply
@@ -34,6 +35,7 @@
 from mulberrybay_daemon.coordinator import Coordinator
 from mulberrybay_daemon.fleet_task import FleetTask
 from mulberrybay_daemon.gate import Gate
+from mulberrybay_daemon.health_task import HealthTask
 from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
 from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_daemon.member_task import MemberTask
@@ -94,6 +96,13 @@
         )
         self._holdings = Holdings(settings.node_id, ATTEMPT_LIMIT_S)
         leaving_servers = LeavingServers()
+        self._health_connections = HealthConnections(self._streams)
+        self._health = HealthTask(
+            self._holdings,
+            leaving_servers,
+            self._health_connections,
+            self._timers,
+        )
         self._gate = Gate(self._membership, leaving_servers)
         self._backends = BackendPool(self._streams, self._timers)
         self._holder = Holder(
@@ -102,6 +111,7 @@
             leaving_servers,
             self._backends,
             self._timers,
+            self._warm_latency_s,
         )
         self._links = NodeLinks(self._streams, self._timers, self)
         holders = HolderMap()
@@ -192,6 +202,7 @@
         self._exits.enter_context(self._links)
         self._exits.enter_context(self._store)
         self._exits.enter_context(self._backends)
+        self._exits.enter_context(self._health_connections)
         self._caller_server = HttpServer(
             settings.caller_address, self._caller_application, "callers"
         ).register(self)
@@ -201,6 +212,7 @@
         self._links.listen(settings.peer_address)
         self._learn_seeds()
         self._members.start()
+        self._health.start()
         self._configuration.start(
             lambda: self._membership.live_nodes(read_clock_s())
         )
@@ -231,6 +243,7 @@
 
     def _on_fleet(self, fleet: Fleet) -> None:
         self._gate.set_fleet(fleet)
+        self._health.set_fleet(fleet)
         self._holder.set_fleet(fleet)
         self._coordinator.set_fleet(fleet)
         self._runs.set_fleet(fleet)
@@ -247,6 +260,7 @@
         self._gate.set_configuration(configuration)
         self._holder.restart_unused()
         self._members.set_configuration(configuration)
+        self._service.set_configuration(configuration)
         self._coordinator.levels.set_configuration(configuration)
 
     def _should_sweep(self) -> bool:
@@ -258,6 +272,7 @@
         return (
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
+            and not self._membership.steps_down
         )
 
     def _update_serving(self) -> None:
@@ -273,6 +288,9 @@
     def _active_count(self) -> int:
         return self._coordinator.active_count + self._runs.active_count
 
+    def _warm_latency_s(self, class_name: str, server_id: str) -> float | None:
+        return self._coordinator.warm_latency_s(class_name, server_id)
+
     # Messages from peers.
 
     def on_peer_message(self, message: PeerMessage, link: Link) -> None:
