Let the garbage collector run seldom in a node

Cause: perf shows about 5 % of a node's time in collections, which walk long-lived objects; requests leave few cycles. Change: freeze what lives at the start, threshold 20,000.

--- a/packages/daemon/mulberrybay_daemon/main.py
+++ b/packages/daemon/mulberrybay_daemon/main.py
@@ -1,9 +1,10 @@
 """The program `mulberrybayd`: one node of the query tier."""
 
+import gc
 import pathlib
 import sys
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Final
 
 import cappa
 from expression import Result
@@ -12,6 +13,8 @@
 from mulberrybay_daemon.settings import NodeSettings, load_settings
 from mulberrybay_runtime.logs import make_log_handler
 
+COLLECTOR_THRESHOLD_COUNT: Final = 20_000
+
 
 @dataclass
 class Mulberrybayd:
@@ -30,12 +33,24 @@
     ] = False
 
 
+def relax_collector() -> None:
+    """Lets the garbage collector run seldom and skip what lives for good.
+
+    Requests leave few reference cycles, so a collection mostly walks objects
+    that stay.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECTOR_THRESHOLD_COUNT, 20, 50)
+
+
 def run_node(settings: NodeSettings) -> int:
     """Runs a node until it is told to stop; returns the exit code."""
     handler = make_log_handler(settings.log_form, settings.log_level)
     with handler.applicationbound():
         try:
             with Node(settings) as node:
+                relax_collector()
                 print("ready", flush=True)
                 node.run()
         except OSError as error:
