--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -6,9 +6,9 @@
 
 import os
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from types import SimpleNamespace
-from typing import Any, Final
+from typing import Final
 
 import pytest
 from hypothesis import HealthCheck, settings, strategies
@@ -102,7 +102,9 @@
 class _Node:
     """One process of a node, on a clock of its own."""
 
-    def __init__(self, world: "MemberMachine", index: int, now_s: float):
+    def __init__(
+        self, world: "MemberMachine", index: int, now_s: float
+    ) -> None:
         self.world = world
         self.index = index
         self.node_id = f"node-{index}"
@@ -134,14 +136,13 @@
     def on_peer_revision(self, peer_id: str, revision: int) -> None:
         """Takes a peer's revision, as if asking for it took no time."""
         del peer_id
-        if revision > self.membership.revision:
-            self.membership.revision = revision
+        self.membership.revision = max(self.membership.revision, revision)
 
     def clock_s(self) -> float:
         """The time on this process's clock."""
         return self.world.now_s + self.skew_s
 
-    def run(self, method: Any, *arguments: Any) -> None:
+    def run(self, method: Callable[..., object], *arguments: object) -> None:
         """Calls the task on this process's clock."""
         world = self.world
         member_task.read_clock_s = self.clock_s  # type: ignore[assignment]
