--- a/packages/core/mulberrybay_core/concurrency_limit.py
+++ b/packages/core/mulberrybay_core/concurrency_limit.py
@@ -55,6 +55,11 @@
         """Whether the last reply was slow and the next is to tell why."""
         return self._suspended_count is not None
 
+    @property
+    def usual_count(self) -> int:
+        """The limit that is in force but for the time of a suspension."""
+        return self._suspended_count or self.limit_count
+
     def on_dispatch(self, now_s: float) -> None:
         """Notes a dispatch."""
         self._used_at_s = now_s
--- a/packages/core/mulberrybay_core/extra_load.py
+++ b/packages/core/mulberrybay_core/extra_load.py
@@ -24,6 +24,11 @@
         filled = self._token_count + attempt_count * extra_load_percent / 100
         self._token_count = min(BURST_TOKEN_COUNT, filled)
 
+    @property
+    def is_low(self) -> bool:
+        """Whether the tokens left had better go to the slowest shards."""
+        return self._token_count < BURST_TOKEN_COUNT / 2
+
     def try_spend(self) -> bool:
         """Takes one token; False if there is none."""
         if self._token_count < 1:
--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -50,7 +50,8 @@
         return ServerLoad(
             outstanding_count=len(self.outstanding),
             queued_count=len(self._queue),
-            limit_count=self.limit.limit_count,
+            # A suspension ends with the next reply, before this is of use.
+            limit_count=self.limit.usual_count,
         )
 
     def enqueue(self, item: QueuedAttempt) -> bool:
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -32,6 +32,8 @@
 MAX_RESTART_COUNT: Final = 3
 # A hedge that finds the budget empty is tried again after this time.
 HEDGE_RETRY_S: Final = 0.005
+# With few tokens left, a hedge waits for this many hedge delays.
+STRAGGLER_RATIO: Final = 1.6
 # Where every replica is busy, one may be free after this time.
 BUSY_RETRY_S: Final = 0.01
 NO_REPLICA_RETRY_S: Final = 1.0
@@ -94,11 +96,10 @@
     def _expected_excess_s(self, now_s: float) -> float:
         """Returns how much too late the query is expected to be."""
         waits = self._context.policies.waits
-        replicas = [self._usable_replicas(item, now_s) for item in self._shards]
         estimates = [
             min(waits.estimate(server.server_id, now_s) for server in usable)
-            for usable in replicas
-            if usable
+            for shard in self._shards
+            if (usable := self._usable_replicas(shard, now_s))
         ]
         targets = self._context.targets
         return expected_excess_s(
@@ -150,9 +151,8 @@
         usable = self._usable_replicas(shard, now_s)
         busy_ids = {self._open[item].server_id for item in shard.open_ids}
         fresh = [s for s in usable if s.server_id not in shard.tried_ids]
-        candidates = fresh or [
-            server for server in usable if server.server_id not in busy_ids
-        ]
+        idle = [s for s in usable if s.server_id not in busy_ids]
+        candidates = fresh or idle
         if not candidates:
             return None
         return self._context.policies.replicas.choose(
@@ -212,15 +212,21 @@
         shard.retry_at_s = None
         shard.hedge_at_s = None
         self._covered_count += 1
-        losers = tuple(shard.open_ids)
-        for attempt_id in losers:
-            self._close_attempt(attempt_id, now_s)
+        losers = self._close_attempts(shard.open_ids, now_s)
         is_early_enough = now_s >= self._early_at_s and self._meets_coverage()
         is_whole = self._covered_count == len(self._shards)
         if is_whole or is_early_enough or self._is_hopeless():
             return self._finish(losers, now_s)
         return self._nothing()._replace(cancelled_ids=losers)
 
+    def _close_attempts(
+        self, attempt_ids: Iterable[int], now_s: float
+    ) -> tuple[int, ...]:
+        closed_ids = tuple(attempt_ids)
+        for attempt_id in closed_ids:
+            self._close_attempt(attempt_id, now_s)
+        return closed_ids
+
     def _close_attempt(self, attempt_id: int, now_s: float) -> None:
         sent = self._open.pop(attempt_id)
         self._may_have_run = True
@@ -261,9 +267,7 @@
     def _restart(self, now_s: float) -> QueryStep:
         """Starts over on another snapshot; nothing of the old one is kept."""
         self._restart_count += 1
-        abandoned = tuple(self._open)
-        for attempt_id in abandoned:
-            self._close_attempt(attempt_id, now_s)
+        abandoned = self._close_attempts(self._open, now_s)
         step = self.start(now_s)
         return step._replace(cancelled_ids=abandoned)
 
@@ -276,11 +280,9 @@
                 shard.hedge_at_s = now_s + HEDGE_RETRY_S
                 self.wakeup_s = min(self.wakeup_s, shard.hedge_at_s)
             return self._nothing()
+        delay_s = min(MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2**shard.failure_count)
         shard.failure_count += 1
         shard.hedge_at_s = None
-        delay_s = min(
-            MAX_RETRY_DELAY_S, RETRY_DELAY_S * 2 ** (shard.failure_count - 1)
-        )
         has_untried = any(
             server.server_id not in shard.tried_ids
             for server in self._usable_replicas(shard, now_s)
@@ -310,14 +312,14 @@
         return self._nothing()._replace(attempts=tuple(attempts))
 
     def _is_due(self, shard: QueryShard, now_s: float) -> bool:
-        due_s = shard.retry_at_s if not shard.open_ids else shard.hedge_at_s
-        return due_s is not None and now_s >= due_s
+        return shard.due_at_s is not None and now_s >= shard.due_at_s
 
     def _send_extra(self, shard: QueryShard, now_s: float) -> list[Attempt]:
         shard.hedge_at_s = None
         is_extra = bool(shard.open_ids) or shard.was_reached
         budget = self._context.policies.budget
-        if is_extra and not budget.try_spend():
+        is_early = budget.is_low and not self._is_straggling(shard, now_s)
+        if is_extra and (is_early or not budget.try_spend()):
             if shard.open_ids:
                 shard.hedge_at_s = now_s + HEDGE_RETRY_S
             else:
@@ -330,6 +332,15 @@
             shard.retry_at_s = None
         return attempts
 
+    def _is_straggling(self, shard: QueryShard, now_s: float) -> bool:
+        """Returns whether a shard is far slower than the hedge delay."""
+        extra_load_percent = self._context.targets.extra_load_percent
+        delay_s = self._context.policies.hedging.delay_s(extra_load_percent)
+        sent_at_s = [self._open[item].sent_at_s for item in shard.open_ids]
+        if delay_s is None or not sent_at_s:
+            return True
+        return now_s - min(sent_at_s) >= STRAGGLER_RATIO * delay_s
+
     def _meets_coverage(self) -> bool:
         covered_percent = 100 * self._covered_count / len(self._shards)
         return covered_percent >= self._context.targets.coverage_percent
@@ -340,11 +351,8 @@
         if now_s < self._early_at_s:
             wakeup_s = self._early_at_s
         for shard in self._shards:
-            if shard.hits_json is not None:
-                continue
-            due_s = shard.retry_at_s if not shard.open_ids else shard.hedge_at_s
-            if due_s is not None:
-                wakeup_s = min(wakeup_s, due_s)
+            if shard.hits_json is None and shard.due_at_s is not None:
+                wakeup_s = min(wakeup_s, shard.due_at_s)
         self.wakeup_s = wakeup_s
 
     def _nothing(self) -> QueryStep:
@@ -356,9 +364,7 @@
     ) -> QueryStep:
         """Answers with what has come from the one snapshot."""
         snapshot = self._current_snapshot()
-        abandoned = tuple(self._open)
-        for attempt_id in abandoned:
-            self._close_attempt(attempt_id, now_s)
+        abandoned = self._close_attempts(self._open, now_s)
         if self._covered_count == 0:
             step = self._fail_empty(now_s)
             return step._replace(cancelled_ids=cancelled_ids + abandoned)
--- a/packages/core/mulberrybay_core/query_shard.py
+++ b/packages/core/mulberrybay_core/query_shard.py
@@ -47,6 +47,11 @@
         # Whether a backend server may have got a request for this shard.
         self.was_reached = False
 
+    @property
+    def due_at_s(self) -> float | None:
+        """When a hedge or, without open attempts, a retry is due."""
+        return self.hedge_at_s if self.open_ids else self.retry_at_s
+
 
 def reached_server(reply: AttemptReply) -> bool:
     """Returns whether the backend server may have got the request."""
