--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -214,7 +214,7 @@
         self._covered_count += 1
         losers = self._close_attempts(shard.open_ids, now_s)
         is_early_enough = now_s >= self._early_at_s and self._meets_coverage()
-        is_whole = self._covered_count == len(self._shards)
+        is_whole = self._covered_count == self.shard_count
         if is_whole or is_early_enough or self._is_hopeless():
             return self._finish(losers, now_s)
         return self._nothing()._replace(cancelled_ids=losers)
@@ -347,9 +347,8 @@
 
     def _schedule(self, now_s: float) -> None:
         """Sets when `on_wakeup` must be called next."""
-        wakeup_s = self.request.deadline_at_s
-        if now_s < self._early_at_s:
-            wakeup_s = self._early_at_s
+        is_early = now_s < self._early_at_s
+        wakeup_s = self._early_at_s if is_early else self.request.deadline_at_s
         for shard in self._shards:
             if shard.hits_json is None and shard.due_at_s is not None:
                 wakeup_s = min(wakeup_s, shard.due_at_s)
