--- a/packages/core/tests/test_membership_restart.py
+++ b/packages/core/tests/test_membership_restart.py
@@ -32,5 +32,5 @@
         for member in (peer, other):
             member.tick(now_s, int(now_s * 1000))
             heartbeat = node.make_heartbeat(member.info.node_id, now_s)
-            node.on_ack(member.on_heartbeat(heartbeat, now_s))
+            node.on_ack(member.on_heartbeat(heartbeat, now_s), now_s)
         node.tick(now_s, int(now_s * 1000))
