Check accepted configurations and cold starts across a change of holder

A node that started in an outage of the platform knew no backend servers, yet others took it for the holder of its share, and callers were sent to it (found by reading while the test was written). Ruled out: waiting for the platform; peers must not count on such a node. Change: only a node that serves is chosen as holder, and one without a list of backend servers does not serve.

--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -100,7 +100,8 @@
         return tuple(
             info
             for info in self._membership.live_nodes(now_s)
-            if not info.is_leaving
+            if info.is_serving
+            and not info.is_leaving
             and info.failure_domain not in self._out_domains
         )
 
--- /dev/null
+++ b/tests/test_promise_configuration.py
@@ -0,0 +1,213 @@
+"""Promise 10: an accepted configuration is in force soon and never reverts."""
+
+import itertools
+import json
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from mulberrybay_testing.control_client import post_control
+from mulberrybay_testing.deployment import (
+    Deployment,
+    NodeProcess,
+    search_class,
+)
+from mulberrybay_testing.history import (
+    CallerLoad,
+    answer_problems,
+    ask,
+    requests_within,
+    revision_problems,
+    wait_until,
+)
+from mulberrybay_testing.processes import free_port
+
+IN_FORCE_S = 5.0
+CUT_OFF_S = 4.0
+REVISION_COUNT = 15
+
+
+class _Proxy:
+    """Stands between one node and the platform."""
+
+    def __init__(self, deployment: Deployment, folder: str) -> None:
+        self.port, self._control_port = free_port(), free_port()
+        process = deployment.processes.start(
+            "proxy",
+            [
+                *(sys.executable, "-m", "mulberrybay_testing.tcp_proxy"),
+                *("--listen", str(self.port)),
+                *("--target", f"127.0.0.1:{deployment.platform_port}"),
+                *("--control-port", str(self._control_port)),
+                *("--log", f"{folder}/proxy.log"),
+            ],
+        )
+        process.wait_ready()
+
+    def set(self, **faults: object) -> None:
+        """Sets the proxy's faults."""
+        post_control(self._control_port, {"all": True, "set": faults})
+
+
+@pytest.fixture(scope="module")
+def proxied(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[tuple[Deployment, _Proxy]]:
+    """Three nodes; the third reaches the platform by a proxy.
+
+    It also knows the others as seeds.
+    """
+    folder = tmp_path_factory.mktemp("configuration")
+    with Deployment(folder, (search_class(),)) as deployment:
+        proxy = _Proxy(deployment, str(folder))
+        node = deployment.nodes[2]
+        seeds = [f"127.0.0.1:{n.peer_port}" for n in deployment.nodes[:2]]
+        text = node.settings_path.read_text(encoding="utf-8")
+        platform = f"127.0.0.1:{deployment.platform_port}"
+        text = text.replace(platform, f"127.0.0.1:{proxy.port}")
+        text += f"seed_addresses = {json.dumps(seeds)}\n"
+        node.settings_path.write_text(text, encoding="utf-8")
+        node.process.terminate(timeout_s=15)
+        deployment.restart_node(2)
+        deployment.wait_serving()
+        yield deployment, proxy
+
+
+def _revision(deployment: Deployment, node: NodeProcess) -> int:
+    return int(deployment.status(node)["revision"])
+
+
+def _are_at(
+    deployment: Deployment, nodes: list[NodeProcess], revision: int
+) -> Callable[[], bool]:
+    return lambda: all(
+        _revision(deployment, node) >= revision for node in nodes
+    )
+
+
+@pytest.mark.parametrize(
+    "fault", [{}, {"cut": True}, {"silent": True, "silent_all": True}]
+)
+def test_rolling_revisions_reach_every_node_and_never_revert(
+    proxied: tuple[Deployment, _Proxy], fault: dict[str, object]
+) -> None:
+    """One node is cut off from the platform meanwhile."""
+    deployment, proxy = proxied
+    proxy.set(**fault)
+    seen: dict[str, list[int]] = {n.node_id: [] for n in deployment.nodes}
+    with CallerLoad(deployment, caller_count=4) as load:
+        for _ in range(REVISION_COUNT):
+            revision = deployment.put_configuration()
+            for node in deployment.nodes:
+                seen[node.node_id].append(_revision(deployment, node))
+        wait_until(
+            _are_at(deployment, deployment.nodes, revision),
+            IN_FORCE_S,
+            "the last revision",
+        )
+        load.wait_answers(20)
+    proxy.set(cut=False, silent=False, silent_all=False, drop_existing=True)
+    for revisions in seen.values():
+        assert revisions == sorted(revisions)
+    assert revision_problems(load.records) == []
+    assert answer_problems(load.records, {1: 4}) == []
+
+
+def test_thawed_node_takes_no_work_under_its_old_revision(
+    proxied: tuple[Deployment, _Proxy],
+) -> None:
+    deployment, _ = proxied
+    frozen = deployment.nodes[1]
+    with CallerLoad(deployment, caller_count=4, node_indexes=(0, 2)) as load:
+        frozen.process.freeze()
+        revision = deployment.put_configuration()
+        others = [deployment.nodes[0], deployment.nodes[2]]
+        wait_until(
+            _are_at(deployment, others, revision), IN_FORCE_S, "the others"
+        )
+        # Longer than a lease, so that the others take over.
+        ends_at_s = time.time() + 3.0
+        wait_until(lambda: time.time() > ends_at_s, 5, "the frozen time")
+        frozen.process.thaw()
+        thawed_at_s = time.time()
+        for number in itertools.count():
+            record = ask(frozen, "field-search", f"t-{number}", b'"thawed"')
+            if record.status == 200:
+                assert record.document["revision"] >= revision
+                break
+            assert record.document["error"]["run_state"] == "not_run"
+            assert time.time() - thawed_at_s < IN_FORCE_S
+    assert revision_problems(load.records) == []
+    deployment.wait_serving()
+
+
+def test_node_that_starts_in_an_outage_learns_from_peers(
+    proxied: tuple[Deployment, _Proxy],
+) -> None:
+    deployment, _ = proxied
+    revision = deployment.put_configuration()
+    wait_until(
+        _are_at(deployment, deployment.nodes, revision), IN_FORCE_S, "all"
+    )
+    deployment.control_platform(outage="refuse")
+    deployment.nodes[2].process.kill()
+    deployment.restart_node(2, "in-outage")
+    node = deployment.nodes[2]
+    with CallerLoad(deployment, caller_count=3, node_indexes=(0, 1)) as load:
+        wait_until(
+            _are_at(deployment, [node], revision), IN_FORCE_S, "the new node"
+        )
+        # The others go on to cover all shards, whatever the new node holds.
+        load.wait_answers(
+            20,
+            matches=lambda record: (
+                record.document["coverage"]["missing_shards"] == []
+            ),
+        )
+        record = ask(node, "field-search", "started", b'"started"')
+        assert record.status != 200
+        assert record.document["error"]["run_state"] == "not_run"
+        assert not deployment.status(node)["is_serving"]
+    assert {item.document["revision"] for item in load.answered()} == {revision}
+    deployment.control_platform(outage=None)
+    deployment.wait_serving()
+    record = ask(node, "field-search", "after", b'"after"')
+    assert record.document["revision"] == revision
+
+
+def test_node_cut_off_from_everyone_refuses_as_not_run(
+    proxied: tuple[Deployment, _Proxy],
+) -> None:
+    """The platform is silent and both peers are frozen."""
+    deployment, _ = proxied
+    node = deployment.nodes[0]
+    deployment.control_platform(outage="silent")
+    for peer in deployment.nodes[1:]:
+        peer.process.freeze()
+    cut_at_s = time.time()
+    with CallerLoad(deployment, caller_count=3, node_indexes=(0,)) as load:
+        ends_at_s = cut_at_s + CUT_OFF_S + 2.0
+        wait_until(lambda: time.time() > ends_at_s, 10, "the watched time")
+    late = [
+        record
+        for record in load.records
+        if record.started_at_s > cut_at_s + CUT_OFF_S
+    ]
+    assert late
+    for record in late:
+        assert record.status == 503
+        assert record.document["error"]["run_state"] == "not_run"
+    events = deployment.backend_events()
+    vm_ids = {server["vm_id"] for server in deployment.backends}
+    assert requests_within(events, vm_ids, cut_at_s + CUT_OFF_S) == []
+    deployment.control_platform(outage=None)
+    for peer in deployment.nodes[1:]:
+        peer.process.signal(signal.SIGCONT)
+    revision = deployment.put_configuration()
+    wait_until(
+        _are_at(deployment, [node], revision), IN_FORCE_S, "the cut-off node"
+    )
+    deployment.wait_serving()
