--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -1,11 +1,12 @@
 """The holder: queues and dispatches attempts for the servers it holds."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from mulberrybay_core.attempts import (
     AttemptBatch,
+    AttemptKind,
     AttemptOutcome,
     AttemptReply,
     AttemptReplyHandler,
@@ -53,12 +54,14 @@
         leaving_servers: LeavingServers,
         connections: BackendConnections,
         timers: Timers,
+        get_warm_latency_s: Callable[[str, str], float | None],
     ) -> None:
         self._holdings = holdings
         self._gate = gate
         self._leaving_servers = leaving_servers
         self._connections = connections
         self._timers = timers
+        self._get_warm_latency_s = get_warm_latency_s
         self._fleet = Fleet((), ())
         self._held: dict[str, HeldServer] = {}
         self._server_by_request: dict[str, str] = {}
@@ -98,7 +101,9 @@
         held = self._held.get(server.server_id)
         if held is None:
             held = self._held[server.server_id] = HeldServer(server)
-        if not held.enqueue(item):
+        is_search = item.batch.kind is AttemptKind.SEARCH
+        is_suspect = is_search and held.is_suspect(read_clock_s())
+        if is_suspect or not held.enqueue(item):
             self._refuse(item, AttemptOutcome.QUEUE_FULL)
             return
         self._server_by_request[item.request_id] = server.server_id
@@ -155,7 +160,7 @@
             shard=item.attempt.shard,
             idempotency_key=item.batch.idempotency_key,
             deadline_at_s=min(
-                item.batch.deadline_at_s, now_s + ATTEMPT_LIMIT_S
+                item.batch.deadline_at_s, now_s + self._limit_s(held, item)
             ),
             body=item.batch.body,
         )
@@ -166,13 +171,21 @@
             lambda result: self._on_result(held, item, result),
         )
 
+    def _limit_s(self, held: HeldServer, item: QueuedAttempt) -> float:
+        """Returns how long an attempt may run at the backend server."""
+        work_class = self._gate.configuration.find_class(item.batch.class_name)
+        if work_class is None or item.batch.kind is not AttemptKind.SEARCH:
+            return ATTEMPT_LIMIT_S
+        lateness_ms = work_class.targets.lateness_ms
+        return min(ATTEMPT_LIMIT_S, held.patience_s(lateness_ms))
+
     def _on_result(
         self, held: HeldServer, item: QueuedAttempt, result: BackendResult
     ) -> None:
         server_id = held.server.server_id
         held.end(item.request_id)
         self._server_by_request.pop(item.request_id, None)
-        self._update_limit(held, result)
+        self._update_limit(held, item.batch.class_name, result)
         if result.run_state is RunState.RAN or result.is_leaving:
             self._leaving_servers.note_reply(
                 server_id, result.is_leaving, read_clock_s()
@@ -195,9 +208,19 @@
         self._settle_release(held)
         self.pump(server_id)
 
-    def _update_limit(self, held: HeldServer, result: BackendResult) -> None:
+    def _update_limit(
+        self, held: HeldServer, class_name: str, result: BackendResult
+    ) -> None:
         if result.outcome is BackendOutcome.OK:
+            if held.limit.baseline_s is None:
+                warm_s = self._get_warm_latency_s(
+                    class_name, held.server.server_id
+                )
+                if warm_s is not None:
+                    held.limit.adopt_baseline(warm_s)
             held.limit.on_success(result.latency_s)
+        elif result.outcome is BackendOutcome.CANCELLED:
+            held.limit.on_cancelled(result.latency_s)
         elif result.outcome is BackendOutcome.CONNECTION_LOST:
             # The server may have restarted, and be cold.
             held.limit.restart()
