--- a/packages/core/mulberrybay_core/membership.py
+++ b/packages/core/mulberrybay_core/membership.py
@@ -30,11 +30,9 @@
     NodeEpoch,
     NodeInfo,
 )
+from mulberrybay_core.member_peer import MemberPeer
 
 MAX_UNACKED_COUNT: Final = 32
-# Reported of a peer that the reporting node has never heard of: whatever
-# epoch it names first will be denied.
-ANY_EPOCH: Final = 2**63 - 1
 
 
 class MembershipSettings(NamedTuple):
@@ -54,37 +52,6 @@
     forget_after_s: float = 10.0
 
 
-class _Peer:
-    """What this node knows of one other member."""
-
-    def __init__(self, info: NodeInfo, now_s: float) -> None:
-        self.info = info
-        self.epoch = 0
-        self.is_listed = False
-        self.learned_at_s = now_s
-        self.heard_at_s: float | None = None
-        self.acked_at_s = now_s
-        self.broken_since_s: float | None = None
-        # A node that has just started may have granted a lease before; it
-        # counts every peer as granted until that lease must have run out.
-        self.granted_at_s = now_s
-        self.lapsed_epoch = 0
-        self.denies_first_epoch = False
-        self.renewed_at_s: float | None = None
-        self.revision = 0
-        self.reported_lapsed: dict[str, int] = {}
-        self.reported_granted: dict[str, int] = {}
-        self.sent_at_s: dict[int, float] = {}
-
-    def reported_epoch(self) -> int:
-        """The highest epoch to which this node grants nothing any more."""
-        return ANY_EPOCH if self.denies_first_epoch else self.lapsed_epoch
-
-    def was_heard_since(self, since_s: float) -> bool:
-        """Whether a heartbeat of the peer came after a time."""
-        return self.heard_at_s is not None and self.heard_at_s >= since_s
-
-
 class Membership:
     """Decides on leases; sends nothing itself."""
 
@@ -108,7 +75,7 @@
         self.revision = 0
         self.has_member_list = False
         self._epoch_clock = epoch
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, MemberPeer] = {}
         self._sequence = 0
         self._held_lease = False
         self._lost_lease = False
@@ -127,7 +94,7 @@
                 info = NodeInfo(
                     node_id, vm.failure_domain, vm.peer_address, vm.peer_address
                 )
-                peer = self._peers[node_id] = _Peer(info, now_s)
+                peer = self._peers[node_id] = MemberPeer(info, now_s)
             peer.is_listed = True
             if peer.heard_at_s is None:
                 peer.info = peer.info._replace(peer_address=vm.peer_address)
@@ -136,7 +103,7 @@
             if not peer.is_listed and self._is_forgotten(peer, now_s):
                 del self._peers[node_id]
 
-    def _is_forgotten(self, peer: _Peer, now_s: float) -> bool:
+    def _is_forgotten(self, peer: MemberPeer, now_s: float) -> bool:
         heard_at_s = peer.heard_at_s or peer.learned_at_s
         return now_s - heard_at_s > self._settings.forget_after_s
 
@@ -146,7 +113,7 @@
             return
         peer = self._peers.get(info.node_id)
         if peer is None:
-            self._peers[info.node_id] = _Peer(info, now_s)
+            self._peers[info.node_id] = MemberPeer(info, now_s)
         elif not peer.was_heard_since(now_s - self._settings.lease_s):
             peer.info = info
 
@@ -302,7 +269,7 @@
             peer.reported_lapsed.clear()
         return True
 
-    def _lapse_if_due(self, peer: _Peer, now_s: float) -> None:
+    def _lapse_if_due(self, peer: MemberPeer, now_s: float) -> None:
         lease_s = self._settings.lease_s
         if now_s - peer.granted_at_s <= lease_s:
             return
@@ -334,7 +301,7 @@
             ):
                 self.steps_down = True
 
-    def _reaches(self, peer: _Peer, now_s: float) -> bool:
+    def _reaches(self, peer: MemberPeer, now_s: float) -> bool:
         since_s = now_s - self._settings.lease_s
         heard_at_s = peer.heard_at_s or peer.learned_at_s
         return min(heard_at_s, peer.acked_at_s) >= since_s
