Check how replies, health and the list are weighed

Cause: with health always believed the leaving tests still passed, since busy servers are not asked for their health. Change: a table of what each kind of evidence leads to.

--- a/tests/test_promise_server_leaving.py
+++ b/tests/test_promise_server_leaving.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.fleet import BackendServer
+from mulberrybay_daemon.leaving import LeavingServers
 from mulberrybay_testing.deployment import Deployment, search_class
 from mulberrybay_testing.history import (
     CallerLoad,
@@ -17,6 +20,9 @@
 GRACE_S = 3.0
 WATCH_S = 3.0
 LIST_LAG_S = 10.0
+SERVER = BackendServer(
+    "vm-1", "d1", Address("127.0.0.1", 9000), "service", 2, 10, "live"
+)
 
 
 @pytest.fixture(scope="module")
@@ -99,3 +105,31 @@
     assert late
     for record in late:
         assert record.document["coverage"]["missing_shards"] == []
+
+
+@pytest.mark.parametrize(
+    ("reply_at_s", "health_from_s", "now_s", "is_leaving"),
+    [
+        (None, None, 9.0, False),
+        # Health alone: believed after a while, until the list would show it.
+        (None, 5.0, 5.1, False),
+        (None, 5.0, 6.0, True),
+        (None, 5.0, 21.0, False),
+        # A reply from before health said so tells nothing, a later one does.
+        (4.0, 5.0, 6.0, True),
+        (5.6, 5.0, 6.0, False),
+        (5.6, 5.0, 9.0, True),
+    ],
+)
+def test_replies_outweigh_health(
+    reply_at_s: float | None,
+    health_from_s: float | None,
+    now_s: float,
+    is_leaving: bool,
+) -> None:
+    servers = LeavingServers()
+    if reply_at_s is not None:
+        servers.note_reply(SERVER.server_id, False, reply_at_s)
+    if health_from_s is not None:
+        servers.note_health(SERVER.server_id, True, health_from_s)
+    assert servers.is_leaving(SERVER, now_s) is is_leaving
