Ask for no lease before the list of VMs is known

Weighed: handing the list and the index over between nodes (the better way; a new message and its tests, not begun), holding only at nodes that serve (moves holdings at every start), and silence until the list is known: taken.

--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -55,6 +55,7 @@
         self._get_links = get_links
         self._revisions = revisions
         self._fleet = Fleet((), ())
+        self._knows_fleet = False
         self._out_domains: frozenset[str] = frozenset()
         self._last_view: tuple[object, ...] = ()
         self.had_lease = False
@@ -70,6 +71,7 @@
     def set_fleet(self, fleet: Fleet) -> None:
         """Takes the platform's list of VMs."""
         self._fleet = fleet
+        self._knows_fleet = True
         self._membership.on_vm_list(fleet.entry_vms, read_clock_s())
         self._dial_members()
 
@@ -89,6 +91,10 @@
         now_s = read_clock_s()
         links = self._get_links()
         links.check_silence(now_s)
+        if not self._knows_fleet:
+            # Peers would count on this node as a holder of servers that it
+            # does not know. It still grants leases to them.
+            return
         for info in self._membership.peers:
             heartbeat = self._membership.make_heartbeat(info.node_id, now_s)
             links.send(info.node_id, heartbeat)
--- a/packages/daemon/tests/test_member_task.py
+++ b/packages/daemon/tests/test_member_task.py
@@ -1,21 +1,77 @@
-"""What a node does with messages that can't be a peer's."""
+"""When a node speaks to its peers, and what it does with its own voice."""
 
 from typing import Any
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.configuration import EMPTY_CONFIGURATION
+from mulberrybay_core.fleet import EntryVm, Fleet
 from mulberrybay_core.member_messages import NodeInfo
 from mulberrybay_core.membership import Membership, MembershipSettings
 from mulberrybay_daemon.member_task import MemberTask
 
+ADDRESS = Address("127.0.0.1", 1)
+VMS = tuple(EntryVm(f"node-{x}", "d1", ADDRESS, "live") for x in (1, 2))
 
-def test_own_heartbeat_over_a_seed_is_dropped() -> None:
-    address = Address("127.0.0.1", 1)
-    info = NodeInfo("node-1", "d1", address, address)
-    settings = MembershipSettings()
-    membership = Membership(settings, info, 5)
+
+class FakeLinks:
+    """Records what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, peer_id: str, message: object) -> None:
+        self.sent.append((peer_id, message))
+
+    def seed_ids(self) -> list[str]:
+        return ["seed"]
+
+    def set_peers(self, addresses: object) -> None:
+        del addresses
+
+    def check_silence(self, now_s: float) -> None:
+        del now_s
+
+
+class Revisions:
+    """Takes what peers say of their revisions."""
+
+    def on_peer_revision(self, peer_id: str, revision: int) -> None:
+        del peer_id, revision
+
+
+def make_task(links: FakeLinks) -> tuple[MemberTask, Membership]:
+    info = NodeInfo("node-1", "d1", ADDRESS, ADDRESS)
+    membership = Membership(MembershipSettings(), info, 5)
     unused: Any = None
     task = MemberTask(
-        settings, membership, *[unused] * 4, lambda: unused, unused
+        MembershipSettings(),
+        membership,
+        *[unused] * 4,
+        lambda: links,  # type: ignore[arg-type, return-value]
+        Revisions(),
     )
+    return task, membership
+
+
+def test_own_heartbeat_over_a_seed_is_dropped() -> None:
+    task, membership = make_task(FakeLinks())
+    unused: Any = None
     task.on_heartbeat(membership.make_probe(0.0), unused)
     assert membership.peers == ()
+
+
+def test_node_without_the_list_of_vms_grants_but_does_not_ask() -> None:
+    links = FakeLinks()
+    task, _ = make_task(links)
+    peer = Membership(
+        MembershipSettings(), NodeInfo("node-2", "d1", ADDRESS, ADDRESS), 9
+    )
+    acks = FakeLinks()
+    acks.send = acks.sent.append  # type: ignore
+    task.on_heartbeat(peer.make_probe(0.0), acks)  # type: ignore[arg-type]
+    task.set_configuration(EMPTY_CONFIGURATION._replace(revision=3))
+    assert acks.sent[0].is_granted
+    assert links.sent == []
+    task.set_fleet(Fleet(VMS, ()))
+    task.set_configuration(EMPTY_CONFIGURATION._replace(revision=4))
+    assert [peer_id for peer_id, _ in links.sent] == ["node-2", "seed"]
