Measure added latency against a bare fan-out; cut hits out of real replies

Cause: one request to one backend server was the baseline, though the stand-in serves the 20 requests of a query one after the other; and the cut of the hits never applied, since the stand-in's replies have two more fields.

--- a/packages/backends/mulberrybay_backends/protocol.py
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from typing import Final
+from typing import Any, Final
 
 from mulberrybay_core.attempts import AttemptKind
 from mulberrybay_core.backend_messages import (
@@ -75,6 +75,7 @@
     return result
 
 
+_PLAIN_KEYS: Final = frozenset({"index_version", "shard"})
 _OUTCOMES: Final = {
     408: BackendOutcome.DEADLINE,
     409: BackendOutcome.WRONG_SNAPSHOT,
@@ -106,14 +107,21 @@
         return _bad_reply("the hits are not a list")
     if not hits:
         hits_json = b"[]"
-    elif len(document) == 1 and body.count(b'"hits"') == 1:
-        # The array is all that stands between the outermost brackets.
+    elif body.count(b'"hits"') == 1 and _has_no_other_bracket(document):
         hits_json = body[body.index(b"[") : body.rindex(b"]") + 1]
     else:
         hits_json = json.dumps(hits).encode()
     return BackendResult(BackendOutcome.OK, RunState.RAN, body=hits_json)
 
 
+def _has_no_other_bracket(document: dict[str, Any]) -> bool:
+    """Whether the hits are all between the first bracket and the last."""
+    return all(
+        key == "hits" or (key in _PLAIN_KEYS and type(value) is int)
+        for key, value in document.items()
+    )
+
+
 def _read_run_result(body: bytes) -> BackendResult:
     """Takes a run's result, as JSON in ASCII whatever its encoding was."""
     try:
--- a/packages/testing/mulberrybay_testing/node_costs.py
+++ b/packages/testing/mulberrybay_testing/node_costs.py
@@ -14,7 +14,6 @@
 import statistics
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
@@ -26,16 +25,17 @@
 from mulberrybay_core.membership import Membership, MembershipSettings
 from mulberrybay_nodes.codec import encode_message
 from mulberrybay_nodes.frames import wrap_frame
-from mulberrybay_testing.deployment import (
-    Deployment,
-    NodeProcess,
-    search_class,
+from mulberrybay_testing.cost_clients import (
+    FanOut,
+    QueryClient,
+    make_client,
+    send_queries,
 )
+from mulberrybay_testing.deployment import Deployment, search_class
 
 SHARD_COUNT: Final = 20
 QUERY_COUNT: Final = 2000
 WARM_UP_COUNT: Final = 300
-WORKER_COUNT: Final = 8
 LATENCY_SAMPLE_COUNT: Final = 400
 LOW_LOAD_PAUSE_S: Final = 0.02
 IDLE_S: Final = 10.0
@@ -87,58 +87,6 @@
         yield deployment
 
 
-class QueryClient:
-    """Sends queries one after the other on a kept connection."""
-
-    def __init__(self, port: int, path: str, headers: dict[str, str]) -> None:
-        self._connection = http.client.HTTPConnection("127.0.0.1", port)
-        self._path = path
-        self._headers = headers
-
-    def send(self) -> float:
-        """Sends a request; returns its latency.
-
-        Raises:
-            RuntimeError: The answer is not whole.
-        """
-        began_at_s = time.perf_counter()
-        self._connection.request("POST", self._path, b'"valve"', self._headers)
-        answer = self._connection.getresponse()
-        body = answer.read()
-        latency_s = time.perf_counter() - began_at_s
-        if answer.status != 200 or b'"missing_shards": [0' in body:
-            raise RuntimeError(f"status {answer.status}: {body[:300]!r}")
-        return latency_s
-
-
-def make_client(node: NodeProcess) -> QueryClient:
-    """Returns a client of a node's queries."""
-    return QueryClient(
-        node.caller_port, "/v1/query/field-search", {"X-Deadline-Ms": "5000"}
-    )
-
-
-def send_queries(nodes: list[NodeProcess], query_count: int) -> float:
-    """Sends queries from several connections; returns the time taken."""
-
-    def work(client: QueryClient) -> None:
-        for _ in range(query_count // WORKER_COUNT):
-            client.send()
-
-    began_at_s = time.perf_counter()
-    threads = [
-        threading.Thread(
-            target=work, args=(make_client(nodes[index % len(nodes)]),)
-        )
-        for index in range(WORKER_COUNT)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return time.perf_counter() - began_at_s
-
-
 def measure_queries() -> None:
     """CPU per query and per sub-request, and queries a second."""
     for node_count in (1, 3):
@@ -157,30 +105,20 @@
 
 
 def measure_latency() -> None:
-    """Latency of queries one at a time, against one backend server."""
+    """Latency of queries one at a time, against a bare fan-out."""
     for node_count in (1, 3):
         with start_nodes(node_count) as deployment:
-            backend = QueryClient(
-                deployment.backends[0]["port"],
-                "/v1/search",
-                {
-                    "X-Request-Id": "direct",
-                    "X-Deadline-Ms": "5000",
-                    "X-Index-Version": "1",
-                    "X-Shard": "0",
-                },
-            )
-            direct_ms = sample_latencies(backend)
+            direct_ms = sample_latencies(FanOut(deployment))
             tier_ms = sample_latencies(make_client(deployment.nodes[0]))
         label = f"{node_count} node(s)"
-        show(f"{label}: a backend server alone, median", direct_ms[0], "ms")
         for index, name in enumerate(("median", "99th percentile")):
             added_ms = tier_ms[index] - direct_ms[index]
-            show(f"{label}: query at 20 shards, {name}", tier_ms[index], "ms")
+            show(f"{label}: bare fan-out, {name}", direct_ms[index], "ms")
+            show(f"{label}: query, {name}", tier_ms[index], "ms")
             show(f"{label}: added by the tier, {name}", added_ms, "ms")
 
 
-def sample_latencies(client: QueryClient) -> tuple[float, float]:
+def sample_latencies(client: QueryClient | FanOut) -> tuple[float, float]:
     """Returns the median and the 99th percentile at low load, in ms."""
     for _ in range(50):
         client.send()
