--- /dev/null
+++ b/packages/backends/mulberrybay_backends/health.py
@@ -0,0 +1,112 @@
+"""Asks backend servers for their health, on one kept connection to each."""
+
+import json
+from collections.abc import Callable, Collection
+from typing import Final, Self
+
+import httptools
+
+from mulberrybay_core.fleet import BackendServer
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import (
+    HttpReply,
+    ReplyParser,
+    ReplyTooLargeError,
+    encode_request,
+)
+from mulberrybay_runtime.streams import Stream, Streams
+
+HEALTH_TIMEOUT_S: Final = 1.0
+
+HealthReply = Callable[[bool], None]
+
+
+class _HealthConnection:
+    """One connection, with at most one question on it."""
+
+    def __init__(self, server: BackendServer) -> None:
+        self.server = server
+        self.stream: Stream | None = None
+        self.asked_at_s = read_clock_s()
+        self.reply: HealthReply | None = None
+        self._parser = ReplyParser()
+
+    def ask(self, reply: HealthReply) -> None:
+        """Asks on the open connection, or as soon as it opens."""
+        self.reply = reply
+        self.asked_at_s = read_clock_s()
+        if self.stream is not None and not self.stream.is_connecting:
+            self.on_connected(self.stream)
+
+    def on_connected(self, stream: Stream) -> None:
+        """Sends the question."""
+        stream.send(encode_request("GET", "/v1/health", self.server.address))
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Takes bytes of a reply."""
+        try:
+            replies = self._parser.feed(data)
+        except (httptools.HttpParserError, ReplyTooLargeError):
+            self.close()
+            return
+        for item in replies:
+            reply, self.reply = self.reply, None
+            is_leaving = _read_health(item)
+            if reply is not None and is_leaving is not None:
+                reply(is_leaving)
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """The connection has ended."""
+        del stream, reason
+        self.stream = None
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
+
+
+def _read_health(reply: HttpReply) -> bool | None:
+    """Returns whether the server says that it leaves; None if unclear."""
+    try:
+        status = json.loads(reply.body)["status"]
+    except (ValueError, KeyError, TypeError):
+        return None
+    return {"live": False, "leaving": True}.get(status)
+
+
+class HealthConnections:
+    """The health connections to all the backend servers that a node holds."""
+
+    def __init__(self, streams: Streams) -> None:
+        self._streams = streams
+        self._connections: dict[str, _HealthConnection] = {}
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.keep(())
+
+    def check(self, server: BackendServer, reply: HealthReply) -> None:
+        """Asks a server; the handler is not called if it does not answer."""
+        connection = self._connections.get(server.server_id)
+        if connection is not None and connection.reply is not None:
+            age_s = read_clock_s() - connection.asked_at_s
+            if connection.stream is not None and age_s < HEALTH_TIMEOUT_S:
+                return
+            connection.close()
+        if connection is None or connection.stream is None:
+            connection = _HealthConnection(server)
+            self._connections[server.server_id] = connection
+            connection.ask(reply)
+            connection.stream = self._streams.dial(server.address, connection)
+            return
+        connection.ask(reply)
+
+    def keep(self, server_ids: Collection[str]) -> None:
+        """Closes the connections to all other servers."""
+        for server_id in list(self._connections):
+            if server_id not in server_ids:
+                self._connections.pop(server_id).close()
--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 from typing import Final, NamedTuple
 
 from mulberrybay_core.attempts import (
@@ -14,6 +15,7 @@
 from mulberrybay_core.fleet import BackendServer
 
 MAX_QUEUED_COUNT: Final = 64
+PATIENCE_RATIO: Final = 20.0
 
 
 class QueuedAttempt(NamedTuple):
@@ -70,12 +72,34 @@
 
     def _allowed_count(self, now_s: float) -> int:
         """Returns the limit; one while a request is overdue."""
-        if any(
+        return 1 if self._is_overdue(now_s) else self.limit.limit_count
+
+    def _is_overdue(self, now_s: float) -> bool:
+        return any(
             self.limit.is_overdue(now_s - dispatched_at_s)
             for dispatched_at_s in self._dispatched_at_s.values()
-        ):
-            return 1
-        return self.limit.limit_count
+        )
+
+    def patience_s(self, lateness_ms: float) -> float:
+        """Returns how long a search may go without a reply.
+
+        A silent connection must not use up the time in which another replica
+        could answer; but what the server usually takes is waited for.
+        """
+        baseline_s = self.limit.baseline_s
+        if baseline_s is None:
+            return math.inf
+        return max(PATIENCE_RATIO * baseline_s, lateness_ms / 2000)
+
+    def is_suspect(self, now_s: float) -> bool:
+        """Returns whether the server may be cold, which nobody knows yet.
+
+        New attempts had better go to another replica than wait here.
+        """
+        return bool(self.outstanding) and (
+            self.limit.is_suspended
+            or (self.limit.limit_count > 1 and self._is_overdue(now_s))
+        )
 
     def begin(self, item: QueuedAttempt, now_s: float) -> None:
         """Notes that an attempt is dispatched."""
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -26,7 +26,8 @@
     QueryContext,
     QueryStep,
 )
-from mulberrybay_core.query_run import UNSENT_OUTCOMES, QueryRun
+from mulberrybay_core.query_run import QueryRun
+from mulberrybay_core.query_shard import UNSENT_OUTCOMES
 from mulberrybay_core.service_levels import ServiceLevels
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 from mulberrybay_daemon.gate import Gate
@@ -120,6 +121,11 @@
         """Queries in progress."""
         return len(self._active)
 
+    def warm_latency_s(self, class_name: str, server_id: str) -> float | None:
+        """Returns what a warm server takes, as replies to us have shown."""
+        policies = self._policies.get(class_name)
+        return policies.waits.warm_latency_s(server_id) if policies else None
+
     def submit(
         self, request: QueryRequest, work_class: WorkClass, reply: QueryReply
     ) -> None:
--- a/packages/daemon/mulberrybay_daemon/gate.py
+++ b/packages/daemon/mulberrybay_daemon/gate.py
@@ -8,6 +8,7 @@
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.membership import Membership
 from mulberrybay_daemon.leaving import LeavingServers
+from mulberrybay_runtime.clock import read_clock_s
 
 
 class Gate:
@@ -24,6 +25,7 @@
     def set_fleet(self, fleet: Fleet) -> None:
         """Takes the platform's list of VMs."""
         self._fleet = fleet
+        self._leaving_servers.set_fleet(fleet)
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Takes the configuration in force."""
@@ -35,7 +37,7 @@
         return (
             server.failure_domain not in configuration.out_domains
             and server.server_id not in configuration.out_servers
-            and not self._leaving_servers.is_leaving(server)
+            and not self._leaving_servers.is_leaving(server, read_clock_s())
         )
 
     def may_dispatch(self, server: BackendServer, now_s: float) -> bool:
--- a/packages/daemon/mulberrybay_daemon/leaving.py
+++ b/packages/daemon/mulberrybay_daemon/leaving.py
@@ -1,23 +1,110 @@
-"""Which backend servers are leaving, by whichever source says so first."""
+"""Which backend servers are leaving: list, replies and health weighed.
 
-from mulberrybay_core.fleet import BackendServer
+The platform's list is right but lags. A reply to work tells the truth of its
+moment. Health may mislead either way, so it counts only until a reply or the
+list says otherwise.
+"""
+
+from typing import Final
+
+from mulberrybay_core.fleet import BackendServer, Fleet
+
+# How long a reply may take to contradict health that says leaving.
+CONFIRM_S: Final = 0.5
+REPLY_LIFETIME_S: Final = 2.0
+# By then the platform's list would show a server that leaves.
+LIST_LAG_LIMIT_S: Final = 15.0
+# After this long without new evidence a server is tried again.
+MARK_LIFETIME_S: Final = 60.0
+
+
+class _Evidence:
+    """What is known of one backend server."""
+
+    def __init__(self) -> None:
+        self.replied_at_s = float("-inf")
+        self.reply_leaving_since_s: float | None = None
+        self.health_leaving_since_s: float | None = None
+        self.health_live_at_s = float("-inf")
+        self.was_listed_leaving = False
 
 
 class LeavingServers:
     """Collects what the platform's list, replies and health checks say."""
 
     def __init__(self) -> None:
-        self._announced_ids: set[str] = set()
+        self._evidence: dict[str, _Evidence] = {}
+
+    def _of(self, server_id: str) -> _Evidence:
+        evidence = self._evidence.get(server_id)
+        if evidence is None:
+            evidence = self._evidence[server_id] = _Evidence()
+        return evidence
 
-    def note_reply(self, server_id: str, is_leaving: bool) -> None:
+    def set_fleet(self, fleet: Fleet) -> None:
+        """Takes the platform's list; forgets servers that it shows as back."""
+        for server in fleet.servers:
+            evidence = self._evidence.get(server.server_id)
+            if server.state == "leaving":
+                self._of(server.server_id).was_listed_leaving = True
+            elif evidence is not None and evidence.was_listed_leaving:
+                del self._evidence[server.server_id]
+
+    def note_reply(
+        self, server_id: str, is_leaving: bool, now_s: float
+    ) -> None:
         """Takes what a server's own reply says of it."""
-        if is_leaving:
-            self._announced_ids.add(server_id)
-        else:
-            self._announced_ids.discard(server_id)
+        evidence = self._of(server_id)
+        if not is_leaving:
+            evidence.replied_at_s = now_s
+            evidence.reply_leaving_since_s = None
+        elif evidence.reply_leaving_since_s is None:
+            evidence.reply_leaving_since_s = now_s
+
+    def note_health(
+        self, server_id: str, is_leaving: bool, now_s: float
+    ) -> None:
+        """Takes what a server's health endpoint says."""
+        evidence = self._of(server_id)
+        if not is_leaving:
+            evidence.health_live_at_s = now_s
+            evidence.health_leaving_since_s = None
+        elif evidence.health_leaving_since_s is None:
+            evidence.health_leaving_since_s = now_s
 
-    def is_leaving(self, server: BackendServer) -> bool:
+    def replied_at_s(self, server_id: str) -> float:
+        """Returns when a reply last said that a server is not leaving."""
+        evidence = self._evidence.get(server_id)
+        return evidence.replied_at_s if evidence else float("-inf")
+
+    def is_leaving(self, server: BackendServer, now_s: float) -> bool:
         """Returns whether a server is leaving."""
-        return (
-            server.state == "leaving" or server.server_id in self._announced_ids
-        )
+        if server.state == "leaving":
+            return True
+        evidence = self._evidence.get(server.server_id)
+        if evidence is None:
+            return False
+        if evidence.reply_leaving_since_s is not None:
+            return _is_marked(
+                evidence, now_s, now_s - evidence.reply_leaving_since_s
+            )
+        return _is_suspect(evidence, now_s)
+
+
+def _is_marked(evidence: _Evidence, now_s: float, age_s: float) -> bool:
+    """Returns whether a reply's word still holds."""
+    is_called_live = now_s - evidence.health_live_at_s < REPLY_LIFETIME_S
+    if is_called_live and age_s > LIST_LAG_LIMIT_S:
+        return False
+    return age_s <= MARK_LIFETIME_S
+
+
+def _is_suspect(evidence: _Evidence, now_s: float) -> bool:
+    """Returns whether to believe health that says leaving."""
+    since_s = evidence.health_leaving_since_s
+    if since_s is None or not CONFIRM_S <= now_s - since_s <= LIST_LAG_LIMIT_S:
+        return False
+    return (
+        evidence.replied_at_s < since_s
+        or now_s - evidence.replied_at_s > REPLY_LIFETIME_S
+    )
