--- a/packages/testing/mulberrybay_testing/node_costs.py
+++ b/packages/testing/mulberrybay_testing/node_costs.py
@@ -1,6 +1,6 @@
 """Measures what a node costs: CPU, latency, memory and bytes.
 
-    python -m mulberrybay_testing.node_costs [queries|latency|idle|memory]...
+    python -m mulberrybay_testing.node_costs [queries|latency|idle|memory|sizes]...
 
 Every measurement starts a deployment of its own and prints one line a figure.
 CPU is that of the node's process, from /proc.
@@ -20,11 +20,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from mulberrybay_core.addresses import Address
-from mulberrybay_core.member_messages import HeartbeatAck, NodeEpoch, NodeInfo
-from mulberrybay_core.membership import Membership, MembershipSettings
-from mulberrybay_nodes.codec import encode_message
-from mulberrybay_nodes.frames import wrap_frame
+from mulberrybay_testing.control_client import get_control
 from mulberrybay_testing.cost_clients import (
     FanOut,
     QueryClient,
@@ -32,6 +28,7 @@
     send_queries,
 )
 from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.message_sizes import show_sizes
 
 SHARD_COUNT: Final = 20
 QUERY_COUNT: Final = 2000
@@ -43,7 +40,6 @@
 CONNECTION_COUNT: Final = 1000
 SERVER_COUNT: Final = 1000
 CHANGE_COUNT: Final = 40
-MEMBER_COUNTS: Final = (3, 24, 100, 1000)
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 
 
@@ -135,16 +131,20 @@
     for node_count in (1, 3, 6, 12):
         with start_nodes(node_count) as deployment:
             time.sleep(SETTLE_S)
+            call_count = count_platform_calls(deployment)
             idle_percent = sample_idle_percent(deployment)
+            call_count = count_platform_calls(deployment) - call_count
+            rate = call_count / IDLE_S
             show(f"{node_count} node(s): idle CPU of one", idle_percent, "%")
+            show(f"{node_count} node(s): calls to the platform", rate, "1/s")
             if node_count == 3:
                 measure_changes(deployment, idle_percent)
-    for count in MEMBER_COUNTS:
-        heartbeat_bytes, ack_bytes = size_heartbeats(count)
-        show(f"{count} members: one heartbeat", heartbeat_bytes, "bytes")
-        period_s = MembershipSettings().heartbeat_period_s
-        rate = 2 * (heartbeat_bytes + ack_bytes) / period_s
-        show(f"{count} members: sent and received a peer", rate, "bytes/s")
+
+
+def count_platform_calls(deployment: Deployment) -> int:
+    """Returns the calls that the platform has counted."""
+    calls: dict[str, int] = get_control(deployment.platform_port)["calls"]
+    return sum(calls.values())
 
 
 def sample_idle_percent(deployment: Deployment) -> float:
@@ -169,29 +169,6 @@
     show("3 node(s): CPU of a node per change", change_s * 1000, "ms")
 
 
-def make_member(index: int) -> NodeInfo:
-    """Returns a member as a heartbeat names it."""
-    address = Address(f"10.0.{index // 250}.{index % 250}", 7400)
-    return NodeInfo(f"node-{index:04d}", f"d{index % 4}", address, address)
-
-
-def size_heartbeats(member_count: int) -> tuple[int, int]:
-    """Returns the bytes of a heartbeat and of its answer."""
-    membership = Membership(MembershipSettings(), make_member(0), 1)
-    for index in range(1, member_count):
-        membership.learn_member(make_member(index), 0.0)
-    heartbeat = membership.make_heartbeat("node-0001", 0.0)
-    granted = [make_member(index).node_id for index in range(1, member_count)]
-    heartbeat = heartbeat._replace(
-        granted=tuple(NodeEpoch(node_id, 1) for node_id in granted)
-    )
-    ack = HeartbeatAck("node-0001", 1, True, 0, 1)
-    return (
-        len(wrap_frame(encode_message(heartbeat, 0.0))),
-        len(wrap_frame(encode_message(ack, 0.0))),
-    )
-
-
 def measure_memory() -> None:
     """Resident memory of a node and what it grows by."""
     with start_nodes(1) as deployment, ExitStack() as exits:
@@ -240,6 +217,7 @@
     "latency": measure_latency,
     "idle": measure_idle,
     "memory": measure_memory,
+    "sizes": lambda: show_sizes(show),
 }
 
 
