Keep the line in the text of a TOML error

Cause: tests/test_bad_input.py looks for the line in words; the place had it only as FILE:LINE:COLUMN. Change: both are in the message.

--- a/packages/daemon/mulberrybay_daemon/settings_sources.py
+++ b/packages/daemon/mulberrybay_daemon/settings_sources.py
@@ -65,7 +65,6 @@
         found = LINE_PATTERN.search(text)
         if found:
             place = f"{path}:{found[1]}:{found[2]}"
-            text = text.replace(found[0], "")
         return Error(SettingsProblem(place, f"not TOML: {text}"))
 
 
