--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -228,7 +228,7 @@
 """
 
 BAD_SETTINGS = {
-    "not TOML": ("colour = = 1", ["line 8"]),
+    "not TOML": ("colour = = 1", ["node.toml:8:"]),
     "unknown key": ("colour = 1", ["colour", "failure_domain"]),
     "choice": ('log_form = "xml"', ["log_form", "json, console"]),
     "level": ("log_level = 3", ["log_level", "debug, info"]),
