--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -234,7 +234,7 @@
         policies = self._context.policies
         policies.replicas.on_ended(sent.server_id)
         age_s = now_s - sent.sent_at_s
-        policies.waits.on_cancelled(sent.server_id, age_s)
+        policies.waits.on_cancelled(sent.server_id, age_s, now_s)
         if not sent.is_extra:
             # It took at least so long; without it the slow ones would be
             # missing from the latencies that the hedge delay follows.
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -124,12 +124,12 @@
         view.sent_count += 1
         view.sent_since_load_count += 1
 
-    def on_cancelled(self, server_id: str, age_s: float) -> None:
+    def on_cancelled(self, server_id: str, age_s: float, now_s: float) -> None:
         """An attempt's reply is no longer waited for."""
         view = self._view(server_id)
         view.sent_count = max(0, view.sent_count - 1)
-        # It would have taken longer than that.
-        wait_s = view.latency_s * max(1, view.load.queued_count)
+        # It would have taken longer than that; queues explain a part of it.
+        wait_s = view.turns(now_s) * view.latency_s
         if age_s > wait_s:
             view.latency_s += LATENCY_WEIGHT * (age_s - wait_s)
 
