--- a/packages/testing/mulberrybay_testing/load_generator.py
+++ b/packages/testing/mulberrybay_testing/load_generator.py
@@ -82,7 +82,9 @@
         self._spec = spec
         self._known_ports = tuple(ports)
         self._ports = tuple(ports)
-        self._random = random.Random(seed)
+        # Apart from the choice of nodes, so that every arm has the same load.
+        self._arrivals = random.Random(seed)
+        self._random = random.Random(f"nodes {seed}")
         self._idle: dict[int, list[_Streams]] = defaultdict(list)
         self._tasks: set[asyncio.Task[None]] = set()
         self.samples: list[Sample] = []
@@ -91,7 +93,7 @@
         """Sends the whole load; returns the samples by intended time."""
         started_at_s = time.monotonic()
         refresh = asyncio.create_task(self._refresh_ports())
-        at_s = self._random.expovariate(self._spec.rate_at(0.0))
+        at_s = self._arrivals.expovariate(self._spec.rate_at(0.0))
         while at_s < self._spec.duration_s:
             wait_s = started_at_s + at_s - time.monotonic()
             if wait_s > 0:
@@ -99,7 +101,7 @@
             task = asyncio.create_task(self._query(at_s, started_at_s))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            at_s += self._random.expovariate(self._spec.rate_at(at_s))
+            at_s += self._arrivals.expovariate(self._spec.rate_at(at_s))
         await asyncio.gather(*self._tasks)
         refresh.cancel()
         self._close()
