--- a/packages/testing/mulberrybay_testing/node_costs.py
+++ b/packages/testing/mulberrybay_testing/node_costs.py
@@ -1,6 +1,6 @@
 """Measures what a node costs: CPU, latency, memory and bytes.
 
-    python -m mulberrybay_testing.node_costs [queries|latency|idle|memory]...
+    python -m mulberrybay_testing.node_costs [queries|latency|idle|memory|sizes]...
 
 Every measurement starts a deployment of its own and prints one line a figure.
 CPU is that of the node's process, from /proc.
@@ -9,33 +9,30 @@
 from __future__ import annotations
 
 import http.client
-import json
 import os
 import statistics
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from mulberrybay_core.addresses import Address
-from mulberrybay_core.member_messages import HeartbeatAck, NodeEpoch, NodeInfo
-from mulberrybay_core.membership import Membership, MembershipSettings
-from mulberrybay_nodes.codec import encode_message
-from mulberrybay_nodes.frames import wrap_frame
-from mulberrybay_testing.deployment import (
-    Deployment,
-    NodeProcess,
-    search_class,
+from mulberrybay_testing.control_client import get_control
+from mulberrybay_testing.cost_clients import (
+    FanOut,
+    QueryClient,
+    make_client,
+    send_queries,
 )
+from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.message_sizes import show_sizes
 
 SHARD_COUNT: Final = 20
 QUERY_COUNT: Final = 2000
 WARM_UP_COUNT: Final = 300
-WORKER_COUNT: Final = 8
+WARM_UP_ROUND_COUNT: Final = 8
 LATENCY_SAMPLE_COUNT: Final = 400
 LOW_LOAD_PAUSE_S: Final = 0.02
 IDLE_S: Final = 10.0
@@ -43,7 +40,6 @@
 CONNECTION_COUNT: Final = 1000
 SERVER_COUNT: Final = 1000
 CHANGE_COUNT: Final = 40
-MEMBER_COUNTS: Final = (3, 24, 100, 1000)
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 
 
@@ -87,100 +83,46 @@
         yield deployment
 
 
-class QueryClient:
-    """Sends queries one after the other on a kept connection."""
-
-    def __init__(self, port: int, path: str, headers: dict[str, str]) -> None:
-        self._connection = http.client.HTTPConnection("127.0.0.1", port)
-        self._path = path
-        self._headers = headers
-
-    def send(self) -> float:
-        """Sends a request; returns its latency.
-
-        Raises:
-            RuntimeError: The answer is not whole.
-        """
-        began_at_s = time.perf_counter()
-        self._connection.request("POST", self._path, b'"valve"', self._headers)
-        answer = self._connection.getresponse()
-        body = answer.read()
-        latency_s = time.perf_counter() - began_at_s
-        if answer.status != 200 or b'"missing_shards": [0' in body:
-            raise RuntimeError(f"status {answer.status}: {body[:300]!r}")
-        return latency_s
-
-
-def make_client(node: NodeProcess) -> QueryClient:
-    """Returns a client of a node's queries."""
-    return QueryClient(
-        node.caller_port, "/v1/query/field-search", {"X-Deadline-Ms": "5000"}
-    )
-
-
-def send_queries(nodes: list[NodeProcess], query_count: int) -> float:
-    """Sends queries from several connections; returns the time taken."""
-
-    def work(client: QueryClient) -> None:
-        for _ in range(query_count // WORKER_COUNT):
-            client.send()
-
-    began_at_s = time.perf_counter()
-    threads = [
-        threading.Thread(
-            target=work, args=(make_client(nodes[index % len(nodes)]),)
-        )
-        for index in range(WORKER_COUNT)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return time.perf_counter() - began_at_s
+def warm_up(deployment: Deployment) -> None:
+    """Sends queries until none of a round is refused, or for some rounds."""
+    for _ in range(WARM_UP_ROUND_COUNT):
+        if not send_queries(deployment.nodes, WARM_UP_COUNT).refused_count:
+            return
 
 
 def measure_queries() -> None:
     """CPU per query and per sub-request, and queries a second."""
     for node_count in (1, 3):
         with start_nodes(node_count) as deployment:
-            send_queries(deployment.nodes, WARM_UP_COUNT)
+            warm_up(deployment)
             cpu_s = read_cpu_s(deployment)
-            took_s = send_queries(deployment.nodes, QUERY_COUNT)
+            took_s, refused_count = send_queries(deployment.nodes, QUERY_COUNT)
             cpu_s = read_cpu_s(deployment) - cpu_s
         label = f"{node_count} node(s)"
         query_us = cpu_s / QUERY_COUNT * 1e6
         show(f"{label}: CPU per query", query_us, "µs")
         show(f"{label}: CPU per sub-request", query_us / SHARD_COUNT, "µs")
         show(f"{label}: queries a second", QUERY_COUNT / took_s, "1/s")
+        show(f"{label}: refused and sent again", refused_count, "queries")
         show(f"{label}: cores busy meanwhile", cpu_s / took_s, "cores")
         show(f"{label}: queries/s of one busy core", 1e6 / query_us, "1/s")
 
 
 def measure_latency() -> None:
-    """Latency of queries one at a time, against one backend server."""
+    """Latency of queries one at a time, against a bare fan-out."""
     for node_count in (1, 3):
         with start_nodes(node_count) as deployment:
-            backend = QueryClient(
-                deployment.backends[0]["port"],
-                "/v1/search",
-                {
-                    "X-Request-Id": "direct",
-                    "X-Deadline-Ms": "5000",
-                    "X-Index-Version": "1",
-                    "X-Shard": "0",
-                },
-            )
-            direct_ms = sample_latencies(backend)
+            direct_ms = sample_latencies(FanOut(deployment))
             tier_ms = sample_latencies(make_client(deployment.nodes[0]))
         label = f"{node_count} node(s)"
-        show(f"{label}: a backend server alone, median", direct_ms[0], "ms")
         for index, name in enumerate(("median", "99th percentile")):
             added_ms = tier_ms[index] - direct_ms[index]
-            show(f"{label}: query at 20 shards, {name}", tier_ms[index], "ms")
+            show(f"{label}: bare fan-out, {name}", direct_ms[index], "ms")
+            show(f"{label}: query, {name}", tier_ms[index], "ms")
             show(f"{label}: added by the tier, {name}", added_ms, "ms")
 
 
-def sample_latencies(client: QueryClient) -> tuple[float, float]:
+def sample_latencies(client: QueryClient | FanOut) -> tuple[float, float]:
     """Returns the median and the 99th percentile at low load, in ms."""
     for _ in range(50):
         client.send()
@@ -197,16 +139,20 @@
     for node_count in (1, 3, 6, 12):
         with start_nodes(node_count) as deployment:
             time.sleep(SETTLE_S)
+            call_count = count_platform_calls(deployment)
             idle_percent = sample_idle_percent(deployment)
+            call_count = count_platform_calls(deployment) - call_count
+            rate = call_count / IDLE_S
             show(f"{node_count} node(s): idle CPU of one", idle_percent, "%")
+            show(f"{node_count} node(s): calls to the platform", rate, "1/s")
             if node_count == 3:
                 measure_changes(deployment, idle_percent)
-    for count in MEMBER_COUNTS:
-        heartbeat_bytes, ack_bytes = size_heartbeats(count)
-        show(f"{count} members: one heartbeat", heartbeat_bytes, "bytes")
-        period_s = MembershipSettings().heartbeat_period_s
-        rate = 2 * (heartbeat_bytes + ack_bytes) / period_s
-        show(f"{count} members: sent and received a peer", rate, "bytes/s")
+
+
+def count_platform_calls(deployment: Deployment) -> int:
+    """Returns the calls that the platform has counted."""
+    calls: dict[str, int] = get_control(deployment.platform_port)["calls"]
+    return sum(calls.values())
 
 
 def sample_idle_percent(deployment: Deployment) -> float:
@@ -231,29 +177,6 @@
     show("3 node(s): CPU of a node per change", change_s * 1000, "ms")
 
 
-def make_member(index: int) -> NodeInfo:
-    """Returns a member as a heartbeat names it."""
-    address = Address(f"10.0.{index // 250}.{index % 250}", 7400)
-    return NodeInfo(f"node-{index:04d}", f"d{index % 4}", address, address)
-
-
-def size_heartbeats(member_count: int) -> tuple[int, int]:
-    """Returns the bytes of a heartbeat and of its answer."""
-    membership = Membership(MembershipSettings(), make_member(0), 1)
-    for index in range(1, member_count):
-        membership.learn_member(make_member(index), 0.0)
-    heartbeat = membership.make_heartbeat("node-0001", 0.0)
-    granted = [make_member(index).node_id for index in range(1, member_count)]
-    heartbeat = heartbeat._replace(
-        granted=tuple(NodeEpoch(node_id, 1) for node_id in granted)
-    )
-    ack = HeartbeatAck("node-0001", 1, True, 0, 1)
-    return (
-        len(wrap_frame(encode_message(heartbeat, 0.0))),
-        len(wrap_frame(encode_message(ack, 0.0))),
-    )
-
-
 def measure_memory() -> None:
     """Resident memory of a node and what it grows by."""
     with start_nodes(1) as deployment, ExitStack() as exits:
@@ -291,10 +214,8 @@
     show("backend servers held", held_count, "servers")
     grown_percent = sample_idle_percent(deployment) - idle_percent
     grown_kb = read_usage(pid).resident_kb - resident_kb
-    show("per 1,000 servers listed and held", grown_kb / 1024, "MiB")
-    show("a list of 1,000 VMs each second", grown_percent, "% of a core")
-    list_bytes = len(json.dumps(more))
-    show("a list of 1,000 VMs", list_bytes / 1024, "KiB")
+    show("per 1,000 more servers held: memory", grown_kb / 1024, "MiB")
+    show("per 1,000 more servers held: CPU", grown_percent, "%")
 
 
 MEASUREMENTS: Final[dict[str, Callable[[], None]]] = {
@@ -302,6 +223,7 @@
     "latency": measure_latency,
     "idle": measure_idle,
     "memory": measure_memory,
+    "sizes": lambda: show_sizes(show),
 }
 
 
