Restore a function that a merge lost

http_server.py of main called _may_have_run without defining it: ruff F821, and a malformed request would have raised NameError.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -168,6 +168,12 @@
         super()._on_disconnect(sock)
 
 
+def _may_have_run(status: int) -> bool:
+    """Whether a refusal with this status leaves the effect open."""
+    is_version_refused = status == http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
+    return status >= 500 and not is_version_refused
+
+
 def encode_raw_answer(status: int, document: object) -> bytes:
     """Returns the bytes of a JSON answer that closes the connection."""
     body = json.dumps(document).encode()
