Add the capacity page and the figures of node costs

A program works the table out from the page of measurements and a test compares the two. Also mends a call that a merge had left without its function, in the refusal of what is not HTTP.

--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -134,7 +134,7 @@
     ) -> None:
         del response, code
         detail = f"status {event.code}: {event.description or 'not HTTP'}"
-        kind = "internal" if _may_have_run(event.code) else "invalid"
+        kind = "internal" if event.code == 500 else "invalid"
         self.refuse(request.sock, event.code, kind, detail)
 
     def refuse(
@@ -151,7 +151,7 @@
             "peer": "caller",
             "detail": detail,
             # A server error may come after the application began the work.
-            "run_state": "unknown" if _may_have_run(status) else "not_run",
+            "run_state": "unknown" if status == 500 else "not_run",
             "retry_after_s": None,
         }
         self._buffers.pop(sock, None)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,4 +1,4 @@
-"""The commands of docs/CALLERS.md, run as shown against three nodes."""
+"""Documents: commands run as shown, figures as worked out, links that exist."""
 
 import os
 import pathlib
@@ -6,10 +6,13 @@
 import subprocess
 from typing import NamedTuple
 
+from mulberrybay_testing.capacity import make_table
 from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.http_caller import make_key
 
-PAGE = pathlib.Path(__file__).parents[1] / "docs" / "CALLERS.md"
+ROOT = pathlib.Path(__file__).parents[1]
+PAGE = ROOT / "docs" / "CALLERS.md"
+LINK = re.compile(r"\]\(([^)#:]+)\)")
 COMMAND = re.compile(r"```sh\n(.*?)```\n\n```text\n(.*?)\n```", re.DOTALL)
 COMMAND_LIMIT_S = 20.0
 
@@ -57,3 +60,15 @@
     for example, output in outputs:
         assert output.splitlines()[0] == example.status_line, example.command
     assert len(effects) == 1
+
+
+def test_capacity_page_has_the_table_that_the_figures_give() -> None:
+    measured = (ROOT / "docs" / "MEASUREMENTS.md").read_text(encoding="utf-8")
+    page = (ROOT / "docs" / "CAPACITY.md").read_text(encoding="utf-8")
+    assert make_table(measured) in page
+
+
+def test_links_between_documents_exist() -> None:
+    for page in [ROOT / "README.md", *(ROOT / "docs").glob("*.md")]:
+        for target in LINK.findall(page.read_text(encoding="utf-8")):
+            assert (page.parent / target).exists(), f"{page.name}: {target}"
