Cut hits out of replies whose other fields are text

Cause: the stand-ins name the shard as text, so the cut still never applied; a profile showed one JSON dump for each reply. Change: texts without brackets are let through too; three more rows in the table of replies.

--- a/packages/backends/mulberrybay_backends/protocol.py
+++ b/packages/backends/mulberrybay_backends/protocol.py
@@ -76,6 +76,7 @@
 
 
 _PLAIN_KEYS: Final = frozenset({"index_version", "shard"})
+_BRACKETS: Final = frozenset("[]")
 _OUTCOMES: Final = {
     408: BackendOutcome.DEADLINE,
     409: BackendOutcome.WRONG_SNAPSHOT,
@@ -117,7 +118,12 @@
 def _has_no_other_bracket(document: dict[str, Any]) -> bool:
     """Whether the hits are all between the first bracket and the last."""
     return all(
-        key == "hits" or (key in _PLAIN_KEYS and type(value) is int)
+        key == "hits"
+        or (
+            key in _PLAIN_KEYS
+            and type(value) in {int, str}
+            and _BRACKETS.isdisjoint(str(value))
+        )
         for key, value in document.items()
     )
 
--- a/packages/backends/tests/test_hits.py
+++ b/packages/backends/tests/test_hits.py
@@ -23,6 +23,9 @@
     [
         b'{"hits": [{"id": "a"}, {"id": "b"}]}',
         b'{"hits":[1],"index_version":7,"shard":2}',
+        b'{"hits": [1], "index_version": "7", "shard": "2"}',
+        b'{"hits": [1], "shard": "]"}',
+        b'{"shard": "\\u005b", "hits": [1]}',
         b' { "shard" : 2 , "hits" : [ [1], [2] ] } \n',
         b'{"hits": [], "shard": 2}',
         b'{"hits": [ ]}',
