Dial a peer that is heard again at once; judge unknown servers by the deadline

Cause of the red rolling restart: (1) a node whose dial to a restarting peer was refused waited a second or more before the next, so the peer got no heartbeats from it and both held other views of who holds what; (2) a node that knew no server's latency guessed 100 ms and refused queries on that guess against 40 % of the lateness target. Ruled out: cut connections (none was seen). Change: a heartbeat from a peer without a link dials it at once; a guess about a server counts only against the caller's deadline.

--- a/packages/core/mulberrybay_core/admission.py
+++ b/packages/core/mulberrybay_core/admission.py
@@ -104,7 +104,9 @@
     ordered = sorted(estimates)
     worst = ordered[min(needed_count, len(ordered)) - 1]
     left_s = deadline_left_s
-    if 2 * worst.service_s <= lateness_left_s:
+    # A guess about a server that has not replied is no reason to refuse what
+    # may well be in time.
+    if worst.is_known and 2 * worst.service_s <= lateness_left_s:
         left_s = min(left_s, lateness_left_s)
     has_queue = worst.total_s >= MIN_QUEUE_RATIO * worst.service_s
     allowed_s = WAIT_SHARE * left_s
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -30,10 +30,12 @@
     Attributes:
         total_s: From sending it to its reply.
         service_s: The part of it that the server works.
+        is_known: Whether the server has replied yet.
     """
 
     total_s: float
     service_s: float
+    is_known: bool = True
 
 
 class _ServerView:
@@ -102,7 +104,8 @@
         """Returns what one more attempt is expected to take."""
         view = self._view(server_id)
         service_s = view.latency_s if view.is_known else UNKNOWN_LATENCY_S
-        return WaitEstimate(view.turns(now_s) * service_s, service_s)
+        total_s = view.turns(now_s) * service_s
+        return WaitEstimate(total_s, service_s, view.is_known)
 
     def warm_latency_s(self, server_id: str) -> float | None:
         """Returns the median service time of the warm server.
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -157,6 +157,12 @@
     assert expected_excess_s(estimates, 1, lateness_s, deadline_s) == 0
 
 
+def test_admission_of_unknown_servers_goes_by_the_deadline() -> None:
+    guess = WaitEstimate(0.20, 0.10, is_known=False)
+    assert expected_excess_s([guess], 1, 0.25, 1.0) == 0
+    assert expected_excess_s([guess], 1, 0.25, 0.3) > 0
+
+
 def test_known_queue_is_worked_off_while_nothing_is_sent() -> None:
     waits = ServerWaits()
     reply = _reply(0, "a", AttemptOutcome.OK)
--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -159,6 +159,7 @@
             return
         ack = self._membership.on_heartbeat(heartbeat, read_clock_s())
         link.send(ack)
+        self._get_links().dial_now(heartbeat.sender.node_id)
         self._revisions.on_peer_revision(
             heartbeat.sender.node_id, heartbeat.revision
         )
--- a/packages/nodes/mulberrybay_nodes/links.py
+++ b/packages/nodes/mulberrybay_nodes/links.py
@@ -206,6 +206,20 @@
             peer.backoff.next_delay_s(), lambda: self._dial(peer_id)
         )
 
+    def dial_now(self, peer_id: str) -> None:
+        """Dials a peer that has just been heard, unless a link is up.
+
+        A peer that has come back would else wait for the delay that its
+        absence has earned it.
+        """
+        peer = self._dialled.get(peer_id)
+        if peer is None or peer.link.stream is not None:
+            return
+        if peer.timer is not None:
+            peer.timer.cancel()
+        peer.backoff.reset()
+        self._dial(peer_id)
+
     def check_silence(self, now_s: float) -> None:
         """Closes silent links and redials lost ones."""
         for peer_id, peer in list(self._dialled.items()):
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -71,6 +71,9 @@
     def check_silence(self, now_s: float) -> None:
         pass
 
+    def dial_now(self, peer_id: str) -> None:
+        pass
+
     def seed_ids(self) -> list[str]:
         return []
 
