--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -83,6 +83,24 @@
         self._poller = StreamPoller().register(self)
         self._timers = Timers().register(self)
         self._streams = Streams(self._poller).register(self)
+        self._links = NodeLinks(self._streams, self._timers, self)
+        self._store = PlatformClient(
+            PlatformSettings(
+                settings.platform_address, settings.platform_timeout_s
+            ),
+            self._streams,
+            self._timers,
+        )
+        self._build_holding()
+        self._build_membership()
+        self._build_requests()
+        self._caller_application = CallerApplication(self._service)
+        self._operators = OperatorSide(settings, self._parts(), self._log)
+        self._stop_began_at_s: float | None = None
+
+    def _build_holding(self) -> None:
+        """Builds what holds backend servers and dispatches to them."""
+        settings = self._settings
         info = NodeInfo(
             node_id=settings.node_id,
             failure_domain=settings.failure_domain,
@@ -113,18 +131,11 @@
             self._timers,
             self._warm_latency_s,
         )
-        self._links = NodeLinks(self._streams, self._timers, self)
-        holders = HolderMap()
-        self._router = AttemptRouter(
-            settings.node_id, holders, self._holder, lambda: self._links
-        )
-        self._store = PlatformClient(
-            PlatformSettings(
-                settings.platform_address, settings.platform_timeout_s
-            ),
-            self._streams,
-            self._timers,
-        )
+
+    def _build_membership(self) -> None:
+        """Builds what keeps the lease and the configuration in force."""
+        settings = self._settings
+        self._holders = HolderMap()
         self._configuration = ConfigurationTask(
             settings.node_id,
             self._store,
@@ -136,13 +147,20 @@
             settings.membership,
             self._membership,
             self._holdings,
-            holders,
+            self._holders,
             self._holder,
             self._timers,
             lambda: self._links,
             self._configuration,
         )
+
+    def _build_requests(self) -> None:
+        """Builds what sees callers' requests through."""
+        settings = self._settings
         process_id = uuid.uuid4().hex[:12]
+        self._router = AttemptRouter(
+            settings.node_id, self._holders, self._holder, lambda: self._links
+        )
         self._coordinator = Coordinator(
             process_id,
             self._gate,
@@ -173,8 +191,9 @@
             self._coordinator,
             self._runs,
         )
-        self._caller_application = CallerApplication(self._service)
-        parts = NodeParts(
+
+    def _parts(self) -> NodeParts:
+        return NodeParts(
             timers=self._timers,
             faults=self._faults,
             membership=self._membership,
@@ -188,8 +207,6 @@
             coordinator=self._coordinator,
             runs=self._runs,
         )
-        self._operators = OperatorSide(settings, parts, self._log)
-        self._stop_began_at_s: float | None = None
 
     def __enter__(self) -> Self:
         """Starts to listen.
@@ -210,7 +227,8 @@
             settings.operator_address, self._operators.application, "operators"
         ).register(self)
         self._links.listen(settings.peer_address)
-        self._learn_seeds()
+        # The heartbeats of the seeds name the members.
+        self._links.set_seeds(settings.seed_addresses)
         self._members.start()
         self._health.start()
         self._configuration.start(
@@ -237,10 +255,6 @@
     ) -> None:
         self._exits.close()
 
-    def _learn_seeds(self) -> None:
-        """Dials the seeds; their heartbeats name the members."""
-        self._links.set_seeds(self._settings.seed_addresses)
-
     def _on_fleet(self, fleet: Fleet) -> None:
         self._gate.set_fleet(fleet)
         self._health.set_fleet(fleet)
--- a/packages/daemon/tests/test_member_task.py
+++ b/packages/daemon/tests/test_member_task.py
@@ -22,6 +22,9 @@
     def send(self, peer_id: str, message: object) -> None:
         self.sent.append((peer_id, message))
 
+    def dial_now(self, peer_id: str) -> None:
+        """Is dialled already."""
+
     def seed_ids(self) -> list[str]:
         return ["seed"]
 
