Move the classes of work of tests out of the deployment

Change: class_spec.py holds the classes; no logic changed. Seen: whole path, coverage and stand-in tests pass. Conclusion: deployment.py only starts and observes processes.

--- a/packages/testing/mulberrybay_testing/demo.py
+++ b/packages/testing/mulberrybay_testing/demo.py
@@ -16,12 +16,8 @@
 from pathlib import Path
 from typing import Any, Final
 
-from mulberrybay_testing.deployment import (
-    ClassSpec,
-    Deployment,
-    run_class,
-    search_class,
-)
+from mulberrybay_testing.class_spec import ClassSpec, run_class, search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.http_caller import make_key
 
 COMMAND_TIMEOUT_S: Final = 20.0
--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -10,9 +10,10 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-from mulberrybay_core.configuration import Configuration, Targets, WorkClass
+from mulberrybay_core.configuration import Configuration
 from mulberrybay_core.documents import encode_configuration, encode_snapshots
 from mulberrybay_core.snapshot import IndexSnapshot
+from mulberrybay_testing.class_spec import ClassSpec, run_class, search_class
 from mulberrybay_testing.control_client import get_control, post_control
 from mulberrybay_testing.event_log import Event, read_events
 from mulberrybay_testing.http_caller import HttpAnswer, send_request
@@ -25,58 +26,6 @@
 DOMAINS: Final = ("d1", "d2", "d3")
 READY_TIMEOUT_S: Final = 15.0
 POLL_PERIOD_S: Final = 0.05
-SEARCH_TARGETS: Final = Targets(
-    lateness_ms=250.0,
-    lateness_percent=99.0,
-    coverage_percent=99.0,
-    extra_load_percent=5.0,
-)
-RUN_TARGETS: Final = SEARCH_TARGETS._replace(lateness_ms=1000.0)
-
-
-class ClassSpec(NamedTuple):
-    """One class of work and the shape of its backend servers.
-
-    Attributes:
-        work_class: The class and its targets.
-        services: The services: one per shard, or one of the class's name.
-        replica_count: Backend servers of each service.
-        slot_count: Requests that a server works on at once.
-        connection_cap: Connections that a server accepts.
-        service_time_ms: The median time of a request.
-        server_options: Further keys of the stand-in's spec.
-    """
-
-    work_class: WorkClass
-    services: tuple[str, ...]
-    replica_count: int = 2
-    slot_count: int = 3
-    connection_cap: int = 30
-    service_time_ms: float = 3.0
-    server_options: Mapping[str, Any] = {}
-
-
-def search_class(
-    name: str = "field-search",
-    shard_count: int = 4,
-    *,
-    targets: Targets = SEARCH_TARGETS,
-    **options: Any,  # noqa: ANN401
-) -> ClassSpec:
-    """Returns a class with one service for each shard."""
-    services = tuple(f"{name}/{shard:02d}" for shard in range(shard_count))
-    return ClassSpec(WorkClass(name, False, targets), services, **options)
-
-
-def run_class(
-    name: str = "route-planner",
-    *,
-    targets: Targets = RUN_TARGETS,
-    **options: Any,  # noqa: ANN401
-) -> ClassSpec:
-    """Returns a class whose callers may send non-idempotent requests."""
-    options = {"replica_count": 3, **options}
-    return ClassSpec(WorkClass(name, True, targets), (name,), **options)
 
 
 class NodeProcess(NamedTuple):
--- a/packages/testing/mulberrybay_testing/node_costs.py
+++ b/packages/testing/mulberrybay_testing/node_costs.py
@@ -19,6 +19,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+from mulberrybay_testing.class_spec import search_class
 from mulberrybay_testing.control_client import get_control
 from mulberrybay_testing.cost_clients import (
     FanOut,
@@ -26,7 +27,7 @@
     make_client,
     send_queries,
 )
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.message_sizes import show_sizes
 
 SHARD_COUNT: Final = 20
--- a/packages/testing/mulberrybay_testing/proxied_deployment.py
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -7,11 +7,11 @@
 import time
 from typing import Any, Final
 
+from mulberrybay_testing.class_spec import ClassSpec
 from mulberrybay_testing.control_client import post_control
 from mulberrybay_testing.deployment import (
     POLL_PERIOD_S,
     READY_TIMEOUT_S,
-    ClassSpec,
     Deployment,
     NodeProcess,
 )
--- a/packages/testing/mulberrybay_testing/scenario.py
+++ b/packages/testing/mulberrybay_testing/scenario.py
@@ -12,7 +12,8 @@
 from mulberrybay_core.configuration import Targets
 from mulberrybay_core.documents import encode_snapshots
 from mulberrybay_core.snapshot import IndexSnapshot
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.load_generator import LoadSpec
 
 SCENARIO_FOLDER: Final = Path(__file__).with_name("scenarios")
--- a/tests/test_promise_cold_start.py
+++ b/tests/test_promise_cold_start.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -9,12 +9,9 @@
 
 import pytest
 
+from mulberrybay_testing.class_spec import search_class
 from mulberrybay_testing.control_client import post_control
-from mulberrybay_testing.deployment import (
-    Deployment,
-    NodeProcess,
-    search_class,
-)
+from mulberrybay_testing.deployment import Deployment, NodeProcess
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
--- a/tests/test_promise_coverage.py
+++ b/tests/test_promise_coverage.py
@@ -4,11 +4,8 @@
 
 import pytest
 
-from mulberrybay_testing.deployment import (
-    SEARCH_TARGETS,
-    Deployment,
-    search_class,
-)
+from mulberrybay_testing.class_spec import SEARCH_TARGETS, search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
--- a/tests/test_promise_domain_out.py
+++ b/tests/test_promise_domain_out.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
--- a/tests/test_promise_own_answer.py
+++ b/tests/test_promise_own_answer.py
@@ -9,7 +9,8 @@
 import pytest
 
 from mulberrybay_runtime.http_exchange import HttpReply, ReplyParser
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.history import (
     CallerLoad,
     QueryRecord,
--- a/tests/test_promise_server_leaving.py
+++ b/tests/test_promise_server_leaving.py
@@ -9,7 +9,8 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fleet import BackendServer
 from mulberrybay_daemon.leaving import LeavingServers
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
--- a/tests/test_promise_snapshot.py
+++ b/tests/test_promise_snapshot.py
@@ -6,7 +6,8 @@
 
 from mulberrybay_core.documents import encode_snapshots
 from mulberrybay_core.snapshot import IndexSnapshot
-from mulberrybay_testing.deployment import Deployment, search_class
+from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.history import (
     CallerLoad,
     QueryRecord,
