Look for a shard's usable replicas once

Cause: a query listed the usable replicas of each shard twice, for admission and for the choice; the gate read the clock at each of its seven calls a sub-request, and the expected wait was worked out in full where nothing waits. Change: QueryReplicas, taken out of query_run.py, lists them once; the gate takes the time as an argument, as the other decisions do; an overdue request is looked for among the oldest alone; what has no evidence is not weighed. No decision differs: the gate is still asked at the plan, at the queue, at the dispatch and before the first byte. Ruled out: a memo of usable replicas by time, which a changed configuration within one reading of the clock would make wrong.

--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -76,10 +76,9 @@
         return 1 if self._is_overdue(now_s) else self.limit.limit_count
 
     def _is_overdue(self, now_s: float) -> bool:
-        return any(
-            self.limit.is_overdue(now_s - dispatched_at_s)
-            for dispatched_at_s in self._dispatched_at_s.values()
-        )
+        # The oldest is the first: requests are entered as they are dispatched.
+        oldest_at_s = next(iter(self._dispatched_at_s.values()), now_s)
+        return self.limit.is_overdue(now_s - oldest_at_s)
 
     def patience_s(self, lateness_ms: float) -> float:
         """Returns how long a search may go without a reply.
--- a/packages/core/mulberrybay_core/query_context.py
+++ b/packages/core/mulberrybay_core/query_context.py
@@ -34,7 +34,7 @@
         revision: The configuration revision in force.
         fleet: The VMs.
         catalog: The index snapshots.
-        may_use: Whether a backend server may get new work.
+        may_use: Whether a backend server may get new work at a time.
         next_attempt_id: Returns identities unique in this process.
         policies: What the class's queries share.
     """
@@ -43,7 +43,7 @@
     revision: int
     fleet: Fleet
     catalog: SnapshotCatalog
-    may_use: Callable[[BackendServer], bool]
+    may_use: Callable[[BackendServer, float], bool]
     next_attempt_id: Callable[[], int]
     policies: ClassPolicies
 
--- /dev/null
+++ b/packages/core/mulberrybay_core/query_replicas.py
@@ -0,0 +1,107 @@
+"""Which replicas the shards of one query may use, and which one is asked.
+
+The run of a query decides when an attempt is due; this module says where it
+may go, with what the node knows of the fleet at that time.
+"""
+
+import math
+from collections.abc import Iterable, Sequence, Set
+from typing import NamedTuple
+
+from mulberrybay_core.admission import expected_excess_s
+from mulberrybay_core.fleet import BackendServer
+from mulberrybay_core.queries import QueryRequest
+from mulberrybay_core.query_context import QueryContext
+from mulberrybay_core.query_shard import QueryShard
+from mulberrybay_core.snapshot import IndexSnapshot
+
+
+class ShardReplicas(NamedTuple):
+    """A shard and the backend servers that may get new work for it now."""
+
+    shard: QueryShard
+    servers: Sequence[BackendServer]
+
+
+class QueryReplicas:
+    """The replicas of the snapshot that a query is on."""
+
+    def __init__(
+        self,
+        request: QueryRequest,
+        context: QueryContext,
+        snapshot: IndexSnapshot,
+    ) -> None:
+        self._request = request
+        self._context = context
+        self.snapshot = snapshot
+
+    def find_usable(self, shard: QueryShard, now_s: float) -> ShardReplicas:
+        """Returns the replicas in service that have the snapshot."""
+        may_use = self._context.may_use
+        lacks = self._context.catalog.lacks
+        class_name, index_version, _ = self.snapshot
+        servers = [
+            server
+            for server in self._context.fleet.replicas(shard.service)
+            if may_use(server, now_s)
+            and not lacks(class_name, server.server_id, index_version, now_s)
+        ]
+        return ShardReplicas(shard, servers)
+
+    def has_any(self, shards: Iterable[QueryShard], now_s: float) -> bool:
+        """Returns whether any of the shards has a replica in service."""
+        return any(
+            self._context.may_use(server, now_s)
+            for shard in shards
+            for server in self._context.fleet.replicas(shard.service)
+        )
+
+    def note_absent(self, server_id: str, now_s: float) -> None:
+        """Notes that a server said that it lacks the snapshot."""
+        self._context.catalog.note_absent(
+            self.snapshot.class_name,
+            server_id,
+            self.snapshot.index_version,
+            now_s,
+        )
+
+    def choose(
+        self, replicas: ShardReplicas, busy_ids: Set[str], now_s: float
+    ) -> BackendServer | None:
+        """Returns the replica for an attempt; None if there is none.
+
+        Args:
+            replicas: The shard and its usable replicas.
+            busy_ids: The servers with an open attempt for the shard.
+            now_s: The time.
+        """
+        shard, servers = replicas
+        candidates = servers
+        if shard.tried_ids:
+            fresh = [s for s in servers if s.server_id not in shard.tried_ids]
+            idle = [s for s in servers if s.server_id not in busy_ids]
+            candidates = fresh or idle
+        if not candidates:
+            return None
+        return self._context.policies.replicas.choose(
+            candidates, self._request.failure_domain, now_s
+        )
+
+    def expected_excess_s(
+        self, replicas: Sequence[ShardReplicas], now_s: float
+    ) -> float:
+        """Returns how much too late the query is expected to be."""
+        estimate = self._context.policies.waits.estimate
+        estimates = [
+            min(estimate(server.server_id, now_s) for server in servers)
+            for _, servers in replicas
+            if servers
+        ]
+        targets = self._context.targets
+        return expected_excess_s(
+            estimates,
+            math.ceil(len(replicas) * targets.coverage_percent / 100),
+            self._request.received_at_s + targets.lateness_ms / 1000 - now_s,
+            self._request.deadline_at_s - now_s,
+        )
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -5,18 +5,16 @@
 late or crossed reply finds no attempt and is dropped.
 """
 
-import math
 from collections.abc import Iterable
 from typing import Final
 
 from expression import Error, Ok
 
-from mulberrybay_core.admission import expected_excess_s
 from mulberrybay_core.attempts import Attempt, AttemptOutcome, AttemptReply
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
-from mulberrybay_core.fleet import BackendServer
 from mulberrybay_core.queries import QueryRequest
 from mulberrybay_core.query_context import QueryContext, QueryStep
+from mulberrybay_core.query_replicas import QueryReplicas, ShardReplicas
 from mulberrybay_core.query_shard import (
     UNSENT_OUTCOMES,
     QueryShard,
@@ -24,7 +22,6 @@
     build_answer,
     reached_server,
 )
-from mulberrybay_core.snapshot import IndexSnapshot
 
 EARLY_SHARE: Final = 0.9
 RETRY_DELAY_S: Final = 0.02
@@ -45,7 +42,7 @@
     def __init__(self, request: QueryRequest, context: QueryContext) -> None:
         self.request = request
         self._context = context
-        self._snapshot: IndexSnapshot | None = None
+        self._replicas: QueryReplicas | None = None
         self._shards: list[QueryShard] = []
         self._open: dict[int, SentAttempt] = {}
         self._covered_count = 0
@@ -73,61 +70,50 @@
         )
         if snapshot is None or not snapshot.services:
             return self._fail(FailureKind.NOT_FOUND, "no index snapshot", 1.0)
-        self._snapshot = snapshot
+        self._replicas = QueryReplicas(self.request, self._context, snapshot)
         self._shards = [
             QueryShard(number, service)
             for number, service in enumerate(snapshot.services)
         ]
         self._covered_count = 0
-        excess_s = self._expected_excess_s(now_s)
+        usable = [self._find_usable(shard, now_s) for shard in self._shards]
+        excess_s = self._current_replicas().expected_excess_s(usable, now_s)
         if excess_s > 0 and self._restart_count == 0:
             detail = "the backend servers have too much queued"
             return self._fail(FailureKind.OVERLOADED, detail, excess_s)
-        attempts = self._send(self._shards, now_s, is_extra=False)
+        attempts = self._send(usable, now_s, is_extra=False)
         if self._restart_count == 0:
             self._context.policies.budget.on_first_attempts(
                 len(attempts), self._context.targets.extra_load_percent
             )
         self._schedule(now_s)
-        if self._is_hopeless():
+        if self._is_hopeless(now_s):
             return self._finish((), now_s)
         return QueryStep(snapshot.index_version, tuple(attempts))
 
-    def _expected_excess_s(self, now_s: float) -> float:
-        """Returns how much too late the query is expected to be."""
-        waits = self._context.policies.waits
-        estimates = [
-            min(waits.estimate(server.server_id, now_s) for server in usable)
-            for shard in self._shards
-            if (usable := self._usable_replicas(shard, now_s))
-        ]
-        targets = self._context.targets
-        return expected_excess_s(
-            estimates,
-            math.ceil(len(self._shards) * targets.coverage_percent / 100),
-            self.request.received_at_s + targets.lateness_ms / 1000 - now_s,
-            self.request.deadline_at_s - now_s,
-        )
-
-    def _is_hopeless(self) -> bool:
+    def _is_hopeless(self, now_s: float) -> bool:
         """Returns whether no missing shard has a replica in service."""
-        return not self._open and not any(
-            self._context.may_use(server)
-            for shard in self._shards
-            if shard.hits_json is None
-            for server in self._context.fleet.replicas(shard.service)
-        )
+        if self._open:
+            return False
+        missing = [shard for shard in self._shards if shard.hits_json is None]
+        return not self._current_replicas().has_any(missing, now_s)
+
+    def _find_usable(self, shard: QueryShard, now_s: float) -> ShardReplicas:
+        return self._current_replicas().find_usable(shard, now_s)
 
     def _send(
-        self, shards: Iterable[QueryShard], now_s: float, is_extra: bool
+        self, usable: Iterable[ShardReplicas], now_s: float, is_extra: bool
     ) -> list[Attempt]:
         attempts = []
+        choose = self._current_replicas().choose
         policies = self._context.policies
         extra_load_percent = self._context.targets.extra_load_percent
         hedge_delay_s = policies.hedging.delay_s(extra_load_percent)
-        for shard in shards:
+        for item in usable:
+            shard = item.shard
             shard.retry_at_s = None
-            server = self._choose_server(shard, now_s)
+            busy_ids = {self._open[known].server_id for known in shard.open_ids}
+            server = choose(item, busy_ids, now_s)
             if server is None:
                 shard.retry_at_s = now_s + RETRY_DELAY_S
                 continue
@@ -145,40 +131,10 @@
             attempts.append(Attempt(attempt_id, server.server_id, shard.number))
         return attempts
 
-    def _choose_server(
-        self, shard: QueryShard, now_s: float
-    ) -> BackendServer | None:
-        usable = self._usable_replicas(shard, now_s)
-        busy_ids = {self._open[item].server_id for item in shard.open_ids}
-        fresh = [s for s in usable if s.server_id not in shard.tried_ids]
-        idle = [s for s in usable if s.server_id not in busy_ids]
-        candidates = fresh or idle
-        if not candidates:
-            return None
-        return self._context.policies.replicas.choose(
-            candidates, self.request.failure_domain, now_s
-        )
-
-    def _usable_replicas(
-        self, shard: QueryShard, now_s: float
-    ) -> list[BackendServer]:
-        snapshot = self._current_snapshot()
-        return [
-            server
-            for server in self._context.fleet.replicas(shard.service)
-            if self._context.may_use(server)
-            and not self._context.catalog.lacks(
-                snapshot.class_name,
-                server.server_id,
-                snapshot.index_version,
-                now_s,
-            )
-        ]
-
-    def _current_snapshot(self) -> IndexSnapshot:
-        if self._snapshot is None:
+    def _current_replicas(self) -> QueryReplicas:
+        if self._replicas is None:
             raise RuntimeError("the query has not been started")
-        return self._snapshot
+        return self._replicas
 
     def on_reply(self, reply: AttemptReply, now_s: float) -> QueryStep:
         """Takes the end of an attempt; unknown attempts change nothing."""
@@ -215,9 +171,9 @@
         losers = self._close_attempts(shard.open_ids, now_s)
         is_early_enough = now_s >= self._early_at_s and self._meets_coverage()
         is_whole = self._covered_count == self.shard_count
-        if is_whole or is_early_enough or self._is_hopeless():
+        if is_whole or is_early_enough or self._is_hopeless(now_s):
             return self._finish(losers, now_s)
-        return self._nothing()._replace(cancelled_ids=losers)
+        return self._nothing(cancelled_ids=losers)
 
     def _close_attempts(
         self, attempt_ids: Iterable[int], now_s: float
@@ -243,11 +199,9 @@
     def _on_wrong_snapshot(
         self, shard: QueryShard, reply: AttemptReply, now_s: float
     ) -> QueryStep:
-        snapshot = self._current_snapshot()
-        self._context.catalog.note_absent(
-            snapshot.class_name, reply.server_id, snapshot.index_version, now_s
-        )
-        if self._usable_replicas(shard, now_s):
+        replicas = self._current_replicas()
+        replicas.note_absent(reply.server_id, now_s)
+        if replicas.find_usable(shard, now_s).servers:
             shard.retry_at_s = now_s
             return self.on_wakeup(now_s)
         newer = self._context.catalog.choose(
@@ -255,7 +209,7 @@
         )
         can_restart = (
             newer is not None
-            and newer.index_version != snapshot.index_version
+            and newer.index_version != replicas.snapshot.index_version
             and self._restart_count < MAX_RESTART_COUNT
         )
         if not can_restart:
@@ -285,7 +239,7 @@
         shard.hedge_at_s = None
         has_untried = any(
             server.server_id not in shard.tried_ids
-            for server in self._usable_replicas(shard, now_s)
+            for server in self._find_usable(shard, now_s).servers
         )
         if reply.outcome is AttemptOutcome.QUEUE_FULL:
             shard.failure_count = 1
@@ -300,7 +254,7 @@
 
     def on_wakeup(self, now_s: float) -> QueryStep:
         """Does what is due: answer, hedge or retry."""
-        if now_s >= self.request.deadline_at_s or self._is_hopeless():
+        if now_s >= self.request.deadline_at_s or self._is_hopeless(now_s):
             return self._finish((), now_s)
         if now_s >= self._early_at_s and self._meets_coverage():
             return self._finish((), now_s)
@@ -309,7 +263,7 @@
             if shard.hits_json is None and self._is_due(shard, now_s):
                 attempts += self._send_extra(shard, now_s)
         self._schedule(now_s)
-        return self._nothing()._replace(attempts=tuple(attempts))
+        return self._nothing(attempts=tuple(attempts))
 
     def _is_due(self, shard: QueryShard, now_s: float) -> bool:
         return shard.due_at_s is not None and now_s >= shard.due_at_s
@@ -325,7 +279,8 @@
             else:
                 shard.retry_at_s = now_s + RETRY_DELAY_S
             return []
-        attempts = self._send([shard], now_s, is_extra)
+        usable = self._find_usable(shard, now_s)
+        attempts = self._send([usable], now_s, is_extra)
         if not attempts and is_extra:
             budget.refund()
         if not attempts and shard.open_ids:
@@ -354,27 +309,32 @@
                 wakeup_s = min(wakeup_s, shard.due_at_s)
         self.wakeup_s = wakeup_s
 
-    def _nothing(self) -> QueryStep:
-        version = self._snapshot.index_version if self._snapshot else 0
-        return QueryStep(version)
+    def _nothing(
+        self,
+        attempts: tuple[Attempt, ...] = (),
+        cancelled_ids: tuple[int, ...] = (),
+    ) -> QueryStep:
+        replicas = self._replicas
+        version = replicas.snapshot.index_version if replicas else 0
+        return QueryStep(version, attempts, cancelled_ids)
 
     def _finish(
         self, cancelled_ids: tuple[int, ...], now_s: float
     ) -> QueryStep:
         """Answers with what has come from the one snapshot."""
-        snapshot = self._current_snapshot()
+        index_version = self._current_replicas().snapshot.index_version
         abandoned = self._close_attempts(self._open, now_s)
         if self._covered_count == 0:
             step = self._fail_empty(now_s)
             return step._replace(cancelled_ids=cancelled_ids + abandoned)
         answer = build_answer(
             self.request.request_id,
-            snapshot.index_version,
+            index_version,
             self._shards,
             self._context.revision,
         )
         return QueryStep(
-            snapshot.index_version,
+            index_version,
             cancelled_ids=cancelled_ids + abandoned,
             result=Ok(answer),
         )
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections import defaultdict
 from typing import Final, NamedTuple
 
 from mulberrybay_core.attempts import AttemptOutcome, AttemptReply, ServerLoad
@@ -56,6 +57,11 @@
         """Returns how many service times one more attempt takes."""
         limit_count = max(1, self.load.limit_count)
         known_count = self.load.outstanding_count + self.load.queued_count
+        most_count = max(
+            known_count + self.sent_since_load_count, self.sent_count
+        )
+        if most_count < limit_count:
+            return 1.0
         elapsed_s = max(0.0, now_s - self.load_at_s)
         done_count = elapsed_s * limit_count / max(self.latency_s, 0.001)
         waiting_count = max(
@@ -73,6 +79,8 @@
 
     def failure_penalty_s(self, now_s: float) -> float:
         """Returns the cost of recent failures."""
+        if self.failure_share == 0:
+            return 0.0
         age_s = max(0.0, now_s - self.failure_at_s)
         forgotten = math.pow(0.5, age_s / FAILURE_HALF_LIFE_S)
         return self.failure_share * forgotten * FAILURE_PENALTY_S
@@ -91,18 +99,12 @@
     """The backend servers as one coordinator's class of work sees them."""
 
     def __init__(self) -> None:
-        self._views: dict[str, _ServerView] = {}
+        self._views: defaultdict[str, _ServerView] = defaultdict(_ServerView)
         self._class_warm_s: float | None = None
 
-    def _view(self, server_id: str) -> _ServerView:
-        view = self._views.get(server_id)
-        if view is None:
-            view = self._views[server_id] = _ServerView()
-        return view
-
     def estimate(self, server_id: str, now_s: float) -> WaitEstimate:
         """Returns what one more attempt is expected to take."""
-        view = self._view(server_id)
+        view = self._views[server_id]
         service_s = view.latency_s if view.is_known else UNKNOWN_LATENCY_S
         total_s = view.turns(now_s) * service_s
         return WaitEstimate(total_s, service_s, view.is_known)
@@ -113,23 +115,23 @@
         While nothing is known of it, that of the class's other servers; None
         if none of them is known to be warm.
         """
-        return self._view(server_id).warm_latency_s or self._class_warm_s
+        return self._views[server_id].warm_latency_s or self._class_warm_s
 
     def cost_s(self, server_id: str, now_s: float) -> float:
         """Returns the expected time with a penalty for recent failures."""
-        view = self._view(server_id)
+        view = self._views[server_id]
         wait_s = view.turns(now_s) * view.latency_s
         return wait_s + view.failure_penalty_s(now_s)
 
     def on_sent(self, server_id: str) -> None:
         """An attempt was sent."""
-        view = self._view(server_id)
+        view = self._views[server_id]
         view.sent_count += 1
         view.sent_since_load_count += 1
 
     def on_cancelled(self, server_id: str, age_s: float, now_s: float) -> None:
         """An attempt's reply is no longer waited for."""
-        view = self._view(server_id)
+        view = self._views[server_id]
         view.sent_count = max(0, view.sent_count - 1)
         # It would have taken longer than that; queues explain a part of it.
         wait_s = view.turns(now_s) * view.latency_s
@@ -138,7 +140,7 @@
 
     def on_reply(self, reply: AttemptReply, now_s: float) -> None:
         """An attempt ended."""
-        view = self._view(reply.server_id)
+        view = self._views[reply.server_id]
         view.sent_count = max(0, view.sent_count - 1)
         view.load = reply.load
         view.load_at_s = now_s
--- a/packages/core/mulberrybay_core/snapshot_catalog.py
+++ b/packages/core/mulberrybay_core/snapshot_catalog.py
@@ -51,6 +51,8 @@
         self, class_name: str, server_id: str, index_version: int, now_s: float
     ) -> bool:
         """Returns whether a server said so within the last second."""
+        if not self._absent_until_s:
+            return False
         key = (class_name, server_id, index_version)
         return self._absent_until_s.get(key, 0.0) > now_s
 
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -192,7 +192,7 @@
             revision=1,
             fleet=Fleet((), servers),
             catalog=catalog,
-            may_use=may_use,
+            may_use=lambda server, _: may_use(server),
             next_attempt_id=lambda: next(sequence),
             policies=ClassPolicies(
                 replicas, FixedHedging(0.02), self.budget, self.waits
--- a/packages/daemon/mulberrybay_daemon/gate.py
+++ b/packages/daemon/mulberrybay_daemon/gate.py
@@ -8,7 +8,6 @@
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.membership import Membership
 from mulberrybay_daemon.leaving import LeavingServers
-from mulberrybay_runtime.clock import read_clock_s
 
 
 class Gate:
@@ -31,13 +30,13 @@
         """Takes the configuration in force."""
         self.configuration = configuration
 
-    def may_use(self, server: BackendServer) -> bool:
+    def may_use(self, server: BackendServer, now_s: float) -> bool:
         """Returns whether a server is in service and not leaving."""
         configuration = self.configuration
         return (
             server.failure_domain not in configuration.out_domains
             and server.server_id not in configuration.out_servers
-            and not self._leaving_servers.is_leaving(server, read_clock_s())
+            and not self._leaving_servers.is_leaving(server, now_s)
         )
 
     def may_dispatch(self, server: BackendServer, now_s: float) -> bool:
@@ -45,5 +44,5 @@
         return (
             self.configuration.revision > 0
             and self._membership.has_lease(now_s)
-            and self.may_use(server)
+            and self.may_use(server, now_s)
         )
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -79,8 +79,9 @@
 
     def restart_unused(self) -> None:
         """Lets servers that are out of service start at one on return."""
+        now_s = read_clock_s()
         for held in self._held.values():
-            if not self._gate.may_use(held.server):
+            if not self._gate.may_use(held.server, now_s):
                 held.limit.restart()
 
     def submit(self, batch: AttemptBatch, reply: AttemptReplyHandler) -> None:
@@ -95,14 +96,15 @@
         if server is None or not self._holdings.is_wanted(server.server_id):
             self._refuse(item, AttemptOutcome.NOT_HOLDER)
             return
-        if not self._gate.may_use(server):
+        now_s = read_clock_s()
+        if not self._gate.may_use(server, now_s):
             self._refuse(item, AttemptOutcome.NOT_ALLOWED)
             return
         held = self._held.get(server.server_id)
         if held is None:
             held = self._held[server.server_id] = HeldServer(server)
         is_search = item.batch.kind is AttemptKind.SEARCH
-        is_suspect = is_search and held.is_suspect(read_clock_s())
+        is_suspect = is_search and held.is_suspect(now_s)
         if is_suspect or not held.enqueue(item):
             self._refuse(item, AttemptOutcome.QUEUE_FULL)
             return
@@ -288,8 +290,9 @@
 
     def drains(self) -> tuple[Drain, ...]:
         """Returns the servers that get no new work and still have some."""
+        now_s = read_clock_s()
         return tuple(
             Drain(server_id, held.server.failure_domain, len(held.outstanding))
             for server_id, held in self._held.items()
-            if held.outstanding and not self._gate.may_use(held.server)
+            if held.outstanding and not self._gate.may_use(held.server, now_s)
         )
--- a/packages/daemon/mulberrybay_daemon/leaving.py
+++ b/packages/daemon/mulberrybay_daemon/leaving.py
@@ -88,7 +88,8 @@
             return _is_marked(
                 evidence, now_s, now_s - evidence.reply_leaving_since_s
             )
-        return _is_suspect(evidence, now_s)
+        since_s = evidence.health_leaving_since_s
+        return since_s is not None and _is_suspect(evidence, since_s, now_s)
 
 
 def _is_marked(evidence: _Evidence, now_s: float, age_s: float) -> bool:
@@ -99,10 +100,9 @@
     return age_s <= MARK_LIFETIME_S
 
 
-def _is_suspect(evidence: _Evidence, now_s: float) -> bool:
+def _is_suspect(evidence: _Evidence, since_s: float, now_s: float) -> bool:
     """Returns whether to believe health that says leaving."""
-    since_s = evidence.health_leaving_since_s
-    if since_s is None or not CONFIRM_S <= now_s - since_s <= LIST_LAG_LIMIT_S:
+    if not CONFIRM_S <= now_s - since_s <= LIST_LAG_LIMIT_S:
         return False
     return (
         evidence.replied_at_s < since_s
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -220,16 +220,17 @@
     def _choose_server(self, run: _Run) -> BackendServer | None:
         if len(run.tried_ids) >= MAX_DISPATCH_COUNT:
             return None
+        now_s = read_clock_s()
         candidates = [
             server
             for server in self._fleet.replicas(run.request.class_name)
-            if self._gate.may_use(server)
+            if self._gate.may_use(server, now_s)
             and server.server_id not in run.tried_ids
         ]
         if not candidates:
             return None
         return self._replicas.choose(
-            candidates, run.request.failure_domain, read_clock_s()
+            candidates, run.request.failure_domain, now_s
         )
 
     def _on_reply(self, run: _Run, reply: AttemptReply) -> None:
