--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -11,10 +11,11 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple, Protocol
 
-from circuits import BaseComponent, handler
+from circuits import BaseComponent, Event, handler
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 from circuits.web.errors import httperror
+from circuits.web.events import request as request_event
 from circuits.web.events import response as response_event
 from circuits.web.http import HTTP
 from circuits.web.wrappers import Request, Response
@@ -61,12 +62,24 @@
 
 
 class _Listener(TCPServer):
-    """A TCP server that drops writes to connections that have ended."""
+    """A TCP server that hands bytes to the socket as soon as it can.
+
+    Writes to connections that have ended are dropped. The base class would
+    wait for the poller to say that the socket takes bytes, which it nearly
+    always does: a turn of the loop and two more events for each answer.
+    """
 
     @handler("write", override=True)
     def write(self, sock: Any, data: bytes) -> None:  # noqa: ANN401
-        if sock.fileno() >= 0:
-            super().write(sock, data)
+        if sock.fileno() < 0:
+            return
+        if self._buffers.get(sock):
+            self._buffers[sock].append(data)
+            return
+        self._write(sock, data)
+        # The base class keeps what the socket has not taken.
+        if self._buffers.get(sock):
+            self._poller.addWriter(self, sock)
 
 
 class _BoundedHttp(HTTP):
@@ -123,6 +136,18 @@
         detail = f"the request is larger than {MAX_BODY_BYTES} bytes"
         self.refuse(sock, 413, "too_large", detail)
 
+    @handler("response", override=True)
+    def _on_response(self, response: Response) -> None:
+        """Sends the head and the body of an answer in one write."""
+        response.prepare()
+        head = bytes(response) + bytes(response.headers)
+        data = head + b"".join(response.body)
+        self.fire(write(response.request.sock, data))
+        if response.close:
+            self.fire(close(response.request.sock))
+        self._clients.pop(response.request.sock, None)
+        response.done = True
+
     @handler("httperror", override=True)
     def _on_httperror(
         self,
@@ -219,11 +244,14 @@
         return self._pending_count
 
     @handler("request")
-    def _on_request(self, request: Request, response: Response) -> bool:
+    def _on_request(
+        self, event: request_event, request: Request, response: Response
+    ) -> None:
+        _expect_no_feedback(event)
         if request.method == "HEAD":
             # circuits.web would leave the exchange open after it.
             self._http.refuse(request.sock, 405, "invalid", "no HEAD here")
-            return True
+            return
         self._pending_count += 1
         is_answered = False
 
@@ -248,8 +276,6 @@
                 trace=traceback.format_exc(),
             )
             respond(_internal_error())
-        # True tells circuits.web that the answer comes later.
-        return True
 
     def _send(
         self, request: Request, response: Response, answer: HttpResponse
@@ -263,7 +289,19 @@
         if self._application.should_close():
             response.close = True
         response.body = answer.body
-        self.fire(response_event(response), self.channel)
+        event = response_event(response)
+        _expect_no_feedback(event)
+        self.fire(event, self.channel)
+
+
+def _expect_no_feedback(event: Event) -> None:
+    """Lets an event of circuits.web end without further events.
+
+    On success of a request, circuits.web would answer with what its handler
+    has returned; here answers come later. A failure is told still.
+    """
+    event.success = False
+    event.complete = False
 
 
 def _read_request(request: Request) -> tuple[HttpRequest, bool]:
