--- /dev/null
+++ b/packages/core/mulberrybay_core/query_attempts.py
@@ -0,0 +1,107 @@
+"""The attempts of one query whose ends are waited for.
+
+The run of a query opens and ends attempts here; what their ends say of the
+backend servers goes to the policies that the queries of a class share.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from mulberrybay_core.attempts import Attempt, AttemptOutcome, AttemptReply
+from mulberrybay_core.errors import RunState
+from mulberrybay_core.query_context import ClassPolicies
+from mulberrybay_core.query_shard import QueryShard, reached_server
+
+
+class SentAttempt(NamedTuple):
+    """An attempt whose end is waited for.
+
+    Attributes:
+        shard: The shard that it is for.
+        server_id: The backend server to ask.
+        sent_at_s: When it was sent.
+        is_extra: Whether it took a token of the extra load.
+    """
+
+    shard: QueryShard
+    server_id: str
+    sent_at_s: float
+    is_extra: bool
+
+
+class OpenAttempts:
+    """The open attempts, by identity."""
+
+    def __init__(self, policies: ClassPolicies) -> None:
+        self._policies = policies
+        self._sent: dict[int, SentAttempt] = {}
+        self.may_have_run = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no end is waited for."""
+        return not self._sent
+
+    def add(
+        self, attempt: Attempt, shard: QueryShard, now_s: float, is_extra: bool
+    ) -> None:
+        """Notes that an attempt is sent."""
+        server_id = attempt.server_id
+        self._sent[attempt.attempt_id] = SentAttempt(
+            shard, server_id, now_s, is_extra
+        )
+        shard.open_ids.add(attempt.attempt_id)
+        shard.tried_ids.add(server_id)
+        self._policies.replicas.on_sent(server_id)
+        self._policies.waits.on_sent(server_id)
+
+    def end(self, reply: AttemptReply, now_s: float) -> SentAttempt | None:
+        """Takes the end of an attempt; None if nobody waits for it."""
+        sent = self._sent.pop(reply.attempt_id, None)
+        if sent is None:
+            return None
+        if reply.run_state is not RunState.NOT_RUN:
+            self.may_have_run = True
+        self._policies.replicas.on_ended(reply.server_id)
+        self._policies.waits.on_reply(reply, now_s)
+        if reply.outcome is AttemptOutcome.OK:
+            self._policies.hedging.on_latency(now_s - sent.sent_at_s)
+        sent.shard.was_reached |= reached_server(reply)
+        sent.shard.open_ids.discard(reply.attempt_id)
+        return sent
+
+    def close(
+        self, attempt_ids: Iterable[int], now_s: float
+    ) -> tuple[int, ...]:
+        """Gives attempts up; returns their identities, to be cancelled."""
+        closed_ids = tuple(attempt_ids)
+        for attempt_id in closed_ids:
+            self._close_one(attempt_id, now_s)
+        return closed_ids
+
+    def close_all(self, now_s: float) -> tuple[int, ...]:
+        """Gives all open attempts up; see `close`."""
+        return self.close(self._sent, now_s)
+
+    def _close_one(self, attempt_id: int, now_s: float) -> None:
+        sent = self._sent.pop(attempt_id)
+        self.may_have_run = True
+        sent.shard.open_ids.discard(attempt_id)
+        self._policies.replicas.on_ended(sent.server_id)
+        age_s = now_s - sent.sent_at_s
+        self._policies.waits.on_cancelled(sent.server_id, age_s, now_s)
+        if not sent.is_extra:
+            # It took at least so long; without it the slow ones would be
+            # missing from the latencies that the hedge delay follows.
+            self._policies.hedging.on_latency(age_s)
+
+    def busy_ids(self, shard: QueryShard) -> set[str]:
+        """Returns the servers with an open attempt for a shard."""
+        return {self._sent[item].server_id for item in shard.open_ids}
+
+    def oldest_at_s(self, shard: QueryShard) -> float | None:
+        """Returns when a shard's first open attempt was sent, if any is."""
+        return min(
+            (self._sent[item].sent_at_s for item in shard.open_ids),
+            default=None,
+        )
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -13,14 +13,13 @@
 from mulberrybay_core.attempts import Attempt, AttemptOutcome, AttemptReply
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.queries import QueryRequest
+from mulberrybay_core.query_attempts import OpenAttempts
 from mulberrybay_core.query_context import QueryContext, QueryStep
 from mulberrybay_core.query_replicas import QueryReplicas, ShardReplicas
 from mulberrybay_core.query_shard import (
     UNSENT_OUTCOMES,
     QueryShard,
-    SentAttempt,
     build_answer,
-    reached_server,
 )
 
 EARLY_SHARE: Final = 0.9
@@ -44,10 +43,9 @@
         self._context = context
         self._replicas: QueryReplicas | None = None
         self._shards: list[QueryShard] = []
-        self._open: dict[int, SentAttempt] = {}
+        self._open = OpenAttempts(context.policies)
         self._covered_count = 0
         self._restart_count = 0
-        self._may_have_run = False
         lateness_s = context.targets.lateness_ms / 1000
         early_at_s = request.received_at_s + EARLY_SHARE * lateness_s
         self._early_at_s = min(early_at_s, request.deadline_at_s)
@@ -93,7 +91,7 @@
 
     def _is_hopeless(self, now_s: float) -> bool:
         """Returns whether no missing shard has a replica in service."""
-        if self._open:
+        if not self._open.is_empty:
             return False
         missing = [shard for shard in self._shards if shard.hits_json is None]
         return not self._current_replicas().has_any(missing, now_s)
@@ -106,29 +104,24 @@
     ) -> list[Attempt]:
         attempts = []
         choose = self._current_replicas().choose
-        policies = self._context.policies
         extra_load_percent = self._context.targets.extra_load_percent
-        hedge_delay_s = policies.hedging.delay_s(extra_load_percent)
+        hedging = self._context.policies.hedging
+        hedge_delay_s = hedging.delay_s(extra_load_percent)
         for item in usable:
             shard = item.shard
             shard.retry_at_s = None
-            busy_ids = {self._open[known].server_id for known in shard.open_ids}
-            server = choose(item, busy_ids, now_s)
+            server = choose(item, self._open.busy_ids(shard), now_s)
             if server is None:
                 shard.retry_at_s = now_s + RETRY_DELAY_S
                 continue
-            attempt_id = self._context.next_attempt_id()
-            self._open[attempt_id] = SentAttempt(
-                shard.number, server.server_id, now_s, is_extra
+            attempt = Attempt(
+                self._context.next_attempt_id(), server.server_id, shard.number
             )
-            shard.open_ids.add(attempt_id)
-            shard.tried_ids.add(server.server_id)
+            self._open.add(attempt, shard, now_s, is_extra)
             shard.hedge_at_s = None
             if hedge_delay_s is not None and len(shard.open_ids) == 1:
                 shard.hedge_at_s = now_s + hedge_delay_s
-            policies.replicas.on_sent(server.server_id)
-            policies.waits.on_sent(server.server_id)
-            attempts.append(Attempt(attempt_id, server.server_id, shard.number))
+            attempts.append(attempt)
         return attempts
 
     def _current_replicas(self) -> QueryReplicas:
@@ -138,26 +131,16 @@
 
     def on_reply(self, reply: AttemptReply, now_s: float) -> QueryStep:
         """Takes the end of an attempt; unknown attempts change nothing."""
-        sent = self._open.pop(reply.attempt_id, None)
+        sent = self._open.end(reply, now_s)
         if sent is None:
             return self._nothing()
-        if reply.run_state is not RunState.NOT_RUN:
-            self._may_have_run = True
-        latency_s = now_s - sent.sent_at_s
-        policies = self._context.policies
-        policies.replicas.on_ended(reply.server_id)
-        policies.waits.on_reply(reply, now_s)
-        shard = self._shards[sent.shard]
-        shard.was_reached |= reached_server(reply)
-        shard.open_ids.discard(reply.attempt_id)
         if reply.outcome is AttemptOutcome.OK:
-            policies.hedging.on_latency(latency_s)
-            return self._on_hits(shard, reply, now_s)
+            return self._on_hits(sent.shard, reply, now_s)
         if sent.is_extra and reply.outcome in UNSENT_OUTCOMES:
-            policies.budget.refund()
+            self._context.policies.budget.refund()
         if reply.outcome is AttemptOutcome.WRONG_SNAPSHOT:
-            return self._on_wrong_snapshot(shard, reply, now_s)
-        return self._on_attempt_failed(shard, reply, now_s)
+            return self._on_wrong_snapshot(sent.shard, reply, now_s)
+        return self._on_attempt_failed(sent.shard, reply, now_s)
 
     def _on_hits(
         self, shard: QueryShard, reply: AttemptReply, now_s: float
@@ -168,34 +151,13 @@
         shard.retry_at_s = None
         shard.hedge_at_s = None
         self._covered_count += 1
-        losers = self._close_attempts(shard.open_ids, now_s)
+        losers = self._open.close(shard.open_ids, now_s)
         is_early_enough = now_s >= self._early_at_s and self._meets_coverage()
         is_whole = self._covered_count == self.shard_count
         if is_whole or is_early_enough or self._is_hopeless(now_s):
             return self._finish(losers, now_s)
         return self._nothing(cancelled_ids=losers)
 
-    def _close_attempts(
-        self, attempt_ids: Iterable[int], now_s: float
-    ) -> tuple[int, ...]:
-        closed_ids = tuple(attempt_ids)
-        for attempt_id in closed_ids:
-            self._close_attempt(attempt_id, now_s)
-        return closed_ids
-
-    def _close_attempt(self, attempt_id: int, now_s: float) -> None:
-        sent = self._open.pop(attempt_id)
-        self._may_have_run = True
-        self._shards[sent.shard].open_ids.discard(attempt_id)
-        policies = self._context.policies
-        policies.replicas.on_ended(sent.server_id)
-        age_s = now_s - sent.sent_at_s
-        policies.waits.on_cancelled(sent.server_id, age_s, now_s)
-        if not sent.is_extra:
-            # It took at least so long; without it the slow ones would be
-            # missing from the latencies that the hedge delay follows.
-            policies.hedging.on_latency(age_s)
-
     def _on_wrong_snapshot(
         self, shard: QueryShard, reply: AttemptReply, now_s: float
     ) -> QueryStep:
@@ -221,7 +183,7 @@
     def _restart(self, now_s: float) -> QueryStep:
         """Starts over on another snapshot; nothing of the old one is kept."""
         self._restart_count += 1
-        abandoned = self._close_attempts(self._open, now_s)
+        abandoned = self._open.close_all(now_s)
         step = self.start(now_s)
         return step._replace(cancelled_ids=abandoned)
 
@@ -291,10 +253,10 @@
         """Returns whether a shard is far slower than the hedge delay."""
         extra_load_percent = self._context.targets.extra_load_percent
         delay_s = self._context.policies.hedging.delay_s(extra_load_percent)
-        sent_at_s = [self._open[item].sent_at_s for item in shard.open_ids]
-        if delay_s is None or not sent_at_s:
+        sent_at_s = self._open.oldest_at_s(shard)
+        if delay_s is None or sent_at_s is None:
             return True
-        return now_s - min(sent_at_s) >= STRAGGLER_RATIO * delay_s
+        return now_s - sent_at_s >= STRAGGLER_RATIO * delay_s
 
     def _meets_coverage(self) -> bool:
         covered_percent = 100 * self._covered_count / len(self._shards)
@@ -323,7 +285,7 @@
     ) -> QueryStep:
         """Answers with what has come from the one snapshot."""
         index_version = self._current_replicas().snapshot.index_version
-        abandoned = self._close_attempts(self._open, now_s)
+        abandoned = self._open.close_all(now_s)
         if self._covered_count == 0:
             step = self._fail_empty(now_s)
             return step._replace(cancelled_ids=cancelled_ids + abandoned)
@@ -348,7 +310,8 @@
     def _fail(
         self, kind: FailureKind, detail: str, retry_after_s: float
     ) -> QueryStep:
-        run_state = RunState.UNKNOWN if self._may_have_run else RunState.NOT_RUN
+        may_have_run = self._open.may_have_run
+        run_state = RunState.UNKNOWN if may_have_run else RunState.NOT_RUN
         failure = Failure(
             kind=kind,
             step=Step.MERGE,
--- a/packages/core/mulberrybay_core/query_shard.py
+++ b/packages/core/mulberrybay_core/query_shard.py
@@ -1,7 +1,7 @@
-"""One shard of a query and the attempts sent for it."""
+"""One shard of a query, and the answer from those that have replied."""
 
 from collections.abc import Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 from mulberrybay_core.attempts import AttemptOutcome, AttemptReply
 from mulberrybay_core.errors import RunState
@@ -16,22 +16,6 @@
 )
 
 
-class SentAttempt(NamedTuple):
-    """An attempt whose end is waited for.
-
-    Attributes:
-        shard: The shard that it is for.
-        server_id: The backend server to ask.
-        sent_at_s: When it was sent.
-        is_extra: Whether it took a token of the extra load.
-    """
-
-    shard: int
-    server_id: str
-    sent_at_s: float
-    is_extra: bool
-
-
 class QueryShard:
     """One shard of the query's snapshot."""
 
