--- /dev/null
+++ b/packages/runtime/tests/test_answers.py
@@ -0,0 +1,99 @@
+"""An answer reaches its caller whole, whatever the socket takes at once."""
+
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+from circuits import BaseComponent
+from circuits.core.pollers import EPoll
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_runtime.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    Respond,
+)
+from mulberrybay_testing.http_caller import send_request
+from mulberrybay_testing.processes import free_port
+
+# More than the buffers of the two sockets hold.
+LARGE_BODY = b"".join(b"%09d\n" % number for number in range(1_600_000))
+
+
+class _Application:
+    """Answers with a body that no socket takes at once, or a bad header."""
+
+    def __init__(self) -> None:
+        self.closes = False
+
+    def on_request(self, request: HttpRequest, respond: Respond) -> None:
+        match request.path:
+            case "/large":
+                respond(HttpResponse(200, LARGE_BODY))
+            case "/header":
+                respond(HttpResponse(200, b"{}", (("X-Bad", "\u2603"),)))
+            case _:
+                respond(HttpResponse(200, b'{"hits": []}'))
+
+    def should_close(self) -> bool:
+        return self.closes
+
+
+class _Program:
+    def __init__(self) -> None:
+        self.root = BaseComponent()
+        EPoll().register(self.root)
+        self.port = free_port()
+        self.application = _Application()
+        address = Address("127.0.0.1", self.port)
+        self.server = HttpServer(address, self.application, "test")
+        self.server.register(self.root)
+
+
+@pytest.fixture
+def program() -> Iterator[_Program]:
+    program = _Program()
+    program.root.start()
+    yield program
+    program.root.stop()
+    program.root.join()
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_caller_that_reads_late_gets_the_whole_answer(
+    program: _Program, closes: bool
+) -> None:
+    program.application.closes = closes
+    with socket.create_connection(("127.0.0.1", program.port), 10.0) as caller:
+        caller.sendall(b"GET /large HTTP/1.1\r\nHost: a\r\n\r\n")
+        time.sleep(0.3)
+        received = bytearray()
+        while not received.endswith(LARGE_BODY[-100:]):
+            data = caller.recv(1 << 20)
+            assert data, "the connection ended within the answer"
+            received += data
+        head, _, body = bytes(received).partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert body == LARGE_BODY
+        if closes:
+            assert caller.recv(1) == b""
+        else:
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert caller.recv(4096).startswith(b"HTTP/1.1 200 ")
+
+
+def test_answer_that_cannot_be_written_is_a_failure(program: _Program) -> None:
+    answer = send_request(program.port, "GET", "/header", timeout_s=3.0)
+    assert answer.status == 500
+    assert answer.json()["error"]["run_state"] == "unknown"
+    answer = send_request(program.port, "GET", "/", timeout_s=3.0)
+    assert answer.status == 200
+
+
+def test_answer_comes_in_one_piece(program: _Program) -> None:
+    with socket.create_connection(("127.0.0.1", program.port), 3.0) as caller:
+        for _ in range(20):
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert caller.recv(4096).endswith(b'\r\n\r\n{"hits": []}')
