Find every node from those that the command line is given

The command line now reads the members from the nodes it is given and asks each for itself. An operator address of its own per member was ruled out for its 40 bytes a member in each heartbeat; a port that is the same everywhere, since a deployment on one host has several.

The report says for each node from when it counts, since a restart clears it.

--- a/packages/core/mulberrybay_core/burn_merge.py
+++ b/packages/core/mulberrybay_core/burn_merge.py
@@ -5,12 +5,13 @@
 from typing import Final
 
 from mulberrybay_core.burn import ClassBurn, Contributor, add_counts
+from mulberrybay_core.operator_messages import NodeBurn
 
 CONTRIBUTOR_COUNT: Final = 10
 
 
 def rank_contributors(
-    items: Iterable[Contributor],
+    items: Iterable[Contributor], most_count: int
 ) -> tuple[Contributor, ...]:
     """Adds up servers that occur twice and returns the worst."""
     slow: Counter[tuple[str, str]] = Counter()
@@ -21,7 +22,7 @@
         failed[place] += item.failed_count
     merged = [Contributor(*place, slow[place], failed[place]) for place in slow]
     merged.sort(key=lambda item: (-item.bad_count, item.server_id))
-    return tuple(merged[:CONTRIBUTOR_COUNT])
+    return tuple(merged[:most_count])
 
 
 def rank_domains(items: Iterable[Contributor]) -> list[tuple[str, int]]:
@@ -32,11 +33,12 @@
     return sorted(counts.items(), key=lambda pair: (-pair[1], pair[0]))
 
 
-def merge_classes(items: Iterable[ClassBurn]) -> tuple[ClassBurn, ...]:
-    """Returns one sum for each class; the last targets given count."""
+def merge_nodes(nodes: Iterable[NodeBurn]) -> tuple[ClassBurn, ...]:
+    """Returns one sum for each class, under its newest targets."""
     by_name: dict[str, list[ClassBurn]] = {}
-    for item in items:
-        by_name.setdefault(item.name, []).append(item)
+    for node in sorted(nodes, key=lambda node: node.revision):
+        for item in node.classes:
+            by_name.setdefault(item.name, []).append(item)
     return tuple(_merge(parts) for _, parts in sorted(by_name.items()))
 
 
@@ -52,6 +54,7 @@
             for steps in zip(*(part.series for part in parts), strict=True)
         ),
         contributors=rank_contributors(
-            contributor for part in parts for contributor in part.contributors
+            (item for part in parts for item in part.contributors),
+            CONTRIBUTOR_COUNT,
         ),
     )
--- a/packages/core/mulberrybay_core/member_messages.py
+++ b/packages/core/mulberrybay_core/member_messages.py
@@ -15,6 +15,8 @@
         caller_address: Where callers reach it.
         is_leaving: Whether it has begun a graceful stop.
         is_serving: Whether it takes new work from callers.
+        operator_port: Where operators reach it, at the host of its
+            peer address; 0 if not known.
     """
 
     node_id: str
@@ -23,6 +25,7 @@
     caller_address: Address
     is_leaving: bool = False
     is_serving: bool = False
+    operator_port: int = 0
 
 
 class NodeEpoch(NamedTuple):
--- a/packages/core/mulberrybay_core/operator_messages.py
+++ b/packages/core/mulberrybay_core/operator_messages.py
@@ -83,11 +83,13 @@
     Attributes:
         node_id: The node.
         uptime_s: Since when it has counted.
+        revision: The configuration revision in force there.
         classes: Its counts for each class in force.
     """
 
     node_id: str
     uptime_s: float
+    revision: int
     classes: tuple[ClassBurn, ...]
 
 
--- a/packages/core/mulberrybay_core/service_levels.py
+++ b/packages/core/mulberrybay_core/service_levels.py
@@ -50,9 +50,13 @@
         self._began_at_s = now_s
 
     def worst(self, now_s: float, fleet: Fleet) -> tuple[Contributor, ...]:
-        """Returns the servers with the most bad attempts."""
+        """Returns the servers with the most bad attempts.
+
+        More than a report shows: a server that is not among the worst of
+        any node may be the worst of all nodes together.
+        """
         self._rotate(now_s)
-        return rank_contributors(
+        items = (
             Contributor(
                 server_id=server_id,
                 failure_domain=_find_domain(fleet, server_id),
@@ -62,6 +66,7 @@
             for counts in (self._before, self._now)
             for (server_id, is_failed), count in counts.items()
         )
+        return rank_contributors(items, MAX_BLAMED_COUNT)
 
 
 def _find_domain(fleet: Fleet, server_id: str) -> str:
--- a/packages/core/tests/test_burn.py
+++ b/packages/core/tests/test_burn.py
@@ -5,9 +5,12 @@
 import pytest
 
 from mulberrybay_core.burn import (
+    SERIES_COUNT,
     BurnCounts,
     BurnHistory,
     BurnState,
+    ClassBurn,
+    Contributor,
     Objective,
     RequestEnd,
     add_counts,
@@ -15,9 +18,10 @@
     count_end,
     judge_windows,
 )
-from mulberrybay_core.burn_merge import merge_classes, rank_domains
+from mulberrybay_core.burn_merge import merge_nodes, rank_domains
 from mulberrybay_core.configuration import Configuration, Targets, WorkClass
 from mulberrybay_core.fleet import EMPTY_FLEET
+from mulberrybay_core.operator_messages import NodeBurn
 from mulberrybay_core.service_levels import MAX_BLAMED_COUNT, ServiceLevels
 
 TARGETS = Targets(60, 99, 95, 8)
@@ -107,9 +111,61 @@
     blamed = levels.classes[SEARCH.name].servers
     assert len(blamed._now) <= 2 * MAX_BLAMED_COUNT
     burn = levels.burn(20.0, CONFIGURATION, EMPTY_FLEET)
-    worst = merge_classes(burn + burn)[0].contributors
+    nodes = [make_node("node-1", 1, *burn), make_node("node-2", 1, *burn)]
+    worst = merge_nodes(nodes)[0].contributors
     assert len(worst) == 10
     assert worst[0].server_id == "bad"
     assert worst[0].slow_count == 40 * MAX_BLAMED_COUNT
     assert rank_domains(worst)[0][0] == "unlisted"
     assert levels.burn(9000.0, CONFIGURATION, EMPTY_FLEET)[0].contributors == ()
+
+
+def make_burn(
+    answer_count: int = 0,
+    contributors: tuple[Contributor, ...] = (),
+    targets: Targets = TARGETS,
+) -> ClassBurn:
+    counts = BurnCounts(answer_count)
+    series = (BurnCounts(),) * (SERIES_COUNT - 1) + (counts,)
+    return ClassBurn(
+        SEARCH.name, targets, counts, counts, counts, series, contributors
+    )
+
+
+def make_node(node_id: str, revision: int, *classes: ClassBurn) -> NodeBurn:
+    return NodeBurn(node_id, 60.0, revision, classes)
+
+
+def test_server_that_no_node_ranks_high_may_be_the_worst_of_all() -> None:
+    nodes = []
+    for node_number in range(3):
+        levels = ServiceLevels()
+        for number in range(10):
+            for _ in range(6):
+                name = f"vm-{node_number}-{number}"
+                levels.note_bad_attempt(10.0, SEARCH.name, name, True)
+        for _ in range(5):
+            levels.note_bad_attempt(10.0, SEARCH.name, "vm-all", False)
+        (burn,) = levels.burn(20.0, CONFIGURATION, EMPTY_FLEET)
+        nodes.append(make_node(f"node-{node_number}", 1, burn))
+    (merged,) = merge_nodes(nodes)
+    assert len(merged.contributors) == 10
+    assert merged.contributors[0] == Contributor("vm-all", "unlisted", 15, 0)
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 1, 0)])
+def test_nodes_add_up_under_the_newest_targets(
+    order: tuple[int, ...],
+) -> None:
+    newest = TARGETS._replace(lateness_ms=80)
+    nodes = [
+        make_node("node-1", 8, make_burn(3)),
+        make_node("node-2", 9, make_burn(4, targets=newest)),
+        make_node("node-3", 7),
+    ]
+    (merged,) = merge_nodes([nodes[index] for index in order])
+    assert merged.targets == newest
+    assert merged.since_start.answer_count == 7
+    assert merged.short.answer_count == 7
+    assert merged.long.answer_count == 7
+    assert [step.answer_count for step in merged.series[-2:]] == [0, 7]
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -108,6 +108,7 @@
                 settings.advertised_peer_address or settings.peer_address
             ),
             caller_address=settings.caller_address,
+            operator_port=settings.operator_address.port,
         )
         self._membership = Membership(
             settings.membership, info, int(time.time() * 1000)
--- a/packages/daemon/mulberrybay_daemon/operator_service.py
+++ b/packages/daemon/mulberrybay_daemon/operator_service.py
@@ -65,6 +65,7 @@
         return NodeBurn(
             node_id=self._membership.info.node_id,
             uptime_s=now_s - self._began_at_s,
+            revision=self._configuration.current.revision,
             classes=self._parts.coordinator.levels.burn(
                 now_s, self._configuration.current, self._desk.fleet
             ),
--- a/packages/nodes/mulberrybay_nodes/codec.py
+++ b/packages/nodes/mulberrybay_nodes/codec.py
@@ -84,6 +84,7 @@
     target.callerAddress.port = info.caller_address.port
     target.isLeaving = info.is_leaving
     target.isServing = info.is_serving
+    target.operatorPort = info.operator_port
 
 
 def _read_node(source: Any) -> NodeInfo:  # noqa: ANN401
@@ -96,6 +97,7 @@
         ),
         is_leaving=source.isLeaving,
         is_serving=source.isServing,
+        operator_port=source.operatorPort,
     )
 
 
--- a/packages/nodes/mulberrybay_nodes/peer.capnp
+++ b/packages/nodes/mulberrybay_nodes/peer.capnp
@@ -15,6 +15,8 @@
   callerAddress @3 :Address;
   isLeaving @4 :Bool;
   isServing @5 :Bool;
+  # At the host of peerAddress. It takes bits that the flags leave unused.
+  operatorPort @6 :UInt16;
 }
 
 struct NodeEpoch {
--- a/packages/operators/mulberrybay_operators/answers.py
+++ b/packages/operators/mulberrybay_operators/answers.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.configuration_file import ConfigurationProblem
 from mulberrybay_core.documents import encode_configuration
 from mulberrybay_core.errors import Failure, FailureKind, RunState
+from mulberrybay_core.member_messages import NodeInfo
 from mulberrybay_core.operator_messages import (
     ChangeAccepted,
     ChangeRefused,
@@ -164,6 +165,7 @@
         "node_id": node.info.node_id,
         "failure_domain": node.info.failure_domain,
         "caller_address": str(node.info.caller_address),
+        "operator_address": _operator_address(node.info),
         "is_serving": node.info.is_serving,
         "is_leaving": node.info.is_leaving,
         "is_heard": node.is_heard,
@@ -171,6 +173,13 @@
     }
 
 
+def _operator_address(info: NodeInfo) -> str:
+    """Returns where operators reach a node; empty if that is not known."""
+    if not info.operator_port:
+        return ""
+    return str(info.peer_address._replace(port=info.operator_port))
+
+
 def encode_burn(burn: NodeBurn) -> HttpResponse:
     """Returns what a node counted for the service-level report."""
     return _respond(200, encode_node_burn(burn))
--- a/packages/operators/mulberrybay_operators/burn_codec.py
+++ b/packages/operators/mulberrybay_operators/burn_codec.py
@@ -1,11 +1,12 @@
 """Codec of what a node counted for the service-level report."""
 
-from typing import Any
+from typing import Any, Final
 
 from expression import Error, Ok, Result
 
 from mulberrybay_core.burn import (
     LONG_WINDOW_S,
+    SERIES_COUNT,
     SERIES_STEP_S,
     SHORT_WINDOW_S,
     BurnCounts,
@@ -15,15 +16,21 @@
 from mulberrybay_core.configuration import Targets
 from mulberrybay_core.operator_messages import NodeBurn
 
+# Only counts over the same windows may be added up.
+WINDOWS: Final = {
+    "short_window_s": SHORT_WINDOW_S,
+    "long_window_s": LONG_WINDOW_S,
+    "series_step_s": SERIES_STEP_S,
+}
+
 
 def encode_node_burn(burn: NodeBurn) -> dict[str, Any]:
     """Returns the JSON of one node's counts."""
     return {
         "node_id": burn.node_id,
         "uptime_s": round(burn.uptime_s, 1),
-        "short_window_s": SHORT_WINDOW_S,
-        "long_window_s": LONG_WINDOW_S,
-        "series_step_s": SERIES_STEP_S,
+        "revision": burn.revision,
+        **WINDOWS,
         "classes": [_encode_class(item) for item in burn.classes],
     }
 
@@ -47,10 +54,14 @@
 def decode_node_burn(value: Any) -> Result[NodeBurn, str]:  # noqa: ANN401
     """Parses what `encode_node_burn` made."""
     try:
+        windows = {key: float(value[key]) for key in WINDOWS}
+        if windows != WINDOWS:
+            return Error(f"counts over other windows: {windows}")
         return Ok(
             NodeBurn(
                 node_id=str(value["node_id"]),
                 uptime_s=float(value["uptime_s"]),
+                revision=int(value["revision"]),
                 classes=tuple(_decode_class(x) for x in value["classes"]),
             )
         )
@@ -60,6 +71,9 @@
 
 def _decode_class(value: Any) -> ClassBurn:  # noqa: ANN401
     columns = [value["series"][key] for key in BurnCounts._fields]
+    lengths = {len(column) for column in columns}
+    if lengths != {SERIES_COUNT}:
+        raise ValueError(f"series of {lengths} steps")
     return ClassBurn(
         name=str(value["name"]),
         targets=Targets(**value["targets"]),
--- a/packages/operators/mulberrybay_operators/burn_command.py
+++ b/packages/operators/mulberrybay_operators/burn_command.py
@@ -1,103 +1,132 @@
 """The command `report burn`: adds the nodes up and prints or plots."""
 
+import pathlib
+import time
 from typing import Any, Final, NamedTuple
 
 from expression import Error, Ok, Result
 
 from mulberrybay_core.burn import ClassBurn, ObjectiveBurn, judge_class
-from mulberrybay_core.burn_merge import merge_classes, rank_domains
+from mulberrybay_core.burn_merge import merge_nodes, rank_domains
 from mulberrybay_core.operator_messages import NodeBurn
 from mulberrybay_operators.burn_codec import decode_node_burn
 from mulberrybay_operators.command_line import ReportBurn
 from mulberrybay_operators.exit_codes import CommandFailure, ExitCode
-from mulberrybay_operators.node_client import NodeRequest
+from mulberrybay_operators.node_finder import (
+    NodeAnswers,
+    NodeFinder,
+    SilentNode,
+    describe_silent,
+)
 from mulberrybay_operators.outputs import CommandResult, Output, Session
 from mulberrybay_operators.tables import format_table
 
-BURN_TIMEOUT_S: Final = 3.0
-
 
 class BurnReport(NamedTuple):
     """The service-level burn over the nodes that were asked.
 
     Attributes:
+        at_s: When it was made, as Unix time.
         nodes: What each node counted.
         silent: Nodes that gave no answer or were not asked.
         classes: The sums, by class of work.
     """
 
+    at_s: float
     nodes: tuple[NodeBurn, ...]
-    silent: tuple[str, ...]
+    silent: tuple[SilentNode, ...]
     classes: tuple[ClassBurn, ...]
 
 
 def report_burn(session: Session, command: ReportBurn) -> CommandResult:
-    """Shows the service-level burn of the given nodes together."""
-    report = _collect(session)
-    if not report.nodes:
-        detail = "no node answered: " + "; ".join(report.silent)
-        return Error(CommandFailure(ExitCode.FAILED, detail))
-    document = encode_report(report)
+    """Shows the service-level burn of all nodes together."""
+    match _collect(session, only_given=command.only):
+        case Result(tag="ok", ok=report) if report.nodes:
+            return _write_report(report, command.html)
+        case Result(tag="ok", ok=report):
+            detail = f"no node counted: {describe_silent(report.silent)}"
+            return Error(CommandFailure(ExitCode.FAILED, detail))
+        case Result(error=failure):
+            return Error(failure)
+
+
+def _write_report(
+    report: BurnReport, page_path: pathlib.Path | None
+) -> CommandResult:
     text = format_report(report)
-    if command.html is not None:
+    if page_path is not None:
         # matplotlib takes long to load and only the page needs it.
         from mulberrybay_operators.burn_page import (  # noqa: PLC0415
             render_page,
         )
 
         try:
-            command.html.write_text(render_page(report), encoding="utf-8")
+            page_path.write_text(render_page(report), encoding="utf-8")
         except OSError as error:
             return Error(CommandFailure(ExitCode.FAILED, str(error)))
-        text = f"{text}\nwritten: {command.html}"
-    return Ok(Output(text, document))
+        text = f"{text}\nwritten: {page_path}"
+    return Ok(Output(text, encode_report(report)))
+
+
+def _collect(
+    session: Session, *, only_given: bool
+) -> Result[BurnReport, CommandFailure]:
+    finder = NodeFinder(session.client)
+    return finder.ask_nodes("/v1/burn", only_given=only_given).map(_merge)
 
 
-def _collect(session: Session) -> BurnReport:
+def _merge(answers: NodeAnswers) -> BurnReport:
     nodes = []
-    silent = []
-    request = NodeRequest("GET", "/v1/burn")
-    for address in session.client.addresses:
-        match session.client.ask(address, request, BURN_TIMEOUT_S):
-            case Result(tag="ok", ok=answer) if answer.status == 200:
-                match decode_node_burn(answer.json()):
-                    case Result(tag="ok", ok=burn):
-                        nodes.append(burn)
-                    case Result(error=detail):
-                        silent.append(f"{address}: {detail}")
-            case Result(tag="ok", ok=answer):
-                silent.append(answer.describe())
-            case Result(error=no_answer):
-                silent.append(no_answer.detail)
-    silent += _find_unasked(session, {node.node_id for node in nodes})
-    classes = merge_classes(item for node in nodes for item in node.classes)
-    return BurnReport(tuple(nodes), tuple(silent), classes)
-
-
-def _find_unasked(session: Session, asked_ids: set[str]) -> list[str]:
-    """Returns the nodes that the cluster has and that were not asked."""
-    request = NodeRequest("GET", "/v1/cluster")
-    for address in session.client.addresses:
-        match session.client.ask(address, request, BURN_TIMEOUT_S):
-            case Result(tag="ok", ok=answer) if answer.status == 200:
-                return [
-                    f"{node['node_id']} (not named with --node)"
-                    for node in answer.json()["nodes"]
-                    if node["node_id"] not in asked_ids
-                ]
-            case _:
-                pass
-    return []
+    silent = list(answers.silent)
+    for node_id, document in sorted(answers.documents.items()):
+        match decode_node_burn(document):
+            case Result(tag="ok", ok=burn):
+                nodes.append(burn)
+            case Result(error=detail):
+                silent.append(SilentNode(node_id, detail))
+    return BurnReport(
+        at_s=time.time(),
+        nodes=tuple(nodes),
+        silent=tuple(silent),
+        classes=merge_nodes(nodes),
+    )
+
+
+def counts_since(report: BurnReport, node: NodeBurn) -> str:
+    """Returns from when a node counts, as UTC.
+
+    A node that restarts starts to count again.
+    """
+    began_at_s = report.at_s - node.uptime_s
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(began_at_s))
+
+
+def node_rows(report: BurnReport) -> list[list[str]]:
+    """Returns a row of each node that the report covers."""
+    return [
+        [
+            node.node_id,
+            counts_since(report, node),
+            f"{node.uptime_s:.0f} s",
+            str(node.revision),
+        ]
+        for node in report.nodes
+    ]
 
 
 def encode_report(report: BurnReport) -> dict[str, Any]:
     """Returns the report for programs."""
     return {
         "nodes": [
-            {"node_id": node.node_id, "uptime_s": node.uptime_s}
+            {
+                "node_id": node.node_id,
+                "uptime_s": node.uptime_s,
+                "counts_since": counts_since(report, node),
+                "revision": node.revision,
+            }
             for node in report.nodes
         ],
-        "silent": list(report.silent),
+        "silent": [str(node) for node in report.silent],
         "classes": [
             {
                 "name": item.name,
@@ -148,6 +177,7 @@
     "RATE 1 h",
     "STATE",
 )
+NODE_HEADINGS: Final = ("NODE", "COUNTS SINCE", "FOR", "REVISION")
 CONTRIBUTOR_HEADINGS: Final = (
     "CLASS",
     "BACKEND SERVER",
@@ -163,12 +193,11 @@
 
 
 def describe_scope(report: BurnReport) -> str:
-    """Returns which nodes the report covers and since when."""
-    longest_s = max(node.uptime_s for node in report.nodes)
-    names = ", ".join(node.node_id for node in report.nodes)
-    text = f"nodes {names}; bad and spent since at most {longest_s:.0f} s ago"
+    """Returns how many nodes the report covers."""
+    node_count = len(report.nodes)
+    text = f"{node_count} of {node_count + len(report.silent)} nodes covered"
     if report.silent:
-        text += f"; NOT covered: {'; '.join(report.silent)}"
+        text += f"; NOT covered: {describe_silent(report.silent)}"
     return text
 
 
@@ -182,7 +211,12 @@
         for item in report.classes
         if item.contributors
     ]
-    lines = [describe_scope(report), format_table(OBJECTIVE_HEADINGS, rows)]
+    lines = [
+        describe_scope(report),
+        format_table(NODE_HEADINGS, node_rows(report)),
+        "",
+        format_table(OBJECTIVE_HEADINGS, rows),
+    ]
     if worst:
         lines += ["", format_table(CONTRIBUTOR_HEADINGS, worst)]
         lines += ["", "bad attempts by failure domain", *domains]
--- a/packages/operators/mulberrybay_operators/burn_page.py
+++ b/packages/operators/mulberrybay_operators/burn_page.py
@@ -18,10 +18,12 @@
 from mulberrybay_core.burn_merge import rank_domains
 from mulberrybay_operators.burn_command import (
     CONTRIBUTOR_HEADINGS,
+    NODE_HEADINGS,
     OBJECTIVE_HEADINGS,
     BurnReport,
     contributor_rows,
     describe_scope,
+    node_rows,
     objective_rows,
 )
 
@@ -49,6 +51,7 @@
     ]
     sections = [
         f"<p>{html.escape(describe_scope(report))}</p>",
+        _table(NODE_HEADINGS, node_rows(report)),
         _table(OBJECTIVE_HEADINGS, objectives),
         _image(draw_report(report.classes)),
     ]
--- a/packages/operators/mulberrybay_operators/command_line.py
+++ b/packages/operators/mulberrybay_operators/command_line.py
@@ -27,6 +27,14 @@
         help="Repeat a change whose outcome is not known.",
     ),
 ]
+Only = Annotated[
+    bool,
+    cappa.Arg(
+        long="--only",
+        show_default=False,
+        help="Ask only the nodes of --node, not all that they know.",
+    ),
+]
 FileArgument = Annotated[
     pathlib.Path, cappa.Arg(help="The TOML file of the classes of work.")
 ]
@@ -140,6 +148,8 @@
 class Status:
     """Shows the nodes."""
 
+    only: Only = False
+
 
 @cappa.command(name="audit", help="Show the newest accepted changes.")
 @dataclass
@@ -153,7 +163,7 @@
 
 @cappa.command(
     name="burn",
-    help="Show what of each class's targets is spent, over all given nodes.",
+    help="Show what of each class's targets is spent, over all nodes.",
     epilog="Example: mulberrybay report burn --html burn.html",
 )
 @dataclass
@@ -164,6 +174,7 @@
         pathlib.Path | None,
         cappa.Arg(long="--html", help="Write a page with plots to this file."),
     ] = None
+    only: Only = False
 
 
 @cappa.command(name="report", help="Reports on service levels.")
--- a/packages/operators/mulberrybay_operators/main.py
+++ b/packages/operators/mulberrybay_operators/main.py
@@ -11,6 +11,7 @@
     burn_command,
     configuration_commands,
     node_commands,
+    status_command,
 )
 from mulberrybay_operators.command_line import (
     Addresses,
@@ -66,8 +67,8 @@
             return configuration_commands.set_state(session, "domains", command)
         case Server(command):
             return configuration_commands.set_state(session, "servers", command)
-        case Status():
-            return node_commands.show_status(session)
+        case Status() as command:
+            return status_command.show_status(session, command)
         case Audit() as command:
             return node_commands.show_audit(session, command)
         case Report() as command:
--- a/packages/operators/mulberrybay_operators/node_commands.py
+++ b/packages/operators/mulberrybay_operators/node_commands.py
@@ -1,10 +1,10 @@
-"""The commands that look at nodes and that act as a caller."""
+"""The commands that ask one node, or act as a caller."""
 
 import json
 import secrets
 import time
 import urllib.parse
-from typing import Any, Final
+from typing import Any
 
 from expression import Error, Ok, Result
 
@@ -19,10 +19,8 @@
 from mulberrybay_operators.outputs import CommandResult, Output, Session
 from mulberrybay_operators.tables import format_table
 
-STATUS_TIMEOUT_S: Final = 2.0
 
-
-def _get(session: Session, path: str) -> Result[Any, CommandFailure]:
+def get_document(session: Session, path: str) -> Result[Any, CommandFailure]:
     """Returns the JSON of a resource from the first node that answers."""
     match session.client.send(NodeRequest("GET", path)):
         case Result(tag="ok", ok=answer) if answer.status == 200:
@@ -33,88 +31,6 @@
             return Error(failure)
 
 
-def show_status(session: Session) -> CommandResult:
-    """Shows the cluster as one node sees it and each given node's own word."""
-    return _get(session, "/v1/cluster").bind(
-        lambda cluster: _get(session, "/v1/configuration").map(
-            lambda configuration: _describe_status(
-                session, cluster, configuration
-            )
-        )
-    )
-
-
-def _describe_status(
-    session: Session, cluster: dict[str, Any], configuration: dict[str, Any]
-) -> Output:
-    statuses, silent = _ask_each(session)
-    own = {status["node_id"]: status for status in statuses}
-    rows = [
-        _status_row(node, own.get(node["node_id"])) for node in cluster["nodes"]
-    ]
-    headings = ["NODE", "DOMAIN", "STATE", "REVISION", "LEASE"]
-    headings += ["HELD", "CLAIMING", "REQUESTS", "ATTEMPTS"]
-    drains = [
-        [status["node_id"], *drain.values()]
-        for status in statuses
-        for drain in status["drains"]
-    ]
-    out = configuration["out_domains"] + configuration["out_servers"]
-    lines = [
-        f"revision {cluster['revision']} in force at {cluster['node_id']}; "
-        f"out of service: {', '.join(out) or 'nothing'}",
-        format_table(headings, rows),
-    ]
-    if drains:
-        heads = ["NODE", "DRAINING SERVER", "DOMAIN", "OUTSTANDING"]
-        lines += ["", format_table(heads, drains)]
-    lines += [f"no answer: {detail}" for detail in silent]
-    document = {
-        "cluster": cluster,
-        "statuses": statuses,
-        "silent": silent,
-        "out_domains": configuration["out_domains"],
-        "out_servers": configuration["out_servers"],
-    }
-    return Output("\n".join(lines), document)
-
-
-def _ask_each(session: Session) -> tuple[list[dict[str, Any]], list[str]]:
-    statuses = []
-    silent = []
-    request = NodeRequest("GET", "/v1/status")
-    for address in session.client.addresses:
-        match session.client.ask(address, request, STATUS_TIMEOUT_S):
-            case Result(tag="ok", ok=answer) if answer.status == 200:
-                statuses.append(answer.json())
-            case Result(tag="ok", ok=answer):
-                silent.append(answer.describe())
-            case Result(error=no_answer):
-                silent.append(no_answer.detail)
-    return statuses, silent
-
-
-def _status_row(
-    node: dict[str, Any], own: dict[str, Any] | None
-) -> list[object]:
-    state = "serving" if node["is_serving"] else "not serving"
-    if node["is_leaving"]:
-        state = "leaving"
-    if not node["is_heard"]:
-        state = "silent"
-    row = [node["node_id"], node["failure_domain"], state, node["revision"]]
-    if own is None:
-        return [*row, "?", "?", "?", "?", "?"]
-    return [
-        *row,
-        "yes" if own["has_lease"] else "no",
-        own["held_count"],
-        own["claiming_count"],
-        own["active_count"],
-        own["outstanding_count"],
-    ]
-
-
 def show_audit(session: Session, command: Audit) -> CommandResult:
     """Shows the newest accepted changes."""
 
@@ -135,7 +51,9 @@
         headings = ["REVISION", "FROM", "AT", "BY", "WHAT", "CHANGE"]
         return Output(format_table(headings, rows), document)
 
-    return _get(session, f"/v1/audit?count={command.count}").map(describe)
+    return get_document(session, f"/v1/audit?count={command.count}").map(
+        describe
+    )
 
 
 # As a caller.
@@ -153,7 +71,7 @@
             if node["is_serving"] and node["is_heard"]
         ]
 
-    return _get(session, "/v1/cluster").map(choose)
+    return get_document(session, "/v1/cluster").map(choose)
 
 
 def _call(
--- /dev/null
+++ b/packages/operators/mulberrybay_operators/node_finder.py
@@ -0,0 +1,163 @@
+"""Asks every node: the given ones and the members that they know.
+
+The command line asks each node itself, so that nodes exchange nothing for it.
+A node that can't be asked is named, never left out.
+"""
+
+import time
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.addresses import Address, parse_address
+from mulberrybay_operators.exit_codes import CommandFailure, ExitCode
+from mulberrybay_operators.node_client import NodeClient, NodeRequest
+
+ASK_TIMEOUT_S: Final = 2.0
+
+
+class SilentNode(NamedTuple):
+    """A node that is missing from a report.
+
+    Attributes:
+        node_id: Its identity; empty if only its address is known.
+        detail: Why, for people.
+    """
+
+    node_id: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Returns the node and why it is missing."""
+        if not self.node_id:
+            return self.detail
+        return f"{self.node_id} ({self.detail})"
+
+
+class NodeAnswers(NamedTuple):
+    """What the nodes said.
+
+    Attributes:
+        members: What the given nodes say of each node, by identity.
+        documents: What each node answered, by identity.
+        silent: The nodes without an answer.
+    """
+
+    members: dict[str, dict[str, Any]]
+    documents: dict[str, dict[str, Any]]
+    silent: tuple[SilentNode, ...]
+
+
+class _Place(NamedTuple):
+    """Where to ask for a node, whose identity is empty if not known."""
+
+    node_id: str
+    address: Address
+
+
+class NodeFinder:
+    """Asks every node for one resource."""
+
+    def __init__(self, client: NodeClient) -> None:
+        self._client = client
+        self._ends_at_s = 0.0
+        self._members: dict[str, dict[str, Any]] = {}
+        self._documents: dict[str, dict[str, Any]] = {}
+        # By address, or by identity where no address is known.
+        self._silent: dict[str, SilentNode] = {}
+
+    def ask_nodes(
+        self, path: str, *, only_given: bool
+    ) -> Result[NodeAnswers, CommandFailure]:
+        """Asks the given nodes, then those that they know.
+
+        Args:
+            path: The resource, whose answer has the key "node_id".
+            only_given: Whether to leave the others, and only name them.
+        """
+        self._ends_at_s = time.monotonic() + self._client.timeout_s
+        self._members, self._documents, self._silent = {}, {}, {}
+        for address in self._client.addresses:
+            if self._ask(_Place("", address), path):
+                self._read_members(address)
+        if not self._members:
+            detail = describe_silent(self._silent.values())
+            return Error(
+                CommandFailure(ExitCode.FAILED, f"no node answered: {detail}")
+            )
+        self._ask_members(path, only_given=only_given)
+        silent = tuple(self._silent.values())
+        return Ok(NodeAnswers(self._members, self._documents, silent))
+
+    def _read_members(self, address: Address) -> None:
+        """Adds the members that a node knows; the first word on one counts."""
+        match self._fetch(address, "/v1/cluster"):
+            case Result(tag="ok", ok={"nodes": list(nodes)}):
+                for node in nodes:
+                    self._add_member(node)
+            case Result(tag="ok"):
+                detail = f"{address} named no members"
+                self._silent[str(address)] = SilentNode("", detail)
+            case Result(error=detail):
+                self._silent[str(address)] = SilentNode("", detail)
+
+    def _add_member(self, node: dict[str, Any]) -> None:
+        known = self._members.setdefault(node["node_id"], node)
+        if not known.get("operator_address"):
+            known["operator_address"] = node.get("operator_address", "")
+
+    def _ask_members(self, path: str, *, only_given: bool) -> None:
+        """Asks the members that have not answered, those heard of first."""
+        members = [
+            node
+            for node_id, node in self._members.items()
+            if node_id not in self._documents
+        ]
+        for node in sorted(members, key=lambda node: not node["is_heard"]):
+            node_id, text = node["node_id"], node["operator_address"]
+            if text in self._silent:
+                silent = self._silent[text]
+                self._silent[text] = silent._replace(node_id=node_id)
+            elif only_given:
+                detail = "not asked: --only"
+                self._silent[node_id] = SilentNode(node_id, detail)
+            elif not text:
+                detail = "its operator address is not known; use --node"
+                self._silent[node_id] = SilentNode(node_id, detail)
+            else:
+                self._ask(_Place(node_id, parse_address(text)), path)
+
+    def _ask(self, place: _Place, path: str) -> bool:
+        """Asks one node; returns whether it answered."""
+        match self._fetch(place.address, path):
+            case Result(tag="ok", ok={"node_id": str(node_id)} as document):
+                self._documents.setdefault(node_id, document)
+                if place.node_id in ("", node_id):
+                    return True
+                detail = f"{place.address} is {node_id}"
+            case Result(tag="ok"):
+                detail = f"{place.address} is not a node"
+            case Result(error=detail):
+                pass
+        silent = SilentNode(place.node_id, detail)
+        self._silent[str(place.address)] = silent
+        return False
+
+    def _fetch(self, address: Address, path: str) -> Result[Any, str]:
+        """Returns the JSON of a resource of one node."""
+        left_s = min(ASK_TIMEOUT_S, self._ends_at_s - time.monotonic())
+        if left_s <= 0:
+            return Error(f"{address}: no time left; raise --timeout")
+        match self._client.ask(address, NodeRequest("GET", path), left_s):
+            case Result(tag="ok", ok=answer) if answer.status == 200:
+                return Ok(answer.json())
+            case Result(tag="ok", ok=answer):
+                return Error(answer.describe())
+            case Result(error=no_answer):
+                return Error(no_answer.detail)
+
+
+def describe_silent(nodes: Iterable[SilentNode]) -> str:
+    """Returns the nodes that are missing, for people."""
+    return "; ".join(str(node) for node in nodes)
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -71,9 +71,12 @@
     worst = {x["server_id"] for x in item["contributors"]}
     text = page.read_text(encoding="utf-8")
     only_one = f"127.0.0.1:{deployment.nodes[0].operator_port}"
-    part = run_json(deployment, "report", "burn", "--node", only_one)
+    part = run_json(deployment, "report", "burn", "--node", only_one, "--only")
+    found = run_json(deployment, "report", "burn", "--node", only_one)
     assert [str(x).split()[0] for x in part["silent"]] == ["node-2", "node-3"]  # type: ignore[attr-defined]
     assert len(report["silent"]) == 1  # type: ignore[arg-type]
+    assert found["silent"] == []
+    assert found["classes"][0]["since_start"] == item["since_start"]  # type: ignore[index]
     assert item["since_start"]["answer_count"] == 6
     assert item["since_start"]["missing_count"] == 6
     assert objectives["coverage"]["state"] == "burning_fast"
@@ -83,6 +86,31 @@
     assert "http" not in text
 
 
+def test_one_node_shows_all_and_since_when_a_restarted_one_counts(
+    deployment: Deployment,
+) -> None:
+    one = f"127.0.0.1:{deployment.nodes[0].operator_port}"
+    arguments = ("report", "burn", "--node", one)
+    before = run_json(deployment, *arguments)
+    assert deployment.nodes[2].process.terminate() == 0
+    without = run_json(deployment, *arguments)
+    deployment.restart_node(2)
+    deployment.wait_serving()
+    after = run_json(deployment, *arguments)
+    status = run_json(deployment, "status", "--node", one)
+    assert [x["node_id"] for x in before["nodes"]] == [  # type: ignore[attr-defined]
+        *("node-1", "node-2", "node-3")
+    ]
+    assert [str(x).split()[0] for x in without["silent"]] == ["node-3"]  # type: ignore[attr-defined]
+    assert after["silent"] == []
+    since = [x["counts_since"] for x in after["nodes"]]  # type: ignore[attr-defined]
+    assert since[2] > max(since[:2])
+    assert status["silent"] == []
+    assert [x["node_id"] for x in status["statuses"]] == [  # type: ignore[attr-defined]
+        *("node-1", "node-2", "node-3")
+    ]
+
+
 def test_file_is_compared_applied_and_in_force(deployment: Deployment) -> None:
     path = str(EXAMPLES / "ikirezi.toml")
     before = run_json(deployment, "config", "show")
