Count run results, refusals by reason and changes of holder

A node knew how its runs ended, which outcomes the store lacked and which records it deleted, but showed none of it; refusals were one number without a reason, and a change of holder was only a log line.

The page gets runs_total{run_state}, unsaved_outcomes, dropped_outcomes_total, deleted_run_records_total, refusals_total{reason} and holder_changes_total{change}. Each label is a fixed word, and each is on the page from the start at 0, so that a rate sees the first event. A refused run that reached no coordinator counts as not run too. Labels by class were ruled out for refusals: a node without a configuration knows no class. Nothing is counted on the way of a request that is taken on.

--- a/packages/core/mulberrybay_core/admission.py
+++ b/packages/core/mulberrybay_core/admission.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_core.server_waits import WaitEstimate
 
 LATENCY_WEIGHT: Final = 0.1
@@ -32,6 +33,7 @@
 class Refusal(NamedTuple):
     """Why a query is refused, and when to come back."""
 
+    reason: RefusalReason
     detail: str
     retry_after_s: float
 
@@ -58,10 +60,15 @@
         share_count = max(1, self._settings.max_query_count // classes_count)
         latency_s = self._latency_s.get(class_name, 0.0)
         if time_left_s <= 0:
-            return Refusal("the deadline has passed", MIN_RETRY_AFTER_S)
+            return Refusal(
+                RefusalReason.DEADLINE_PASSED,
+                "the deadline has passed",
+                MIN_RETRY_AFTER_S,
+            )
         is_full = total_count >= self._settings.max_query_count
         if is_full and count >= share_count:
             return Refusal(
+                RefusalReason.NODE_FULL,
                 "too many queries in progress",
                 max(MIN_RETRY_AFTER_S, latency_s),
             )
--- a/packages/core/mulberrybay_core/holdings.py
+++ b/packages/core/mulberrybay_core/holdings.py
@@ -8,6 +8,7 @@
 
 import enum
 import hashlib
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -40,6 +41,14 @@
     RELEASING = "releasing"
 
 
+class HolderChange(enum.Enum):
+    """How this node came to hold a backend server, or ceased to."""
+
+    GAINED = "gained"
+    HANDED_OVER = "handed_over"
+    LOST = "lost"
+
+
 class _Holding:
     def __init__(self, first_claim_id: int) -> None:
         self.state = HoldingState.CLAIMING
@@ -77,9 +86,13 @@
         self._attempt_limit_s = attempt_limit_s
         self._holdings: dict[str, _Holding] = {}
         self._claim_id = 0
+        self.change_counts: Counter[HolderChange] = Counter()
 
     def drop_all(self) -> None:
         """Gives everything up at once, since the lease may have lapsed."""
+        states = [holding.state for holding in self._holdings.values()]
+        lost_count = states.count(HoldingState.HELD)
+        self.change_counts[HolderChange.LOST] += lost_count
         self._holdings.clear()
 
     def set_wanted(self, server_ids: Iterable[str]) -> list[str]:
@@ -97,6 +110,7 @@
             if holding.state is HoldingState.HELD:
                 holding.state = HoldingState.RELEASING
                 released.append(server_id)
+                self.change_counts[HolderChange.HANDED_OVER] += 1
             elif holding.state is not HoldingState.RELEASING:
                 del self._holdings[server_id]
         for server_id in sorted(wanted):
@@ -185,6 +199,7 @@
             ):
                 holding.state = HoldingState.HELD
                 acquired.append(server_id)
+        self.change_counts[HolderChange.GAINED] += len(acquired)
         return acquired
 
     def _settle(
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -28,6 +28,7 @@
 )
 from mulberrybay_core.query_run import QueryRun
 from mulberrybay_core.query_shard import UNSENT_OUTCOMES
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_core.service_levels import ServiceLevels
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
 from mulberrybay_daemon.gate import Gate
@@ -44,12 +45,14 @@
     }
 )
 
+REFUSED: Final = "refused"
+
 
 def _outcome_name(result: Result[QueryAnswer, Failure]) -> str:
     if result.is_ok():
         return "answered"
     is_refusal = result.error.kind is FailureKind.OVERLOADED
-    return "refused" if is_refusal else "failed"
+    return REFUSED if is_refusal else "failed"
 
 
 class _ActiveQuery:
@@ -111,6 +114,7 @@
         self.catalog = SnapshotCatalog()
         self.levels = ServiceLevels()
         self.attempt_counts: Counter[str] = Counter()
+        self.refusal_counts: Counter[RefusalReason] = Counter()
 
     def set_fleet(self, fleet: Fleet) -> None:
         """Takes the platform's list of VMs."""
@@ -135,8 +139,9 @@
             request.class_name, request.deadline_at_s - now_s
         )
         if refusal is not None:
+            self.refusal_counts[refusal.reason] += 1
             self.levels.note_end(
-                now_s, work_class, "refused", RequestEnd(0.0, is_answered=False)
+                now_s, work_class, REFUSED, RequestEnd(0.0, is_answered=False)
             )
             reply(
                 Error(
@@ -276,5 +281,8 @@
             attempt_count=active.attempt_count,
         )
         outcome = _outcome_name(result)
+        if outcome == REFUSED:
+            # Admission let it in: the backend servers' queues are too long.
+            self.refusal_counts[RefusalReason.QUEUES_FULL] += 1
         self.levels.note_end(now_s, active.work_class, outcome, end)
         active.reply(result)
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -207,6 +207,8 @@
             members=self._members,
             coordinator=self._coordinator,
             runs=self._runs,
+            expiry=self._expiry,
+            service=self._service,
         )
 
     def __enter__(self) -> Self:
--- a/packages/daemon/mulberrybay_daemon/node_metrics.py
+++ b/packages/daemon/mulberrybay_daemon/node_metrics.py
@@ -1,10 +1,14 @@
 """The metrics of a node; docs/METRICS.md lists the same ones."""
 
-from collections.abc import Iterator
-from typing import Final
+import enum
+from collections.abc import Iterator, Mapping
+from typing import Final, TypeVar
 
 from mulberrybay_core.burn import LONG_WINDOW_S, SHORT_WINDOW_S, judge_class
+from mulberrybay_core.errors import RunState
 from mulberrybay_core.fleet import EMPTY_FLEET
+from mulberrybay_core.holdings import HolderChange
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_core.service_levels import LATENCY_BOUNDS_S
 from mulberrybay_daemon.node_parts import NodeParts
 from mulberrybay_daemon.operator_desk import OperatorDesk
@@ -92,6 +96,35 @@
     ),
     MetricSpec("active_requests", "gauge", "Callers' requests in progress."),
 )
+RUN_SPECS: Final = (
+    MetricSpec(
+        "refusals",
+        "counter",
+        "Callers' requests that were not begun.",
+        ("reason",),
+    ),
+    MetricSpec(
+        "runs",
+        "counter",
+        "Non-idempotent requests that ended.",
+        ("run_state",),
+    ),
+    MetricSpec(
+        "unsaved_outcomes",
+        "gauge",
+        "Outcomes of runs that the platform's store does not have yet.",
+    ),
+    MetricSpec(
+        "dropped_outcomes",
+        "counter",
+        "Outcomes of runs given up, since too many waited.",
+    ),
+    MetricSpec(
+        "deleted_run_records",
+        "counter",
+        "Run records deleted, since their keys are too old to be used.",
+    ),
+)
 CONTROL_SPECS: Final = (
     MetricSpec(
         "configuration_revision",
@@ -103,6 +136,12 @@
     MetricSpec(
         "epochs", "counter", "New epochs, each after a lease that lapsed."
     ),
+    MetricSpec(
+        "holder_changes",
+        "counter",
+        "Backend servers that this node began or ceased to hold.",
+        ("change",),
+    ),
     MetricSpec("members", "gauge", "Other nodes known.", ("state",)),
     MetricSpec("peer_dials", "counter", "Connections dialled to other nodes."),
     MetricSpec(
@@ -127,11 +166,20 @@
     ),
 )
 
+Word = TypeVar("Word", bound=enum.Enum)
+
+
+def _count_each(
+    name: str, words: type[Word], counts: Mapping[Word, int]
+) -> Iterator[Sample]:
+    """Returns a sample for each word, so that each counts from 0."""
+    return count_samples(name, {x.value: counts.get(x, 0) for x in words})
+
 
 class NodeMetrics(SampleSource):
     """Reads the counters of one node's components."""
 
-    specs = CLASS_SPECS + ATTEMPT_SPECS + CONTROL_SPECS
+    specs = CLASS_SPECS + ATTEMPT_SPECS + RUN_SPECS + CONTROL_SPECS
 
     def __init__(self, parts: NodeParts, desk: OperatorDesk) -> None:
         self._parts = parts
@@ -142,6 +190,7 @@
         yield from self._read_classes()
         yield from self._read_burn()
         yield from self._read_attempts()
+        yield from self._read_runs()
         yield from self._read_control()
         yield from self._read_platform()
 
@@ -185,6 +234,16 @@
         yield Sample("claiming_servers", parts.claiming_count())
         yield Sample("active_requests", parts.active_count())
 
+    def _read_runs(self) -> Iterator[Sample]:
+        runs = self._parts.runs
+        refusals = self._parts.refusal_counts()
+        yield from _count_each("refusals", RefusalReason, refusals)
+        yield from _count_each("runs", RunState, runs.result_counts)
+        yield Sample("unsaved_outcomes", runs.unsaved_count)
+        yield Sample("dropped_outcomes", runs.dropped_count)
+        deleted_count = self._parts.expiry.deleted_count
+        yield Sample("deleted_run_records", deleted_count)
+
     def _read_control(self) -> Iterator[Sample]:
         parts = self._parts
         now_s = read_clock_s()
@@ -198,6 +257,8 @@
         yield Sample("epochs", parts.members.epoch_count)
         yield Sample("members", heard_count, ("heard",))
         yield Sample("members", silent_count, ("silent",))
+        changes = parts.holdings.change_counts
+        yield from _count_each("holder_changes", HolderChange, changes)
         counts = parts.links.counts()
         yield Sample("peer_dials", counts.dial_count)
         yield Sample("silent_peer_links", counts.silent_count)
--- a/packages/daemon/mulberrybay_daemon/node_parts.py
+++ b/packages/daemon/mulberrybay_daemon/node_parts.py
@@ -1,15 +1,19 @@
 """The components of one node, for what only reads them."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from mulberrybay_backends.connections import BackendPool
 from mulberrybay_core.holdings import Holdings, HoldingState
 from mulberrybay_core.membership import Membership
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_daemon.configuration_task import ConfigurationTask
 from mulberrybay_daemon.coordinator import Coordinator
 from mulberrybay_daemon.holder import Holder
 from mulberrybay_daemon.member_task import MemberTask
+from mulberrybay_daemon.record_expiry import RecordExpiry
 from mulberrybay_daemon.runs import RunCoordinator
+from mulberrybay_daemon.service import NodeService
 from mulberrybay_nodes.links import NodeLinks
 from mulberrybay_platform.client import PlatformClient
 from mulberrybay_runtime.faults import FaultLog
@@ -31,11 +35,18 @@
     members: MemberTask
     coordinator: Coordinator
     runs: RunCoordinator
+    expiry: RecordExpiry
+    service: NodeService
 
     def active_count(self) -> int:
         """Returns the requests of callers in progress."""
         return self.coordinator.active_count + self.runs.active_count
 
+    def refusal_counts(self) -> Counter[RefusalReason]:
+        """Returns the requests that were not begun, by reason."""
+        counts = self.service.refusal_counts + self.coordinator.refusal_counts
+        return counts + self.runs.refusal_counts
+
     def held_count(self) -> int:
         """Returns the backend servers that the node holds."""
         states = list(self.holdings.states().values())
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -23,6 +23,7 @@
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.platform_messages import PlatformStore, StoredObject
 from mulberrybay_core.queries import RunAnswer, RunReply, RunRequest
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_core.replica_choice import LeastExpectedWait
 from mulberrybay_core.run_life import (
     Action,
@@ -95,6 +96,7 @@
         self._active: dict[str, _Run] = {}
         self._sequence = 0
         self.result_counts: Counter[RunState] = Counter()
+        self.refusal_counts: Counter[RefusalReason] = Counter()
 
     def set_fleet(self, fleet: Fleet) -> None:
         """Takes the platform's list of VMs."""
@@ -114,6 +116,11 @@
         """Outcomes that the platform's store does not have yet."""
         return self._outcomes.pending_count
 
+    @property
+    def dropped_count(self) -> int:
+        """Outcomes given up, since too many waited."""
+        return self._outcomes.dropped_count
+
     def submit(self, request: RunRequest, reply: RunReply) -> None:
         """Runs a request whose class is in force and allows runs."""
         failure = self._check(request)
@@ -135,6 +142,7 @@
         if problem is not None:
             return Failure(FailureKind.INVALID, Step.PARSE, "caller", problem)
         if self._store.is_failing:
+            self.refusal_counts[RefusalReason.PLATFORM_LOST] += 1
             # Nothing is gained by letting the caller wait for a timeout.
             return Failure(
                 FailureKind.PLATFORM,
@@ -146,6 +154,7 @@
         wait_s = self._budget.take(read_clock_s())
         if wait_s <= 0:
             return None
+        self.refusal_counts[RefusalReason.WRITE_SHARE_USED] += 1
         return Failure(
             FailureKind.OVERLOADED,
             Step.ADMISSION,
--- a/packages/daemon/mulberrybay_daemon/service.py
+++ b/packages/daemon/mulberrybay_daemon/service.py
@@ -1,12 +1,13 @@
 """What a node answers to callers: queries, runs and addresses."""
 
+from collections import Counter
 from typing import Final
 
 from expression import Error, Ok, Result
 
 from mulberrybay_core.burn import RequestEnd
 from mulberrybay_core.configuration import Configuration, WorkClass
-from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.membership import Membership
 from mulberrybay_core.queries import (
     AddressAnswer,
@@ -17,6 +18,7 @@
     RunReply,
     RunRequest,
 )
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_daemon.coordinator import Coordinator
 from mulberrybay_daemon.gate import Gate
 from mulberrybay_daemon.member_task import MemberTask
@@ -47,6 +49,7 @@
         self._runs = runs
         self._out_since_s: float | None = None
         self.is_closed = False
+        self.refusal_counts: Counter[RefusalReason] = Counter()
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Takes the configuration in force."""
@@ -83,11 +86,14 @@
         if work_class is not None and (self.is_closed or not has_lease):
             self._note_end(work_class, "refused", RequestEnd(0.0, False))
         if self.is_closed:
+            self.refusal_counts[RefusalReason.STOPPING] += 1
             return Error(self._refusal(FailureKind.LEAVING, "stopping"))
         if self._is_out(now_s):
+            self.refusal_counts[RefusalReason.OUT_OF_SERVICE] += 1
             detail = "this node's failure domain is out of service"
             return Error(self._refusal(FailureKind.OUT_OF_SERVICE, detail))
         if work_class is None or not has_lease:
+            self.refusal_counts[RefusalReason.NO_LEASE] += 1
             detail = "no lease from a majority of nodes, or no configuration"
             return Error(self._refusal(FailureKind.NO_LEASE, detail))
         return Ok(work_class)
@@ -117,9 +123,13 @@
                 failure = Failure(
                     FailureKind.INVALID, Step.ADMISSION, "caller", detail
                 )
-                reply(Error(failure))
+                self._refuse_run(failure, reply)
             case Result(error=failure):
-                reply(Error(failure))
+                self._refuse_run(failure, reply)
+
+    def _refuse_run(self, failure: Failure, reply: RunReply) -> None:
+        self._runs.result_counts[RunState.NOT_RUN] += 1
+        reply(Error(failure))
 
     def _note_run(
         self, work_class: WorkClass, request: RunRequest, reply: RunReply
