Hold the audit to its bound after failures, and say what is gone

Each change deleted the one entry that fell off the end. When that read or delete failed, the entry stayed for ever, so that a platform with faults let the audit grow beyond its 100,000 entries. The bound had no test, since no test can make so many changes.

The bound is now an argument of the audit log, and the tests keep three. Listing the kind instead was ruled out: it reads 100,000 entries. The cost past the bound is one more read per change.

`mulberrybay audit` names the revisions it was asked for that have no entry; before, they were left out without a word.

--- a/packages/daemon/mulberrybay_daemon/audit_log.py
+++ b/packages/daemon/mulberrybay_daemon/audit_log.py
@@ -19,6 +19,7 @@
     StoredObject,
     WriteResult,
 )
+from mulberrybay_daemon.audit_expiry import AuditExpiry
 
 KeepReply = Callable[[Result[None, Failure]], None]
 
@@ -26,8 +27,17 @@
 class AuditLog:
     """Writes and reads audit entries."""
 
-    def __init__(self, store: PlatformStore) -> None:
+    def __init__(
+        self, store: PlatformStore, keep_count: int = AUDIT_KEEP_COUNT
+    ) -> None:
+        """Starts without knowing what is kept.
+
+        Args:
+            store: The platform's store.
+            keep_count: How many entries to keep besides the newest.
+        """
         self._store = store
+        self._expiry = AuditExpiry(store, keep_count)
         self._kept_revision = 0
 
     def keep(self, entry: AuditEntry, reply: KeepReply) -> None:
@@ -41,7 +51,7 @@
                 case Result(tag="ok"):
                     # A conflict means that the entry is there already.
                     self._kept_revision = entry.revision
-                    self._delete(entry.revision - AUDIT_KEEP_COUNT)
+                    self._expiry.sweep(entry.revision)
                     reply(Ok(None))
                 case Result(error=failure):
                     reply(Error(failure))
@@ -54,23 +64,6 @@
             on_written,
         )
 
-    def _delete(self, revision: int) -> None:
-        """Deletes an old entry; one that is missed stays."""
-        if revision <= 0:
-            return
-        name = str(revision)
-
-        def on_read(result: Result[StoredObject | None, Failure]) -> None:
-            match result:
-                case Result(tag="ok", ok=StoredObject() as stored):
-                    self._store.delete(
-                        AUDIT_KIND, name, stored.version, lambda _: None
-                    )
-                case _:
-                    pass
-
-        self._store.read(AUDIT_KIND, name, on_read)
-
     def read_newest(
         self,
         current: Configuration,
--- a/packages/operators/mulberrybay_operators/node_commands.py
+++ b/packages/operators/mulberrybay_operators/node_commands.py
@@ -1,9 +1,11 @@
 """The commands that ask one node, or act as a caller."""
 
+import itertools
 import json
 import secrets
 import time
 import urllib.parse
+from collections.abc import Iterator
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -49,13 +51,36 @@
             for entry in document["entries"]
         ]
         headings = ["REVISION", "FROM", "AT", "BY", "WHAT", "CHANGE"]
-        return Output(format_table(headings, rows), document)
+        text = format_table(headings, rows)
+        missing = _find_missing(document["entries"], command.count)
+        if missing:
+            spans = ", ".join(_format_spans(missing))
+            text += f"\nno entry is kept of revisions {spans}"
+        return Output(text, {**document, "missing_revisions": missing})
 
     return get_document(session, f"/v1/audit?count={command.count}").map(
         describe
     )
 
 
+def _find_missing(entries: list[dict[str, Any]], count: int) -> list[int]:
+    """Returns the revisions that were asked for and have no entry."""
+    found = [entry["revision"] for entry in entries]
+    newest = max(found, default=0)
+    asked = range(newest, max(0, newest - count), -1)
+    return [revision for revision in asked if revision not in found]
+
+
+def _format_spans(revisions: list[int]) -> Iterator[str]:
+    """Returns falling revisions as "9" or "7 to 3"."""
+    for _, group in itertools.groupby(
+        enumerate(revisions), lambda pair: pair[0] + pair[1]
+    ):
+        span = [revision for _, revision in group]
+        is_one = len(span) == 1
+        yield str(span[0]) if is_one else f"{span[0]} to {span[-1]}"
+
+
 # As a caller.
 
 
