--- a/packages/core/mulberrybay_core/snapshot_catalog.py
+++ b/packages/core/mulberrybay_core/snapshot_catalog.py
@@ -14,9 +14,15 @@
 
 
 class SnapshotCatalog:
-    """The snapshots of every class of work."""
+    """The snapshots of every class of work.
+
+    Attributes:
+        is_read: Whether the platform has listed the snapshots; before, none
+            is known of any class, whether it has one or not.
+    """
 
     def __init__(self) -> None:
+        self.is_read = False
         self._snapshots: dict[str, tuple[IndexSnapshot, ...]] = {}
         self._absent_until_s: dict[tuple[str, str, int], float] = {}
 
--- a/packages/daemon/mulberrybay_daemon/fleet_task.py
+++ b/packages/daemon/mulberrybay_daemon/fleet_task.py
@@ -36,6 +36,14 @@
         self._store_version = 0
         self.fleet: Fleet = EMPTY_FLEET
 
+    @property
+    def knows_servers(self) -> bool:
+        """Whether backend servers and the snapshots on them are known.
+
+        They are not at a node that has started in an outage.
+        """
+        return bool(self.fleet.servers) and self._catalog.is_read
+
     def start(self) -> None:
         """Starts to read the platform."""
         self._read_vms()
@@ -74,6 +82,7 @@
 
     def _take_snapshots(self, objects: ObjectList) -> None:
         self._store_version = objects.store_version
+        self._catalog.is_read = True
         for item in objects.items:
             match decode_snapshots(item.name, item.value):
                 case Result(tag="ok", ok=snapshots):
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -287,8 +287,7 @@
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
             and not self._membership.steps_down
-            # A node that has started in an outage knows no servers to hold.
-            and bool(self._fleet_task.fleet.servers)
+            and self._fleet_task.knows_servers
         )
 
     def _update_serving(self) -> None:
--- a/packages/daemon/mulberrybay_daemon/service.py
+++ b/packages/daemon/mulberrybay_daemon/service.py
@@ -97,10 +97,26 @@
             kind, Step.ADMISSION, "", detail, retry_after_s=NO_LEASE_RETRY_S
         )
 
+    def _unread_refusal(self) -> Failure:
+        """Returns the refusal of a node whose platform fails as it starts."""
+        return Failure(
+            FailureKind.PLATFORM,
+            Step.ADMISSION,
+            "platform",
+            "the index snapshots have not been read yet",
+            retry_after_s=NO_LEASE_RETRY_S,
+        )
+
     def submit_query(self, request: QueryRequest, reply: QueryReply) -> None:
         """Answers a query."""
         match self._find_class(request.class_name):
             case Result(tag="ok", ok=work_class):
+                if not self._coordinator.catalog.is_read:
+                    self._note_end(
+                        work_class, "refused", RequestEnd(0.0, False)
+                    )
+                    reply(Error(self._unread_refusal()))
+                    return
                 self._coordinator.submit(request, work_class, reply)
             case Result(error=failure):
                 reply(Error(failure))
--- a/packages/testing/mulberrybay_testing/platform_control.py
+++ b/packages/testing/mulberrybay_testing/platform_control.py
@@ -35,6 +35,7 @@
     """A control document; only the keys that it holds are applied."""
 
     outage: Outage | None
+    failing_kinds: list[str]
     delay_s: float
     lose_answers: LossOrder
     lose_requests: LossOrder
@@ -49,6 +50,7 @@
 
     def __init__(self) -> None:
         self.outage: Outage | None = None
+        self.failing_kinds: frozenset[str] = frozenset()
         self.delay_s = 0.0
         self._lost_answers: dict[str, int] = {}
         self._lost_requests: dict[str, int] = {}
@@ -57,6 +59,8 @@
         """Applies the keys of the document that set faults."""
         if "outage" in control:
             self.outage = control["outage"]
+        if "failing_kinds" in control:
+            self.failing_kinds = frozenset(control["failing_kinds"])
         if "delay_s" in control:
             self.delay_s = control["delay_s"]
         if "lose_answers" in control:
--- a/packages/testing/mulberrybay_testing/platform_standin.py
+++ b/packages/testing/mulberrybay_testing/platform_standin.py
@@ -43,6 +43,7 @@
 _MAX_WATCH_S = 60.0
 _WRITE_OPERATIONS = ("put", "delete")
 _RETRY_AFTER = ("Retry-After", "1")
+_UNAVAILABLE = json_response(503, {"error": "unavailable"}, _RETRY_AFTER)
 
 
 class PlatformSettings(NamedTuple):
@@ -112,6 +113,8 @@
         if self._faults.delay_s > 0:
             await asyncio.sleep(self._faults.delay_s)
         refusal = await self._apply_outage()
+        if target.kind in self._faults.failing_kinds:
+            refusal = _UNAVAILABLE
         if refusal is None:
             refusal = self._apply_rate_limit(target)
         if refusal is not None:
@@ -139,7 +142,7 @@
         if outage == "silent":
             await asyncio.Event().wait()
         if outage == "unavailable":
-            return json_response(503, {"error": "unavailable"}, _RETRY_AFTER)
+            return _UNAVAILABLE
         return None
 
     def _apply_rate_limit(self, target: _Target) -> Response | None:
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from mulberrybay_core.snapshot import SNAPSHOT_KIND
 from mulberrybay_testing.class_spec import search_class
 from mulberrybay_testing.control_client import post_control
 from mulberrybay_testing.deployment import Deployment, NodeProcess
@@ -172,9 +173,39 @@
     deployment.control_platform(outage=None)
     deployment.wait_serving()
     record = ask(node, "field-search", "after", b'"after"')
+    assert record.status == 200, record.document
     assert record.document["revision"] == revision
 
 
+def test_node_that_has_read_no_snapshots_is_not_used(
+    proxied: tuple[Deployment, _Proxy],
+) -> None:
+    """The platform lists the VMs and fails at the index snapshots."""
+    deployment, _ = proxied
+    node = deployment.nodes[2]
+    node.process.kill()
+    deployment.control_platform(failing_kinds=[SNAPSHOT_KIND])
+    deployment.restart_node(2, "no-snapshots")
+    wait_until(
+        lambda: bool(deployment.status(node)["has_lease"]),
+        IN_FORCE_S,
+        "a lease",
+    )
+    ends_at_s = time.time() + 2.0
+    while time.time() < ends_at_s:
+        record = ask(node, "field-search", "early", b'"early"')
+        assert record.status == 503, record.document
+        assert record.document["error"]["run_state"] == "not_run"
+        assert record.document["error"]["retry_after_s"] > 0
+        assert not deployment.status(node)["is_serving"]
+    deployment.control_platform(failing_kinds=[])
+    wait_until(
+        lambda: deployment.status(node)["is_serving"], IN_FORCE_S, "service"
+    )
+    record = ask(node, "field-search", "late", b'"late"')
+    assert record.status == 200, record.document
+
+
 def test_node_cut_off_from_everyone_refuses_as_not_run(
     proxied: tuple[Deployment, _Proxy],
 ) -> None:
