--- a/packages/core/mulberrybay_core/operator_messages.py
+++ b/packages/core/mulberrybay_core/operator_messages.py
@@ -35,6 +35,7 @@
         active_count: Requests of callers in progress.
         outstanding_count: Attempts outstanding at backend servers.
         drains: Backend servers held here that finish their last work.
+        is_platform_lost: Whether its last calls to the platform all failed.
     """
 
     info: NodeInfo
@@ -47,6 +48,7 @@
     active_count: int
     outstanding_count: int
     drains: tuple[Drain, ...]
+    is_platform_lost: bool
 
 
 class ClusterNode(NamedTuple):
--- a/packages/daemon/mulberrybay_daemon/operator_service.py
+++ b/packages/daemon/mulberrybay_daemon/operator_service.py
@@ -39,6 +39,7 @@
             active_count=parts.active_count(),
             outstanding_count=parts.holder.outstanding_count,
             drains=parts.holder.drains(),
+            is_platform_lost=parts.store.is_failing,
         )
 
     def cluster(self) -> ClusterStatus:
--- a/packages/operators/mulberrybay_operators/answers.py
+++ b/packages/operators/mulberrybay_operators/answers.py
@@ -146,6 +146,7 @@
         "active_count": status.active_count,
         "outstanding_count": status.outstanding_count,
         "drains": [drain._asdict() for drain in status.drains],
+        "is_platform_lost": status.is_platform_lost,
     }
     return _respond(200, document)
 
--- a/packages/operators/mulberrybay_operators/burn_command.py
+++ b/packages/operators/mulberrybay_operators/burn_command.py
@@ -28,12 +28,14 @@
     Attributes:
         at_s: When it was made, as Unix time.
         nodes: What each node counted.
-        silent: Nodes that gave no answer or were not asked.
+        node_count: The nodes that are known, whether or not they answered.
+        silent: Nodes and addresses that gave no answer or were not asked.
         classes: The sums, by class of work.
     """
 
     at_s: float
     nodes: tuple[NodeBurn, ...]
+    node_count: int
     silent: tuple[SilentNode, ...]
     classes: tuple[ClassBurn, ...]
 
@@ -87,6 +89,7 @@
     return BurnReport(
         at_s=time.time(),
         nodes=tuple(nodes),
+        node_count=len(answers.members | answers.documents),
         silent=tuple(silent),
         classes=merge_nodes(nodes),
     )
@@ -126,6 +129,7 @@
             }
             for node in report.nodes
         ],
+        "node_count": report.node_count,
         "silent": [str(node) for node in report.silent],
         "classes": [
             {
@@ -194,8 +198,7 @@
 
 def describe_scope(report: BurnReport) -> str:
     """Returns how many nodes the report covers."""
-    node_count = len(report.nodes)
-    text = f"{node_count} of {node_count + len(report.silent)} nodes covered"
+    text = f"{len(report.nodes)} of {report.node_count} nodes covered"
     if report.silent:
         text += f"; NOT covered: {describe_silent(report.silent)}"
     return text
--- a/packages/operators/mulberrybay_operators/node_client.py
+++ b/packages/operators/mulberrybay_operators/node_client.py
@@ -171,7 +171,9 @@
     request: NodeRequest, detail: str, is_unknown: bool
 ) -> CommandFailure:
     if request.method == "GET":
-        return CommandFailure(ExitCode.FAILED, f"no node answered: {detail}")
+        return CommandFailure(
+            ExitCode.FAILED, f"no node could answer: {detail}"
+        )
     if is_unknown:
         return CommandFailure(
             ExitCode.NOT_KNOWN,
--- a/packages/operators/mulberrybay_operators/node_commands.py
+++ b/packages/operators/mulberrybay_operators/node_commands.py
@@ -6,7 +6,7 @@
 import time
 import urllib.parse
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Final
 
 from expression import Error, Ok, Result
 
@@ -21,6 +21,8 @@
 from mulberrybay_operators.outputs import CommandResult, Output, Session
 from mulberrybay_operators.tables import format_table
 
+INVALID_STATUS: Final = 400
+
 
 def get_document(session: Session, path: str) -> Result[Any, CommandFailure]:
     """Returns the JSON of a resource from the first node that answers."""
@@ -28,7 +30,9 @@
         case Result(tag="ok", ok=answer) if answer.status == 200:
             return Ok(answer.json())
         case Result(tag="ok", ok=answer):
-            return Error(CommandFailure(ExitCode.FAILED, answer.describe()))
+            is_usage = answer.status == INVALID_STATUS
+            code = ExitCode.USAGE if is_usage else ExitCode.FAILED
+            return Error(CommandFailure(code, answer.describe()))
         case Result(error=failure):
             return Error(failure)
 
--- a/packages/operators/mulberrybay_operators/node_finder.py
+++ b/packages/operators/mulberrybay_operators/node_finder.py
@@ -123,7 +123,7 @@
                 detail = "not asked: --only"
                 self._silent[node_id] = SilentNode(node_id, detail)
             elif not text:
-                detail = "its operator address is not known; use --node"
+                detail = "not heard by the nodes asked; use --node if it runs"
                 self._silent[node_id] = SilentNode(node_id, detail)
             else:
                 self._ask(_Place(node_id, parse_address(text)), path)
--- a/packages/operators/mulberrybay_operators/status_command.py
+++ b/packages/operators/mulberrybay_operators/status_command.py
@@ -41,7 +41,9 @@
     lines = [
         f"revision {configuration['revision']} in force; "
         f"out of service: {', '.join(out) or 'nothing'}",
-        format_table(NODE_HEADINGS, _status_rows(answers)),
+        format_table(
+            NODE_HEADINGS, _status_rows(answers, configuration["out_domains"])
+        ),
     ]
     drains = [
         [status["node_id"], *drain.values()]
@@ -50,6 +52,9 @@
     ]
     if drains:
         lines += ["", format_table(DRAIN_HEADINGS, drains)]
+    lost = [x["node_id"] for x in statuses if x.get("is_platform_lost")]
+    if lost:
+        lines.append(f"platform lost at {', '.join(sorted(lost))}")
     lines += [f"no answer: {text}" for text in silent]
     document = {
         "revision": configuration["revision"],
@@ -73,22 +78,30 @@
     return list(found.values())
 
 
-def _status_rows(answers: NodeAnswers) -> list[list[object]]:
+def _status_rows(
+    answers: NodeAnswers, out_domains: list[str]
+) -> list[list[object]]:
     node_ids = sorted(answers.members | answers.documents)
     return [
         _status_row(
-            answers.members.get(node_id), answers.documents.get(node_id)
+            answers.members.get(node_id),
+            answers.documents.get(node_id),
+            out_domains,
         )
         for node_id in node_ids
     ]
 
 
 def _status_row(
-    seen: dict[str, Any] | None, own: dict[str, Any] | None
+    seen: dict[str, Any] | None,
+    own: dict[str, Any] | None,
+    out_domains: list[str],
 ) -> list[object]:
     """Returns a node's row: its own word if it gave it, else another's."""
     node = {**(seen or {}), **(own or {})}
     state = "serving" if node["is_serving"] else "not serving"
+    if node["failure_domain"] in out_domains:
+        state = "out"
     if node["is_leaving"]:
         state = "leaving"
     if not node.get("is_heard", True):
--- a/packages/operators/tests/test_every_node.py
+++ b/packages/operators/tests/test_every_node.py
@@ -60,6 +60,7 @@
         "active_count": 0,
         "outstanding_count": 0,
         "drains": [],
+        "is_platform_lost": False,
     }
 
 
@@ -76,6 +77,7 @@
             self.documents[host, "/v1/burn"] = burn(number, uptime_s, 10)
             self.documents[host, "/v1/status"] = status(number)
         self.asked: list[str] = []
+        self.out_domains: list[str] = []
 
     def ask(
         self, address: Address, request: NodeRequest, timeout_s: float
@@ -87,7 +89,11 @@
         if is_node and request.path == "/v1/cluster":
             document = {"node_id": "node-1", "nodes": self.members}
         if is_node and request.path == "/v1/configuration":
-            document = {"revision": 4, "out_domains": [], "out_servers": []}
+            document = {
+                "revision": 4,
+                "out_domains": self.out_domains,
+                "out_servers": [],
+            }
         if document is None:
             return Error(NoAnswer(address, f"{address}: refused", False))
         return Ok(NodeAnswer(address, 200, {}, json.dumps(document).encode()))
@@ -152,7 +158,7 @@
 @pytest.mark.parametrize(
     ("address", "text"),
     [
-        ("", "node-3 (its operator address is not known; use --node)"),
+        ("", "node-3 (not heard by the nodes asked; use --node if it runs)"),
         ("10.0.0.2:7003", "node-3 (10.0.0.2:7003 is node-2)"),
         ("10.0.0.9:7003", "node-3 (10.0.0.9:7003: refused)"),
     ],
@@ -191,6 +197,36 @@
         assert since[2] in text
 
 
+def test_given_node_that_has_stopped_is_not_counted_twice() -> None:
+    """The others know that the platform lists it, and no address of it."""
+    client = ScriptedClient("10.0.0.2:7003,10.0.0.1:7003")
+    client.members[1] = member(2, operator_address="", is_heard=False)
+    client.cut(2)
+    output = report(client)
+    assert "2 of 3 nodes covered" in output.text
+    assert output.document["node_count"] == 3
+    assert [text.split()[0] for text in output.document["silent"]] == [
+        *("10.0.0.2:7003:", "node-2")
+    ]
+
+
+def test_status_shows_who_is_out_and_who_lost_the_platform() -> None:
+    client = ScriptedClient()
+    client.out_domains = ["d2"]
+    for number, changes in (
+        (1, {}),
+        (2, {"failure_domain": "d2"}),
+        (3, {"is_platform_lost": True}),
+    ):
+        key = (f"10.0.0.{number}:7003", "/v1/status")
+        client.documents[key] = {**status(number), **changes}
+    result = show_status(Session(client, "amina"), Status())
+    lines = result.ok.text.splitlines()
+    states = [line.split()[2] for line in lines[2:5]]
+    assert states == ["serving", "out", "serving"]
+    assert lines[5] == "platform lost at node-3"
+
+
 def test_status_covers_every_node_and_names_the_silent() -> None:
     client = ScriptedClient()
     client.cut(3)
--- a/packages/testing/mulberrybay_testing/demo.py
+++ b/packages/testing/mulberrybay_testing/demo.py
@@ -1,14 +1,17 @@
 """Runs the whole path as processes: queries, a booking, a domain out and back.
 
-    python -m mulberrybay_testing.demo
+    python -m mulberrybay_testing.demo [--stay]
 
-Prints what callers and operators see; exits 1 if any step goes wrong.
+Prints what callers and operators see; exits 1 if any step goes wrong. With
+--stay the deployment then runs until SIGINT or SIGTERM, to try commands on.
 """
 
 from __future__ import annotations
 
+import argparse
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -77,6 +80,16 @@
             raise DemoError(f"mulberrybay {arguments} {problem}")
         return done.stdout
 
+    def stay(self) -> None:
+        """Prints what the command line needs and waits for a signal."""
+        ends = {signal.SIGINT, signal.SIGTERM}
+        # Blocked, a signal that comes before the wait is not lost.
+        signal.pthread_sigmask(signal.SIG_BLOCK, ends)
+        for name, text in self._variables.items():
+            print(f"export {name}={text}")
+        say("running until Ctrl-C")
+        signal.sigwait(ends)
+
     def show(self, *arguments: str) -> None:
         """Runs a command and prints it with what it printed."""
         print(f"$ mulberrybay {' '.join(arguments)}")
@@ -146,8 +159,8 @@
     print(f"== {text}", flush=True)
 
 
-def run_demo(folder: Path) -> None:
-    """Starts a deployment and walks through it."""
+def run_demo(folder: Path, *, stays: bool) -> None:
+    """Starts a deployment, walks through it and perhaps keeps it running."""
     began_at_s = time.monotonic()
     say("starting a platform, 103 backend servers and 3 nodes")
     with Deployment(folder, CLASSES) as deployment:
@@ -163,14 +176,23 @@
         if not demo.move_domain("in", 1):
             raise DemoError("a failure domain that is back got no work")
         demo.show("report", "burn")
+        if stays:
+            demo.stay()
     say(f"done in {time.monotonic() - began_at_s:.1f} s")
 
 
 def main() -> None:
     """Runs the demo; exits 0 if every step went as it must."""
+    parser = argparse.ArgumentParser(description="Runs the whole path.")
+    parser.add_argument(
+        "--stay",
+        action="store_true",
+        help="keep the deployment running until Ctrl-C",
+    )
+    stays = parser.parse_args().stay
     try:
         with tempfile.TemporaryDirectory() as folder:
-            run_demo(Path(folder))
+            run_demo(Path(folder), stays=stays)
     except (DemoError, OSError, subprocess.SubprocessError) as error:
         print(f"demo: {error}", file=sys.stderr)
         sys.exit(1)
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -4,7 +4,8 @@
 import os
 import subprocess
 import sys
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -156,6 +157,48 @@
     assert stored["out_domains"] == []
 
 
+def test_status_tells_of_an_outage_and_of_its_end(
+    deployment: Deployment,
+) -> None:
+    names = ["node-1", "node-2", "node-3"]
+    told = f"platform lost at {', '.join(names)}"
+    deployment.control_platform(outage="unavailable")
+    is_told = wait_for_status(deployment, lambda text: told in text)
+    deployment.control_platform(outage=None)
+    assert is_told
+    assert wait_for_status(deployment, lambda text: "lost" not in text)
+
+
+def wait_for_status(
+    deployment: Deployment, condition: Callable[[str], bool]
+) -> bool:
+    ends_at_s = time.monotonic() + TIMEOUT_S
+    while time.monotonic() < ends_at_s:
+        done = start_command(deployment, "status")
+        if done.returncode == 0 and condition(done.stdout):
+            return True
+    return False
+
+
+def test_stopped_and_upgraded_node_as_the_page_says(
+    deployment: Deployment,
+) -> None:
+    assert deployment.nodes[1].process.terminate() == 0
+    without = run_json(deployment, "status")
+    deployment.restart_node(1, "upgraded")
+    assert wait_for_status(deployment, is_upgraded)
+    assert [str(x).split()[0] for x in without["silent"]][-1] == "node-2"  # type: ignore[attr-defined]
+    assert start_command(deployment, "status").returncode == 0
+
+
+def is_upgraded(text: str) -> bool:
+    rows = [line.split() for line in text.splitlines() if "node-" in line]
+    states = {row[0]: (row[2], row[6]) for row in rows if len(row) > 6}
+    return states == dict.fromkeys(
+        ("node-1", "node-2", "node-3"), ("serving", "0")
+    )
+
+
 @pytest.mark.parametrize(
     ("arguments", "code", "text"),
     [
@@ -170,6 +213,7 @@
         (["config", "rewrite"], 2, "rewrite"),
         (["status", "--node", "nowhere"], 2, "not HOST:PORT"),
         (["status", "--token", "wrong"], 1, "401"),
+        (["audit", "--count", "60"], 2, "1 to 50"),
         (["query", "no-such-class", '"x"'], 1, "404"),
     ],
 )
--- a/tests/test_operator_page.py
+++ b/tests/test_operator_page.py
@@ -38,7 +38,9 @@
         for line in lines:
             done = subprocess.run(
                 ["bash", "-c", line],
-                cwd=tmp_path,
+                # Scripts belong to the checkout; files that commands write
+                # do not.
+                cwd=ROOT if line.startswith("scripts/") else tmp_path,
                 env=environment,
                 capture_output=True,
                 text=True,
