--- a/packages/core/mulberrybay_core/snapshot_catalog.py
+++ b/packages/core/mulberrybay_core/snapshot_catalog.py
@@ -5,6 +5,7 @@
 which servers lack a version.
 """
 
+import itertools
 from typing import Final
 
 from mulberrybay_core.fleet import Fleet
@@ -26,6 +27,10 @@
         self._snapshots: dict[str, tuple[IndexSnapshot, ...]] = {}
         self._absent_until_s: dict[tuple[str, str, int], float] = {}
 
+    def all_snapshots(self) -> tuple[IndexSnapshot, ...]:
+        """Returns the snapshots of all classes."""
+        return tuple(itertools.chain.from_iterable(self._snapshots.values()))
+
     def set_snapshots(
         self, class_name: str, snapshots: tuple[IndexSnapshot, ...]
     ) -> None:
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -16,6 +16,7 @@
 from mulberrybay_core.attempts import AttemptBatch, AttemptReply
 from mulberrybay_core.configuration import Configuration
 from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.fleet_messages import FleetRequest, FleetUpdate
 from mulberrybay_core.holdings import Holdings
 from mulberrybay_core.member_messages import (
     Claim,
@@ -180,7 +181,12 @@
             LeastExpectedWait(random.Random(), ServerWaits()),
         )
         self._fleet_task = FleetTask(
-            self._store, self._timers, self._coordinator.catalog, self._on_fleet
+            settings.node_id,
+            self._store,
+            self._timers,
+            self._coordinator.catalog,
+            lambda: self._links,
+            self._on_fleet,
         )
         self._expiry = RecordExpiry(
             settings.runs, self._store, self._timers, self._should_sweep
@@ -332,6 +338,10 @@
                 self._configuration.on_request(message, link)
             case ConfigurationUpdate():
                 self._configuration.on_update(message)
+            case FleetRequest():
+                self._fleet_task.on_request(message, link)
+            case FleetUpdate():
+                self._fleet_task.on_update(message)
 
     def _on_batch(self, batch: AttemptBatch, link: Link) -> None:
         def reply(answer: AttemptReply) -> None:
--- a/packages/nodes/mulberrybay_nodes/codec.py
+++ b/packages/nodes/mulberrybay_nodes/codec.py
@@ -16,6 +16,7 @@
     ServerLoad,
 )
 from mulberrybay_core.errors import RunState
+from mulberrybay_core.fleet_messages import FleetRequest, FleetUpdate
 from mulberrybay_core.member_messages import (
     Claim,
     ClaimAnswer,
@@ -27,6 +28,12 @@
     NodeEpoch,
     NodeInfo,
 )
+from mulberrybay_nodes.fleet_codec import (
+    decode_fleet_request,
+    decode_fleet_update,
+    encode_fleet_request,
+    encode_fleet_update,
+)
 from mulberrybay_nodes.peer_messages import (
     AttemptReplyMessage,
     CancelMessage,
@@ -320,6 +327,8 @@
     ClaimAnswer: _encode_claim_answer,
     ConfigurationRequest: _encode_configuration_request,
     ConfigurationUpdate: _encode_configuration_update,
+    FleetRequest: encode_fleet_request,
+    FleetUpdate: encode_fleet_update,
     AttemptBatch: _encode_batch,
     AttemptReplyMessage: _encode_reply,
     CancelMessage: _encode_cancel,
@@ -333,6 +342,8 @@
     "claimAnswer": _decode_claim_answer,
     "configurationRequest": _decode_configuration_request,
     "configurationUpdate": _decode_configuration_update,
+    "fleetRequest": decode_fleet_request,
+    "fleetUpdate": decode_fleet_update,
     "attemptBatch": _decode_batch,
     "attemptReply": _decode_reply,
     "cancel": _decode_cancel,
--- a/packages/nodes/mulberrybay_nodes/links.py
+++ b/packages/nodes/mulberrybay_nodes/links.py
@@ -163,6 +163,14 @@
         """Returns the names under which seeds are dialled."""
         return [name for name in self._dialled if name.startswith(SEED_PREFIX)]
 
+    def connected_ids(self) -> list[str]:
+        """Returns the peers and seeds to which a link is up."""
+        return [
+            name
+            for name, peer in self._dialled.items()
+            if peer.link.is_connected
+        ]
+
     def set_peers(self, peer_addresses: dict[str, Address]) -> None:
         """Dials peers that are new and drops those that are gone."""
         addresses = self._with_seeds(peer_addresses)
--- a/packages/nodes/mulberrybay_nodes/peer.capnp
+++ b/packages/nodes/mulberrybay_nodes/peer.capnp
@@ -67,6 +67,46 @@
   documentJson @2 :Data;
 }
 
+struct EntryVm {
+  nodeId @0 :Text;
+  failureDomain @1 :Text;
+  peerAddress @2 :Address;
+  isLeaving @3 :Bool;
+}
+
+struct BackendServer {
+  serverId @0 :Text;
+  failureDomain @1 :Text;
+  address @2 :Address;
+  service @3 :Text;
+  slotCount @4 :UInt32;
+  connectionCap @5 :UInt32;
+  isLeaving @6 :Bool;
+}
+
+struct IndexSnapshot {
+  className @0 :Text;
+  indexVersion @1 :UInt64;
+  services @2 :List(Text);
+}
+
+struct FleetRequest {
+  senderId @0 :Text;
+  # Infinite if the sender has no list.
+  knownAgeS @1 :Float64;
+  # -1 if the sender has no snapshots.
+  knownSnapshotVersion @2 :Int64;
+}
+
+struct FleetUpdate {
+  senderId @0 :Text;
+  ageS @1 :Float64;
+  entryVms @2 :List(EntryVm);
+  servers @3 :List(BackendServer);
+  snapshotVersion @4 :Int64;
+  snapshots @5 :List(IndexSnapshot);
+}
+
 struct Attempt {
   attemptId @0 :UInt64;
   serverId @1 :Text;
@@ -117,5 +157,7 @@
     attemptBatch @8 :AttemptBatch;
     attemptReply @9 :AttemptReply;
     cancel @10 :Cancel;
+    fleetRequest @11 :FleetRequest;
+    fleetUpdate @12 :FleetUpdate;
   }
 }
--- a/packages/nodes/mulberrybay_nodes/peer_messages.py
+++ b/packages/nodes/mulberrybay_nodes/peer_messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from mulberrybay_core.attempts import AttemptBatch, AttemptReply
+from mulberrybay_core.fleet_messages import FleetRequest, FleetUpdate
 from mulberrybay_core.member_messages import (
     Claim,
     ClaimAnswer,
@@ -36,6 +37,8 @@
     | ClaimAnswer
     | ConfigurationRequest
     | ConfigurationUpdate
+    | FleetRequest
+    | FleetUpdate
     | AttemptBatch
     | AttemptReplyMessage
     | CancelMessage
