Reserve the ports that a process hands out

Cause: free_port began at pid * 97 in 20000 to 30000, so two processes that hand out ports at once gave the same ones; its probe set SO_REUSEADDR, so a port that was bound but did not listen yet looked free. Ruled out: lock files (temporary directories differ between users, ports do not); a lock for each port (hundreds of sockets for a run). Change: ports.py reserves blocks of 200 ports by listening on the first one without SO_REUSEADDR until the process ends, from 10000 up to the system's ephemeral range; the probe binds without SO_REUSEADDR. Conclusion: test processes may run side by side.

--- a/packages/runtime/tests/test_faults.py
+++ b/packages/runtime/tests/test_faults.py
@@ -12,7 +12,7 @@
 from mulberrybay_runtime.http_server import HttpRequest, HttpServer, Respond
 from mulberrybay_runtime.timers import Timers
 from mulberrybay_testing.http_caller import send_request
-from mulberrybay_testing.processes import free_port
+from mulberrybay_testing.ports import free_port
 
 
 class _FaultyApplication:
--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -17,11 +17,8 @@
 from mulberrybay_testing.control_client import get_control, post_control
 from mulberrybay_testing.event_log import Event, read_events
 from mulberrybay_testing.http_caller import HttpAnswer, send_request
-from mulberrybay_testing.processes import (
-    ManagedProcess,
-    Processes,
-    free_port,
-)
+from mulberrybay_testing.ports import free_port
+from mulberrybay_testing.processes import ManagedProcess, Processes
 
 DOMAINS: Final = ("d1", "d2", "d3")
 READY_TIMEOUT_S: Final = 15.0
--- a/packages/testing/mulberrybay_testing/processes.py
+++ b/packages/testing/mulberrybay_testing/processes.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-import itertools
 import os
 import signal
-import socket
 import subprocess
 import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
-_FIRST_PORT = 20000
-_PORT_COUNT = 10000
-_PORTS_PER_PROCESS = 97
 _POLL_INTERVAL_S = 0.01
 _TAIL_BYTES = 2000
 _STOP_TIMEOUT_S = 5.0
@@ -154,27 +149,3 @@
     def find(self, name: str) -> ManagedProcess:
         """Returns the process that was started under a name."""
         return next(item for item in self._processes if item.name == name)
-
-
-_port_offsets = itertools.count()
-
-
-def free_port() -> int:
-    """Returns a free loopback port that was not handed out before."""
-    start = os.getpid() * _PORTS_PER_PROCESS
-    for _ in range(_PORT_COUNT):
-        offset = (start + next(_port_offsets)) % _PORT_COUNT
-        port = _FIRST_PORT + offset
-        if _is_free(port):
-            return port
-    raise OSError("no free port on loopback")
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
--- a/packages/testing/mulberrybay_testing/proxied_deployment.py
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -16,7 +16,7 @@
     NodeProcess,
 )
 from mulberrybay_testing.http_caller import make_key
-from mulberrybay_testing.processes import free_port
+from mulberrybay_testing.ports import free_port
 
 PLATFORM: Final = "platform"
 STOP_TIMEOUT_S: Final = 40.0
--- a/packages/testing/tests/test_standins.py
+++ b/packages/testing/tests/test_standins.py
@@ -22,7 +22,8 @@
     post_control,
 )
 from mulberrybay_testing.event_log import Event, read_events
-from mulberrybay_testing.processes import Processes, free_port
+from mulberrybay_testing.ports import free_port
+from mulberrybay_testing.processes import Processes
 
 _TIMEOUT_S = 5.0
 
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -20,7 +20,7 @@
     revision_problems,
     wait_until,
 )
-from mulberrybay_testing.processes import free_port
+from mulberrybay_testing.ports import free_port
 
 IN_FORCE_S = 5.0
 CUT_OFF_S = 4.0
