Serve the control ports of backend servers and proxies by one class

Cause: backend_standin.py and tcp_proxy.py each held the same server of a control port, with the same start and end of what it controls. Ruled out: the platform stand-in, whose control shares a port with its calls. Change: control_server.py owns log, parts and port; the stand-ins only choose their parts and apply settings. Seen: stand-in tests pass (15).

--- a/packages/testing/mulberrybay_testing/backend_standin.py
+++ b/packages/testing/mulberrybay_testing/backend_standin.py
@@ -5,7 +5,6 @@
 import argparse
 import json
 from collections.abc import Sequence
-from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import NamedTuple, TypedDict, cast
 
@@ -13,17 +12,8 @@
 from mulberrybay_testing.backend_model import ServerSpec
 from mulberrybay_testing.backend_server import BackendServer
 from mulberrybay_testing.control_document import parse_control
+from mulberrybay_testing.control_server import serve_control
 from mulberrybay_testing.event_log import EventLog
-from mulberrybay_testing.http_server import (
-    HttpServer,
-    JsonHandler,
-    Request,
-    Response,
-    json_response,
-)
-from mulberrybay_testing.program import run_until_terminated
-
-_HOST = "127.0.0.1"
 
 
 class BackendSettings(NamedTuple):
@@ -44,50 +34,33 @@
     set: ServerSettings
 
 
-class BackendStandin(JsonHandler):
-    """Hosts backend servers and answers control requests."""
+class BackendStandin:
+    """Hosts backend servers; its control port chooses and sets them."""
 
-    def __init__(self, settings: BackendSettings) -> None:
-        self._settings = settings
-        self._log = EventLog(settings.log)
+    def __init__(self, settings: BackendSettings, log: EventLog) -> None:
         self._servers = [
-            BackendServer(spec, self._log, logs_requests=settings.log_requests)
+            BackendServer(spec, log, logs_requests=settings.log_requests)
             for spec in read_specs(settings.spec)
         ]
-        self._exits = AsyncExitStack()
-
-    async def __aenter__(self) -> BackendStandin:
-        """Starts every server and the control port."""
-        self._exits.enter_context(self._log)
-        for server in self._servers:
-            await self._exits.enter_async_context(server)
-        control = HttpServer(_HOST, self._settings.control_port, self)
-        await self._exits.enter_async_context(control)
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        """Stops the servers and closes the log."""
-        await self._exits.aclose()
-
-    async def handle(self, request: Request) -> Response:
-        """Answers one control request."""
-        if request.path != "/control":
-            return json_response(404, {"error": "unknown path"})
-        if request.method == "GET":
-            return json_response(
-                200,
-                {item.spec.vm_id: item.counters() for item in self._servers},
-            )
+
+    def parts(self) -> list[BackendServer]:
+        """Returns the backend servers."""
+        return self._servers
+
+    def counters(self) -> dict[str, object]:
+        """Returns the counters of each server by its vm_id."""
+        return {item.spec.vm_id: item.counters() for item in self._servers}
+
+    async def control(self, body: bytes) -> dict[str, object]:
+        """Applies settings to the servers that the document names."""
         document = parse_control(
-            request.body,
-            BackendControl.__annotations__,
-            ServerSettings.__annotations__,
+            body, BackendControl.__annotations__, ServerSettings.__annotations__
         )
         control = cast(BackendControl, document)
         chosen = [item for item in self._servers if _matches(item, control)]
         for server in chosen:
             await server.apply(control["set"])
-        return json_response(200, {"servers": len(chosen)})
+        return {"servers": len(chosen)}
 
 
 def _matches(server: BackendServer, control: BackendControl) -> bool:
@@ -124,8 +97,8 @@
 def main(arguments: Sequence[str] | None = None) -> None:
     """Runs the backend servers until SIGTERM."""
     settings = _parse_arguments(arguments)
-    ready_line = f"ready {_HOST}:{settings.control_port}"
-    run_until_terminated(BackendStandin(settings), ready_line)
+    log = EventLog(settings.log)
+    serve_control(BackendStandin(settings, log), log, settings.control_port)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/control_server.py
@@ -0,0 +1,81 @@
+"""Serves the control port of stand-ins that host several parts.
+
+The parts are backend servers or proxies. A document that is posted to the
+port says which parts it means and what to set there.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from typing import Final, Protocol
+
+from mulberrybay_testing.event_log import EventLog
+from mulberrybay_testing.http_server import (
+    HttpServer,
+    JsonHandler,
+    Request,
+    Response,
+    json_response,
+)
+from mulberrybay_testing.program import run_until_terminated
+
+HOST: Final = "127.0.0.1"
+CONTROL_PATH: Final = "/control"
+
+
+class Controlled(Protocol):
+    """A stand-in whose parts are controlled."""
+
+    def parts(self) -> Sequence[AbstractAsyncContextManager[object]]:
+        """Returns the parts; they run while they are entered."""
+
+    def counters(self) -> Mapping[str, object]:
+        """Returns what each part counted, by its name."""
+
+    async def control(self, body: bytes) -> Mapping[str, object]:
+        """Applies a control document; returns the answer to it.
+
+        Raises:
+            ValueError: The document is malformed.
+        """
+
+
+class ControlServer(JsonHandler):
+    """Owns a stand-in's parts, log and control port; a context manager."""
+
+    def __init__(
+        self, controlled: Controlled, log: EventLog, port: int
+    ) -> None:
+        self._controlled = controlled
+        self._log = log
+        self._port = port
+        self._exits = AsyncExitStack()
+
+    async def __aenter__(self) -> ControlServer:
+        """Starts every part, then the control port."""
+        self._exits.enter_context(self._log)
+        for part in self._controlled.parts():
+            await self._exits.enter_async_context(part)
+        control = HttpServer(HOST, self._port, self)
+        await self._exits.enter_async_context(control)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops the parts and closes the log."""
+        await self._exits.aclose()
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one control request."""
+        if request.path != CONTROL_PATH:
+            return json_response(404, {"error": "unknown path"})
+        if request.method == "GET":
+            return json_response(200, self._controlled.counters())
+        answer = await self._controlled.control(request.body)
+        return json_response(200, answer)
+
+
+def serve_control(controlled: Controlled, log: EventLog, port: int) -> None:
+    """Runs a stand-in and its control port until SIGTERM."""
+    server = ControlServer(controlled, log, port)
+    run_until_terminated(server, f"ready {HOST}:{port}")
--- a/packages/testing/mulberrybay_testing/tcp_proxy.py
+++ b/packages/testing/mulberrybay_testing/tcp_proxy.py
@@ -6,24 +6,14 @@
 import asyncio
 import json
 from collections.abc import Sequence
-from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import NamedTuple, TypedDict, cast
 
 from mulberrybay_testing.control_document import parse_control
+from mulberrybay_testing.control_server import HOST, serve_control
 from mulberrybay_testing.event_log import EventLog
-from mulberrybay_testing.http_server import (
-    HttpServer,
-    JsonHandler,
-    Request,
-    Response,
-    json_response,
-)
-from mulberrybay_testing.program import run_until_terminated
 from mulberrybay_testing.proxy_link import Link, ProxyFaults, ProxySettings
 
-_HOST = "127.0.0.1"
-
 
 class ProxySpec(NamedTuple):
     """One port that is forwarded."""
@@ -91,7 +81,7 @@
     async def _listen(self) -> None:
         if self._server is None:
             self._server = await asyncio.start_server(
-                self._serve, _HOST, self.spec.listen_port, backlog=1024
+                self._serve, HOST, self.spec.listen_port, backlog=1024
             )
 
     def _stop_listening(self) -> None:
@@ -124,55 +114,37 @@
             writer.transport.abort()
 
 
-class ProxyProcess(JsonHandler):
-    """Hosts proxies and answers control requests."""
+class ProxyProcess:
+    """Hosts proxies; its control port chooses and sets them."""
 
-    def __init__(self, settings: ProcessSettings) -> None:
-        self._settings = settings
-        self._log = EventLog(settings.log)
+    def __init__(self, settings: ProcessSettings, log: EventLog) -> None:
+        self._log = log
         self._proxies = [Proxy(spec) for spec in settings.specs]
-        self._exits = AsyncExitStack()
 
-    async def __aenter__(self) -> ProxyProcess:
-        """Starts every proxy and the control port."""
-        self._exits.enter_context(self._log)
-        for proxy in self._proxies:
-            await self._exits.enter_async_context(proxy)
-        control = HttpServer(_HOST, self._settings.control_port, self)
-        await self._exits.enter_async_context(control)
-        return self
+    def parts(self) -> list[Proxy]:
+        """Returns the proxies."""
+        return self._proxies
 
-    async def __aexit__(self, *_: object) -> None:
-        """Stops the proxies and closes the log."""
-        await self._exits.aclose()
-
-    async def handle(self, request: Request) -> Response:
-        """Answers one control request."""
-        if request.path != "/control":
-            return json_response(404, {"error": "unknown path"})
-        if request.method == "GET":
-            return json_response(
-                200,
-                {item.spec.name: item.counters() for item in self._proxies},
-            )
+    def counters(self) -> dict[str, object]:
+        """Returns the counters of each proxy by its name."""
+        return {item.spec.name: item.counters() for item in self._proxies}
+
+    async def control(self, body: bytes) -> dict[str, object]:
+        """Applies settings to the proxies that the document names."""
         document = parse_control(
-            request.body,
-            ProxyControl.__annotations__,
-            ProxySettings.__annotations__,
+            body, ProxyControl.__annotations__, ProxySettings.__annotations__
         )
         control = cast(ProxyControl, document)
         names = control.get("names", [])
         for proxy in self._proxies:
             if control.get("all") or proxy.spec.name in names:
                 await proxy.apply(control["set"])
-                self._log.write(
-                    "control",
-                    {
-                        "name": proxy.spec.name,
-                        "settings": dict(control["set"]),
-                    },
-                )
-        return json_response(200, {})
+                self._log_settings(proxy, control["set"])
+        return {}
+
+    def _log_settings(self, proxy: Proxy, settings: ProxySettings) -> None:
+        name = proxy.spec.name
+        self._log.write("control", {"name": name, "settings": dict(settings)})
 
 
 def _parse_arguments(arguments: Sequence[str] | None) -> ProcessSettings:
@@ -197,8 +169,8 @@
 def main(arguments: Sequence[str] | None = None) -> None:
     """Runs the proxies until SIGTERM."""
     settings = _parse_arguments(arguments)
-    ready_line = f"ready {_HOST}:{settings.control_port}"
-    run_until_terminated(ProxyProcess(settings), ready_line)
+    log = EventLog(settings.log)
+    serve_control(ProxyProcess(settings, log), log, settings.control_port)
 
 
 if __name__ == "__main__":
