Start a deployment's processes side by side and kill its nodes at the end

Ruled out: shorter address lives in tests (the promises depend on them). Change: stand-ins start together, then all nodes; at the end nodes are killed.

--- a/packages/testing/mulberrybay_testing/cost_clients.py
+++ b/packages/testing/mulberrybay_testing/cost_clients.py
@@ -8,7 +8,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final, NamedTuple
 
-from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.deployment_access import NodeProcess
 
 WORKER_COUNT: Final = 8
 REFUSED_PAUSE_S: Final = 0.1
--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -5,18 +5,12 @@
 import json
 import sys
 import time
-import uuid
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
-from mulberrybay_core.configuration import Configuration
-from mulberrybay_core.documents import encode_configuration, encode_snapshots
-from mulberrybay_core.snapshot import IndexSnapshot
 from mulberrybay_testing.class_spec import ClassSpec, run_class, search_class
-from mulberrybay_testing.control_client import get_control, post_control
-from mulberrybay_testing.event_log import Event, read_events
-from mulberrybay_testing.http_caller import HttpAnswer, send_request
+from mulberrybay_testing.deployment_access import DeploymentAccess, NodeProcess
 from mulberrybay_testing.ports import free_port
 from mulberrybay_testing.processes import ManagedProcess, Processes
 
@@ -25,19 +19,7 @@
 POLL_PERIOD_S: Final = 0.05
 
 
-class NodeProcess(NamedTuple):
-    """One node and where it listens."""
-
-    node_id: str
-    failure_domain: str
-    caller_port: int
-    peer_port: int
-    operator_port: int
-    process: ManagedProcess
-    settings_path: Path
-
-
-class Deployment:
+class Deployment(DeploymentAccess):
     """A platform, backend servers and nodes; a context manager."""
 
     def __init__(
@@ -55,16 +37,15 @@
             node_count: Nodes, spread over the failure domains.
             settings: Further settings of every node.
         """
-        self._folder = folder
+        super().__init__(
+            folder,
+            classes or (search_class(), run_class()),
+            platform_port=free_port(),
+            backend_control_port=free_port(),
+        )
         self._processes = Processes(folder)
-        self.classes = classes or (search_class(), run_class())
         self._node_count = node_count
         self._settings = dict(settings or {})
-        self.platform_port = free_port()
-        self.backend_control_port = free_port()
-        self.nodes: list[NodeProcess] = []
-        self.backends: list[dict[str, Any]] = []
-        self._vms: list[dict[str, Any]] = []
 
     def __enter__(self) -> Deployment:
         """Starts everything and waits until every node serves."""
@@ -77,7 +58,9 @@
         return self
 
     def __exit__(self, *exc: object) -> None:
-        """Ends every process."""
+        """Ends every process; nodes are killed, as a stop takes seconds."""
+        for node in self.nodes:
+            node.process.kill()
         self._processes.__exit__(*exc)
 
     @property
@@ -88,14 +71,16 @@
     def _start(self) -> None:
         self._plan_backends()
         plans = [self._plan_node(index) for index in range(self._node_count)]
-        self._start_platform()
-        self._start_backends()
+        _wait_ready(self._start_standins())
         self.put_configuration()
         self.put_snapshots()
-        for plan in plans:
-            self.nodes.append(self._start_node(plan))
+        self.nodes += [self._start_node(plan) for plan in plans]
+        _wait_ready(node.process for node in self.nodes)
         self.wait_serving()
 
+    def _start_standins(self) -> list[ManagedProcess]:
+        return [self._start_platform(), self._start_backends()]
+
     def _plan_backends(self) -> None:
         index = 0
         for spec in self.classes:
@@ -154,10 +139,10 @@
         )
         return plan
 
-    def _start_platform(self) -> None:
+    def _start_platform(self) -> ManagedProcess:
         vms_path = self._folder / "vms.json"
         vms_path.write_text(json.dumps(self._vms), encoding="utf-8")
-        self._module(
+        return self._start_module(
             "platform",
             "platform_standin",
             "--port",
@@ -168,10 +153,10 @@
             str(vms_path),
         )
 
-    def _start_backends(self) -> None:
+    def _start_backends(self) -> ManagedProcess:
         spec_path = self._folder / "backends.json"
         spec_path.write_text(json.dumps(self.backends), encoding="utf-8")
-        self._module(
+        return self._start_module(
             "backends",
             "backend_standin",
             "--spec",
@@ -183,10 +168,11 @@
             "--log-requests",
         )
 
-    def _module(self, name: str, module: str, *arguments: str) -> None:
+    def _start_module(
+        self, name: str, module: str, *arguments: str
+    ) -> ManagedProcess:
         argv = [sys.executable, "-m", f"mulberrybay_testing.{module}"]
-        process = self._processes.start(name, [*argv, *arguments])
-        process.wait_ready(timeout_s=READY_TIMEOUT_S)
+        return self._processes.start(name, [*argv, *arguments])
 
     def _start_node(self, plan: dict[str, Any]) -> NodeProcess:
         node_id = plan["node_id"]
@@ -197,11 +183,7 @@
 
     def _launch(self, name: str, settings_path: Path) -> ManagedProcess:
         program = Path(sys.executable).with_name("mulberrybayd")
-        process = self._processes.start(
-            name, [str(program), str(settings_path)]
-        )
-        process.wait_ready(timeout_s=READY_TIMEOUT_S)
-        return process
+        return self._processes.start(name, [str(program), str(settings_path)])
 
     def _node_toml(self, plan: dict[str, Any]) -> str:
         values = {
@@ -224,134 +206,9 @@
         node = self.nodes[index]
         name = f"{node.node_id}-{generation}"
         process = self._launch(name, node.settings_path)
+        _wait_ready([process])
         self.nodes[index] = node._replace(process=process)
 
-    # The platform's objects.
-
-    def put_object(
-        self, kind: str, name: str, value: object, expected_version: int = 0
-    ) -> HttpAnswer:
-        """Writes an object of the platform's store, past the nodes."""
-        condition = {"If-Match": f'"{expected_version}"'}
-        if not expected_version:
-            condition = {"If-None-Match": "*"}
-        return send_request(
-            self.platform_port,
-            "PUT",
-            f"/v1/objects/{kind}/{name.replace('/', '%2F')}",
-            json.dumps(value).encode(),
-            condition,
-        )
-
-    def get_object(self, kind: str, name: str) -> HttpAnswer:
-        """Reads an object of the platform's store, past the nodes."""
-        return send_request(
-            self.platform_port, "GET", f"/v1/objects/{kind}/{name}"
-        )
-
-    def put_configuration(self, **changes: Any) -> int:  # noqa: ANN401
-        """Writes the next revision, past the nodes; returns its number."""
-        stored = self.get_object("configuration", "current")
-        version = stored.json()["version"] if stored.status == 200 else 0
-        revision = 1
-        if version:
-            revision = stored.json()["value"]["revision"] + 1
-        configuration = Configuration(
-            revision=revision,
-            change_id=f"change-{revision}",
-            author="test",
-            changed_at_s=time.time(),
-            classes=tuple(spec.work_class for spec in self.classes),
-            out_domains=frozenset(),
-            out_servers=frozenset(),
-        )._replace(**changes)
-        self.put_object(
-            "configuration",
-            "current",
-            encode_configuration(configuration),
-            version,
-        )
-        return revision
-
-    def put_snapshots(self) -> None:
-        """Writes index version 1 of every class, past the nodes."""
-        for spec in self.classes:
-            name = spec.work_class.name
-            snapshot = IndexSnapshot(name, 1, spec.services)
-            self.put_object("snapshots", name, encode_snapshots((snapshot,)))
-
-    # Control and observation.
-
-    def control_platform(self, **document: Any) -> None:  # noqa: ANN401
-        """Changes the platform's behaviour."""
-        post_control(self.platform_port, document)
-
-    def control_backends(
-        self,
-        target: Mapping[str, Any],
-        **changes: Any,  # noqa: ANN401
-    ) -> None:
-        """Changes backend servers; target is vm_ids, failure_domain or all."""
-        document = {**target, "set": changes}
-        post_control(self.backend_control_port, document)
-
-    def backend_counters(self) -> dict[str, Any]:
-        """Returns what the backend servers counted."""
-        return get_control(self.backend_control_port)
-
-    def backend_events(self, name: str | None = None) -> list[Event]:
-        """Returns what the backend servers logged, perhaps of one event."""
-        events = read_events(self._folder / "backends.log")
-        return [e for e in events if name is None or e["event"] == name]
-
-    def vms(self) -> list[dict[str, Any]]:
-        """Returns the VMs that the platform was started with."""
-        return list(self._vms)
-
-    def platform_events(self) -> list[Event]:
-        """Returns what the platform logged."""
-        return read_events(self._folder / "platform.log")
-
-    def status(self, node: NodeProcess) -> dict[str, Any]:
-        """Returns a node's status."""
-        answer = send_request(
-            node.operator_port,
-            "GET",
-            "/v1/status",
-            headers={"Authorization": "Bearer test-token"},
-        )
-        document: dict[str, Any] = answer.json()
-        return document
-
-    def change(
-        self,
-        node: NodeProcess,
-        path: str,
-        document: object,
-        **headers: str,
-    ) -> HttpAnswer:
-        """Sends a change through a node's administration API.
-
-        Args:
-            node: The node to ask.
-            path: As "/v1/domains/d2" or "/v1/servers/vm-1".
-            document: As {"state": "out"}.
-            headers: Further headers; write If_Match for If-Match.
-        """
-        named = {key.replace("_", "-"): text for key, text in headers.items()}
-        return send_request(
-            node.operator_port,
-            "PUT",
-            path,
-            json.dumps(document).encode(),
-            {
-                "Authorization": "Bearer test-token",
-                "Change-Id": uuid.uuid4().hex,
-                "Operator": "test",
-                **named,
-            },
-        )
-
     def is_settled(self, node: NodeProcess) -> bool:
         """Returns whether a node serves and no holding is on the move."""
         try:
@@ -372,41 +229,7 @@
             time.sleep(POLL_PERIOD_S)
         raise TimeoutError(f"not all nodes serve after {timeout_s} s")
 
-    # Callers.
-
-    def query(
-        self,
-        node: NodeProcess,
-        class_name: str = "field-search",
-        body: object = "valve",
-        deadline_ms: int = 2000,
-        **headers: str,
-    ) -> HttpAnswer:
-        """Sends a query to a node."""
-        return send_request(
-            node.caller_port,
-            "POST",
-            f"/v1/query/{class_name}",
-            json.dumps(body).encode(),
-            {"X-Deadline-Ms": str(deadline_ms), **headers},
-        )
 
-    def run(
-        self,
-        node: NodeProcess,
-        idempotency_key: str,
-        class_name: str = "route-planner",
-        body: object = "van",
-        deadline_ms: int = 2000,
-    ) -> HttpAnswer:
-        """Sends a non-idempotent request to a node."""
-        return send_request(
-            node.caller_port,
-            "POST",
-            f"/v1/run/{class_name}",
-            json.dumps(body).encode(),
-            {
-                "X-Deadline-Ms": str(deadline_ms),
-                "Idempotency-Key": idempotency_key,
-            },
-        )
+def _wait_ready(processes: Iterable[ManagedProcess]) -> None:
+    for process in processes:
+        process.wait_ready(timeout_s=READY_TIMEOUT_S)
--- a/packages/testing/mulberrybay_testing/history.py
+++ b/packages/testing/mulberrybay_testing/history.py
@@ -14,7 +14,8 @@
 from typing import Any, Final, NamedTuple
 
 from mulberrybay_testing.backend_model import expected_hits
-from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.event_log import Event
 from mulberrybay_testing.http_caller import send_request
 
--- a/packages/testing/mulberrybay_testing/proxied_deployment.py
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import sys
 import time
 from typing import Any, Final
 
@@ -13,10 +12,11 @@
     POLL_PERIOD_S,
     READY_TIMEOUT_S,
     Deployment,
-    NodeProcess,
 )
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.http_caller import make_key
 from mulberrybay_testing.ports import free_port
+from mulberrybay_testing.processes import ManagedProcess
 
 PLATFORM: Final = "platform"
 STOP_TIMEOUT_S: Final = 40.0
@@ -68,25 +68,20 @@
         text = super()._node_toml(plan)
         return f'{text}advertised_peer_address = "{address}"\n'
 
-    def _start_platform(self) -> None:
+    def _start_standins(self) -> list[ManagedProcess]:
         spec_path = self._folder / "proxies.json"
         spec_path.write_text(json.dumps(self._proxies), encoding="utf-8")
-        process = self._processes.start(
+        proxies = self._start_module(
             "proxies",
-            [
-                sys.executable,
-                "-m",
-                "mulberrybay_testing.tcp_proxy",
-                "--spec",
-                str(spec_path),
-                "--control-port",
-                str(self._proxy_control_port),
-                "--log",
-                str(self._folder / "proxies.log"),
-            ],
+            "tcp_proxy",
+            "--spec",
+            str(spec_path),
+            "--control-port",
+            str(self._proxy_control_port),
+            "--log",
+            str(self._folder / "proxies.log"),
         )
-        process.wait_ready(timeout_s=READY_TIMEOUT_S)
-        super()._start_platform()
+        return [proxies, *super()._start_standins()]
 
     def control_proxies(self, *names: str, **settings: Any) -> None:  # noqa: ANN401
         """Changes the faults of the named proxies."""
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import signal
 import socket
 import struct
 import subprocess
@@ -18,7 +19,8 @@
 from mulberrybay_nodes.frames import MAX_FRAME_BYTES, FrameReader, wrap_frame
 from mulberrybay_nodes.peer_messages import PeerMessage
 from mulberrybay_runtime.http_server import MAX_BODY_BYTES
-from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.http_caller import make_key
 
 TIMEOUT_S = 5.0
@@ -30,11 +32,15 @@
 def deployment(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[Deployment]:
-    """Three nodes; each must run to the end and log no exception."""
+    """Three nodes; each must run, stop in good order and log no exception."""
     folder = tmp_path_factory.mktemp("bad")
     with Deployment(folder) as running:
         yield running
-        assert all(n.process.returncode is None for n in running.nodes)
+        processes = [node.process for node in running.nodes]
+        assert all(process.returncode is None for process in processes)
+        for process in processes:
+            process.signal(signal.SIGTERM)
+        assert [process.terminate() for process in processes] == [0, 0, 0]
     for path in folder.glob("node-*.stderr"):
         assert "Traceback" not in path.read_text(encoding="utf-8")
 
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -11,7 +11,8 @@
 
 from mulberrybay_testing.class_spec import search_class
 from mulberrybay_testing.control_client import post_control
-from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
--- a/tests/test_promise_graceful_stop.py
+++ b/tests/test_promise_graceful_stop.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from mulberrybay_testing.deployment import NodeProcess
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.http_caller import make_key
 from mulberrybay_testing.proxied_deployment import ProxiedDeployment
 from mulberrybay_testing.run_history import (
