--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -142,38 +142,32 @@
     def _start_platform(self) -> ManagedProcess:
         vms_path = self._folder / "vms.json"
         vms_path.write_text(json.dumps(self._vms), encoding="utf-8")
-        return self._start_module(
+        return self._processes.start_module(
             "platform",
             "platform_standin",
             "--port",
-            str(self.platform_port),
+            self.platform_port,
             "--log",
-            str(self._folder / "platform.log"),
+            self._folder / "platform.log",
             "--vms",
-            str(vms_path),
+            vms_path,
         )
 
     def _start_backends(self) -> ManagedProcess:
         spec_path = self._folder / "backends.json"
         spec_path.write_text(json.dumps(self.backends), encoding="utf-8")
-        return self._start_module(
+        return self._processes.start_module(
             "backends",
             "backend_standin",
             "--spec",
-            str(spec_path),
+            spec_path,
             "--log",
-            str(self._folder / "backends.log"),
+            self._folder / "backends.log",
             "--control-port",
-            str(self.backend_control_port),
+            self.backend_control_port,
             "--log-requests",
         )
 
-    def _start_module(
-        self, name: str, module: str, *arguments: str
-    ) -> ManagedProcess:
-        argv = [sys.executable, "-m", f"mulberrybay_testing.{module}"]
-        return self._processes.start(name, [*argv, *arguments])
-
     def _start_node(self, plan: dict[str, Any]) -> NodeProcess:
         node_id = plan["node_id"]
         path = self._folder / f"{node_id}.toml"
--- a/packages/testing/mulberrybay_testing/history.py
+++ b/packages/testing/mulberrybay_testing/history.py
@@ -18,9 +18,9 @@
 from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.event_log import Event
 from mulberrybay_testing.http_caller import send_request
+from mulberrybay_testing.waiting import wait_until
 
 PAUSE_S: Final = 0.01
-POLL_PERIOD_S: Final = 0.02
 CALLER_TIMEOUT_S: Final = 4.0
 
 
@@ -36,22 +36,6 @@
     document: Mapping[str, Any]
 
 
-def wait_until(
-    condition: Callable[[], bool], timeout_s: float, what: str
-) -> float:
-    """Waits for a condition and returns how long that took.
-
-    Raises:
-        TimeoutError: The condition did not come true.
-    """
-    started_at_s = time.monotonic()
-    while not condition():
-        if time.monotonic() - started_at_s > timeout_s:
-            raise TimeoutError(f"{what}: not within {timeout_s} s")
-        time.sleep(POLL_PERIOD_S)
-    return time.monotonic() - started_at_s
-
-
 def ask(
     node: NodeProcess,
     class_name: str,
--- a/packages/testing/mulberrybay_testing/processes.py
+++ b/packages/testing/mulberrybay_testing/processes.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import subprocess
+import sys
 import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -146,6 +147,13 @@
         self._processes.append(process)
         return process
 
+    def start_module(
+        self, name: str, module: str, *arguments: object
+    ) -> ManagedProcess:
+        """Starts a module of this package, by its last name."""
+        argv = [sys.executable, "-m", f"mulberrybay_testing.{module}"]
+        return self.start(name, [*argv, *map(str, arguments)])
+
     def find(self, name: str) -> ManagedProcess:
         """Returns the process that was started under a name."""
         return next(item for item in self._processes if item.name == name)
--- a/packages/testing/mulberrybay_testing/proxied_deployment.py
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -71,15 +71,15 @@
     def _start_standins(self) -> list[ManagedProcess]:
         spec_path = self._folder / "proxies.json"
         spec_path.write_text(json.dumps(self._proxies), encoding="utf-8")
-        proxies = self._start_module(
+        proxies = self.processes.start_module(
             "proxies",
             "tcp_proxy",
             "--spec",
-            str(spec_path),
+            spec_path,
             "--control-port",
-            str(self._proxy_control_port),
+            self._proxy_control_port,
             "--log",
-            str(self._folder / "proxies.log"),
+            self._folder / "proxies.log",
         )
         return [proxies, *super()._start_standins()]
 
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/standin_calls.py
@@ -0,0 +1,83 @@
+"""Calls to the stand-ins of the platform and of backend servers, for tests."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from mulberrybay_testing.control_client import get_control
+from mulberrybay_testing.event_log import Event, read_events
+
+TIMEOUT_S: Final = 5.0
+
+
+class Reply(NamedTuple):
+    """A parsed HTTP reply; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    document: Any
+
+
+class Backend(NamedTuple):
+    """A running backend server."""
+
+    port: int
+    control_port: int
+    log: Path
+
+    def events(self, name: str) -> list[Event]:
+        """Returns what it logged of one event."""
+        return [item for item in read_events(self.log) if item["event"] == name]
+
+    def in_flight(self) -> int:
+        """Returns how many requests it works on."""
+        count = get_control(self.control_port)["b1"]["in_flight"]
+        assert isinstance(count, int)
+        return count
+
+
+def call(
+    port: int,
+    method: str,
+    path: str,
+    body: str = "",
+    headers: dict[str, str] | None = None,
+    *,
+    timeout_s: float = TIMEOUT_S,
+) -> Reply:
+    """Sends a request and parses the reply."""
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", port, timeout=timeout_s
+    )
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        text = response.read()
+        found = {key.lower(): value for key, value in response.getheaders()}
+        return Reply(response.status, found, json.loads(text) if text else None)
+    finally:
+        connection.close()
+
+
+def search(port: int, request_id: str, **headers: str) -> Reply:
+    """Sends a search of one shard; write X_Shard for X-Shard."""
+    names = {key.replace("_", "-"): value for key, value in headers.items()}
+    return call(
+        port,
+        "POST",
+        "/v1/search",
+        "query",
+        {"X-Request-Id": request_id, "X-Shard": "4", **names},
+    )
+
+
+def in_thread(function: Callable[[], object]) -> threading.Thread:
+    """Runs a function in a thread of its own."""
+    thread = threading.Thread(target=function, daemon=True)
+    thread.start()
+    return thread
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,12 +1,9 @@
 """Bad input: a clear refusal, nothing lost, and no process dies of it."""
 
 import json
-import pathlib
 import signal
 import socket
 import struct
-import subprocess
-import sys
 from collections.abc import Iterator
 
 import pytest
@@ -222,73 +219,3 @@
         assert bad.recv(1) == b""
         good.sendall(make_frame(1))
         assert isinstance(read_message(good), ConfigurationUpdate)
-
-
-GOOD_SETTINGS = """
-node_id = "n"
-failure_domain = "d1"
-caller_address = "127.0.0.1:1"
-peer_address = "127.0.0.1:2"
-operator_address = "127.0.0.1:3"
-platform_address = "127.0.0.1:4"
-"""
-
-BAD_SETTINGS = {
-    "not TOML": ("colour = = 1", ["node.toml:8:"]),
-    "unknown key": ("colour = 1", ["colour", "failure_domain"]),
-    "choice": ('log_form = "xml"', ["log_form", "json, console"]),
-    "level": ("log_level = 3", ["log_level", "debug, info"]),
-    "timeout": ("platform_timeout_s = -1", ["platform_timeout_s", "above 0"]),
-    "seeds": ('seed_addresses = ["x"]', ["seed_addresses", "HOST:PORT"]),
-    "section": ("membership = 1", ["membership", "table"]),
-    "section key": (
-        "[membership]\nlease_ms = 5",
-        ["membership.lease_ms", "heartbeat_period_s", "lease_s"],
-    ),
-    "two at once": (
-        'log_form = "xml"\nlog_level = "loud"',
-        ["log_form", "log_level"],
-    ),
-}
-
-
-def run_daemon(*arguments: str) -> subprocess.CompletedProcess[str]:
-    """Runs mulberrybayd until it exits."""
-    program = pathlib.Path(sys.executable).with_name("mulberrybayd")
-    return subprocess.run(
-        [program, *arguments],
-        capture_output=True,
-        text=True,
-        timeout=20,
-        check=False,
-    )
-
-
-def test_good_settings_pass_the_check(tmp_path: pathlib.Path) -> None:
-    path = tmp_path / "node.toml"
-    path.write_text(GOOD_SETTINGS, encoding="utf-8")
-    assert run_daemon(str(path), "--check").returncode == 0
-
-
-@pytest.mark.parametrize("name", BAD_SETTINGS)
-def test_bad_settings_name_the_key_and_what_is_allowed(
-    tmp_path: pathlib.Path, name: str
-) -> None:
-    text, wanted = BAD_SETTINGS[name]
-    path = tmp_path / "node.toml"
-    path.write_text(GOOD_SETTINGS + text, encoding="utf-8")
-    done = run_daemon(str(path))
-    assert done.returncode == 2
-    assert "Traceback" not in done.stderr
-    for part in wanted:
-        assert part in done.stderr
-
-
-@pytest.mark.parametrize(
-    "arguments", [["--colour"], [], ["missing.toml"], ["a", "b"]]
-)
-def test_bad_command_line_exits_with_2(arguments: list[str]) -> None:
-    done = run_daemon(*arguments)
-    assert done.returncode == 2
-    assert "Traceback" not in done.stderr
-    assert done.stderr + done.stdout
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -1,8 +1,7 @@
 """Changes through the administration API of running nodes."""
 
 import re
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -11,6 +10,7 @@
 from mulberrybay_core.documents import decode_configuration
 from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.http_caller import HttpAnswer, send_request
+from mulberrybay_testing.waiting import wait_until
 
 IN_FORCE_LIMIT_S = 5.0
 
@@ -33,15 +33,6 @@
     )
 
 
-def wait_until(condition: Callable[[], bool], limit_s: float) -> bool:
-    ends_at_s = time.monotonic() + limit_s
-    while not condition():
-        if time.monotonic() > ends_at_s:
-            return False
-        time.sleep(0.02)
-    return True
-
-
 def is_in_force(deployment: Deployment, revision: int) -> bool:
     return all(
         deployment.status(node)["revision"] >= revision
@@ -92,8 +83,10 @@
     assert out.status == 200
     assert out.json()["outcome"] == "accepted"
     assert out.headers["etag"] == f'"{revision}"'
-    assert wait_until(
-        lambda: is_in_force(deployment, revision), IN_FORCE_LIMIT_S
+    wait_until(
+        lambda: is_in_force(deployment, revision),
+        IN_FORCE_LIMIT_S,
+        f"revision {revision} in force",
     )
     stored = get(deployment, "/v1/configuration").json()
     assert stored["out_domains"] == ["d2"]
--- a/tests/test_promise_cold_start.py
+++ b/tests/test_promise_cold_start.py
@@ -11,8 +11,8 @@
     CallerLoad,
     answer_problems,
     requests_within,
-    wait_until,
 )
+from mulberrybay_testing.waiting import wait_until
 
 IDLE_S = 1.0
 TAKE_OVER_S = 12.0
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -19,9 +19,9 @@
     ask,
     requests_within,
     revision_problems,
-    wait_until,
 )
 from mulberrybay_testing.ports import free_port
+from mulberrybay_testing.waiting import wait_until
 
 IN_FORCE_S = 5.0
 CUT_OFF_S = 4.0
--- a/tests/test_promise_coverage.py
+++ b/tests/test_promise_coverage.py
@@ -9,8 +9,8 @@
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
-    wait_until,
 )
+from mulberrybay_testing.waiting import wait_until
 
 SHARD_COUNT = 4
 ALL_COVERED: list[int] = []
--- a/tests/test_promise_domain_out.py
+++ b/tests/test_promise_domain_out.py
@@ -13,8 +13,8 @@
     answer_problems,
     ask,
     requests_within,
-    wait_until,
 )
+from mulberrybay_testing.waiting import wait_until
 
 OUT_DOMAIN = "d2"
 GRACE_S = 3.0
--- a/tests/test_promise_server_leaving.py
+++ b/tests/test_promise_server_leaving.py
@@ -15,8 +15,8 @@
     CallerLoad,
     answer_problems,
     requests_within,
-    wait_until,
 )
+from mulberrybay_testing.waiting import wait_until
 
 GRACE_S = 3.0
 WATCH_S = 3.0
