--- a/packages/testing/mulberrybay_testing/deployment.py
+++ b/packages/testing/mulberrybay_testing/deployment.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Iterable, Mapping
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, Self
 
 from mulberrybay_testing.class_spec import ClassSpec, run_class, search_class
 from mulberrybay_testing.deployment_access import DeploymentAccess, NodeProcess
@@ -47,7 +47,7 @@
         self._node_count = node_count
         self._settings = dict(settings or {})
 
-    def __enter__(self) -> Deployment:
+    def __enter__(self) -> Self:
         """Starts everything and waits until every node serves."""
         self._processes.__enter__()
         try:
--- /dev/null
+++ b/packages/testing/mulberrybay_testing/soak.py
@@ -0,0 +1,188 @@
+"""Runs bookings and queries under random faults and checks their history.
+
+    python -m mulberrybay_testing.soak --minutes 10 --seed 1
+
+Prints each fault, what each round of faults left to check, and a verdict.
+Exits 0 if every promise held, 1 if one broke, 2 if nothing was checked.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from mulberrybay_testing.booking_load import BookingLoad
+from mulberrybay_testing.bookings import Bookings
+from mulberrybay_testing.fault_injector import FaultInjector
+from mulberrybay_testing.history import CallerLoad, answer_problems
+from mulberrybay_testing.http_caller import make_key
+from mulberrybay_testing.proxied_deployment import ProxiedDeployment
+from mulberrybay_testing.run_history import RunTry
+
+ROUND_S: Final = 10.0
+FAULT_PERIOD_S: Final = 0.5
+KEY_COUNT: Final = 120
+QUERY_CALLER_COUNT: Final = 3
+QUERY_PAUSE_S: Final = 0.05
+SHARD_COUNTS: Final = {1: 4}
+# A new deployment after this many rounds bounds the logs to check.
+ROUNDS_PER_DEPLOYMENT: Final = 10
+EXIT_HELD: Final = 0
+EXIT_BROKEN: Final = 1
+EXIT_UNCHECKED: Final = 2
+
+
+class SoakSettings(NamedTuple):
+    """Settings of a soak."""
+
+    minutes: float
+    seed: int
+
+
+class RoundResult(NamedTuple):
+    """What one round of faults left to check, and what was wrong."""
+
+    ran_count: int
+    not_run_count: int
+    unknown_count: int
+    answered_count: int
+    unanswered_count: int
+    problems: tuple[str, ...]
+
+
+class Verdict(NamedTuple):
+    """The end of a soak."""
+
+    exit_code: int
+    text: str
+
+
+def find_verdict(results: Iterable[RoundResult]) -> Verdict:
+    """Judges all rounds of a soak."""
+    results = list(results)
+    problem_count = sum(len(result.problems) for result in results)
+    if problem_count:
+        return Verdict(EXIT_BROKEN, f"broken, {problem_count} problem(s)")
+    ran_count = sum(result.ran_count for result in results)
+    answered_count = sum(result.answered_count for result in results)
+    if not ran_count or not answered_count:
+        return Verdict(EXIT_UNCHECKED, "nothing was checked")
+    checked = f"{ran_count} bookings that ran and {answered_count} answers"
+    return Verdict(EXIT_HELD, f"held, {checked} checked")
+
+
+class Soak:
+    """Rounds of faults, one after the other."""
+
+    def __init__(self, settings: SoakSettings) -> None:
+        self._random = random.Random(settings.seed)
+        self._began_at_s = time.monotonic()
+        self._ends_at_s = self._began_at_s + settings.minutes * 60
+        self.results: list[RoundResult] = []
+
+    def run(self) -> None:
+        """Runs rounds until the time is over, at least one."""
+        while True:
+            with tempfile.TemporaryDirectory() as folder:
+                self._run_deployment(Path(folder))
+            if time.monotonic() >= self._ends_at_s:
+                return
+
+    def _run_deployment(self, folder: Path) -> None:
+        with ProxiedDeployment(folder) as deployment:
+            for _ in range(ROUNDS_PER_DEPLOYMENT):
+                result = self._run_round(deployment)
+                self.results.append(result)
+                self._print_result(result)
+                if time.monotonic() >= self._ends_at_s:
+                    return
+
+    def _run_round(self, deployment: ProxiedDeployment) -> RoundResult:
+        keys = [make_key(self._random) for _ in range(KEY_COUNT)]
+        seed = self._random.getrandbits(32)
+        queries = CallerLoad(
+            deployment, caller_count=QUERY_CALLER_COUNT, pause_s=QUERY_PAUSE_S
+        )
+        problems: list[str] = []
+        with Bookings(deployment) as bookings:
+            with queries, BookingLoad(bookings, keys, seed) as load:
+                self._inject_faults(deployment)
+                load.stop()
+                problems += _heal(deployment)
+            if not problems:
+                _repeat(bookings, keys)
+        problems += bookings.problems()
+        problems += answer_problems(queries.records, SHARD_COUNTS)
+        answered_count = len(queries.answered())
+        counts = bookings.history.outcome_counts()
+        return RoundResult(
+            ran_count=counts["ran"],
+            not_run_count=counts["not_run"],
+            unknown_count=counts["unknown"],
+            answered_count=answered_count,
+            unanswered_count=len(queries.records) - answered_count,
+            problems=tuple(problems),
+        )
+
+    def _inject_faults(self, deployment: ProxiedDeployment) -> None:
+        injector = FaultInjector(deployment, self._random)
+        ends_at_s = min(time.monotonic() + ROUND_S, self._ends_at_s)
+        while time.monotonic() < ends_at_s:
+            self._print("; ".join(injector.inject()))
+            time.sleep(FAULT_PERIOD_S)
+
+    def _print_result(self, result: RoundResult) -> None:
+        self._print(
+            f"round {len(self.results)}: bookings {result.ran_count} ran, "
+            f"{result.not_run_count} not run, {result.unknown_count} unknown; "
+            f"queries {result.answered_count} answered, "
+            f"{result.unanswered_count} not; {len(result.problems)} problem(s)"
+        )
+        for problem in result.problems:
+            self._print(f"PROBLEM {problem}")
+
+    def _print(self, text: str) -> None:
+        age_s = time.monotonic() - self._began_at_s
+        print(f"{age_s:7.1f} s  {text}", flush=True)
+
+
+def _heal(deployment: ProxiedDeployment) -> list[str]:
+    """Ends all faults; returns what did not recover from them."""
+    try:
+        deployment.heal()
+    except TimeoutError as error:
+        return [f"after the faults: {error}"]
+    return []
+
+
+def _repeat(bookings: Bookings, keys: Sequence[str]) -> list[RunTry]:
+    """Asks for every key once more, with no fault left."""
+    node_count = len(bookings.deployment.nodes)
+    return [
+        bookings.run(number % node_count, key)
+        for number, key in enumerate(keys)
+    ]
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Runs a soak; exits with its verdict."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=float, default=10.0)
+    parser.add_argument("--seed", type=int, default=1)
+    settings = SoakSettings(**vars(parser.parse_args(arguments)))
+    print(f"soak of {settings.minutes:g} minutes, seed {settings.seed}")
+    soak = Soak(settings)
+    soak.run()
+    verdict = find_verdict(soak.results)
+    print(f"verdict: {verdict.text}", flush=True)
+    sys.exit(verdict.exit_code)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_promise_at_most_once.py
+++ b/tests/test_promise_at_most_once.py
@@ -8,6 +8,7 @@
 import pytest
 
 from mulberrybay_core.run_record import record_kind
+from mulberrybay_testing.booking_load import BookingLoad
 from mulberrybay_testing.bookings import WAIT_S, Bookings
 from mulberrybay_testing.fault_injector import SERVERS, FaultInjector
 from mulberrybay_testing.http_caller import make_key
@@ -17,10 +18,8 @@
 
 # Above the lease of 2 s and above the deadlines used here.
 FREEZE_S = 2.6
-CALLER_COUNT = 6
 KEY_COUNT = 120
 CHAOS_S = 8.0
-CALL_PERIOD_S = 0.02
 FAULT_PERIOD_S = 0.5
 
 
@@ -186,26 +185,14 @@
 ) -> None:
     source = random.Random(seed)
     keys = [make_key(source) for _ in range(KEY_COUNT)]
-    ends_at_s = time.monotonic() + CHAOS_S
     injector = FaultInjector(bookings.deployment, source)
-
-    def call(caller: int) -> None:
-        own = random.Random(seed * 100 + caller)
-        while time.monotonic() < ends_at_s:
-            time.sleep(CALL_PERIOD_S)
-            body = own.choice(["van", "van", "van", "another van"])
-            deadline_ms = own.choice([300, 1000, 2000])
-            index, key = own.randrange(3), own.choice(keys)
-            bookings.start(index, key, body, deadline_ms).result()
-
-    with ThreadPoolExecutor(CALLER_COUNT) as pool:
-        callers = [pool.submit(call, index) for index in range(CALLER_COUNT)]
+    with BookingLoad(bookings, keys, seed) as load:
+        ends_at_s = time.monotonic() + CHAOS_S
         while time.monotonic() < ends_at_s:
             injector.inject()
             time.sleep(FAULT_PERIOD_S)
+        load.stop()
         bookings.deployment.heal()
-        for caller in callers:
-            caller.result()
     bookings.deployment.heal()
     for index, key in enumerate(keys):
         bookings.run(index % 3, key)
