--- a/packages/testing/mulberrybay_testing/booking_load.py
+++ b/packages/testing/mulberrybay_testing/booking_load.py
@@ -21,11 +21,25 @@
     """Sends the same keys again and again; a context manager."""
 
     def __init__(
-        self, bookings: Bookings, keys: Sequence[str], seed: int
+        self,
+        bookings: Bookings,
+        keys: Sequence[str],
+        seed: int,
+        *,
+        at_two_nodes: bool = False,
     ) -> None:
+        """Plans the load.
+
+        Args:
+            bookings: Where the requests are sent from.
+            keys: The idempotency keys.
+            seed: Chooses keys, nodes, bodies and deadlines.
+            at_two_nodes: Whether each request goes to two nodes at once.
+        """
         self._bookings = bookings
         self._keys = keys
         self._seed = seed
+        self._at_two_nodes = at_two_nodes
         self._stopping = threading.Event()
         self._pool = ThreadPoolExecutor(CALLER_COUNT)
 
@@ -55,4 +69,9 @@
             body = source.choice(BODIES)
             deadline_ms = source.choice(DEADLINES_MS)
             index, key = source.randrange(node_count), source.choice(self._keys)
-            self._bookings.send(index, key, body, deadline_ms)
+            arguments = (key, body, deadline_ms)
+            others = [(index + 1) % node_count] if self._at_two_nodes else []
+            repeats = [self._bookings.start(i, *arguments) for i in others]
+            self._bookings.send(index, *arguments)
+            for repeat in repeats:
+                repeat.result()
--- a/packages/testing/mulberrybay_testing/soak.py
+++ b/packages/testing/mulberrybay_testing/soak.py
@@ -111,7 +111,8 @@
         )
         problems: list[str] = []
         with Bookings(deployment) as bookings:
-            with queries, BookingLoad(bookings, keys, seed) as load:
+            load = BookingLoad(bookings, keys, seed, at_two_nodes=True)
+            with queries, load:
                 self._inject_faults(deployment)
                 load.stop()
                 problems += _heal(deployment)
--- a/tests/test_promise_at_most_once.py
+++ b/tests/test_promise_at_most_once.py
@@ -31,15 +31,6 @@
         yield running
 
 
-@pytest.fixture
-def bookings(deployment: ProxiedDeployment) -> Iterator[Bookings]:
-    """Checks the history of each test at its end, after all faults."""
-    with Bookings(deployment) as bookings:
-        yield bookings
-        deployment.heal()
-    assert bookings.problems() == []
-
-
 def start_recorded(bookings: Bookings, key: str) -> Future[RunTry]:
     """Returns a run at node 0 whose record is written and not yet known."""
     bookings.deployment.control_proxies("platform", delay_ms=400)
--- a/tests/test_promise_not_run.py
+++ b/tests/test_promise_not_run.py
@@ -29,15 +29,6 @@
         yield running
 
 
-@pytest.fixture
-def bookings(deployment: ProxiedDeployment) -> Iterator[Bookings]:
-    """Checks the history of each test at its end, after all faults."""
-    with Bookings(deployment) as bookings:
-        yield bookings
-        deployment.heal()
-    assert bookings.problems() == []
-
-
 def send_runs(bookings: Bookings, key: str | None = None) -> list[RunTry]:
     """Sends runs to the first node, each with a key of its own."""
     return [bookings.send(0, key) for _ in range(TRY_COUNT)]
