--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -12,16 +12,17 @@
 from mulberrybay_core.snapshot import SNAPSHOT_KIND
 from mulberrybay_testing.class_spec import search_class
 from mulberrybay_testing.control_client import post_control
-from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.history import (
     CallerLoad,
     answer_problems,
     ask,
     requests_within,
     revision_problems,
-    wait_until,
 )
-from mulberrybay_testing.processes import free_port
+from mulberrybay_testing.ports import free_port
+from mulberrybay_testing.waiting import wait_until
 
 IN_FORCE_S = 5.0
 CUT_OFF_S = 4.0
