--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -4,13 +4,13 @@
 import os
 import subprocess
 import sys
-import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 
 from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.waiting import wait_until
 
 PROGRAM = Path(sys.executable).with_name("mulberrybay")
 EXAMPLES = Path(__file__).parents[1] / "packages" / "operators" / "examples"
@@ -163,21 +163,19 @@
     names = ["node-1", "node-2", "node-3"]
     told = f"platform lost at {', '.join(names)}"
     deployment.control_platform(outage="unavailable")
-    is_told = wait_for_status(deployment, lambda text: told in text)
+    wait_for_status(deployment, lambda text: told in text)
     deployment.control_platform(outage=None)
-    assert is_told
-    assert wait_for_status(deployment, lambda text: "lost" not in text)
+    wait_for_status(deployment, lambda text: "lost" not in text)
 
 
 def wait_for_status(
     deployment: Deployment, condition: Callable[[str], bool]
-) -> bool:
-    ends_at_s = time.monotonic() + TIMEOUT_S
-    while time.monotonic() < ends_at_s:
+) -> None:
+    def is_shown() -> bool:
         done = start_command(deployment, "status")
-        if done.returncode == 0 and condition(done.stdout):
-            return True
-    return False
+        return done.returncode == 0 and condition(done.stdout)
+
+    wait_until(is_shown, TIMEOUT_S, "a status")
 
 
 def test_stopped_and_upgraded_node_as_the_page_says(
@@ -186,7 +184,7 @@
     assert deployment.nodes[1].process.terminate() == 0
     without = run_json(deployment, "status")
     deployment.restart_node(1, "upgraded")
-    assert wait_for_status(deployment, is_upgraded)
+    wait_for_status(deployment, is_upgraded)
     assert [str(x).split()[0] for x in without["silent"]][-1] == "node-2"  # type: ignore[attr-defined]
     assert start_command(deployment, "status").returncode == 0
 
--- a/tests/test_operator_counters.py
+++ b/tests/test_operator_counters.py
@@ -9,6 +9,7 @@
 from mulberrybay_core.run_record import RECORD_LIFE_S, record_kind, slot_of
 from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.http_caller import make_key, send_request
+from mulberrybay_testing.waiting import wait_until
 
 WAIT_S = 15.0
 PREFIX = "mulberrybay_"
@@ -42,10 +43,7 @@
 
 
 def wait_for(condition: Callable[[], bool]) -> None:
-    ends_at_s = time.monotonic() + WAIT_S
-    while not condition():
-        assert time.monotonic() < ends_at_s
-        time.sleep(0.05)
+    wait_until(condition, WAIT_S, "a counter")
 
 
 def count_dispatches(deployment: Deployment) -> float:
