--- a/packages/runtime/tests/test_answers.py
+++ b/packages/runtime/tests/test_answers.py
@@ -16,7 +16,7 @@
     Respond,
 )
 from mulberrybay_testing.http_caller import send_request
-from mulberrybay_testing.processes import free_port
+from mulberrybay_testing.ports import free_port
 
 # More than the buffers of the two sockets hold.
 LARGE_BODY = b"".join(b"%09d\n" % number for number in range(1_600_000))
