Return the attempts of a claim that is given up

For a moment a node can see no other that serves: one is leaving, and the one that came back has not yet been heard to serve. It then claims every server, so both replicas of a shard are in its queues. When it hears the other node it gives the claims up, but only servers that were held were released: what was queued under a claim stayed there until the deadline. Hedges to the other replica went into the same node's queue, so the answer came at the deadline without the shard. Change: `set_wanted` names claims that are given up too, so that the holder sends their attempts back as not held and the coordinator asks the new holder. A claim lost to a smaller identity is begun anew at once in place of at the next tick, so that it is given up by the same path.

--- a/packages/core/mulberrybay_core/holdings.py
+++ b/packages/core/mulberrybay_core/holdings.py
@@ -86,18 +86,21 @@
         """Takes the servers that this node should hold.
 
         Returns:
-            The servers that it must now release: no new dispatch, and
-            `mark_drained` once nothing is outstanding.
+            The servers that it must now release, held or only claimed: what
+            is queued for them goes back, no new dispatch, and `mark_drained`
+            once nothing is outstanding.
         """
         wanted = set(server_ids)
         released = []
         for server_id, holding in list(self._holdings.items()):
             if server_id in wanted:
                 continue
+            if holding.state is HoldingState.RELEASING:
+                continue
+            released.append(server_id)
             if holding.state is HoldingState.HELD:
                 holding.state = HoldingState.RELEASING
-                released.append(server_id)
-            elif holding.state is not HoldingState.RELEASING:
+            else:
                 del self._holdings[server_id]
         for server_id in sorted(wanted):
             if server_id not in self._holdings:
@@ -146,7 +149,8 @@
                 holding.released_by.discard(claimant_id)
                 holding.first_claim_id_by_peer[claimant_id] = self._claim_id + 1
                 if claimant_id < self._node_id:
-                    del self._holdings[server_id]
+                    # Claimed anew: `set_wanted` gives it up if it must.
+                    self._holdings[server_id] = _Holding(self._claim_id + 1)
                     released.append(server_id)
         return released
 
--- /dev/null
+++ b/packages/daemon/tests/test_holder.py
@@ -0,0 +1,93 @@
+"""What becomes of attempts that wait for a backend server to be claimed."""
+
+from typing import Any
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.attempts import (
+    Attempt,
+    AttemptBatch,
+    AttemptKind,
+    AttemptOutcome,
+    AttemptReply,
+)
+from mulberrybay_core.fleet import BackendServer, Fleet
+from mulberrybay_core.holdings import Holdings
+from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timers
+
+SERVER = BackendServer(
+    "server-1", "d1", Address("127.0.0.1", 1), "service", 2, 10, "live"
+)
+
+
+class OpenGate:
+    """Lets every server get work."""
+
+    def may_use(self, server: BackendServer) -> bool:
+        del server
+        return True
+
+
+class FakeConnections:
+    """Has no connection."""
+
+    def drop_server(self, server_id: str) -> None:
+        del server_id
+
+
+class ClaimingNode:
+    """A node that claims the server, with one attempt queued for it."""
+
+    def __init__(self) -> None:
+        unused: Any = None
+        gate: Any = OpenGate()
+        connections: Any = FakeConnections()
+        self.holdings = Holdings("node-2", ATTEMPT_LIMIT_S)
+        self.holder = Holder(
+            self.holdings, gate, unused, connections, Timers(), unused
+        )
+        self.holder.set_fleet(Fleet((), (SERVER,)))
+        self.replies: list[AttemptReply] = []
+        self.want("server-1")
+        batch = AttemptBatch(
+            query_id="q",
+            kind=AttemptKind.SEARCH,
+            class_name="field-search",
+            index_version=1,
+            deadline_at_s=read_clock_s() + 60,
+            idempotency_key="",
+            attempts=(Attempt(1, "server-1", 0),),
+            body=b"",
+        )
+        self.holder.submit(batch, self.replies.append)
+        assert self.replies == []
+
+    def want(self, *server_ids: str) -> None:
+        """Takes the servers that the node should hold."""
+        self.holder.release(self.holdings.set_wanted(server_ids))
+
+    def outcomes(self) -> list[AttemptOutcome]:
+        """Returns how the attempts have ended."""
+        return [reply.outcome for reply in self.replies]
+
+
+def test_attempt_goes_back_when_the_claim_is_given_up() -> None:
+    node = ClaimingNode()
+    node.want()
+    assert node.outcomes() == [AttemptOutcome.NOT_HOLDER]
+
+
+def test_attempt_goes_back_when_the_claim_is_lost_to_another_node() -> None:
+    node = ClaimingNode()
+    assert node.holdings.on_claim("node-1", ["server-1"]) == ["server-1"]
+    node.want()
+    assert node.outcomes() == [AttemptOutcome.NOT_HOLDER]
+
+
+def test_attempt_stays_while_a_lost_claim_is_repeated() -> None:
+    node = ClaimingNode()
+    node.holdings.on_claim("node-1", ["server-1"])
+    node.want("server-1")
+    assert node.outcomes() == []
+    assert not node.holdings.is_held("server-1")
