Tell peers at once that a node stops or serves

Cause: a stopping node gives its servers up at its next tick, but peers heard of it, and of a node that serves again, only by the next heartbeat, up to 0.4 s later. Meanwhile servers had no holder, and views differed. Change: a heartbeat is sent as soon as either changes. Seen: two tests of the node pass, and fail with the two calls taken out.

--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -81,6 +81,13 @@
         self._out_domains = configuration.out_domains
         self._send_heartbeats()
 
+    def announce(self) -> None:
+        """Tells peers at once that this node begins or ends to serve.
+
+        Until they know, its servers have no holder or two claimants.
+        """
+        self._send_heartbeats()
+
     def _dial_members(self) -> None:
         self._get_links().set_peers(
             {info.node_id: info.peer_address for info in self._membership.peers}
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -300,6 +300,7 @@
             message = "serving" if is_serving else "not serving"
             self._log.info(message, step="admission", peer="")
             self._membership.info = info._replace(is_serving=is_serving)
+            self._members.announce()
 
     def _active_count(self) -> int:
         return self._coordinator.active_count + self._runs.active_count
@@ -359,6 +360,7 @@
         self._membership.info = self._membership.info._replace(
             is_leaving=True, is_serving=False
         )
+        self._members.announce()
         self._caller_application.leave()
         self._timers.call_later(STOP_GRACE_S, self._finish_stop)
 
--- /dev/null
+++ b/packages/daemon/tests/test_node.py
@@ -0,0 +1,71 @@
+"""What a node tells its peers as it begins and ends to serve."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.fleet import EntryVm, Fleet
+from mulberrybay_core.member_messages import Heartbeat
+from mulberrybay_daemon.node import Node
+from mulberrybay_daemon.settings import NodeSettings
+
+ADDRESS = Address("127.0.0.1", 1)
+VMS = tuple(EntryVm(f"node-{x}", "d1", ADDRESS, "live") for x in (1, 2))
+
+
+class FakeLinks:
+    """Records the heartbeats that are sent."""
+
+    def __init__(self) -> None:
+        self.heartbeats: list[Heartbeat] = []
+
+    def send(self, peer_id: str, message: object) -> None:
+        assert peer_id == "node-2"
+        assert isinstance(message, Heartbeat)
+        self.heartbeats.append(message)
+
+    def seed_ids(self) -> list[str]:
+        return []
+
+    def set_peers(self, addresses: object) -> None:
+        del addresses
+
+    def check_silence(self, now_s: float) -> None:
+        del now_s
+
+
+@pytest.fixture
+def links() -> FakeLinks:
+    return FakeLinks()
+
+
+@pytest.fixture
+def node(links: FakeLinks) -> Iterator[Node]:
+    """A node that knows one peer and listens nowhere."""
+    settings = NodeSettings("node-1", "d1", *[ADDRESS] * 4)
+    node: Any = Node(settings)
+    node._links = links
+    node._members.set_fleet(Fleet(VMS, ()))
+    assert links.heartbeats == []
+    yield node
+
+
+def test_peers_hear_at_once_that_a_node_stops(
+    node: Node, links: FakeLinks
+) -> None:
+    node._begin_stop()
+    [heartbeat] = links.heartbeats
+    assert heartbeat.sender.is_leaving
+    assert not heartbeat.sender.is_serving
+
+
+def test_peers_hear_at_once_that_a_node_serves(
+    node: Node, links: FakeLinks, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(node, "_can_act", lambda: True)
+    for _ in range(2):
+        node._update_serving()
+    [heartbeat] = links.heartbeats
+    assert heartbeat.sender.is_serving
