Let a run wait for a server whose holder changes

Cause: a run tried each server once. While a node stops or starts, a server has no holder for a moment; if that was so of every server, the run was refused ("no backend server can take the request") though it had most of its deadline left. Change: when no server is left and some were not held, those are asked again after 50 ms, as long as the deadline lasts; attempts get numbers of their own. Nothing was sent to such a server, so the run still has one dispatch at most.

--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -16,6 +16,7 @@
     AttemptBatch,
     AttemptCarrier,
     AttemptKind,
+    AttemptOutcome,
     AttemptReply,
 )
 from mulberrybay_core.documents import encode_run_record
@@ -50,6 +51,8 @@
 from mulberrybay_runtime.timers import Timer, Timers
 
 MAX_DISPATCH_COUNT: Final = 4
+# Servers whose holders change are asked again after this time.
+HOLDER_RETRY_S: Final = 0.05
 
 
 class _Run:
@@ -67,7 +70,10 @@
             record_name(request.class_name, request.idempotency_key),
         )
         self.timer: Timer | None = None
+        self.attempt_count = 0
         self.tried_ids: set[str] = set()
+        # Those of the tried servers that no node held.
+        self.unheld_ids: set[str] = set()
 
 
 class RunCoordinator:
@@ -202,9 +208,10 @@
         if server is None:
             self._perform(run, run.life.on_no_server())
             return
+        run.attempt_count += 1
         run.tried_ids.add(server.server_id)
         self._replicas.waits.on_sent(server.server_id)
-        attempt = Attempt(len(run.tried_ids), server.server_id, 0)
+        attempt = Attempt(run.attempt_count, server.server_id, 0)
         batch = AttemptBatch(
             query_id=run.run_id,
             kind=AttemptKind.RUN,
@@ -218,22 +225,46 @@
         self._carrier.send(batch, lambda reply: self._on_reply(run, reply))
 
     def _choose_server(self, run: _Run) -> BackendServer | None:
-        if len(run.tried_ids) >= MAX_DISPATCH_COUNT:
+        candidates = self._untried_servers(run)
+        if not candidates:
             return None
-        candidates = [
+        return self._replicas.choose(
+            candidates, run.request.failure_domain, read_clock_s()
+        )
+
+    def _untried_servers(self, run: _Run) -> list[BackendServer]:
+        if len(run.tried_ids) >= MAX_DISPATCH_COUNT:
+            return []
+        return [
             server
             for server in self._fleet.replicas(run.request.class_name)
             if self._gate.may_use(server)
             and server.server_id not in run.tried_ids
         ]
-        if not candidates:
-            return None
-        return self._replicas.choose(
-            candidates, run.request.failure_domain, read_clock_s()
-        )
 
     def _on_reply(self, run: _Run, reply: AttemptReply) -> None:
         self._replicas.waits.on_reply(reply, read_clock_s())
+        if reply.outcome is AttemptOutcome.NOT_HOLDER:
+            run.unheld_ids.add(reply.server_id)
+            if self._awaits_holder(run):
+                run.tried_ids -= run.unheld_ids
+                run.unheld_ids.clear()
+                self._timers.call_later(
+                    HOLDER_RETRY_S, lambda: self._take_reply(run, reply)
+                )
+                return
+        self._take_reply(run, reply)
+
+    def _awaits_holder(self, run: _Run) -> bool:
+        """Returns whether to ask servers again whose holders change.
+
+        While a node stops or starts, its servers have no holder for a moment.
+        """
+        retry_at_s = read_clock_s() + HOLDER_RETRY_S
+        is_in_time = retry_at_s < run.request.deadline_at_s
+        return is_in_time and not self._untried_servers(run)
+
+    def _take_reply(self, run: _Run, reply: AttemptReply) -> None:
         peer = f"backend server {reply.server_id}: {reply.outcome.name.lower()}"
         actions = run.life.on_reply(
             reply.run_state, reply.body, peer, read_clock_s()
