--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -108,6 +108,7 @@
                 settings.advertised_peer_address or settings.peer_address
             ),
             caller_address=settings.caller_address,
+            operator_port=settings.operator_address.port,
         )
         self._membership = Membership(
             settings.membership, info, int(time.time() * 1000)
@@ -206,6 +207,8 @@
             members=self._members,
             coordinator=self._coordinator,
             runs=self._runs,
+            expiry=self._expiry,
+            service=self._service,
         )
 
     def __enter__(self) -> Self:
@@ -287,8 +290,7 @@
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
             and not self._membership.steps_down
-            # A node that has started in an outage knows no servers to hold.
-            and bool(self._fleet_task.fleet.servers)
+            and self._fleet_task.knows_servers
         )
 
     def _update_serving(self) -> None:
