Cancel the query of a caller that leaves

Cause: nothing told the coordinator that a caller had closed its connection, so the sub-requests of its query ran on, as extra load, until the answer. Change: an application may return what ends a request early; the HTTP server calls it when the client disconnects before the answer. A query then cancels its sub-requests and frees its place in admission. It is counted as `left` if the class's lateness had passed, else not at all. A run goes on: its outcome is recorded, and the caller may repeat the key.

--- a/packages/callers/mulberrybay_callers/answers.py
+++ b/packages/callers/mulberrybay_callers/answers.py
@@ -15,6 +15,7 @@
     FailureKind.NOT_FOUND: 404,
     FailureKind.CONFLICT: 409,
     FailureKind.TOO_LARGE: 413,
+    FailureKind.CALLER_GONE: 499,
     FailureKind.INTERNAL: 500,
     FailureKind.PROTOCOL: 502,
     FailureKind.CONNECTION: 502,
--- a/packages/callers/mulberrybay_callers/application.py
+++ b/packages/callers/mulberrybay_callers/application.py
@@ -22,7 +22,12 @@
     RunRequest,
 )
 from mulberrybay_runtime.clock import read_clock_s
-from mulberrybay_runtime.http_server import HttpRequest, HttpResponse, Respond
+from mulberrybay_runtime.http_server import (
+    CancelRequest,
+    HttpRequest,
+    HttpResponse,
+    Respond,
+)
 
 DEFAULT_DEADLINE_S: Final = 2.0
 MAX_DEADLINE_S: Final = 30.0
@@ -54,24 +59,27 @@
         """Returns whether callers should connect elsewhere from now on."""
         return self._is_leaving
 
-    def on_request(self, request: HttpRequest, respond: Respond) -> None:
-        """Answers a caller's request."""
+    def on_request(
+        self, request: HttpRequest, respond: Respond
+    ) -> CancelRequest | None:
+        """Answers a caller's request; a query ends when its caller leaves."""
         request_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
         if len(request_id) > MAX_REQUEST_ID_LENGTH:
             failure = _invalid("X-Request-Id is longer than 64 characters")
             respond(encode_failure(failure, request_id[:64]))
-            return
+            return None
         parts = request.path.strip("/").split("/")
         match (request.method, parts):
             case ("GET", ["v1", "addresses"]):
                 self._answer_addresses(request, request_id, respond)
             case ("POST", ["v1", "query" | "run" as verb, class_name]):
                 route = _Route(request_id, class_name, verb == "run")
-                self._answer_post(request, route, respond)
+                return self._answer_post(request, route, respond)
             case _:
                 failure = _invalid(f"no {request.method} {request.path}")
                 failure = failure._replace(kind=FailureKind.NOT_FOUND)
                 respond(encode_failure(failure, request_id))
+        return None
 
     def _answer_addresses(
         self, request: HttpRequest, request_id: str, respond: Respond
@@ -87,7 +95,7 @@
 
     def _answer_post(
         self, request: HttpRequest, route: "_Route", respond: Respond
-    ) -> None:
+    ) -> CancelRequest | None:
         """Answers a query or a run, which have all but the key in common."""
         now_s = read_clock_s()
         match self._check(request, route.class_name):
@@ -95,7 +103,7 @@
                 deadline_at_s = now_s + time_left_s
             case Result(error=failure):
                 respond(encode_failure(failure, route.request_id))
-                return
+                return None
         query = QueryRequest(
             request_id=route.request_id,
             class_name=route.class_name,
@@ -105,16 +113,16 @@
             body=request.body,
         )
         if route.is_run:
+            # A run goes on without its caller, who may repeat the key.
             key = request.headers.get("Idempotency-Key", "")
             self._service.submit_run(
                 RunRequest(**query._asdict(), idempotency_key=key),
                 _make_reply(encode_run_answer, route.request_id, respond),
             )
-        else:
-            self._service.submit_query(
-                query,
-                _make_reply(encode_query_answer, route.request_id, respond),
-            )
+            return None
+        return self._service.submit_query(
+            query, _make_reply(encode_query_answer, route.request_id, respond)
+        )
 
     def _check(
         self, request: HttpRequest, class_name: str
--- a/packages/core/mulberrybay_core/errors.py
+++ b/packages/core/mulberrybay_core/errors.py
@@ -37,6 +37,7 @@
     COVERAGE = "coverage"
     PLATFORM = "platform"
     CONNECTION = "connection"
+    CALLER_GONE = "caller_gone"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
 
--- a/packages/core/mulberrybay_core/queries.py
+++ b/packages/core/mulberrybay_core/queries.py
@@ -114,6 +114,8 @@
 
 QueryReply = Callable[[Result[QueryAnswer, Failure]], None]
 RunReply = Callable[[Result[RunAnswer, Failure]], None]
+# Ends a query whose caller has gone; does nothing once it has ended.
+CancelQuery = Callable[[], None]
 
 
 class QueryService(Protocol):
@@ -122,8 +124,14 @@
     Each reply is called exactly once, perhaps before the method returns.
     """
 
-    def submit_query(self, request: QueryRequest, reply: QueryReply) -> None:
-        """Answers a query."""
+    def submit_query(
+        self, request: QueryRequest, reply: QueryReply
+    ) -> CancelQuery | None:
+        """Answers a query.
+
+        Returns:
+            What ends it early; None if it has not been begun.
+        """
 
     def submit_run(self, request: RunRequest, reply: RunReply) -> None:
         """Runs a non-idempotent request at most once."""
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -298,6 +298,10 @@
         self.wakeup_s = min(self.wakeup_s, shard.retry_at_s)
         return self._nothing()
 
+    def abandon(self, now_s: float) -> tuple[int, ...]:
+        """Ends the query without an answer; returns what to cancel."""
+        return self._close_attempts(self._open, now_s)
+
     def on_wakeup(self, now_s: float) -> QueryStep:
         """Does what is due: answer, hedge or retry."""
         if now_s >= self.request.deadline_at_s or self._is_hopeless():
--- a/packages/daemon/mulberrybay_daemon/coordinator.py
+++ b/packages/daemon/mulberrybay_daemon/coordinator.py
@@ -17,10 +17,15 @@
 )
 from mulberrybay_core.burn import RequestEnd
 from mulberrybay_core.configuration import WorkClass
-from mulberrybay_core.errors import Failure, FailureKind, Step
+from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.fleet import Fleet
 from mulberrybay_core.policy_arms import PolicySettings, make_class_policies
-from mulberrybay_core.queries import QueryAnswer, QueryReply, QueryRequest
+from mulberrybay_core.queries import (
+    CancelQuery,
+    QueryAnswer,
+    QueryReply,
+    QueryRequest,
+)
 from mulberrybay_core.query_context import (
     ClassPolicies,
     QueryContext,
@@ -46,11 +51,21 @@
 )
 
 REFUSED: Final = "refused"
+LEFT: Final = "left"
+CALLER_GONE: Final = Failure(
+    FailureKind.CALLER_GONE,
+    Step.MERGE,
+    "caller",
+    "the caller has closed its connection",
+    run_state=RunState.UNKNOWN,
+)
 
 
 def _outcome_name(result: Result[QueryAnswer, Failure]) -> str:
     if result.is_ok():
         return "answered"
+    if result.error.kind is FailureKind.CALLER_GONE:
+        return LEFT
     is_refusal = result.error.kind is FailureKind.OVERLOADED
     return REFUSED if is_refusal else "failed"
 
@@ -132,8 +147,12 @@
 
     def submit(
         self, request: QueryRequest, work_class: WorkClass, reply: QueryReply
-    ) -> None:
-        """Answers a query whose class is known and in force."""
+    ) -> CancelQuery | None:
+        """Answers a query whose class is known and in force.
+
+        Returns:
+            What ends it early; None if it has been refused.
+        """
         now_s = read_clock_s()
         refusal = self._admission.try_admit(
             request.class_name, request.deadline_at_s - now_s
@@ -154,12 +173,21 @@
                     )
                 )
             )
-            return
+            return None
         run = QueryRun(request, self._make_context(work_class))
         query_id = f"{self._process_id}-{next(self._query_sequence)}"
         active = _ActiveQuery(run, work_class, query_id, reply)
         self._active[query_id] = active
         self._apply(active, run.start(now_s))
+        return lambda: self._cancel(active)
+
+    def _cancel(self, active: _ActiveQuery) -> None:
+        """Ends a query whose caller has gone: nobody would read the answer."""
+        if active.is_finished:
+            return
+        abandoned = active.run.abandon(read_clock_s())
+        self._carrier.cancel(active.query_id, abandoned)
+        self._finish(active, Error(CALLER_GONE))
 
     def _make_context(self, work_class: WorkClass) -> QueryContext:
         policies = self._policies.get(work_class.name)
@@ -280,9 +308,20 @@
             covered_count=active.run.covered_count,
             attempt_count=active.attempt_count,
         )
-        outcome = _outcome_name(result)
+        self._note_end(active, _outcome_name(result), end)
+        active.reply(result)
+
+    def _note_end(
+        self, active: _ActiveQuery, outcome: str, end: RequestEnd
+    ) -> None:
+        """Counts the end of a query for the service-level report."""
         if outcome == REFUSED:
             # Admission let it in: the backend servers' queues are too long.
             self.refusal_counts[RefusalReason.QUEUES_FULL] += 1
-        self.levels.note_end(now_s, active.work_class, outcome, end)
-        active.reply(result)
+        if outcome == LEFT:
+            lateness_s = active.work_class.targets.lateness_ms / 1000
+            if end.latency_s <= lateness_s:
+                # The class had time left to answer.
+                return
+            end = RequestEnd(end.latency_s, is_answered=False)
+        self.levels.note_end(read_clock_s(), active.work_class, outcome, end)
--- a/packages/daemon/mulberrybay_daemon/service.py
+++ b/packages/daemon/mulberrybay_daemon/service.py
@@ -12,6 +12,7 @@
 from mulberrybay_core.queries import (
     AddressAnswer,
     CallerAddress,
+    CancelQuery,
     QueryReply,
     QueryRequest,
     RunAnswer,
@@ -113,8 +114,10 @@
             retry_after_s=NO_LEASE_RETRY_S,
         )
 
-    def submit_query(self, request: QueryRequest, reply: QueryReply) -> None:
-        """Answers a query."""
+    def submit_query(
+        self, request: QueryRequest, reply: QueryReply
+    ) -> CancelQuery | None:
+        """Answers a query; see `QueryService`."""
         match self._find_class(request.class_name):
             case Result(tag="ok", ok=work_class):
                 if not self._coordinator.catalog.is_read:
@@ -122,10 +125,11 @@
                         work_class, "refused", RequestEnd(0.0, False)
                     )
                     reply(Error(self._unread_refusal()))
-                    return
-                self._coordinator.submit(request, work_class, reply)
+                    return None
+                return self._coordinator.submit(request, work_class, reply)
             case Result(error=failure):
                 reply(Error(failure))
+        return None
 
     def submit_run(self, request: RunRequest, reply: RunReply) -> None:
         """Runs a non-idempotent request at most once."""
--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -48,13 +48,22 @@
 
 
 Respond = Callable[[HttpResponse], None]
+# Ends the work on a request whose client has gone.
+CancelRequest = Callable[[], None]
 
 
 class HttpApplication(Protocol):
     """Answers requests."""
 
-    def on_request(self, request: HttpRequest, respond: Respond) -> None:
-        """Answers a request by calling `respond` once, now or later."""
+    def on_request(
+        self, request: HttpRequest, respond: Respond
+    ) -> CancelRequest | None:
+        """Answers a request by calling `respond` once, now or later.
+
+        Returns:
+            What to call if the client leaves before the answer; None if the
+            work goes on without it.
+        """
 
     def should_close(self) -> bool:
         """Returns whether clients should connect elsewhere from now on."""
@@ -204,6 +213,7 @@
         super().__init__(channel=channel)
         self._application = application
         self._pending_count = 0
+        self._cancels: dict[Any, CancelRequest] = {}
         self.secure = False
         self.host = address.host
         self.port = address.port
@@ -232,13 +242,16 @@
             if not is_answered:
                 is_answered = True
                 self._pending_count -= 1
+                self._cancels.pop(request.sock, None)
                 self._send(request, response, answer)
 
         parsed, is_pipelined = _read_request(request)
         if is_pipelined:
             response.close = True
         try:
-            self._application.on_request(parsed, respond)
+            cancel = self._application.on_request(parsed, respond)
+            if cancel is not None and not is_answered:
+                self._cancels[request.sock] = cancel
         except Exception as error:
             self.fault_count += 1
             self._log.error(
@@ -251,6 +264,12 @@
         # True tells circuits.web that the answer comes later.
         return True
 
+    @handler("disconnect")
+    def _on_disconnect(self, sock: Any) -> None:  # noqa: ANN401
+        cancel = self._cancels.pop(sock, None)
+        if cancel is not None:
+            cancel()
+
     def _send(
         self, request: Request, response: Response, answer: HttpResponse
     ) -> None:
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -3,6 +3,7 @@
 import re
 import time
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -13,6 +14,7 @@
 from mulberrybay_testing.http_caller import HttpAnswer, send_request
 
 IN_FORCE_LIMIT_S = 5.0
+SLOW_PLATFORM_S = 0.3
 
 
 @pytest.fixture(scope="module")
@@ -158,6 +160,43 @@
     deployment.change(deployment.nodes[0], "/v1/domains/d3", {"state": "in"})
 
 
+def test_one_of_two_operators_wins_with_a_frozen_node_and_a_slow_platform(
+    deployment: Deployment,
+) -> None:
+    stored = deployment.get_object("configuration", "current").json()["value"]
+    tag = f'"{stored["revision"]}"'
+    frozen = deployment.nodes[2]
+
+    def take_out(index: int) -> HttpAnswer:
+        path = f"/v1/domains/d{index + 1}"
+        node = deployment.nodes[index]
+        return deployment.change(node, path, {"state": "out"}, If_Match=tag)
+
+    deployment.control_platform(delay_s=SLOW_PLATFORM_S)
+    frozen.process.freeze()
+    try:
+        with ThreadPoolExecutor() as pool:
+            answers = list(pool.map(take_out, range(2)))
+    finally:
+        deployment.control_platform(delay_s=0.0)
+        frozen.process.thaw()
+    assert sorted(answer.status for answer in answers) == [200, 412]
+    winner = 0 if answers[0].status == 200 else 1
+    won, lost = answers[winner].json(), answers[1 - winner].json()
+    assert won["revision"] == stored["revision"] + 1
+    assert lost["outcome"] == "not_accepted"
+    assert lost["current_revision"] == won["revision"]
+    assert wait_until(
+        lambda: is_in_force(deployment, won["revision"]), IN_FORCE_LIMIT_S
+    )
+    for index in range(3):
+        current = get(deployment, "/v1/configuration", index).json()
+        assert current["revision"] == won["revision"]
+        assert current["out_domains"] == [f"d{winner + 1}"]
+    path = f"/v1/domains/d{winner + 1}"
+    deployment.change(deployment.nodes[0], path, {"state": "in"})
+
+
 @pytest.mark.parametrize(
     ("path", "document", "headers", "status"),
     [
