Do not wait for a node that has said goodbye

Cause: the platform lists a node for a while after it has stopped. Its goodbye deleted it as a member, and the next read of the list made it a new one that nobody had heard of, whose answer to claims was waited for: up to 6 s until it counted as lapsed, then 2 s for its last attempts. A second node that stopped in that time had servers that nobody could take over. The goodbye was undone as well by a heartbeat that the leaving process still sent. Change: a goodbye makes the epoch a lapsed one; the node stays a member while it is listed. Once a majority says so, claims do without it and without the wait, since it left with nothing at work; its next process counts again. Peers hear of it at once. After its goodbye a node sends no heartbeat.

--- a/packages/core/mulberrybay_core/member_peer.py
+++ b/packages/core/mulberrybay_core/member_peer.py
@@ -25,12 +25,27 @@
         self.granted_at_s = now_s
         self.lapsed_epoch = 0
         self.denies_first_epoch = False
+        self.departed_epoch = 0
         self.renewed_at_s: float | None = None
         self.revision = 0
         self.reported_lapsed: dict[str, int] = {}
         self.reported_granted: dict[str, int] = {}
         self.sent_at_s: dict[int, float] = {}
 
+    @property
+    def has_departed(self) -> bool:
+        """Whether its last known process has said goodbye."""
+        return 0 < self.epoch <= self.departed_epoch
+
+    def depart(self, epoch: int) -> None:
+        """Notes the goodbye of its process, which holds nothing any more."""
+        self.epoch = self.departed_epoch = epoch
+        self.lapsed_epoch = max(self.lapsed_epoch, epoch)
+        self.denies_first_epoch = False
+        self.heard_at_s = None
+        self.renewed_at_s = None
+        self.sent_at_s.clear()
+
     def reported_epoch(self) -> int:
         """The highest epoch to which this node grants nothing any more."""
         return ANY_EPOCH if self.denies_first_epoch else self.lapsed_epoch
--- a/packages/core/mulberrybay_core/membership.py
+++ b/packages/core/mulberrybay_core/membership.py
@@ -100,7 +100,8 @@
                 peer.info = peer.info._replace(peer_address=vm.peer_address)
         for node_id, peer in list(self._peers.items()):
             peer.is_listed = node_id in listed
-            if not peer.is_listed and self._is_forgotten(peer, now_s):
+            is_gone = peer.has_departed or self._is_forgotten(peer, now_s)
+            if not peer.is_listed and is_gone:
                 del self._peers[node_id]
 
     def _is_forgotten(self, peer: MemberPeer, now_s: float) -> bool:
@@ -236,9 +237,16 @@
         peer.renewed_at_s = max(peer.renewed_at_s or sent_at_s, sent_at_s)
 
     def on_goodbye(self, node_id: str, epoch: int) -> None:
-        """Forgets a node that has stopped for good."""
+        """Forgets a node that has stopped, or counts its epoch as lapsed.
+
+        While the platform lists it, it stays a member, so that nobody waits
+        for the answers of one that has been deleted and learned again.
+        """
         peer = self._peers.get(node_id)
-        if peer is not None and epoch >= peer.epoch:
+        if peer is None or epoch < peer.epoch:
+            return
+        peer.depart(epoch)
+        if not peer.is_listed:
             del self._peers[node_id]
 
     def tick(self, now_s: float, epoch_now: int) -> bool:
@@ -287,7 +295,11 @@
         lease_s = self._settings.lease_s
         self.steps_down = False
         for peer_id, peer in self._peers.items():
-            if self._reaches(peer, now_s) or not self._lives(peer_id, now_s):
+            if (
+                peer.has_departed
+                or self._reaches(peer, now_s)
+                or not self._lives(peer_id, now_s)
+            ):
                 peer.broken_since_s = None
                 continue
             if peer.broken_since_s is None:
@@ -366,6 +378,16 @@
         ]
         return (self._own_info(), *heard)
 
+    def has_departed(self, node_id: str, now_s: float) -> bool:
+        """Returns whether a peer has left with nothing at work.
+
+        Its epoch must be buried as well: a process that has followed it may
+        be known to others only.
+        """
+        peer = self._peers.get(node_id)
+        has_departed = peer is None or peer.has_departed
+        return has_departed and self.is_buried(node_id, now_s)
+
     def is_buried(self, node_id: str, now_s: float) -> bool:
         """Returns whether a majority reports a peer's epoch as lapsed."""
         since_s = now_s - self._settings.lease_s
--- a/packages/core/tests/test_membership_restart.py
+++ b/packages/core/tests/test_membership_restart.py
@@ -34,3 +34,33 @@
             heartbeat = node.make_heartbeat(member.info.node_id, now_s)
             node.on_ack(member.on_heartbeat(heartbeat, now_s), now_s)
         node.tick(now_s, int(now_s * 1000))
+
+
+def test_departed_node_is_not_waited_for_while_it_is_listed() -> None:
+    now_s = 100.0
+    peer, other, node = (make_node(name, now_s) for name in "abc")
+    last = node.make_heartbeat("a", now_s)
+    for member in (peer, other):
+        assert member.on_heartbeat(last, now_s).is_granted
+        member.on_goodbye("c", node.epoch)
+    assert not peer.has_departed("c", now_s)
+    # Two of three are a majority.
+    peer.on_heartbeat(other.make_heartbeat("a", now_s), now_s)
+    assert peer.has_departed("c", now_s)
+    # A late message of the old process changes nothing.
+    assert not peer.on_heartbeat(last, now_s).is_granted
+    assert peer.has_departed("c", now_s)
+    successor = make_node("c", now_s + 1)
+    first = successor.make_heartbeat("a", now_s)
+    assert peer.on_heartbeat(first, now_s).is_granted
+    assert not peer.has_departed("c", now_s)
+
+
+def test_departed_node_is_forgotten_once_it_is_not_listed() -> None:
+    now_s = 100.0
+    peer, node = make_node("a", now_s), make_node("c", now_s)
+    peer.on_heartbeat(node.make_heartbeat("a", now_s), now_s)
+    peer.on_goodbye("c", node.epoch)
+    vms = [EntryVm(i, "d1", ADDRESS, "live") for i in ("a", "b")]
+    peer.on_vm_list(vms, now_s)
+    assert [info.node_id for info in peer.peers] == ["b"]
--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -59,6 +59,7 @@
         self._out_domains: frozenset[str] = frozenset()
         self._last_view: tuple[object, ...] = ()
         self.had_lease = False
+        self._has_left = False
         self.epoch_count = 0
 
     def start(self) -> None:
@@ -94,6 +95,9 @@
         )
 
     def _send_heartbeats(self) -> None:
+        if self._has_left:
+            # Peers would take it for a process that lives.
+            return
         self._dial_members()
         now_s = read_clock_s()
         links = self._get_links()
@@ -142,7 +146,11 @@
     def _move_claims(self, now_s: float) -> None:
         if not self.had_lease:
             return
-        peer_ids = [info.node_id for info in self._membership.peers]
+        peer_ids = [
+            info.node_id
+            for info in self._membership.peers
+            if not self._membership.has_departed(info.node_id, now_s)
+        ]
         buried_ids = frozenset(
             peer_id
             for peer_id in peer_ids
@@ -177,9 +185,10 @@
         self._revisions.on_peer_revision(ack.sender_id, ack.revision)
 
     def on_goodbye(self, goodbye: Goodbye) -> None:
-        """Forgets a node that has stopped for good."""
+        """Takes the end of a node that holds nothing any more."""
         self._membership.on_goodbye(goodbye.node_id, goodbye.epoch)
-        self._dial_members()
+        # Claims wait until a majority has said so.
+        self.announce()
 
     def on_claim(self, claim: Claim, link: Link) -> None:
         """Answers a peer's claim.
@@ -215,3 +224,4 @@
         goodbye = Goodbye(self._membership.info.node_id, self._membership.epoch)
         for info in self._membership.peers:
             self._get_links().send(info.node_id, goodbye)
+        self._has_left = True
--- a/tests/test_promise_graceful_stop.py
+++ b/tests/test_promise_graceful_stop.py
@@ -218,6 +218,21 @@
         wait_calls(callers, AFTER_S)
 
 
+def test_two_nodes_stop_for_good_one_after_the_other_under_load(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> None:
+    """The platform still lists the first as the second one's servers move."""
+    folder = tmp_path_factory.mktemp("two")
+    with (
+        ProxiedDeployment(folder, node_count=5) as deployment,
+        load(deployment) as callers,
+    ):
+        for node in deployment.nodes[:2]:
+            node.process.signal(signal.SIGTERM)
+            wait_end(node)
+            wait_calls(callers, AFTER_S)
+
+
 @pytest.mark.parametrize("outage", ["refuse", "silent"])
 def test_stop_while_the_platform_is_down(
     deployment: ProxiedDeployment, outage: str
