--- a/packages/operators/mulberrybay_operators/status_command.py
+++ b/packages/operators/mulberrybay_operators/status_command.py
@@ -3,7 +3,6 @@
 from typing import Any, Final
 
 from mulberrybay_operators.command_line import Status
-from mulberrybay_operators.node_commands import get_document
 from mulberrybay_operators.node_finder import (
     NodeAnswers,
     NodeFinder,
@@ -23,7 +22,7 @@
 def show_status(session: Session, command: Status) -> CommandResult:
     """Shows every node, and names those that did not answer."""
     # This one is asked again until a node answers or the time is over.
-    return get_document(session, "/v1/configuration").bind(
+    return session.client.read_document("/v1/configuration").bind(
         lambda configuration: (
             NodeFinder(session.client)
             .ask_nodes("/v1/status", only_given=command.only)
@@ -41,7 +40,9 @@
     lines = [
         f"revision {configuration['revision']} in force; "
         f"out of service: {', '.join(out) or 'nothing'}",
-        format_table(NODE_HEADINGS, _status_rows(answers)),
+        format_table(
+            NODE_HEADINGS, _status_rows(answers, configuration["out_domains"])
+        ),
     ]
     drains = [
         [status["node_id"], *drain.values()]
@@ -50,6 +51,9 @@
     ]
     if drains:
         lines += ["", format_table(DRAIN_HEADINGS, drains)]
+    lost = [x["node_id"] for x in statuses if x.get("is_platform_lost")]
+    if lost:
+        lines.append(f"platform lost at {', '.join(sorted(lost))}")
     lines += [f"no answer: {text}" for text in silent]
     document = {
         "revision": configuration["revision"],
@@ -73,22 +77,30 @@
     return list(found.values())
 
 
-def _status_rows(answers: NodeAnswers) -> list[list[object]]:
+def _status_rows(
+    answers: NodeAnswers, out_domains: list[str]
+) -> list[list[object]]:
     node_ids = sorted(answers.members | answers.documents)
     return [
         _status_row(
-            answers.members.get(node_id), answers.documents.get(node_id)
+            answers.members.get(node_id),
+            answers.documents.get(node_id),
+            out_domains,
         )
         for node_id in node_ids
     ]
 
 
 def _status_row(
-    seen: dict[str, Any] | None, own: dict[str, Any] | None
+    seen: dict[str, Any] | None,
+    own: dict[str, Any] | None,
+    out_domains: list[str],
 ) -> list[object]:
     """Returns a node's row: its own word if it gave it, else another's."""
     node = {**(seen or {}), **(own or {})}
     state = "serving" if node["is_serving"] else "not serving"
+    if node["failure_domain"] in out_domains:
+        state = "out"
     if node["is_leaving"]:
         state = "leaving"
     if not node.get("is_heard", True):
--- a/tests/test_bookings_domain_out.py
+++ b/tests/test_bookings_domain_out.py
@@ -12,9 +12,10 @@
 
 from mulberrybay_testing.class_spec import run_class
 from mulberrybay_testing.deployment import Deployment
-from mulberrybay_testing.history import requests_within, wait_until
+from mulberrybay_testing.history import requests_within
 from mulberrybay_testing.http_caller import make_key
 from mulberrybay_testing.run_history import RunHistory, check_history
+from mulberrybay_testing.waiting import wait_until
 
 OUT_DOMAIN = "d2"
 GRACE_S = 3.0
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -9,11 +9,13 @@
 import pytest
 
 from mulberrybay_core.run_record import record_kind
-from mulberrybay_testing.deployment import Deployment, NodeProcess
+from mulberrybay_testing.deployment import Deployment
+from mulberrybay_testing.deployment_access import NodeProcess
 from mulberrybay_testing.event_log import Event
-from mulberrybay_testing.history import answer_problems, ask, wait_until
+from mulberrybay_testing.history import answer_problems, ask
 from mulberrybay_testing.http_caller import make_key
 from mulberrybay_testing.run_history import RunHistory, RunTry, check_history
+from mulberrybay_testing.waiting import wait_until
 
 SHARD_COUNT = 4
 # A request takes 0.9 s, and its cancellation must be much sooner.
