Wait for a node's share before counting what moves from it

Change: the test before waits, within the same 15 s, until the node holds as many backend servers as before it went out. No bound or check is eased.

--- a/tests/test_operator_counters.py
+++ b/tests/test_operator_counters.py
@@ -118,6 +118,10 @@
     # The other nodes hold all until this one has claimed its share again.
     held_count = before["held_servers"]
     wait_for(lambda: scrape(deployment, 2)["held_servers"] == held_count)
+    # The node takes its share again before the next test counts what moves.
+    wait_for(
+        lambda: scrape(deployment, 2)["held_servers"] == before["held_servers"]
+    )
     deployment.wait_serving()
     assert change(before, after, name) == 1
     handed_over = 'holder_changes_total{change="handed_over"}'
