--- a/packages/operators/tests/test_every_node.py
+++ b/packages/operators/tests/test_every_node.py
@@ -248,3 +248,10 @@
     client = ScriptedClient("10.0.0.8:7003")
     result = report_burn(Session(client, "amina"), ReportBurn())
     assert "10.0.0.8:7003: refused" in result.error.detail
+
+
+def test_nodes_without_time_left_are_named() -> None:
+    client = ScriptedClient()
+    client.timeout_s = 0.0
+    result = report_burn(Session(client, "amina"), ReportBurn())
+    assert "no time left; raise --timeout" in result.error.detail
