--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -183,8 +183,18 @@
 ) -> None:
     assert deployment.nodes[1].process.terminate() == 0
     without = run_json(deployment, "status")
+    meanwhile = start_command(
+        deployment, "domain", "out", "d1", "--timeout", "3"
+    )
     deployment.restart_node(1, "upgraded")
+    back = run_json(deployment, "domain", "in", "d1")
     wait_for_status(deployment, is_upgraded)
+    assert meanwhile.returncode == 4, meanwhile.stderr
+    assert "node-2 (revision 0, silent)" in meanwhile.stdout
+    assert back["unconfirmed"] == []
+    assert (
+        deployment.status(deployment.nodes[1])["revision"] == (back["revision"])
+    )
     assert [str(x).split()[0] for x in without["silent"]][-1] == "node-2"  # type: ignore[attr-defined]
     assert start_command(deployment, "status").returncode == 0
 
