--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -105,8 +105,8 @@
         attempts = []
         choose = self._current_replicas().choose
         extra_load_percent = self._context.targets.extra_load_percent
-        hedging = self._context.policies.hedging
-        hedge_delay_s = hedging.delay_s(extra_load_percent)
+        policies = self._context.policies
+        hedge_delay_s = policies.hedging.delay_s(extra_load_percent)
         for item in usable:
             shard = item.shard
             shard.retry_at_s = None
@@ -214,6 +214,10 @@
         self.wakeup_s = min(self.wakeup_s, shard.retry_at_s)
         return self._nothing()
 
+    def abandon(self, now_s: float) -> tuple[int, ...]:
+        """Ends the query without an answer; returns what to cancel."""
+        return self._open.close_all(now_s)
+
     def on_wakeup(self, now_s: float) -> QueryStep:
         """Does what is due: answer, hedge or retry."""
         if now_s >= self.request.deadline_at_s or self._is_hopeless(now_s):
--- a/packages/runtime/mulberrybay_runtime/http_server.py
+++ b/packages/runtime/mulberrybay_runtime/http_server.py
@@ -49,13 +49,22 @@
 
 
 Respond = Callable[[HttpResponse], None]
+# Ends the work on a request whose client has gone.
+CancelRequest = Callable[[], None]
 
 
 class HttpApplication(Protocol):
     """Answers requests."""
 
-    def on_request(self, request: HttpRequest, respond: Respond) -> None:
-        """Answers a request by calling `respond` once, now or later."""
+    def on_request(
+        self, request: HttpRequest, respond: Respond
+    ) -> CancelRequest | None:
+        """Answers a request by calling `respond` once, now or later.
+
+        Returns:
+            What to call if the client leaves before the answer; None if the
+            work goes on without it.
+        """
 
     def should_close(self) -> bool:
         """Returns whether clients should connect elsewhere from now on."""
@@ -229,6 +238,7 @@
         super().__init__(channel=channel)
         self._application = application
         self._pending_count = 0
+        self._cancels: dict[Any, CancelRequest] = {}
         self.secure = False
         self.host = address.host
         self.port = address.port
@@ -260,13 +270,16 @@
             if not is_answered:
                 is_answered = True
                 self._pending_count -= 1
+                self._cancels.pop(request.sock, None)
                 self._send(request, response, answer)
 
         parsed, is_pipelined = _read_request(request)
         if is_pipelined:
             response.close = True
         try:
-            self._application.on_request(parsed, respond)
+            cancel = self._application.on_request(parsed, respond)
+            if cancel is not None and not is_answered:
+                self._cancels[request.sock] = cancel
         except Exception as error:
             self.fault_count += 1
             self._log.error(
@@ -277,6 +290,12 @@
             )
             respond(_internal_error())
 
+    @handler("disconnect")
+    def _on_disconnect(self, sock: Any) -> None:  # noqa: ANN401
+        cancel = self._cancels.pop(sock, None)
+        if cancel is not None:
+            cancel()
+
     def _send(
         self, request: Request, response: Response, answer: HttpResponse
     ) -> None:
