Let the load tool do what callers are told

Cause: a query of the load tool that met a dead or frozen node, or a refusal with a time to come back, failed for good, where docs/CALLERS.md tells a caller to go to the next address or to come back.

Change: a query is tried up to four times within its deadline, at another address if there is one; latency still counts from the intended time. Scenarios may have several classes of work; the figures are those of each class.

The seed of the arrivals is named after the class too, so that the loads of two classes differ; arrivals of earlier revisions are other ones.

--- a/packages/testing/mulberrybay_testing/load_generator.py
+++ b/packages/testing/mulberrybay_testing/load_generator.py
@@ -7,18 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import random
 import time
-from collections import defaultdict
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-CLIENT_GRACE_S: Final = 1.0
-ADDRESS_PERIOD_S: Final = 1.0
+from mulberrybay_testing.load_caller import LoadCaller, Try
 
-_Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+ADDRESS_PERIOD_S: Final = 1.0
 
 
 class LoadSpec(NamedTuple):
@@ -54,18 +51,20 @@
     Attributes:
         at_s: Intended time of sending, from the start of the load.
         latency_ms: From the intended time to the whole answer.
-        status: HTTP status; 0 without an answer.
+        status: HTTP status of the last try; 0 without an answer.
         coverage_percent: What the answer says; 0 unless status is 200.
-        retry_after_s: Of a refusal, when to come back; None if not said.
         shard_count: Shards that the answer says there are.
+        class_name: The class of work.
+        tries: The sendings, at least one.
     """
 
     at_s: float
     latency_ms: float
     status: int
     coverage_percent: float = 0.0
-    retry_after_s: float | None = None
     shard_count: int = 0
+    class_name: str = ""
+    tries: tuple[Try, ...] = ()
 
 
 class LoadGenerator:
@@ -80,12 +79,10 @@
             seed: Decides arrivals and the choice of node.
         """
         self._spec = spec
-        self._known_ports = tuple(ports)
-        self._ports = tuple(ports)
         # Apart from the choice of nodes, so that every arm has the same load.
-        self._arrivals = random.Random(seed)
-        self._random = random.Random(f"nodes {seed}")
-        self._idle: dict[int, list[_Streams]] = defaultdict(list)
+        self._arrivals = random.Random(f"{spec.class_name} {seed}")
+        nodes = random.Random(f"nodes {spec.class_name} {seed}")
+        self._caller = LoadCaller(ports, nodes)
         self._tasks: set[asyncio.Task[None]] = set()
         self.samples: list[Sample] = []
 
@@ -104,98 +101,30 @@
             at_s += self._arrivals.expovariate(self._spec.rate_at(at_s))
         await asyncio.gather(*self._tasks)
         refresh.cancel()
-        self._close()
+        self._caller.close()
         return sorted(self.samples)
 
-    def _close(self) -> None:
-        for connections in self._idle.values():
-            for _, writer in connections:
-                writer.close()
-
     async def _query(self, at_s: float, started_at_s: float) -> None:
-        port = self._random.choice(self._ports)
-        timeout_s = self._spec.deadline_ms / 1000 + CLIENT_GRACE_S
-        sample = Sample(at_s, 0.0, 0)
-        with contextlib.suppress(OSError, EOFError, TimeoutError, ValueError):
-            async with asyncio.timeout(timeout_s):
-                body = json.dumps(f"query {at_s:.6f}").encode()
-                path = f"/v1/query/{self._spec.class_name}"
-                status, content = await self._exchange(port, path, body)
-                sample = _read_answer(sample, status, content)
-        latency_ms = (time.monotonic() - started_at_s - at_s) * 1000
-        self.samples.append(sample._replace(latency_ms=latency_ms))
-
-    async def _exchange(
-        self, port: int, path: str, body: bytes = b""
-    ) -> tuple[int, bytes]:
-        method = "POST" if body else "GET"
-        request = (
-            f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1:{port}\r\n"
-            f"X-Deadline-Ms: {self._spec.deadline_ms}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        ).encode()
-        idle = self._idle[port]
-        streams = idle.pop() if idle else None
-        if streams is None or streams[0].at_eof():
-            streams = await asyncio.open_connection("127.0.0.1", port)
-        reader, writer = streams
-        try:
-            writer.write(request + body)
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            fields = _read_fields(head)
-            length = int(fields.get("content-length", "0"))
-            content = await reader.readexactly(length)
-        except BaseException:
-            writer.close()
-            raise
-        if fields.get("connection", "").lower() == "close":
-            writer.close()
-        else:
-            idle.append(streams)
-        return int(head.split(" ", 2)[1]), content
+        tries = await self._caller.query(
+            f"/v1/query/{self._spec.class_name}",
+            json.dumps(f"query {at_s:.6f}").encode(),
+            started_at_s + at_s,
+            self._spec.deadline_ms / 1000,
+        )
+        last = tries[-1]
+        self.samples.append(
+            Sample(
+                at_s=at_s,
+                latency_ms=(time.monotonic() - started_at_s - at_s) * 1000,
+                status=last.status,
+                coverage_percent=last.coverage_percent,
+                shard_count=last.shard_count,
+                class_name=self._spec.class_name,
+                tries=tuple(tries),
+            )
+        )
 
     async def _refresh_ports(self) -> None:
         while True:
             await asyncio.sleep(ADDRESS_PERIOD_S)
-            ports = await self._ask_ports()
-            if ports:
-                self._ports = ports
-
-    async def _ask_ports(self) -> tuple[int, ...]:
-        for port in self._random.sample(
-            self._known_ports, len(self._known_ports)
-        ):
-            with contextlib.suppress(
-                OSError, EOFError, TimeoutError, ValueError, KeyError
-            ):
-                async with asyncio.timeout(0.5):
-                    _, content = await self._exchange(port, "/v1/addresses")
-                addresses = json.loads(content)["addresses"]
-                return tuple(
-                    int(item["address"].rpartition(":")[2])
-                    for item in addresses
-                )
-        return ()
-
-
-def _read_fields(head: str) -> dict[str, str]:
-    fields = {}
-    for line in head.split("\r\n")[1:]:
-        name, _, value = line.partition(":")
-        fields[name.lower()] = value.strip()
-    return fields
-
-
-def _read_answer(sample: Sample, status: int, content: bytes) -> Sample:
-    document = json.loads(content)
-    if status == 200:
-        coverage = document["coverage"]
-        return sample._replace(
-            status=status,
-            coverage_percent=coverage["percent"],
-            shard_count=coverage["shard_count"],
-        )
-    error = document.get("error", {})
-    return sample._replace(
-        status=status, retry_after_s=error.get("retry_after_s")
-    )
+            await self._caller.refresh_ports()
--- a/packages/testing/mulberrybay_testing/scenario.py
+++ b/packages/testing/mulberrybay_testing/scenario.py
@@ -12,7 +12,7 @@
 from mulberrybay_core.configuration import Targets
 from mulberrybay_core.documents import encode_snapshots
 from mulberrybay_core.snapshot import IndexSnapshot
-from mulberrybay_testing.class_spec import search_class
+from mulberrybay_testing.class_spec import ClassSpec, search_class
 from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.load_generator import LoadSpec
 
@@ -24,41 +24,54 @@
 }
 
 
-class Scenario(NamedTuple):
-    """One scenario, as read from its TOML file.
+class ClassLoad(NamedTuple):
+    """One class of work of a scenario and its load.
 
     Attributes:
-        name: The name of the file.
         load: The load.
-        settle_s: Queries before this time count in no figure.
         targets: The targets of the class of work.
         shard_count: Shards, each with its own service.
-        node_count: Nodes.
         class_options: Further options of the class of work.
-        actions: What happens: tables with `at_s` and one of `backends`,
-            `platform`, `out_domains`, `index_version` or `node`.
     """
 
-    name: str
     load: LoadSpec
-    settle_s: float
     targets: Targets
     shard_count: int
-    node_count: int
     class_options: dict[str, Any]
-    actions: tuple[dict[str, Any], ...]
 
-    def deployment(self, folder: Path, arm: str) -> Deployment:
-        """Returns the deployment, not yet started."""
-        work_class = search_class(
+    def class_spec(self) -> ClassSpec:
+        """Returns the class of work and its backend servers."""
+        return search_class(
             self.load.class_name,
             self.shard_count,
             targets=self.targets,
             **self.class_options,
         )
-        return Deployment(
-            folder, (work_class,), self.node_count, {"policy.arm": arm}
-        )
+
+
+class Scenario(NamedTuple):
+    """One scenario, as read from its TOML file.
+
+    Attributes:
+        name: The name of the file.
+        classes: The classes of work; the first is the one that actions on
+            the index are for.
+        settle_s: Queries before this time count in no figure.
+        node_count: Nodes.
+        actions: What happens: tables with `at_s` and one of `backends`,
+            `platform`, `out_domains`, `index_version` or `node`.
+    """
+
+    name: str
+    classes: tuple[ClassLoad, ...]
+    settle_s: float
+    node_count: int
+    actions: tuple[dict[str, Any], ...]
+
+    def deployment(self, folder: Path, arm: str) -> Deployment:
+        """Returns the deployment, not yet started."""
+        classes = tuple(item.class_spec() for item in self.classes)
+        return Deployment(folder, classes, self.node_count, {"policy.arm": arm})
 
 
 def load_scenario(name: str) -> Scenario:
@@ -74,18 +87,26 @@
     document = tomllib.loads(path.read_text(encoding="utf-8"))
     return Scenario(
         name=path.stem,
-        load=LoadSpec(**document["load"]),
+        classes=tuple(
+            _read_class(item) for item in (document, *document.get("other", []))
+        ),
         settle_s=document.get("settle_s", 0.0),
-        targets=Targets(**document["targets"]),
-        shard_count=document["shard_count"],
         node_count=document.get("node_count", 3),
-        class_options=document.get("class", {}),
         actions=tuple(
             sorted(document.get("actions", []), key=lambda act: act["at_s"])
         ),
     )
 
 
+def _read_class(document: dict[str, Any]) -> ClassLoad:
+    return ClassLoad(
+        load=LoadSpec(**document["load"]),
+        targets=Targets(**document["targets"]),
+        shard_count=document["shard_count"],
+        class_options=document.get("class", {}),
+    )
+
+
 async def perform_actions(scenario: Scenario, deployment: Deployment) -> None:
     """Does the scenario's actions, each at its time from now."""
     started_at_s = asyncio.get_running_loop().time()
