Let callers of the load tool come back when told

Cause: a refusal whose time to come back lies behind the deadline was never tested: the load tool gave the query up.

Change: with comes_back, a caller whose query was refused for good sends it as a new one at the told time. It counts in the figures of tries that came back alone.

--- a/packages/testing/mulberrybay_testing/experiment.py
+++ b/packages/testing/mulberrybay_testing/experiment.py
@@ -208,11 +208,12 @@
 
 def tries_when_told(sample: Sample) -> list[Try]:
     """Returns the tries that came back after the time a refusal told."""
-    return [
+    back = [
         after
         for before, after in itertools.pairwise(sample.tries)
         if before.status == 503 and before.retry_after_s is not None
     ]
+    return [*back, sample.late_return] if sample.late_return else back
 
 
 def _refusal_p99_ms(samples: Sequence[Sample]) -> float:
--- a/packages/testing/mulberrybay_testing/load_generator.py
+++ b/packages/testing/mulberrybay_testing/load_generator.py
@@ -29,6 +29,9 @@
         burst_rate_per_s: Mean arrivals a second during the burst.
         burst_from_s: When the burst begins.
         burst_until_s: When it ends; at or before its begin for none.
+        comes_back: Whether a caller whose query was refused for good sends
+            it as a new one at the time it was told, if the load lasts so
+            long. It counts in no figure but those of tries that came back.
     """
 
     class_name: str
@@ -38,6 +41,7 @@
     burst_rate_per_s: float = 0.0
     burst_from_s: float = 0.0
     burst_until_s: float = 0.0
+    comes_back: bool = False
 
     def rate_at(self, at_s: float) -> float:
         """Returns the mean arrivals a second at a time."""
@@ -56,6 +60,7 @@
         shard_count: Shards that the answer says there are.
         class_name: The class of work.
         tries: The sendings, at least one.
+        late_return: The try that came back when told as a new query.
     """
 
     at_s: float
@@ -65,6 +70,7 @@
     shard_count: int = 0
     class_name: str = ""
     tries: tuple[Try, ...] = ()
+    late_return: Try | None = None
 
 
 class LoadGenerator:
@@ -105,25 +111,38 @@
         return sorted(self.samples)
 
     async def _query(self, at_s: float, started_at_s: float) -> None:
-        tries = await self._caller.query(
-            f"/v1/query/{self._spec.class_name}",
-            json.dumps(f"query {at_s:.6f}").encode(),
-            started_at_s + at_s,
-            self._spec.deadline_ms / 1000,
-        )
+        intended_at_s = started_at_s + at_s
+        tries = await self._send(at_s, intended_at_s)
+        latency_ms = (time.monotonic() - intended_at_s) * 1000
         last = tries[-1]
+        late_return = None
+        until_s = started_at_s + self._spec.duration_s
+        if self._spec.comes_back and last.retry_after_s is not None:
+            back_at_s = time.monotonic() + last.retry_after_s
+            if back_at_s < until_s:
+                await asyncio.sleep(last.retry_after_s)
+                late_return = (await self._send(at_s, back_at_s))[0]
         self.samples.append(
             Sample(
                 at_s=at_s,
-                latency_ms=(time.monotonic() - started_at_s - at_s) * 1000,
+                latency_ms=latency_ms,
                 status=last.status,
                 coverage_percent=last.coverage_percent,
                 shard_count=last.shard_count,
                 class_name=self._spec.class_name,
                 tries=tuple(tries),
+                late_return=late_return,
             )
         )
 
+    async def _send(self, at_s: float, intended_at_s: float) -> list[Try]:
+        return await self._caller.query(
+            f"/v1/query/{self._spec.class_name}",
+            json.dumps(f"query {at_s:.6f}").encode(),
+            intended_at_s,
+            self._spec.deadline_ms / 1000,
+        )
+
     async def _refresh_ports(self) -> None:
         while True:
             await asyncio.sleep(ADDRESS_PERIOD_S)
