--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -132,9 +132,8 @@
                 shard.retry_at_s = now_s + RETRY_DELAY_S
                 continue
             attempt_id = self._context.next_attempt_id()
-            was_queued = policies.waits.has_queue(server.server_id, now_s)
             self._open[attempt_id] = SentAttempt(
-                shard.number, server.server_id, now_s, is_extra, was_queued
+                shard.number, server.server_id, now_s, is_extra
             )
             shard.open_ids.add(attempt_id)
             shard.tried_ids.add(server.server_id)
@@ -235,9 +234,7 @@
         policies = self._context.policies
         policies.replicas.on_ended(sent.server_id)
         age_s = now_s - sent.sent_at_s
-        policies.waits.on_cancelled(
-            sent.server_id, age_s, was_queued=sent.was_queued
-        )
+        policies.waits.on_cancelled(sent.server_id, age_s, now_s)
         if not sent.is_extra:
             # It took at least so long; without it the slow ones would be
             # missing from the latencies that the hedge delay follows.
--- a/packages/core/mulberrybay_core/query_shard.py
+++ b/packages/core/mulberrybay_core/query_shard.py
@@ -24,14 +24,12 @@
         server_id: The backend server to ask.
         sent_at_s: When it was sent.
         is_extra: Whether it took a token of the extra load.
-        was_queued: Whether a queue at the server was expected then.
     """
 
     shard: int
     server_id: str
     sent_at_s: float
     is_extra: bool
-    was_queued: bool
 
 
 class QueryShard:
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -127,25 +127,14 @@
         view.sent_count += 1
         view.sent_since_load_count += 1
 
-    def has_queue(self, server_id: str, now_s: float) -> bool:
-        """Returns whether one more attempt is expected to be queued."""
-        return self._view(server_id).turns(now_s) > 1
-
-    def on_cancelled(
-        self, server_id: str, age_s: float, *, was_queued: bool
-    ) -> None:
-        """An attempt's reply is no longer waited for.
-
-        Args:
-            server_id: The backend server.
-            age_s: The time since the attempt was sent.
-            was_queued: Whether a queue was expected then; its age says
-                nothing of the server in that case.
-        """
+    def on_cancelled(self, server_id: str, age_s: float, now_s: float) -> None:
+        """An attempt's reply is no longer waited for."""
         view = self._view(server_id)
         view.sent_count = max(0, view.sent_count - 1)
-        if not was_queued and age_s > view.latency_s:
-            view.latency_s += LATENCY_WEIGHT * (age_s - view.latency_s)
+        # It would have taken longer than that; queues explain a part of it.
+        wait_s = view.turns(now_s) * view.latency_s
+        if age_s > wait_s:
+            view.latency_s += LATENCY_WEIGHT * (age_s - wait_s)
 
     def on_reply(self, reply: AttemptReply, now_s: float) -> None:
         """An attempt ended."""
