Hedge only where there is no queue

Cause of the lost capacity under overload: hedges. They displace work there, make queues uneven and longer in the eyes of admission, and servers behind shorter queues run dry.

Change: a hedge waits while a queue is expected at its server and looks again every 5 ms; it takes no token meanwhile.

The test fails without the change: the hedge is sent into the queue.

--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -131,6 +131,12 @@
             if server is None:
                 shard.retry_at_s = now_s + RETRY_DELAY_S
                 continue
+            if shard.open_ids and policies.waits.has_queue(
+                server.server_id, now_s
+            ):
+                # A hedge would only displace what waits there.
+                shard.hedge_at_s = now_s + HEDGE_RETRY_S
+                continue
             attempt_id = self._context.next_attempt_id()
             self._open[attempt_id] = SentAttempt(
                 shard.number, server.server_id, now_s, is_extra
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -121,6 +121,10 @@
         wait_s = view.turns(now_s) * view.latency_s
         return wait_s + view.failure_penalty_s(now_s)
 
+    def has_queue(self, server_id: str, now_s: float) -> bool:
+        """Returns whether one more attempt is expected to be queued."""
+        return self._view(server_id).turns(now_s) > 1
+
     def on_sent(self, server_id: str) -> None:
         """An attempt was sent."""
         view = self._view(server_id)
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -245,6 +245,32 @@
     assert len(query.run.on_wakeup(0.037).attempts) == 1
 
 
+def test_hedge_waits_until_a_server_has_no_queue() -> None:
+    query = _Query(lambda server: True)
+    first, second = query.run.start(0.0).attempts
+    query.reply(second, AttemptOutcome.OK, 0.01)
+    other_id = "s0b" if first.server_id == "s0a" else "s0a"
+    busy = _reply(0, other_id, AttemptOutcome.OK)
+    query.waits.on_reply(busy._replace(load=ServerLoad(3, 2, 3)), 0.02)
+    token_count = _token_count(query.budget)
+    assert query.run.on_wakeup(0.02).attempts == ()
+    assert _token_count(query.budget) == token_count
+    assert query.run.wakeup_s == pytest.approx(0.025)
+    query.waits.on_reply(busy._replace(load=ServerLoad(2, 0, 3)), 0.024)
+    (hedge,) = query.run.on_wakeup(0.025).attempts
+    assert hedge.server_id == other_id
+
+
+def _token_count(budget: ExtraLoadBudget) -> int:
+    """Returns how many whole tokens are left; they are put back."""
+    count = 0
+    while budget.try_spend():
+        count += 1
+    for _ in range(count):
+        budget.refund()
+    return count
+
+
 def test_first_request_that_reached_no_server_is_repeated_free() -> None:
     query = _Query(lambda server: True)
     first, _ = query.run.start(0.0).attempts
