Send a second request only where a late reply shows a warm server

Cause: a server that turns cold without warning shows it in its first reply, or when a request is overdue after 1.8 warm latencies. What was sent to it meanwhile beside the first request overfed it. With two replicas at a fifth of their load that was mostly not needed: the choice saw no difference between an idle server and one with a free slot, and the holder took a warm server to be warm for good.

Change: a request at the server counts as 0.3 service times in the choice among replicas; the holder dispatches a second request beside another only within 2.5 warm latencies of the dispatch of the latest request that was answered. Under full load that is always so.

A server at which several requests run when it turns cold can still be overfed by the next one: nothing has told yet. Both tests fail without the change. The test of overdue requests gives the new argument of end(); it is as strict as before. A test of the fair share of a node between two classes is added; it passed at once.

--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -16,6 +16,9 @@
 
 MAX_QUEUED_COUNT: Final = 64
 PATIENCE_RATIO: Final = 20.0
+# A reply tells for this many warm latencies from its dispatch on that the
+# server is warm.
+WARM_PROOF_RATIO: Final = 2.5
 
 
 class QueuedAttempt(NamedTuple):
@@ -42,6 +45,7 @@
         self.limit = ConcurrencyLimit(server.slot_count)
         self.outstanding: dict[str, QueuedAttempt] = {}
         self._dispatched_at_s: dict[str, float] = {}
+        self._proven_at_s = -math.inf
         self._queue: list[tuple[float, int, QueuedAttempt]] = []
         self._sequence = itertools.count()
 
@@ -72,8 +76,17 @@
         return heapq.heappop(self._queue)[2]
 
     def _allowed_count(self, now_s: float) -> int:
-        """Returns the limit; one while a request is overdue."""
-        return 1 if self._is_overdue(now_s) else self.limit.limit_count
+        """Returns the limit; one while the server may have turned cold."""
+        if self._is_overdue(now_s) or not self._is_proven(now_s):
+            return 1
+        return self.limit.limit_count
+
+    def _is_proven(self, now_s: float) -> bool:
+        """Returns whether a late reply shows that the server is warm."""
+        baseline_s = self.limit.baseline_s
+        if baseline_s is None:
+            return True
+        return now_s - self._proven_at_s <= WARM_PROOF_RATIO * baseline_s
 
     def _is_overdue(self, now_s: float) -> bool:
         return any(
@@ -108,10 +121,12 @@
         self._dispatched_at_s[item.request_id] = now_s
         self.limit.on_dispatch(now_s)
 
-    def end(self, request_id: str) -> None:
+    def end(self, request_id: str, *, has_replied: bool) -> None:
         """Notes that a dispatched attempt has ended."""
         self.outstanding.pop(request_id, None)
-        self._dispatched_at_s.pop(request_id, None)
+        dispatched_at_s = self._dispatched_at_s.pop(request_id, -math.inf)
+        if has_replied:
+            self._proven_at_s = max(self._proven_at_s, dispatched_at_s)
 
     def take_expired(self, now_s: float) -> list[QueuedAttempt]:
         """Removes and returns the queued attempts past their deadline."""
--- a/packages/core/mulberrybay_core/server_waits.py
+++ b/packages/core/mulberrybay_core/server_waits.py
@@ -18,6 +18,8 @@
 MEDIAN_STEP_RATIO: Final = 0.05
 # From this limit on, the holder has found a server to be warm.
 WARM_LIMIT_COUNT: Final = 2
+# What a request beside another costs, in service times.
+SHARED_COST_RATIO: Final = 0.3
 FAILURE_WEIGHT: Final = 0.2
 FAILURE_PENALTY_S: Final = 0.5
 # A server that failed is tried again when its failures have been forgotten.
@@ -55,14 +57,19 @@
     def turns(self, now_s: float) -> float:
         """Returns how many service times one more attempt takes."""
         limit_count = max(1, self.load.limit_count)
+        waiting_count = self.waiting_count(now_s)
+        return 1 + max(0, waiting_count + 1 - limit_count) / limit_count
+
+    def waiting_count(self, now_s: float) -> float:
+        """Returns how many attempts the server is expected to have."""
+        limit_count = max(1, self.load.limit_count)
         known_count = self.load.outstanding_count + self.load.queued_count
         elapsed_s = max(0.0, now_s - self.load_at_s)
         done_count = elapsed_s * limit_count / max(self.latency_s, 0.001)
-        waiting_count = max(
+        return max(
             known_count - done_count + self.sent_since_load_count,
             self.sent_count,
         )
-        return 1 + max(0, waiting_count + 1 - limit_count) / limit_count
 
     def note_latency(self, latency_s: float) -> None:
         """Takes the service time of a whole reply."""
@@ -116,10 +123,16 @@
         return self._view(server_id).warm_latency_s or self._class_warm_s
 
     def cost_s(self, server_id: str, now_s: float) -> float:
-        """Returns the expected time with a penalty for recent failures."""
+        """Returns the expected time with penalties.
+
+        They are for recent failures and for requests that the server has
+        already: it may have turned cold, and then bears but one.
+        """
         view = self._view(server_id)
-        wait_s = view.turns(now_s) * view.latency_s
-        return wait_s + view.failure_penalty_s(now_s)
+        limit_count = max(1, view.load.limit_count)
+        shared_count = min(view.waiting_count(now_s), limit_count - 1)
+        turns = view.turns(now_s) + SHARED_COST_RATIO * shared_count
+        return turns * view.latency_s + view.failure_penalty_s(now_s)
 
     def has_queue(self, server_id: str, now_s: float) -> bool:
         """Returns whether one more attempt is expected to be queued."""
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -7,7 +7,11 @@
 import pytest
 
 from mulberrybay_core.addresses import Address
-from mulberrybay_core.admission import expected_excess_s
+from mulberrybay_core.admission import (
+    Admission,
+    AdmissionSettings,
+    expected_excess_s,
+)
 from mulberrybay_core.attempts import (
     Attempt,
     AttemptBatch,
@@ -128,10 +132,53 @@
     assert not held.is_suspect(0.01)
     assert held.is_suspect(0.02)
     assert held.take_next(0.02) is None
-    held.end(first.request_id)
+    held.end(first.request_id, has_replied=True)
     assert held.take_next(0.02) == second
 
 
+def test_second_request_needs_late_proof_that_the_server_is_warm() -> None:
+    held = HeldServer(_server("a"))
+    held.limit = _warm_limit()
+    attempts = tuple(Attempt(number, "a", 0) for number in range(4))
+    batch = AttemptBatch(
+        "q", AttemptKind.SEARCH, "c", 1, 9.0, "", attempts, b"{}"
+    )
+    items = [
+        QueuedAttempt(batch, a, print, str(a.attempt_id)) for a in attempts
+    ]
+    for item in items:
+        held.enqueue(item)
+    # No reply yet.
+    assert held.take_next(0.5) == items[0]
+    held.begin(items[0], 0.5)
+    assert held.take_next(0.501) is None
+    held.end(items[0].request_id, has_replied=True)
+    # The last reply is too old: it may have turned cold since.
+    assert held.take_next(1.0) == items[1]
+    held.begin(items[1], 1.0)
+    assert held.take_next(1.001) is None
+    held.end(items[1].request_id, has_replied=True)
+    for item in items[2:]:
+        assert held.take_next(1.011) == item
+        held.begin(item, 1.011)
+
+
+def test_second_request_goes_to_an_idle_replica() -> None:
+    waits = ServerWaits()
+    for server_id, time_ms in (("a", 15.0), ("b", 16.0)):
+        reply = _reply(0, server_id, AttemptOutcome.OK)
+        reply = reply._replace(
+            service_time_ms=time_ms, load=ServerLoad(0, 0, 3)
+        )
+        for _ in range(50):
+            waits.on_reply(reply, 0.0)
+    choice = LeastExpectedWait(random.Random(1), waits)
+    servers = [_server("a"), _server("b")]
+    assert choice.choose(servers, "d1", 0.0).server_id == "a"
+    waits.on_sent("a")
+    assert choice.choose(servers, "d1", 0.0).server_id == "b"
+
+
 @pytest.mark.parametrize(
     ("total_s", "service_s", "lateness_s", "deadline_s", "is_refused"),
     [
@@ -163,6 +210,19 @@
     assert expected_excess_s([guess], 1, 0.25, 0.3) > 0
 
 
+def test_class_gets_its_share_of_a_node_that_another_class_fills() -> None:
+    admission = Admission(AdmissionSettings(max_query_count=10))
+    for _ in range(10):
+        assert admission.try_admit("a", 1.0) is None
+    assert admission.try_admit("a", 1.0) is not None
+    for _ in range(5):
+        assert admission.try_admit("b", 1.0) is None
+    assert admission.try_admit("b", 1.0) is not None
+    # What the first class has beyond its share is not given out again.
+    admission.release("a", 0.1)
+    assert admission.try_admit("a", 1.0) is not None
+
+
 def test_known_queue_is_worked_off_while_nothing_is_sent() -> None:
     waits = ServerWaits()
     reply = _reply(0, "a", AttemptOutcome.OK)
@@ -195,7 +255,10 @@
             may_use=may_use,
             next_attempt_id=lambda: next(sequence),
             policies=ClassPolicies(
-                replicas, FixedHedging(0.02), self.budget, self.waits
+                replicas,
+                FixedHedging(0.02),
+                self.budget,
+                self.waits,
             ),
         )
         request = QueryRequest("r", "c", "d1", 1.0, 0.0, b"{}")
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -183,7 +183,8 @@
         self, held: HeldServer, item: QueuedAttempt, result: BackendResult
     ) -> None:
         server_id = held.server.server_id
-        held.end(item.request_id)
+        has_replied = result.outcome is BackendOutcome.OK
+        held.end(item.request_id, has_replied=has_replied)
         self._server_by_request.pop(item.request_id, None)
         self._update_limit(held, item.batch.class_name, result)
         if result.run_state is RunState.RAN or result.is_leaving:
