Tell refused callers to stay away for as long as an overload lasts

Cause: Retry-After was what the queues of the moment ask for, 50 ms or a little more. In an overload the same callers met the same queues again: of the tries that came back when told, one in ten was answered, and the repeated ones took processor time of the nodes.

Change: what is told grows with the time that the overload has lasted and with the ratio of refused to admitted queries, at most 30 s; never less than the queues ask for. An overload ends after 2 s without a refusal.

Where 150 % lasts and every caller returns, at most 57 % of all tries can be served; nodes cannot tell a returning caller from a new one and prefer none.

--- a/packages/core/mulberrybay_core/policy_arms.py
+++ b/packages/core/mulberrybay_core/policy_arms.py
@@ -9,6 +9,7 @@
 
 from mulberrybay_core.extra_load import ExtraLoadBudget
 from mulberrybay_core.hedging import FixedHedging, NoHedging, QuantileHedging
+from mulberrybay_core.overload_episode import OverloadEpisode
 from mulberrybay_core.query_context import ClassPolicies
 from mulberrybay_core.replica_choice import (
     LeastExpectedWait,
@@ -38,22 +39,36 @@
     """Returns fresh policies for one class of work."""
     budget = ExtraLoadBudget()
     waits = ServerWaits()
+    overload = OverloadEpisode()
     match settings.arm:
         case "random":
             return ClassPolicies(
-                RandomReplica(random_source), NoHedging(), budget, waits
+                RandomReplica(random_source),
+                NoHedging(),
+                budget,
+                waits,
+                overload,
             )
         case "round_robin":
             return ClassPolicies(
-                RoundRobin(), FixedHedging(FIXED_HEDGE_S), budget, waits
+                RoundRobin(),
+                FixedHedging(FIXED_HEDGE_S),
+                budget,
+                waits,
+                overload,
             )
         case "least_outstanding":
             return ClassPolicies(
-                LeastOutstanding(random_source), NoHedging(), budget, waits
+                LeastOutstanding(random_source),
+                NoHedging(),
+                budget,
+                waits,
+                overload,
             )
     return ClassPolicies(
         LeastExpectedWait(random_source, waits),
         QuantileHedging(),
         budget,
         waits,
+        overload,
     )
--- a/packages/core/mulberrybay_core/query_context.py
+++ b/packages/core/mulberrybay_core/query_context.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.extra_load import ExtraLoadBudget
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.hedging import HedgePolicy
+from mulberrybay_core.overload_episode import OverloadEpisode
 from mulberrybay_core.queries import QueryAnswer
 from mulberrybay_core.replica_choice import ReplicaPolicy
 from mulberrybay_core.server_waits import ServerWaits
@@ -24,6 +25,7 @@
     hedging: HedgePolicy
     budget: ExtraLoadBudget
     waits: ServerWaits
+    overload: OverloadEpisode
 
 
 class QueryContext(NamedTuple):
--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -81,10 +81,13 @@
         self._covered_count = 0
         excess_s = self._expected_excess_s(now_s)
         if excess_s > 0 and self._restart_count == 0:
+            overload = self._context.policies.overload
+            retry_after_s = overload.on_refused(now_s, excess_s)
             detail = "the backend servers have too much queued"
-            return self._fail(FailureKind.OVERLOADED, detail, excess_s)
+            return self._fail(FailureKind.OVERLOADED, detail, retry_after_s)
         attempts = self._send(self._shards, now_s, is_extra=False)
         if self._restart_count == 0:
+            self._context.policies.overload.on_admitted()
             self._context.policies.budget.on_first_attempts(
                 len(attempts), self._context.targets.extra_load_percent
             )
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -27,6 +27,7 @@
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.hedging import FixedHedging
 from mulberrybay_core.held_server import HeldServer, QueuedAttempt
+from mulberrybay_core.overload_episode import OverloadEpisode
 from mulberrybay_core.queries import QueryRequest
 from mulberrybay_core.query_context import (
     ClassPolicies,
@@ -259,6 +260,7 @@
                 FixedHedging(0.02),
                 self.budget,
                 self.waits,
+                OverloadEpisode(),
             ),
         )
         request = QueryRequest("r", "c", "d1", 1.0, 0.0, b"{}")
@@ -370,3 +372,24 @@
     assert step.result.error.kind is FailureKind.OVERLOADED
     assert step.result.error.run_state is RunState.NOT_RUN
     assert step.result.error.retry_after_s > 0
+
+
+def test_long_overload_tells_callers_to_stay_away_longer() -> None:
+    overload = OverloadEpisode()
+    assert overload.on_refused(0.0, 0.05) == 0.05
+    for number in range(1, 400):
+        told_s = overload.on_refused(number / 100, 0.05)
+        overload.on_admitted()
+    # Half of the queries are refused: twice the time that it has lasted.
+    assert told_s == pytest.approx(8.0, rel=0.1)
+    # Not so if nearly all are served, nor once the overload has ended.
+    for _ in range(200):
+        overload.on_admitted()
+    assert overload.on_refused(4.1, 0.05) < 0.5
+    assert overload.on_refused(9.0, 0.05) == 0.05
+
+
+def test_told_time_is_bounded_where_nothing_is_served() -> None:
+    overload = OverloadEpisode()
+    told_s = [overload.on_refused(number, 0.05) for number in range(2000)]
+    assert max(told_s) == 30.0
--- a/packages/testing/mulberrybay_testing/run_figures.py
+++ b/packages/testing/mulberrybay_testing/run_figures.py
@@ -36,7 +36,8 @@
         p999_ms: 99.9th percentile of the latency of answers.
         refusal_p99_ms: 99th percentile of the latency of refusals, each from
             the sending of the try that was refused.
-        back_count: Tries at or after the time that a refusal had told.
+        back_count: Tries at the time that a refusal had told, whenever the
+            query was first sent.
         back_served_percent: The share of these that got an answer.
         late_percent: Queries without an answer within the lateness target.
         coverage_percent: Mean over the answers.
@@ -93,7 +94,7 @@
     count = max(1, len(counted))
     late_count = sum(_is_bad(item, lateness_ms) for item in counted)
     latency = _histogram(item.latency_ms for item in answers)
-    back = [ended for item in counted for ended in tries_when_told(item)]
+    back = [ended for item in samples for ended in tries_when_told(item)]
     served_count = sum(ended.status == 200 for ended in back)
     return RunResult(
         scenario=run.scenario.name,
