--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -16,6 +16,7 @@
 from mulberrybay_core.attempts import AttemptBatch, AttemptReply
 from mulberrybay_core.configuration import Configuration
 from mulberrybay_core.fleet import Fleet
+from mulberrybay_core.fleet_messages import FleetRequest, FleetUpdate
 from mulberrybay_core.holdings import Holdings
 from mulberrybay_core.member_messages import (
     Claim,
@@ -108,6 +109,7 @@
                 settings.advertised_peer_address or settings.peer_address
             ),
             caller_address=settings.caller_address,
+            operator_port=settings.operator_address.port,
         )
         self._membership = Membership(
             settings.membership, info, int(time.time() * 1000)
@@ -179,7 +181,12 @@
             LeastExpectedWait(random.Random(), ServerWaits()),
         )
         self._fleet_task = FleetTask(
-            self._store, self._timers, self._coordinator.catalog, self._on_fleet
+            settings.node_id,
+            self._store,
+            self._timers,
+            self._coordinator.catalog,
+            lambda: self._links,
+            self._on_fleet,
         )
         self._expiry = RecordExpiry(
             settings.runs, self._store, self._timers, self._should_sweep
@@ -206,6 +213,8 @@
             members=self._members,
             coordinator=self._coordinator,
             runs=self._runs,
+            expiry=self._expiry,
+            service=self._service,
         )
 
     def __enter__(self) -> Self:
@@ -287,8 +296,7 @@
             self._membership.has_lease(read_clock_s())
             and self._configuration.current.revision > 0
             and not self._membership.steps_down
-            # A node that has started in an outage knows no servers to hold.
-            and bool(self._fleet_task.fleet.servers)
+            and self._fleet_task.knows_servers
         )
 
     def _update_serving(self) -> None:
@@ -332,6 +340,10 @@
                 self._configuration.on_request(message, link)
             case ConfigurationUpdate():
                 self._configuration.on_update(message)
+            case FleetRequest():
+                self._fleet_task.on_request(message, link)
+            case FleetUpdate():
+                self._fleet_task.on_update(message)
 
     def _on_batch(self, batch: AttemptBatch, link: Link) -> None:
         def reply(answer: AttemptReply) -> None:
--- a/packages/operators/mulberrybay_operators/command_line.py
+++ b/packages/operators/mulberrybay_operators/command_line.py
@@ -27,6 +27,19 @@
         help="Repeat a change whose outcome is not known.",
     ),
 ]
+Only = Annotated[
+    bool,
+    cappa.Arg(
+        long="--only",
+        show_default=False,
+        help="Ask only the nodes of --node, not all that they know.",
+    ),
+]
+Name = Annotated[str, cappa.Arg(help="Its name or identity.")]
+ClassName = Annotated[
+    str, cappa.Arg(value_name="CLASS", help="The class of work.")
+]
+Body = Annotated[str, cappa.Arg(help="The request, as JSON.")]
 FileArgument = Annotated[
     pathlib.Path, cappa.Arg(help="The TOML file of the classes of work.")
 ]
@@ -94,7 +107,7 @@
 class Out:
     """Takes a failure domain or a backend server out of service."""
 
-    name: Annotated[str, cappa.Arg(help="Its name or identity.")]
+    name: Name
     expect: Expect = None
     change_id: ChangeId = ""
 
@@ -104,7 +117,7 @@
 class In:
     """Puts a failure domain or a backend server back into service."""
 
-    name: Annotated[str, cappa.Arg(help="Its name or identity.")]
+    name: Name
     expect: Expect = None
     change_id: ChangeId = ""
 
@@ -140,6 +153,8 @@
 class Status:
     """Shows the nodes."""
 
+    only: Only = False
+
 
 @cappa.command(name="audit", help="Show the newest accepted changes.")
 @dataclass
@@ -153,7 +168,7 @@
 
 @cappa.command(
     name="burn",
-    help="Show what of each class's targets is spent, over all given nodes.",
+    help="Show what of each class's targets is spent, over all nodes.",
     epilog="Example: mulberrybay report burn --html burn.html",
 )
 @dataclass
@@ -164,6 +179,7 @@
         pathlib.Path | None,
         cappa.Arg(long="--html", help="Write a page with plots to this file."),
     ] = None
+    only: Only = False
 
 
 @cappa.command(name="report", help="Reports on service levels.")
@@ -194,10 +210,8 @@
 class Query:
     """Sends a query."""
 
-    class_name: Annotated[
-        str, cappa.Arg(value_name="CLASS", help="The class of work.")
-    ]
-    body: Annotated[str, cappa.Arg(help="The query, as JSON.")]
+    class_name: ClassName
+    body: Body
 
 
 @cappa.command(
@@ -209,10 +223,8 @@
 class Run:
     """Sends a non-idempotent request."""
 
-    class_name: Annotated[
-        str, cappa.Arg(value_name="CLASS", help="The class of work.")
-    ]
-    body: Annotated[str, cappa.Arg(help="The request, as JSON.")]
+    class_name: ClassName
+    body: Body
     key: Annotated[
         str,
         cappa.Arg(
