--- a/packages/testing/tests/test_load_generator.py
+++ b/packages/testing/tests/test_load_generator.py
@@ -11,7 +11,7 @@
 
 from mulberrybay_testing.load_caller import LoadCaller, Try
 from mulberrybay_testing.load_generator import LoadGenerator, LoadSpec
-from mulberrybay_testing.processes import free_port
+from mulberrybay_testing.ports import free_port
 
 _SPEC = LoadSpec("field-search", rate_per_s=200.0, duration_s=0.3)
 _ANSWER = {"coverage": {"percent": 100.0, "shard_count": 4}}
