--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -59,6 +59,7 @@
         self._out_domains: frozenset[str] = frozenset()
         self._last_view: tuple[object, ...] = ()
         self.had_lease = False
+        self._has_left = False
         self.epoch_count = 0
 
     def start(self) -> None:
@@ -81,12 +82,22 @@
         self._out_domains = configuration.out_domains
         self._send_heartbeats()
 
+    def announce(self) -> None:
+        """Tells peers at once that this node begins or ends to serve.
+
+        Until they know, its servers have no holder or two claimants.
+        """
+        self._send_heartbeats()
+
     def _dial_members(self) -> None:
         self._get_links().set_peers(
             {info.node_id: info.peer_address for info in self._membership.peers}
         )
 
     def _send_heartbeats(self) -> None:
+        if self._has_left:
+            # Peers would take it for a process that lives.
+            return
         self._dial_members()
         now_s = read_clock_s()
         links = self._get_links()
@@ -135,7 +146,11 @@
     def _move_claims(self, now_s: float) -> None:
         if not self.had_lease:
             return
-        peer_ids = [info.node_id for info in self._membership.peers]
+        peer_ids = [
+            info.node_id
+            for info in self._membership.peers
+            if not self._membership.has_departed(info.node_id, now_s)
+        ]
         buried_ids = frozenset(
             peer_id
             for peer_id in peer_ids
@@ -170,9 +185,10 @@
         self._revisions.on_peer_revision(ack.sender_id, ack.revision)
 
     def on_goodbye(self, goodbye: Goodbye) -> None:
-        """Forgets a node that has stopped for good."""
+        """Takes the end of a node that holds nothing any more."""
         self._membership.on_goodbye(goodbye.node_id, goodbye.epoch)
-        self._dial_members()
+        # Claims wait until a majority has said so.
+        self.announce()
 
     def on_claim(self, claim: Claim, link: Link) -> None:
         """Answers a peer's claim.
@@ -208,3 +224,4 @@
         goodbye = Goodbye(self._membership.info.node_id, self._membership.epoch)
         for info in self._membership.peers:
             self._get_links().send(info.node_id, goodbye)
+        self._has_left = True
