--- a/packages/core/mulberrybay_core/query_run.py
+++ b/packages/core/mulberrybay_core/query_run.py
@@ -81,10 +81,13 @@
         self._covered_count = 0
         excess_s = self._expected_excess_s(now_s)
         if excess_s > 0 and self._restart_count == 0:
+            overload = self._context.policies.overload
+            retry_after_s = overload.on_refused(now_s, excess_s)
             detail = "the backend servers have too much queued"
-            return self._fail(FailureKind.OVERLOADED, detail, excess_s)
+            return self._fail(FailureKind.OVERLOADED, detail, retry_after_s)
         attempts = self._send(self._shards, now_s, is_extra=False)
         if self._restart_count == 0:
+            self._context.policies.overload.on_admitted()
             self._context.policies.budget.on_first_attempts(
                 len(attempts), self._context.targets.extra_load_percent
             )
@@ -131,6 +134,12 @@
             if server is None:
                 shard.retry_at_s = now_s + RETRY_DELAY_S
                 continue
+            if shard.open_ids and policies.waits.has_queue(
+                server.server_id, now_s
+            ):
+                # A hedge would only displace what waits there.
+                shard.hedge_at_s = now_s + HEDGE_RETRY_S
+                continue
             attempt_id = self._context.next_attempt_id()
             self._open[attempt_id] = SentAttempt(
                 shard.number, server.server_id, now_s, is_extra
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -7,7 +7,11 @@
 import pytest
 
 from mulberrybay_core.addresses import Address
-from mulberrybay_core.admission import expected_excess_s
+from mulberrybay_core.admission import (
+    Admission,
+    AdmissionSettings,
+    expected_excess_s,
+)
 from mulberrybay_core.attempts import (
     Attempt,
     AttemptBatch,
@@ -23,6 +27,7 @@
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.hedging import FixedHedging
 from mulberrybay_core.held_server import HeldServer, QueuedAttempt
+from mulberrybay_core.overload_episode import OverloadEpisode
 from mulberrybay_core.queries import QueryRequest
 from mulberrybay_core.query_context import (
     ClassPolicies,
@@ -128,10 +133,53 @@
     assert not held.is_suspect(0.01)
     assert held.is_suspect(0.02)
     assert held.take_next(0.02) is None
-    held.end(first.request_id)
+    held.end(first.request_id, has_replied=True)
     assert held.take_next(0.02) == second
 
 
+def test_second_request_needs_late_proof_that_the_server_is_warm() -> None:
+    held = HeldServer(_server("a"))
+    held.limit = _warm_limit()
+    attempts = tuple(Attempt(number, "a", 0) for number in range(4))
+    batch = AttemptBatch(
+        "q", AttemptKind.SEARCH, "c", 1, 9.0, "", attempts, b"{}"
+    )
+    items = [
+        QueuedAttempt(batch, a, print, str(a.attempt_id)) for a in attempts
+    ]
+    for item in items:
+        held.enqueue(item)
+    # No reply yet.
+    assert held.take_next(0.5) == items[0]
+    held.begin(items[0], 0.5)
+    assert held.take_next(0.501) is None
+    held.end(items[0].request_id, has_replied=True)
+    # The last reply is too old: it may have turned cold since.
+    assert held.take_next(1.0) == items[1]
+    held.begin(items[1], 1.0)
+    assert held.take_next(1.001) is None
+    held.end(items[1].request_id, has_replied=True)
+    for item in items[2:]:
+        assert held.take_next(1.011) == item
+        held.begin(item, 1.011)
+
+
+def test_second_request_goes_to_an_idle_replica() -> None:
+    waits = ServerWaits()
+    for server_id, time_ms in (("a", 15.0), ("b", 16.0)):
+        reply = _reply(0, server_id, AttemptOutcome.OK)
+        reply = reply._replace(
+            service_time_ms=time_ms, load=ServerLoad(0, 0, 3)
+        )
+        for _ in range(50):
+            waits.on_reply(reply, 0.0)
+    choice = LeastExpectedWait(random.Random(1), waits)
+    servers = [_server("a"), _server("b")]
+    assert choice.choose(servers, "d1", 0.0).server_id == "a"
+    waits.on_sent("a")
+    assert choice.choose(servers, "d1", 0.0).server_id == "b"
+
+
 @pytest.mark.parametrize(
     ("total_s", "service_s", "lateness_s", "deadline_s", "is_refused"),
     [
@@ -163,6 +211,19 @@
     assert expected_excess_s([guess], 1, 0.25, 0.3) > 0
 
 
+def test_class_gets_its_share_of_a_node_that_another_class_fills() -> None:
+    admission = Admission(AdmissionSettings(max_query_count=10))
+    for _ in range(10):
+        assert admission.try_admit("a", 1.0) is None
+    assert admission.try_admit("a", 1.0) is not None
+    for _ in range(5):
+        assert admission.try_admit("b", 1.0) is None
+    assert admission.try_admit("b", 1.0) is not None
+    # What the first class has beyond its share is not given out again.
+    admission.release("a", 0.1)
+    assert admission.try_admit("a", 1.0) is not None
+
+
 def test_known_queue_is_worked_off_while_nothing_is_sent() -> None:
     waits = ServerWaits()
     reply = _reply(0, "a", AttemptOutcome.OK)
@@ -195,7 +256,11 @@
             may_use=may_use,
             next_attempt_id=lambda: next(sequence),
             policies=ClassPolicies(
-                replicas, FixedHedging(0.02), self.budget, self.waits
+                replicas,
+                FixedHedging(0.02),
+                self.budget,
+                self.waits,
+                OverloadEpisode(),
             ),
         )
         request = QueryRequest("r", "c", "d1", 1.0, 0.0, b"{}")
@@ -245,6 +310,32 @@
     assert len(query.run.on_wakeup(0.037).attempts) == 1
 
 
+def test_hedge_waits_until_a_server_has_no_queue() -> None:
+    query = _Query(lambda server: True)
+    first, second = query.run.start(0.0).attempts
+    query.reply(second, AttemptOutcome.OK, 0.01)
+    other_id = "s0b" if first.server_id == "s0a" else "s0a"
+    busy = _reply(0, other_id, AttemptOutcome.OK)
+    query.waits.on_reply(busy._replace(load=ServerLoad(3, 2, 3)), 0.02)
+    token_count = _token_count(query.budget)
+    assert query.run.on_wakeup(0.02).attempts == ()
+    assert _token_count(query.budget) == token_count
+    assert query.run.wakeup_s == pytest.approx(0.025)
+    query.waits.on_reply(busy._replace(load=ServerLoad(2, 0, 3)), 0.024)
+    (hedge,) = query.run.on_wakeup(0.025).attempts
+    assert hedge.server_id == other_id
+
+
+def _token_count(budget: ExtraLoadBudget) -> int:
+    """Returns how many whole tokens are left; they are put back."""
+    count = 0
+    while budget.try_spend():
+        count += 1
+    for _ in range(count):
+        budget.refund()
+    return count
+
+
 def test_first_request_that_reached_no_server_is_repeated_free() -> None:
     query = _Query(lambda server: True)
     first, _ = query.run.start(0.0).attempts
@@ -281,3 +372,24 @@
     assert step.result.error.kind is FailureKind.OVERLOADED
     assert step.result.error.run_state is RunState.NOT_RUN
     assert step.result.error.retry_after_s > 0
+
+
+def test_long_overload_tells_callers_to_stay_away_longer() -> None:
+    overload = OverloadEpisode()
+    assert overload.on_refused(0.0, 0.05) == 0.05
+    for number in range(1, 400):
+        told_s = overload.on_refused(number / 100, 0.05)
+        overload.on_admitted()
+    # Half of the queries are refused: twice the time that it has lasted.
+    assert told_s == pytest.approx(8.0, rel=0.1)
+    # Not so if nearly all are served, nor once the overload has ended.
+    for _ in range(200):
+        overload.on_admitted()
+    assert overload.on_refused(4.1, 0.05) < 0.5
+    assert overload.on_refused(9.0, 0.05) == 0.05
+
+
+def test_told_time_is_bounded_where_nothing_is_served() -> None:
+    overload = OverloadEpisode()
+    told_s = [overload.on_refused(number, 0.05) for number in range(2000)]
+    assert max(told_s) == 30.0
--- a/packages/testing/mulberrybay_testing/experiment.py
+++ b/packages/testing/mulberrybay_testing/experiment.py
@@ -11,16 +11,15 @@
 import math
 import shutil
 import statistics
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Any, Final, NamedTuple
-
-from hdrh.histogram import HdrHistogram
+from typing import Any, Final
 
 from mulberrybay_testing.deployment import Deployment
 from mulberrybay_testing.load_generator import LoadGenerator, Sample
 from mulberrybay_testing.plot import plot_scenario
+from mulberrybay_testing.run_figures import Run, RunResult, summarize
 from mulberrybay_testing.scenario import (
     Scenario,
     load_scenario,
@@ -28,71 +27,26 @@
 )
 
 ARMS: Final = ("adaptive", "least_outstanding", "random", "round_robin")
-WINDOW_S: Final = 1.0
 OUT_GRACE_S: Final = 3.0
-MAX_LATENCY_US: Final = 60_000_000
-
-
-class RunResult(NamedTuple):
-    """The figures of one run of one arm.
-
-    Attributes:
-        scenario: The scenario.
-        arm: The policy arm.
-        seed: The seed of the load.
-        query_count: Queries sent after the settling time.
-        ok_percent: The share that got an answer.
-        refused_percent: The share refused with a time to come back.
-        failed_percent: The rest.
-        p50_ms: Median latency of answers.
-        p99_ms: 99th percentile of the latency of answers.
-        p999_ms: 99.9th percentile of the latency of answers.
-        refusal_p99_ms: 99th percentile of the latency of refusals.
-        late_percent: Queries without an answer within the lateness target.
-        coverage_percent: Mean over the answers.
-        worst_coverage_percent: Mean over the answers of the worst window.
-        extra_load_percent: Requests at backend servers beyond one a shard.
-        overfed_count: Violations that cold backend servers logged.
-        work_when_out_count: Requests to a failure domain that is out, from
-            3 s after the change was accepted on.
-        bad_since_s: Last window in which 1 % or more was late or unanswered;
-            -1 if none.
-    """
-
-    scenario: str
-    arm: str
-    seed: int
-    query_count: int
-    ok_percent: float
-    refused_percent: float
-    failed_percent: float
-    p50_ms: float
-    p99_ms: float
-    p999_ms: float
-    refusal_p99_ms: float
-    late_percent: float
-    coverage_percent: float
-    worst_coverage_percent: float
-    extra_load_percent: float
-    overfed_count: int
-    work_when_out_count: int
-    bad_since_s: float
 
 
 async def _drive(
     scenario: Scenario, deployment: Deployment, seed: int
 ) -> list[Sample]:
     ports = [node.caller_port for node in deployment.nodes]
-    generator = LoadGenerator(scenario.load, ports, seed)
-    samples, _ = await asyncio.gather(
-        generator.run(), perform_actions(scenario, deployment)
+    generators = [
+        LoadGenerator(item.load, ports, seed) for item in scenario.classes
+    ]
+    runs, _ = await asyncio.gather(
+        asyncio.gather(*(generator.run() for generator in generators)),
+        perform_actions(scenario, deployment),
     )
-    return samples
+    return [sample for samples in runs for sample in samples]
 
 
 def run_once(
     scenario: Scenario, arm: str, seed: int, folder: Path
-) -> tuple[RunResult, list[Sample]]:
+) -> tuple[list[RunResult], list[Sample]]:
     """Starts a deployment, sends the load and returns the figures."""
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
@@ -100,8 +54,20 @@
         samples = asyncio.run(_drive(scenario, deployment, seed))
         events = deployment.backend_events()
         out_count = work_when_out_count(scenario, deployment, events)
-    result = summarize(scenario, arm, seed, samples, events)
-    return result._replace(work_when_out_count=out_count), samples
+        classes = {
+            vm["vm_id"]: vm["service"].partition("/")[0]
+            for vm in deployment.backends
+        }
+    results = []
+    for item in scenario.classes:
+        name = item.load.class_name
+        result = summarize(
+            Run(scenario, item, arm, seed),
+            [sample for sample in samples if sample.class_name == name],
+            [event for event in events if classes[event["vm_id"]] == name],
+        )
+        results.append(result._replace(work_when_out_count=out_count))
+    return results, samples
 
 
 def work_when_out_count(
@@ -130,107 +96,23 @@
     return count
 
 
-def summarize(
-    scenario: Scenario,
-    arm: str,
-    seed: int,
-    samples: Sequence[Sample],
-    events: Sequence[Any],
-) -> RunResult:
-    """Returns the figures of one run."""
-    counted = [item for item in samples if item.at_s >= scenario.settle_s]
-    answers = [item for item in counted if item.status == 200]
-    refusals = [item for item in counted if item.status == 503]
-    count = max(1, len(counted))
-    late_count = sum(_is_bad(scenario, item) for item in counted)
-    latency = _histogram(answers)
-    return RunResult(
-        scenario=scenario.name,
-        arm=arm,
-        seed=seed,
-        query_count=len(counted),
-        ok_percent=100 * len(answers) / count,
-        refused_percent=100 * len(refusals) / count,
-        failed_percent=100 * (count - len(answers) - len(refusals)) / count,
-        p50_ms=latency.get_value_at_percentile(50) / 1000,
-        p99_ms=latency.get_value_at_percentile(99) / 1000,
-        p999_ms=latency.get_value_at_percentile(99.9) / 1000,
-        refusal_p99_ms=_histogram(refusals).get_value_at_percentile(99) / 1000,
-        late_percent=100 * late_count / count,
-        coverage_percent=_mean_coverage(answers),
-        worst_coverage_percent=min(
-            (_mean_coverage(part) for part in _windows(answers).values()),
-            default=0.0,
-        ),
-        extra_load_percent=extra_load_percent(events),
-        overfed_count=sum(event["event"] == "overfed" for event in events),
-        work_when_out_count=0,
-        bad_since_s=_last_bad_window_s(scenario, counted),
-    )
-
-
-def extra_load_percent(events: Sequence[Any]) -> float:
-    """Returns what backend servers got beyond one request per shard."""
-    counts: Counter[tuple[str, str]] = Counter()
-    for event in events:
-        if event["event"] == "request":
-            query_id = event["request_id"].rpartition("-")[0]
-            counts[query_id, event["shard"]] += 1
-    extra_count = counts.total() - len(counts)
-    return 100 * extra_count / max(1, len(counts))
-
-
-def _is_bad(scenario: Scenario, sample: Sample) -> bool:
-    in_time = sample.latency_ms <= scenario.targets.lateness_ms
-    return sample.status != 200 or not in_time
-
-
-def _histogram(samples: Sequence[Sample]) -> HdrHistogram:
-    histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
-    for sample in samples:
-        histogram.record_value(max(1, int(sample.latency_ms * 1000)))
-    return histogram
-
-
-def _mean_coverage(samples: Sequence[Sample]) -> float:
-    if not samples:
-        return 0.0
-    return statistics.fmean(item.coverage_percent for item in samples)
-
-
-def _windows(samples: Sequence[Sample]) -> dict[int, list[Sample]]:
-    windows: dict[int, list[Sample]] = defaultdict(list)
-    for sample in samples:
-        windows[int(sample.at_s / WINDOW_S)].append(sample)
-    return windows
-
-
-def _last_bad_window_s(scenario: Scenario, samples: Sequence[Sample]) -> float:
-    last_s = -1.0
-    for number, part in _windows(samples).items():
-        bad_count = sum(_is_bad(scenario, item) for item in part)
-        if bad_count >= math.ceil(len(part) / 100):
-            last_s = max(last_s, number * WINDOW_S)
-    return last_s
-
-
-_COLUMNS: Final = RunResult._fields[4:]
+_COLUMNS: Final = RunResult._fields[5:]
 
 
 def format_table(results: Sequence[RunResult]) -> str:
     """Returns a Markdown table: the median over seeds, and the spread."""
     names = [name.removesuffix("_percent") for name in _COLUMNS]
-    lines = ["| arm | " + " | ".join(names) + " |"]
-    lines.append("|---" * (len(names) + 1) + "|")
-    by_arm: dict[str, list[RunResult]] = defaultdict(list)
+    lines = ["| arm | class | " + " | ".join(names) + " |"]
+    lines.append("|---" * (len(names) + 2) + "|")
+    rows: dict[tuple[str, str], list[RunResult]] = defaultdict(list)
     for result in results:
-        by_arm[result.arm].append(result)
-    for arm, runs in by_arm.items():
+        rows[result.arm, result.class_name].append(result)
+    for row, runs in rows.items():
         cells = [
             _format_cell([getattr(run, name) for run in runs])
             for name in _COLUMNS
         ]
-        lines.append(f"| {arm} | " + " | ".join(cells) + " |")
+        lines.append("| " + " | ".join([*row, *cells]) + " |")
     return "\n".join(lines)
 
 
@@ -265,10 +147,11 @@
         for seed in arguments.seeds.split(","):
             for arm in arguments.arms.split(","):
                 folder = arguments.out / f"{scenario.name}-{arm}-{seed}"
-                result, samples = run_once(scenario, arm, int(seed), folder)
-                results.append(result)
+                found, samples = run_once(scenario, arm, int(seed), folder)
+                results += found
                 curves.setdefault(arm, samples)
-                lines.write(json.dumps(result._asdict()) + "\n")
+                for result in found:
+                    lines.write(json.dumps(result._asdict()) + "\n")
                 lines.flush()
     plot_scenario(scenario, curves, arguments.out / f"{scenario.name}.png")
     print(f"\n{scenario.name}, seeds {arguments.seeds}\n")
