Give the graceful stop and broken links modules of their own

Ruled out: splitting the grants off, whose state the leases share. Change: graceful_stop.py and broken_links.py; no change of behaviour. The test of the node reaches the stop by its new name. The tests of the daemon, the core, the state machine and the graceful stop pass on three workers.

--- a/packages/core/mulberrybay_core/membership.py
+++ b/packages/core/mulberrybay_core/membership.py
@@ -15,14 +15,12 @@
 A grant needs as well that the asking node names every member that the granting
 node has granted a lease: two nodes with different lists, which could not ask
 each other for backend servers, never both act.
-
-Of two nodes that both live but cannot reach each other, one steps down, since
-neither could get the other's answer to a claim.
 """
 
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from mulberrybay_core.broken_links import must_step_down
 from mulberrybay_core.fleet import EntryVm
 from mulberrybay_core.member_messages import (
     Heartbeat,
@@ -267,7 +265,9 @@
         self._epoch_clock = max(self._epoch_clock, epoch_now)
         for peer in self._peers.values():
             self._lapse_if_due(peer, now_s)
-        self._find_broken_links(now_s)
+        self.steps_down = must_step_down(
+            self.info.node_id, self._peers, self._settings.lease_s, now_s
+        )
         has_lease = self.has_lease(now_s)
         lost_lease = self._held_lease and not has_lease
         self._held_lease = has_lease
@@ -295,42 +295,6 @@
             peer.denies_first_epoch = True
         peer.lapsed_epoch = max(peer.lapsed_epoch, peer.epoch)
 
-    def _find_broken_links(self, now_s: float) -> None:
-        """Decides whether this node steps down for a peer it can't reach."""
-        lease_s = self._settings.lease_s
-        self.steps_down = False
-        for peer_id, peer in self._peers.items():
-            if (
-                peer.has_departed
-                or self._reaches(peer, now_s)
-                or not self._lives(peer_id, now_s)
-            ):
-                peer.broken_since_s = None
-                continue
-            if peer.broken_since_s is None:
-                peer.broken_since_s = now_s
-            # The node with the larger identity goes first. It may not have
-            # noticed, if the link is cut in one direction; then the other.
-            patience_s = 0 if self.info.node_id > peer_id else 2 * lease_s
-            if (
-                now_s - peer.broken_since_s >= patience_s
-                and not peer.info.is_leaving
-            ):
-                self.steps_down = True
-
-    def _reaches(self, peer: MemberPeer, now_s: float) -> bool:
-        since_s = now_s - self._settings.lease_s
-        heard_at_s = peer.heard_at_s or peer.learned_at_s
-        return min(heard_at_s, peer.acked_at_s) >= since_s
-
-    def _lives(self, peer_id: str, now_s: float) -> bool:
-        """Returns whether another peer has lately granted it a lease."""
-        since_s = now_s - self._settings.lease_s
-        return any(
-            peer_id in other.reported_granted and other.was_heard_since(since_s)
-            for other in self._peers.values()
-        )
-
     def lease_until_s(self) -> float:
         """Returns until when this node may act; the past if it may not."""
         if not self.has_member_list or self._lost_lease:
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/graceful_stop.py
@@ -0,0 +1,94 @@
+"""The planned stop of a node: it leaves the address answers, then ends.
+
+It goes on serving for as long as callers may keep its address, and ends once
+nothing is in progress.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from mulberrybay_callers.application import CallerApplication
+from mulberrybay_daemon.node_parts import NodeParts
+from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.logs import StateLog
+
+STOP_POLL_S: Final = 0.05
+GOODBYE_S: Final = 0.1
+STOP_GRACE_S: Final = ADDRESS_TIME_TO_LIVE_S + 1.0
+STOP_LIMIT_S: Final = 30.0
+# How long a stop waits for a platform that does not take the outcomes of runs.
+SAVE_LIMIT_S: Final = STOP_GRACE_S + 5.0
+
+
+class GracefulStop:
+    """Sees one stop through, from the first signal to the end."""
+
+    def __init__(
+        self,
+        parts: NodeParts,
+        application: CallerApplication,
+        log: StateLog,
+        end: Callable[[], None],
+    ) -> None:
+        """Waits for the signal.
+
+        Args:
+            parts: The node's components.
+            application: What answers callers.
+            log: Where the begin and the end are logged.
+            end: Ends the process.
+        """
+        self._parts = parts
+        self._application = application
+        self._log = log
+        self._end = end
+        self._began_at_s: float | None = None
+        # The requests whose answers have not been handed to a socket.
+        self.count_pending: Callable[[], int] = int
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the node is stopping."""
+        return self._began_at_s is not None
+
+    def begin(self) -> None:
+        """Leaves the address answers; a repeated signal changes nothing."""
+        if self.has_begun:
+            return
+        self._log.info("stopping", step="stop", peer="")
+        self._began_at_s = read_clock_s()
+        membership = self._parts.membership
+        membership.info = membership.info._replace(
+            is_leaving=True, is_serving=False
+        )
+        self._parts.members.announce()
+        self._application.leave()
+        self._parts.timers.call_later(STOP_GRACE_S, self._finish)
+
+    def _is_idle(self) -> bool:
+        return (
+            self._parts.active_count() == 0
+            and self._parts.holder.outstanding_count == 0
+            and self.count_pending() == 0
+        )
+
+    def _finish(self) -> None:
+        """Ends once nothing is in progress; looks again until then."""
+        parts = self._parts
+        parts.service.is_closed = True
+        age_s = read_clock_s() - (self._began_at_s or 0.0)
+        is_idle = self._is_idle()
+        is_saved = parts.runs.unsaved_count == 0 or age_s > SAVE_LIMIT_S
+        if (is_idle and is_saved) or age_s > STOP_LIMIT_S:
+            parts.members.say_goodbye()
+            self._log.info(
+                "stopped",
+                step="stop",
+                peer="",
+                was_idle=is_idle,
+                unsaved_count=parts.runs.unsaved_count,
+            )
+            parts.timers.call_later(GOODBYE_S, self._end)
+            return
+        parts.timers.call_later(STOP_POLL_S, self._finish)
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -36,6 +36,7 @@
 from mulberrybay_daemon.coordinator import Coordinator
 from mulberrybay_daemon.fleet_task import FleetTask
 from mulberrybay_daemon.gate import Gate
+from mulberrybay_daemon.graceful_stop import GracefulStop
 from mulberrybay_daemon.health_task import HealthTask
 from mulberrybay_daemon.holder import ATTEMPT_LIMIT_S, Holder
 from mulberrybay_daemon.leaving import LeavingServers
@@ -44,7 +45,7 @@
 from mulberrybay_daemon.operator_side import OperatorSide
 from mulberrybay_daemon.record_expiry import RecordExpiry
 from mulberrybay_daemon.runs import RunCoordinator
-from mulberrybay_daemon.service import ADDRESS_TIME_TO_LIVE_S, NodeService
+from mulberrybay_daemon.service import NodeService
 from mulberrybay_daemon.settings import NodeSettings
 from mulberrybay_nodes.links import Link, NodeLinks
 from mulberrybay_nodes.peer_messages import (
@@ -61,12 +62,6 @@
 from mulberrybay_runtime.timers import Timers
 
 STATUS_PERIOD_S: Final = 0.2
-STOP_POLL_S: Final = 0.05
-GOODBYE_S: Final = 0.1
-STOP_GRACE_S: Final = ADDRESS_TIME_TO_LIVE_S + 1.0
-STOP_LIMIT_S: Final = 30.0
-# How long a stop waits for a platform that does not take the outcomes of runs.
-SAVE_LIMIT_S: Final = STOP_GRACE_S + 5.0
 
 
 class Node(BaseComponent):
@@ -96,8 +91,11 @@
         self._build_membership()
         self._build_requests()
         self._caller_application = CallerApplication(self._service)
-        self._operators = OperatorSide(settings, self._parts(), self._log)
-        self._stop_began_at_s: float | None = None
+        parts = self._parts()
+        self._operators = OperatorSide(settings, parts, self._log)
+        self._stop = GracefulStop(
+            parts, self._caller_application, self._log, self.stop
+        )
 
     def _build_holding(self) -> None:
         """Builds what holds backend servers and dispatches to them."""
@@ -229,9 +227,10 @@
         self._exits.enter_context(self._store)
         self._exits.enter_context(self._backends)
         self._exits.enter_context(self._health_connections)
-        self._caller_server = HttpServer(
+        caller_server = HttpServer(
             settings.caller_address, self._caller_application, "callers"
         ).register(self)
+        self._stop.count_pending = lambda: caller_server.pending_count
         HttpServer(
             settings.operator_address, self._operators.application, "operators"
         ).register(self)
@@ -300,7 +299,7 @@
         )
 
     def _update_serving(self) -> None:
-        is_serving = self._can_act() and self._stop_began_at_s is None
+        is_serving = self._can_act() and not self._stop.has_begun
         live = self._membership.live_nodes(read_clock_s())
         self._runs.set_node_count(len(live))
         info = self._membership.info
@@ -310,9 +309,6 @@
             self._membership.info = info._replace(is_serving=is_serving)
             self._members.announce()
 
-    def _active_count(self) -> int:
-        return self._coordinator.active_count + self._runs.active_count
-
     def _warm_latency_s(self, class_name: str, server_id: str) -> float | None:
         return self._coordinator.warm_latency_s(class_name, server_id)
 
@@ -362,39 +358,4 @@
     def _on_signal(self, event: Any, signal_number: int, _: Any) -> None:  # noqa: ANN401
         del signal_number
         event.stop()
-        if self._stop_began_at_s is None:
-            self._begin_stop()
-
-    def _begin_stop(self) -> None:
-        """Leaves the address answers, but keeps serving for their life."""
-        self._log.info("stopping", step="stop", peer="")
-        self._stop_began_at_s = read_clock_s()
-        self._membership.info = self._membership.info._replace(
-            is_leaving=True, is_serving=False
-        )
-        self._members.announce()
-        self._caller_application.leave()
-        self._timers.call_later(STOP_GRACE_S, self._finish_stop)
-
-    def _finish_stop(self) -> None:
-        """Exits once nothing is in progress."""
-        self._service.is_closed = True
-        age_s = read_clock_s() - (self._stop_began_at_s or 0.0)
-        is_idle = (
-            self._active_count() == 0
-            and self._holder.outstanding_count == 0
-            and self._caller_server.pending_count == 0
-        )
-        is_saved = self._runs.unsaved_count == 0 or age_s > SAVE_LIMIT_S
-        if (is_idle and is_saved) or age_s > STOP_LIMIT_S:
-            self._members.say_goodbye()
-            self._log.info(
-                "stopped",
-                step="stop",
-                peer="",
-                was_idle=is_idle,
-                unsaved_count=self._runs.unsaved_count,
-            )
-            self._timers.call_later(GOODBYE_S, self.stop)
-            return
-        self._timers.call_later(STOP_POLL_S, self._finish_stop)
+        self._stop.begin()
--- a/packages/daemon/tests/test_node.py
+++ b/packages/daemon/tests/test_node.py
@@ -55,7 +55,7 @@
 def test_peers_hear_at_once_that_a_node_stops(
     node: Node, links: FakeLinks
 ) -> None:
-    node._begin_stop()
+    node._stop.begin()
     [heartbeat] = links.heartbeats
     assert heartbeat.sender.is_leaving
     assert not heartbeat.sender.is_serving
@@ -74,7 +74,7 @@
 def test_node_that_has_said_goodbye_sends_no_more_heartbeats(
     node: Node, links: FakeLinks
 ) -> None:
-    node._begin_stop()
+    node._stop.begin()
     links.heartbeats.clear()
     node._members.say_goodbye()
     node._members.announce()
