--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -253,7 +253,7 @@
             revision=1,
             fleet=Fleet((), servers),
             catalog=catalog,
-            may_use=may_use,
+            may_use=lambda server, _: may_use(server),
             next_attempt_id=lambda: next(sequence),
             policies=ClassPolicies(
                 replicas,
--- a/packages/daemon/tests/test_runs.py
+++ b/packages/daemon/tests/test_runs.py
@@ -51,8 +51,8 @@
 class OpenGate:
     """Lets every server get work."""
 
-    def may_use(self, server: BackendServer) -> bool:
-        del server
+    def may_use(self, server: BackendServer, now_s: float) -> bool:
+        del server, now_s
         return True
 
 
