--- a/tests/test_bookings_domain_out.py
+++ b/tests/test_bookings_domain_out.py
@@ -24,6 +24,7 @@
 CALLER_COUNT = 8
 # A booking takes 0.2 s, so that some are queued and some are at work.
 SLOW_FACTOR = 60.0
+BEGUN_S = 0.05
 
 
 @pytest.fixture
@@ -88,6 +89,9 @@
     deployment.control_backends({"all": True}, slow_factor=SLOW_FACTOR)
     bookers = Bookers(deployment)
     bookers.wait_ran(20)
+    wait_until(
+        lambda: _has_just_begun(deployment, out_server), WAIT_S, "a booking"
+    )
     out_at_s = time.time()
     deployment.put_configuration(out_domains=frozenset({OUT_DOMAIN}))
     time.sleep(GRACE_S + WATCH_S)
@@ -134,6 +138,11 @@
     return [event["request_id"] for event in found]
 
 
+def _has_just_begun(deployment: Deployment, server_id: str) -> bool:
+    """Returns whether a booking has come that will be at work for a while."""
+    return bool(_requests(deployment, server_id, time.time() - BEGUN_S))
+
+
 def _was_at_work(
     deployment: Deployment, server_id: str, out_at_s: float
 ) -> bool:
