--- a/packages/core/mulberrybay_core/query_context.py
+++ b/packages/core/mulberrybay_core/query_context.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.extra_load import ExtraLoadBudget
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.hedging import HedgePolicy
+from mulberrybay_core.overload_episode import OverloadEpisode
 from mulberrybay_core.queries import QueryAnswer
 from mulberrybay_core.replica_choice import ReplicaPolicy
 from mulberrybay_core.server_waits import ServerWaits
@@ -24,6 +25,7 @@
     hedging: HedgePolicy
     budget: ExtraLoadBudget
     waits: ServerWaits
+    overload: OverloadEpisode
 
 
 class QueryContext(NamedTuple):
@@ -34,7 +36,7 @@
         revision: The configuration revision in force.
         fleet: The VMs.
         catalog: The index snapshots.
-        may_use: Whether a backend server may get new work.
+        may_use: Whether a backend server may get new work at a time.
         next_attempt_id: Returns identities unique in this process.
         policies: What the class's queries share.
     """
@@ -43,7 +45,7 @@
     revision: int
     fleet: Fleet
     catalog: SnapshotCatalog
-    may_use: Callable[[BackendServer], bool]
+    may_use: Callable[[BackendServer, float], bool]
     next_attempt_id: Callable[[], int]
     policies: ClassPolicies
 
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -234,20 +234,21 @@
         self._carrier.send(batch, lambda reply: self._on_reply(run, reply))
 
     def _choose_server(self, run: _Run) -> BackendServer | None:
-        candidates = self._untried_servers(run)
+        now_s = read_clock_s()
+        candidates = self._untried_servers(run, now_s)
         if not candidates:
             return None
         return self._replicas.choose(
-            candidates, run.request.failure_domain, read_clock_s()
+            candidates, run.request.failure_domain, now_s
         )
 
-    def _untried_servers(self, run: _Run) -> list[BackendServer]:
+    def _untried_servers(self, run: _Run, now_s: float) -> list[BackendServer]:
         if len(run.tried_ids) >= MAX_DISPATCH_COUNT:
             return []
         return [
             server
             for server in self._fleet.replicas(run.request.class_name)
-            if self._gate.may_use(server)
+            if self._gate.may_use(server, now_s)
             and server.server_id not in run.tried_ids
         ]
 
@@ -269,9 +270,9 @@
 
         While a node stops or starts, its servers have no holder for a moment.
         """
-        retry_at_s = read_clock_s() + HOLDER_RETRY_S
-        is_in_time = retry_at_s < run.request.deadline_at_s
-        return is_in_time and not self._untried_servers(run)
+        now_s = read_clock_s()
+        is_in_time = now_s + HOLDER_RETRY_S < run.request.deadline_at_s
+        return is_in_time and not self._untried_servers(run, now_s)
 
     def _take_reply(self, run: _Run, reply: AttemptReply) -> None:
         peer = f"backend server {reply.server_id}: {reply.outcome.name.lower()}"
--- a/packages/daemon/tests/test_holder.py
+++ b/packages/daemon/tests/test_holder.py
@@ -24,8 +24,8 @@
 class OpenGate:
     """Lets every server get work."""
 
-    def may_use(self, server: BackendServer) -> bool:
-        del server
+    def may_use(self, server: BackendServer, now_s: float) -> bool:
+        del server, now_s
         return True
 
 
