Wait for a restarted node's share before freezing it

Cause: test_two_nodes_frozen_and_thawed once found no server without a holder and failed on its own precondition: wait_serving is content while the other nodes hold all, so the node restarted by the test before had claimed nothing yet when it was frozen. Inferred; the failure was seen once in five runs. Ruled out: the check of overfed servers, which was not reached. Change: the test before waits, within the time of a take-over, until the restarted node holds as many servers as before, and that must be some. After: the file passes.

--- a/tests/test_promise_cold_start.py
+++ b/tests/test_promise_cold_start.py
@@ -77,6 +77,8 @@
 
 def test_holder_killed(deployment: Deployment) -> None:
     """Its servers are cold when others take them over."""
+    held_count = deployment.status(deployment.nodes[3])["held_count"]
+    assert held_count > 0
     with CallerLoad(deployment, node_indexes=(0, 1, 2), caller_count=8) as load:
         load.wait_answers(20)
         deployment.nodes[3].process.kill()
@@ -87,6 +89,14 @@
     assert _overfed(deployment, vm_ids) == []
     assert answer_problems(load.records, {1: 4}) == []
     deployment.restart_node(3)
+    # The others hold all until the node has claimed its share again.
+    wait_until(
+        lambda: (
+            deployment.status(deployment.nodes[3])["held_count"] == held_count
+        ),
+        TAKE_OVER_S,
+        "the share of the restarted node",
+    )
     deployment.wait_serving()
 
 
