Let the faults of links end before the next test begins

Cause: after a test that made links silent, heal came back as soon as all nodes served. The connections that had gone silent stayed so for the silence limit, a node's lease lapsed meanwhile, and the next test was refused with "no_lease" a second later. Change: where a test used the proxies, heal also waits until all nodes have kept their leases for as long as one lasts. The test says what each answer was.

--- a/packages/testing/mulberrybay_testing/proxied_deployment.py
+++ b/packages/testing/mulberrybay_testing/proxied_deployment.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any, Final
 
+from mulberrybay_core.membership import MembershipSettings
 from mulberrybay_testing.class_spec import ClassSpec
 from mulberrybay_testing.control_client import post_control
 from mulberrybay_testing.deployment import (
@@ -20,6 +21,8 @@
 
 PLATFORM: Final = "platform"
 STOP_TIMEOUT_S: Final = 40.0
+# A lease, and the time after which a node's status shows that it is lost.
+STEADY_S: Final = MembershipSettings().lease_s + 0.5
 
 
 class ProxiedDeployment(Deployment):
@@ -46,6 +49,7 @@
 
     def _start(self) -> None:
         self._proxies = []
+        self._had_link_faults = False
         self._proxy_control_port = free_port()
         port = self._add_proxy(PLATFORM, self.platform_port)
         self._settings["platform_address"] = f"127.0.0.1:{port}"
@@ -85,11 +89,13 @@
 
     def control_proxies(self, *names: str, **settings: Any) -> None:  # noqa: ANN401
         """Changes the faults of the named proxies."""
+        self._had_link_faults = True
         document = {"names": list(names), "set": settings}
         post_control(self._proxy_control_port, document)
 
     def heal(self) -> None:
         """Ends all faults, thaws all nodes and restarts those that ended."""
+        had_link_faults = self._had_link_faults
         names = [item["name"] for item in self._proxies]
         faultless = {"cut": False, "silent": False, "silent_all": False}
         self.control_proxies(*names, delay_ms=0, one_way=None, **faultless)
@@ -111,9 +117,27 @@
                 self._restart_count += 1
                 self.restart_node(index, f"again-{self._restart_count}")
         self.wait_serving()
+        if had_link_faults:
+            self._wait_steady()
+            self._had_link_faults = False
         for node in self.nodes:
             self._wait_runs(node)
 
+    def _wait_steady(self) -> None:
+        """Waits until no lease lapses any more for faults that have ended.
+
+        Connections that went silent stay so until the nodes find them, and
+        the leases that they carried lapse meanwhile, maybe.
+        """
+        ends_at_s = time.monotonic() + READY_TIMEOUT_S
+        since_s = time.monotonic()
+        while time.monotonic() < since_s + STEADY_S:
+            if not all(self.is_settled(node) for node in self.nodes):
+                since_s = time.monotonic()
+            if since_s > ends_at_s:
+                raise TimeoutError("the nodes do not keep their leases")
+            time.sleep(POLL_PERIOD_S)
+
     def _wait_runs(self, node: NodeProcess) -> None:
         """Waits until a node reaches the platform and takes runs."""
         ends_at_s = time.monotonic() + READY_TIMEOUT_S
--- a/tests/test_promise_at_most_once.py
+++ b/tests/test_promise_at_most_once.py
@@ -157,7 +157,8 @@
     key = make_key()
     first = bookings.start(0, key, deadline_ms=300).result()
     second = bookings.start(1, key, deadline_ms=300).result()
-    assert (first.outcome, second.outcome) == ("unknown", "unknown")
+    assert first.outcome == "unknown", first
+    assert second.outcome == "unknown", second
     wait_until(lambda: bookings.effect_count(key) == 1, WAIT_S, "an effect")
     assert bookings.run(2, key).outcome in {"ran", "unknown"}
 
