--- /dev/null
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -0,0 +1,38 @@
+"""The answers of a node's own to callers whose requests it does not serve."""
+
+from typing import Final
+
+from mulberrybay_core.caller_messages import CallerAnswer
+
+BAD_REQUEST: Final = CallerAnswer(400, body=b"the request is not valid HTTP\n")
+NO_ROUTE: Final = CallerAnswer(404, body=b"no route has this host and path\n")
+REQUEST_TIMEOUT: Final = CallerAnswer(
+    408, body=b"the request did not arrive in time\n"
+)
+BODY_TOO_LARGE: Final = CallerAnswer(413, body=b"the body is too large\n")
+HEADERS_TOO_LARGE: Final = CallerAnswer(
+    431, body=b"the headers are too large\n"
+)
+REPLY_LOST: Final = CallerAnswer(
+    502, body=b"the backend server gave no whole reply; it may have run\n"
+)
+TOO_FEW_SHARDS: Final = CallerAnswer(
+    502, body=b"too few shards replied for an answer\n"
+)
+OUT_OF_TIME: Final = CallerAnswer(
+    504, body=b"no reply within the time of the request; it may have run\n"
+)
+
+
+def not_run(detail: str, retry_after_s: float) -> CallerAnswer:
+    """Returns the refusal of a request that has not run and will not run.
+
+    Args:
+        detail: Why, for people.
+        retry_after_s: When it is worth coming back.
+    """
+    return CallerAnswer(
+        503,
+        (("Retry-After", f"{retry_after_s:.3f}"),),
+        f"not run: {detail}\n".encode(),
+    )
--- a/packages/core/mulberrybay_core/errors.py
+++ b/packages/core/mulberrybay_core/errors.py
@@ -36,6 +36,7 @@
     DEADLINE = "deadline"
     COVERAGE = "coverage"
     PLATFORM = "platform"
+    HISTORY_GONE = "history_gone"
     CONNECTION = "connection"
     CALLER_GONE = "caller_gone"
     PROTOCOL = "protocol"
--- a/packages/core/mulberrybay_core/hedging.py
+++ b/packages/core/mulberrybay_core/hedging.py
@@ -50,6 +50,12 @@
         index = min(int(share * len(self._sorted)), len(self._sorted) - 1)
         return max(MIN_DELAY_S, self._sorted[index])
 
+    def median_s(self) -> float | None:
+        """Returns the median latency; None with too few samples."""
+        if len(self._sorted) < MIN_SAMPLE_COUNT:
+            return None
+        return self._sorted[len(self._sorted) // 2]
+
     def rank(self, latency_s: float) -> float:
         """Returns the share of recent latencies below one."""
         if not self._sorted:
--- a/packages/core/mulberrybay_core/platform_messages.py
+++ b/packages/core/mulberrybay_core/platform_messages.py
@@ -31,10 +31,19 @@
 
 
 class ObjectList(NamedTuple):
-    """Objects of one kind and the store's version when they were read."""
+    """Objects of one kind and the store's version when they were read.
+
+    Attributes:
+        items: The objects, or those that a watch saw written.
+        store_version: Where to watch from.
+        removed_names: The objects that a watch saw removed.
+        next_name: The name after which a list goes on; empty at its end.
+    """
 
     items: tuple[StoredObject, ...]
     store_version: int
+    removed_names: tuple[str, ...] = ()
+    next_name: str = ""
 
 
 class WriteOutcome(enum.Enum):
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/__init__.py
@@ -0,0 +1,1 @@
+"""A node that serves callers and sends to backend servers directly."""
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -0,0 +1,365 @@
+"""HTTP/1.1 towards callers: reads requests, writes answers in order."""
+
+from collections import deque
+from http import HTTPStatus
+from typing import Final, Self
+
+import httptools
+
+from mulberrybay_core import caller_errors
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.caller_messages import (
+    HOP_BY_HOP_HEADERS,
+    CallerAnswer,
+    CallerRequest,
+    CallerService,
+    CancelRequest,
+    HeaderNames,
+)
+from mulberrybay_core.routing import CallerLimits
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.logs import StateLog
+from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_runtime.timers import Timers
+
+SWEEP_PERIOD_S: Final = 0.25
+# How long a connection is read after an error answer, so that the caller can
+# read that answer before the connection is reset.
+LINGER_S: Final = 1.0
+# A caller may send so many requests before it reads the first answer.
+MAX_WAITING_COUNT: Final = 32
+CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+REASONS: Final = {status.value: status.phrase for status in HTTPStatus}
+
+
+def encode_answer(answer: CallerAnswer, *, closes: bool) -> bytes:
+    """Returns the bytes of an answer."""
+    reason = REASONS.get(answer.status, "Unknown")
+    lines = [f"HTTP/1.1 {answer.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    if closes:
+        lines.append("Connection: close")
+    lines.append(f"Content-Length: {len(answer.body)}\r\n\r\n")
+    return "\r\n".join(lines).encode("latin-1") + answer.body
+
+
+class _Connection:
+    """One caller's connection; answers its requests one after the other."""
+
+    def __init__(self, server: "CallerServer", stream: Stream) -> None:
+        self._server = server
+        self._stream = stream
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[tuple[CallerRequest | CallerAnswer, bool]] = (
+            deque()
+        )
+        self._is_busy = False
+        self._cancel: CancelRequest | None = None
+        self._request_count = 0
+        self._is_ending = False
+        self.quiet_since_s = read_clock_s()
+        self.message_since_s: float | None = None
+        self._clear_message()
+
+    def _clear_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._header_bytes = 0
+        self._is_head_read = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return (
+            not self._is_busy
+            and not self._waiting
+            and self.message_since_s is None
+        )
+
+    @property
+    def is_ending(self) -> bool:
+        """Whether the last answer of the connection has been written."""
+        return self._is_ending
+
+    # What the stream tells.
+
+    def on_connected(self, stream: Stream) -> None:
+        """Does nothing; callers dial."""
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Takes bytes of requests."""
+        if self._is_ending:
+            return
+        limits = self._server.limits
+        if not self._is_head_read:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(caller_errors.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._fail(caller_errors.BAD_REQUEST)
+        if self._is_ending or self.message_since_s is None:
+            return
+        if (
+            not self._is_head_read
+            and self._header_bytes > limits.max_header_bytes
+        ):
+            self._fail(caller_errors.HEADERS_TOO_LARGE)
+        elif self._body_bytes > limits.max_body_bytes:
+            self._fail(caller_errors.BODY_TOO_LARGE)
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """The caller has gone; its work ends."""
+        del stream, reason
+        self._server.forget(self)
+        cancel = self._cancel
+        self._cancel = None
+        self._waiting.clear()
+        if cancel is not None:
+            cancel()
+
+    # What the parser tells.
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._clear_message()
+        self.message_since_s = read_clock_s()
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._header_bytes += len(name) + len(value)
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Tells a caller that waits for it to send its body."""
+        self._is_head_read = True
+        for name, value in self._headers:
+            if name.lower() == "expect" and value.lower() == "100-continue":
+                self._stream.send(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes <= self._server.limits.max_body_bytes:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queues the whole request."""
+        self.message_since_s = None
+        keeps_alive = self._parser.should_keep_alive()
+        if self._body_bytes > self._server.limits.max_body_bytes:
+            self._waiting.append((caller_errors.BODY_TOO_LARGE, False))
+        elif self._header_bytes > 2 * self._server.limits.max_header_bytes:
+            self._waiting.append((caller_errors.HEADERS_TOO_LARGE, False))
+        else:
+            self._waiting.append((self._read_request(), keeps_alive))
+        if len(self._waiting) > MAX_WAITING_COUNT:
+            self._fail(caller_errors.BAD_REQUEST)
+            return
+        self._start_next()
+
+    def _read_request(self) -> CallerRequest | CallerAnswer:
+        names = self._server.names
+        own_names = self._server.own_header_names
+        dropped: set[str] = set()
+        for name, value in self._headers:
+            if name.lower() == "connection":
+                dropped.update(
+                    token.strip().lower() for token in value.split(",")
+                )
+        host = request_id = ""
+        deadline_s: float | None = None
+        host_count = 0
+        headers = []
+        for name, value in self._headers:
+            lower = name.lower()
+            if lower == "host":
+                host = value.strip()
+                host_count += 1
+            elif lower == names.request_id.lower():
+                request_id = value
+            elif lower == names.deadline_ms.lower():
+                deadline_s = _read_deadline_s(value)
+            elif (
+                lower not in HOP_BY_HOP_HEADERS
+                and lower not in own_names
+                and lower not in dropped
+            ):
+                headers.append((name, value))
+        target = self._target.decode("latin-1")
+        if host_count != 1 or not target.startswith("/"):
+            return caller_errors.BAD_REQUEST
+        return CallerRequest(
+            method=self._parser.get_method().decode("latin-1"),
+            target=target,
+            path=target.partition("?")[0],
+            host=host.rpartition(":")[0].lower()
+            if ":" in host
+            else host.lower(),
+            headers=(("Host", host), *headers),
+            body=b"".join(self._body),
+            request_id=request_id,
+            received_at_s=read_clock_s(),
+            deadline_s=deadline_s,
+        )
+
+    # Answers.
+
+    def _start_next(self) -> None:
+        while self._waiting and not self._is_busy and not self._is_ending:
+            request, keeps_alive = self._waiting.popleft()
+            if isinstance(request, CallerAnswer):
+                self._answer(request, keeps_alive=False)
+                return
+            self._is_busy = True
+            self._request_count += 1
+            number = self._request_count
+
+            def reply(
+                answer: CallerAnswer,
+                number: int = number,
+                *,
+                keeps_alive: bool = keeps_alive,
+            ) -> None:
+                if number == self._request_count and self._is_busy:
+                    self._finish(answer, keeps_alive=keeps_alive)
+
+            cancel = self._server.service.submit(request, reply)
+            if self._is_busy and number == self._request_count:
+                self._cancel = cancel
+
+    def _finish(self, answer: CallerAnswer, *, keeps_alive: bool) -> None:
+        self._is_busy = False
+        self._cancel = None
+        self._answer(answer, keeps_alive=keeps_alive)
+        self._start_next()
+
+    def _answer(self, answer: CallerAnswer, *, keeps_alive: bool) -> None:
+        closes = not keeps_alive or self._server.is_stopping
+        self.quiet_since_s = read_clock_s()
+        self._stream.send(encode_answer(answer, closes=closes))
+        if closes:
+            self._end()
+
+    def _fail(self, answer: CallerAnswer) -> None:
+        """Ends the connection: its next bytes can't be understood."""
+        if self._is_busy or self._waiting:
+            # The answers before it are still due; then the caller sees the
+            # end of the connection.
+            self._waiting.append((answer, False))
+            self._is_head_read = True
+            self.message_since_s = None
+            return
+        self._answer(answer, keeps_alive=False)
+
+    def _end(self) -> None:
+        self._is_ending = True
+        self._waiting.clear()
+        self.message_since_s = None
+        self._stream.end_sending_when_sent()
+
+    def sweep(self, now_s: float) -> None:
+        """Ends the connection if the caller takes too long."""
+        limits = self._server.limits
+        if self._is_ending:
+            if now_s - self.quiet_since_s > LINGER_S:
+                self.close()
+        elif self.message_since_s is not None:
+            if now_s - self.message_since_s > limits.header_timeout_s:
+                self._fail(caller_errors.REQUEST_TIMEOUT)
+        elif (
+            self.is_idle and now_s - self.quiet_since_s > limits.idle_timeout_s
+        ):
+            self.close()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._server.forget(self)
+        self._stream.close()
+
+
+def _read_deadline_s(text: str) -> float | None:
+    try:
+        deadline_ms = float(text)
+    except ValueError:
+        return None
+    # The comparison is false for a NaN too.
+    return deadline_ms / 1000 if 0 <= deadline_ms < 1e9 else None
+
+
+class CallerServer:
+    """Listens for callers and hands their requests to a service."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        service: CallerService,
+        streams: Streams,
+        timers: Timers,
+    ) -> None:
+        self.names = names
+        self.own_header_names = frozenset(
+            {"content-length", names.expected_server.lower()}
+        )
+        self.service = service
+        self.limits = CallerLimits()
+        self.is_stopping = False
+        self._log = StateLog("callers")
+        self._streams = streams
+        self._connections: set[_Connection] = set()
+        timers.call_every(SWEEP_PERIOD_S, self._sweep)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for connection in [*self._connections]:
+            connection.close()
+
+    def listen(self, address: Address) -> None:
+        """Accepts callers.
+
+        Raises:
+            OSError: The address is in use or is not this VM's.
+        """
+        self._streams.listen(address, self._accept)
+
+    def _accept(self, stream: Stream) -> _Connection:
+        connection = _Connection(self, stream)
+        self._connections.add(connection)
+        return connection
+
+    def _sweep(self) -> None:
+        now_s = read_clock_s()
+        for connection in [*self._connections]:
+            connection.sweep(now_s)
+
+    def forget(self, connection: _Connection) -> None:
+        """Drops a connection that has ended."""
+        self._connections.discard(connection)
+
+    def close_idle(self) -> None:
+        """Closes the connections that carry no request."""
+        for connection in [*self._connections]:
+            if connection.is_idle and not connection.is_ending:
+                connection.close()
+
+    @property
+    def busy_count(self) -> int:
+        """Connections that carry a request."""
+        return sum(
+            not connection.is_idle and not connection.is_ending
+            for connection in self._connections
+        )
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that are open."""
+        return len(self._connections)
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -0,0 +1,179 @@
+"""Takes callers' requests to their routes."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+from mulberrybay_core import caller_errors
+from mulberrybay_core.caller_messages import (
+    AnswerHandler,
+    CallerAnswer,
+    CallerRequest,
+    CancelRequest,
+    HeaderNames,
+)
+from mulberrybay_core.route_history import RouteHistories
+from mulberrybay_core.routing import Route, RouteTable, WeightedTurn
+from mulberrybay_edge.dispatcher import RequestTemplate
+from mulberrybay_edge.forward_run import ForwardRun
+from mulberrybay_edge.gather_run import GatherRun
+from mulberrybay_edge.run_context import RunJob, RunTools
+
+# A node that starts reads its configuration within a few round trips.
+STARTING_RETRY_S: Final = 0.25
+# Latencies of answers to callers, for the histogram.
+LATENCY_BOUNDS_S: Final = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+)
+
+
+class RoutedService:
+    """Answers requests by the routes in force; see `CallerService`."""
+
+    def __init__(
+        self,
+        tools: RunTools,
+        names: HeaderNames,
+        find_table: Callable[[], RouteTable | None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._tools = tools
+        self._names = names
+        self._find_table = find_table
+        self._clock = clock
+        self._histories = RouteHistories()
+        self._turns: dict[str, WeightedTurn] = {}
+        self.answer_counts: Counter[int] = Counter()
+        self.latency_counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self.latency_sum_s = 0.0
+
+    def submit(
+        self, request: CallerRequest, reply: AnswerHandler
+    ) -> CancelRequest | None:
+        """Takes a request; see `CallerService`."""
+
+        def note_and_reply(answer: CallerAnswer) -> None:
+            self._note(request, answer)
+            reply(answer)
+
+        table = self._find_table()
+        if table is None:
+            detail = "this node has not read its configuration yet"
+            note_and_reply(caller_errors.not_run(detail, STARTING_RETRY_S))
+            return None
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            self._tools.log.request_end(
+                request.request_id,
+                "no route",
+                host=request.host,
+                path=request.path,
+                revision=table.revision,
+            )
+            note_and_reply(caller_errors.NO_ROUTE)
+            return None
+        job = RunJob(
+            request,
+            route,
+            self._histories.get(route),
+            RequestTemplate(request, self._names),
+            note_and_reply,
+        )
+        run: GatherRun | ForwardRun
+        if route.shards:
+            run = GatherRun(self._tools, job)
+        else:
+            run = ForwardRun(self._tools, job, self._take_service(route))
+        run.start()
+        return run.cancel
+
+    def _take_service(self, route: Route) -> str:
+        if len(route.split) == 1:
+            return route.split[0].service
+        turn = self._turns.get(route.name)
+        if turn is None or turn.split != route.split:
+            turn = self._turns[route.name] = WeightedTurn(route.split)
+        return turn.take()
+
+    def _note(self, request: CallerRequest, answer: CallerAnswer) -> None:
+        latency_s = self._clock() - request.received_at_s
+        self.answer_counts[answer.status] += 1
+        self.latency_sum_s += latency_s
+        index = sum(latency_s > bound for bound in LATENCY_BOUNDS_S)
+        self.latency_counts[index] += 1
+
+
+class DirectoryService:
+    """Tells callers which nodes to use; see `CallerService`."""
+
+    def __init__(
+        self,
+        path: str,
+        list_addresses: Callable[[], list[str]],
+        encode: Callable[[list[str]], bytes],
+    ) -> None:
+        self._path = path
+        self._list_addresses = list_addresses
+        self._encode = encode
+
+    def submit(
+        self, request: CallerRequest, reply: AnswerHandler
+    ) -> CancelRequest | None:
+        """Answers with the addresses of nodes that serve."""
+        addresses = self._list_addresses()
+        if request.path != self._path:
+            reply(CallerAnswer(404))
+        elif not addresses:
+            detail = "no node is known to serve"
+            reply(caller_errors.not_run(detail, STARTING_RETRY_S))
+        else:
+            headers = (("Content-Type", "application/json"),)
+            reply(CallerAnswer(200, headers, self._encode(addresses)))
+        return None
+
+
+class ReadinessService:
+    """Tells the platform whether this node serves; see `CallerService`."""
+
+    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+        self._path = path
+        self._is_ready = is_ready
+
+    def submit(
+        self, request: CallerRequest, reply: AnswerHandler
+    ) -> CancelRequest | None:
+        """Answers 200 if callers may be sent here."""
+        if request.path != self._path:
+            reply(CallerAnswer(404))
+        else:
+            reply(CallerAnswer(200 if self._is_ready() else 503))
+        return None
+
+
+class MetricsService:
+    """Serves the metrics page; see `CallerService`."""
+
+    def __init__(
+        self, path: str, render: Callable[[], tuple[str, bytes]]
+    ) -> None:
+        self._path = path
+        self._render = render
+
+    def submit(
+        self, request: CallerRequest, reply: AnswerHandler
+    ) -> CancelRequest | None:
+        """Answers with all metrics as text."""
+        if request.path != self._path:
+            reply(CallerAnswer(404))
+            return None
+        content_type, body = self._render()
+        reply(CallerAnswer(200, (("Content-Type", content_type),), body))
+        return None
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -0,0 +1,444 @@
+"""Sends requests to backend servers: choice, limits, last checks, outcome."""
+
+import enum
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+from mulberrybay_core.caller_messages import CallerRequest, HeaderNames
+from mulberrybay_core.placement import (
+    LoadReport,
+    PlacementQuery,
+    ServerState,
+    choose_server,
+)
+from mulberrybay_core.route_history import RouteHistory
+from mulberrybay_core.routing import RouteTable
+from mulberrybay_core.server_directory import KnownServer, ServerDirectory
+from mulberrybay_core.shared_limits import ColdAllowance, RetryAllowance
+from mulberrybay_edge.server_connections import (
+    Exchange,
+    ExchangeOutcome,
+    ExchangeResult,
+    ServerConnections,
+)
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import HttpReply
+
+# The part of a server's connection cap that the nodes use; connections that
+# this node has closed may still count at the server for a moment.
+CONNECTION_CAP_SHARE: Final = 0.9
+# A request that may not be repeated goes out only on connections that were
+# used this recently: one that the server just closed would lose it.
+FRESH_IDLE_S: Final = 1.0
+ANY_IDLE_S: Final = 3600.0
+# With less than this left a server can't do anything useful.
+MIN_TIME_LEFT_S: Final = 0.003
+
+
+class AttemptOutcome(enum.Enum):
+    """What is known of one attempt."""
+
+    OK = "ok"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    LOST = "lost"
+
+
+class AttemptResult(NamedTuple):
+    """How an attempt ended.
+
+    Attributes:
+        outcome: FAILED has run and failed; LOST may have run.
+        server_id: The server that it was sent to.
+        reply: The server's whole reply, if there is one.
+        detail: What happened, for people.
+        has_arrived: Whether the server got it.
+    """
+
+    outcome: AttemptOutcome
+    server_id: str
+    reply: HttpReply | None
+    detail: str
+    has_arrived: bool
+
+
+class SendRefusal(enum.Enum):
+    """Why an attempt was not sent."""
+
+    NO_SERVER = "no server"
+    FULL = "all servers are full"
+    NO_ALLOWANCE = "the limit on repeats is reached"
+    OUT_OF_TIME = "no time is left"
+
+
+class SendOrder(NamedTuple):
+    """One request to one of a service's servers.
+
+    Attributes:
+        template: The request, encoded but for what differs by attempt.
+        service: The service.
+        history: The latencies of the route.
+        deadline_at_s: When the reply is of no use any more.
+        excluded_ids: Servers that it must not go to.
+        is_repeat: Whether the service got the request before.
+        may_repeat: Whether it may be sent again if the reply is lost.
+    """
+
+    template: "RequestTemplate"
+    service: str
+    history: RouteHistory
+    deadline_at_s: float
+    excluded_ids: frozenset[str]
+    is_repeat: bool
+    may_repeat: bool
+
+
+ResultHandler = Callable[[AttemptResult], None]
+
+
+class RequestTemplate:
+    """A caller's request as it is sent to backend servers."""
+
+    __slots__ = ("_body", "_head", "_names", "request_id")
+
+    def __init__(self, request: CallerRequest, names: HeaderNames) -> None:
+        self.request_id = request.request_id
+        self._names = names
+        self._body = request.body
+        lines = [f"{request.method} {request.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in request.headers]
+        if request.request_id:
+            lines.append(f"{names.request_id}: {request.request_id}")
+        if request.body or request.method not in {"GET", "HEAD", "DELETE"}:
+            lines.append(f"Content-Length: {len(request.body)}")
+        self._head = "\r\n".join(lines)
+
+    def encode(self, server_id: str, time_left_s: float) -> bytes:
+        """Returns the bytes for one server."""
+        names = self._names
+        return (
+            f"{self._head}\r\n"
+            f"{names.deadline_ms}: {max(1, int(time_left_s * 1000))}\r\n"
+            f"{names.expected_server}: {server_id}\r\n\r\n"
+        ).encode("latin-1") + self._body
+
+
+class AttemptHandle(Protocol):
+    """An attempt that is under way."""
+
+    @property
+    def server_id(self) -> str:
+        """The server that it was sent to."""
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether its result is known or it was given up."""
+
+    def cancel(self) -> None:
+        """Gives the attempt up; there will be no result."""
+
+
+class Sender(Protocol):
+    """Sends attempts; see `Dispatcher`."""
+
+    def send(
+        self, order: SendOrder, on_result: ResultHandler
+    ) -> AttemptHandle | SendRefusal:
+        """Sends one attempt; the handler is called once, unless cancelled."""
+
+    def note_request(self, service: str) -> None:
+        """Counts a caller's request for a service."""
+
+    def has_server(self, service: str) -> bool:
+        """Whether any server of a service may get new work."""
+
+
+class _Attempt:
+    """One request on its way to one server."""
+
+    __slots__ = (
+        "_dispatcher",
+        "exchange",
+        "history",
+        "key",
+        "known",
+        "on_result",
+        "started_at_s",
+        "state",
+    )
+
+    def __init__(
+        self,
+        dispatcher: "Dispatcher",
+        known: KnownServer,
+        state: ServerState,
+        history: RouteHistory,
+        key: int,
+        on_result: ResultHandler,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self.known = known
+        self.state = state
+        self.history = history
+        self.key = key
+        self.on_result = on_result
+        self.started_at_s = read_clock_s()
+        self.exchange: Exchange | None = None
+
+    @property
+    def server_id(self) -> str:
+        """The server that it was sent to."""
+        return self.known.entry.server_id
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether its result is known or it was given up."""
+        return self.exchange is None
+
+    def cancel(self) -> None:
+        """Gives the attempt up; its connection closes, which cancels it."""
+        if self.exchange is not None:
+            self._dispatcher.cancel(self)
+
+
+class DispatchContext(NamedTuple):
+    """What a dispatcher shares with the node."""
+
+    directory: ServerDirectory
+    connections: ServerConnections
+    retries: RetryAllowance
+    cold: ColdAllowance
+    names: HeaderNames
+    failure_domain: str
+    cold_factor: float
+
+
+class Dispatcher:
+    """Sends attempts to the servers of a service, each for itself."""
+
+    def __init__(
+        self, context: DispatchContext, random_source: random.Random
+    ) -> None:
+        self._context = context
+        self._random = random_source
+        self._states: dict[str, ServerState] = {}
+        self._keys = itertools.count()
+        self._load_header = context.names.load.lower()
+        self._not_run_header = context.names.not_run.lower()
+        self._id_header = context.names.request_id.lower()
+        self.table: RouteTable | None = None
+        self.sender_count = 1
+        self.outcome_counts: Counter[str] = Counter()
+        self.refusal_counts: Counter[str] = Counter()
+        self.repeat_count = 0
+
+    def note_request(self, service: str) -> None:
+        """Counts a caller's request for a service."""
+        self._context.retries.note_request(service, read_clock_s())
+
+    def has_server(self, service: str) -> bool:
+        """Whether any server of a service may get new work."""
+        return bool(self._context.directory.usable(service))
+
+    def forget(self, server_id: str) -> None:
+        """Drops what is kept of a server that has left."""
+        self._states.pop(server_id, None)
+        self._context.cold.forget(server_id)
+        self._context.connections.forget(server_id)
+
+    def send(
+        self, order: SendOrder, on_result: ResultHandler
+    ) -> _Attempt | SendRefusal:
+        """Sends one attempt; see `Sender`."""
+        now_s = read_clock_s()
+        if order.deadline_at_s - now_s < MIN_TIME_LEFT_S:
+            return self._refuse(SendRefusal.OUT_OF_TIME)
+        known = self._choose(order, now_s)
+        if isinstance(known, SendRefusal):
+            return self._refuse(known)
+        context = self._context
+        if order.is_repeat:
+            if not context.retries.take(order.service, now_s):
+                return self._refuse(SendRefusal.NO_ALLOWANCE)
+            self.repeat_count += 1
+        self._take_cold(order.service, known, now_s)
+        return self._start(order, known, on_result)
+
+    def _refuse(self, refusal: SendRefusal) -> SendRefusal:
+        self.refusal_counts[refusal.name.lower()] += 1
+        return refusal
+
+    def _cold_rate(self, service: str) -> float:
+        """Returns what a cold server of a service bears; 0 for no limit."""
+        if self.table is None:
+            return 0.0
+        terms = self.table.service_terms(service)
+        return terms.cold_requests_per_s * self._context.cold_factor
+
+    def _take_cold(
+        self, service: str, known: KnownServer, now_s: float
+    ) -> None:
+        rate = self._cold_rate(service)
+        if rate > 0 and now_s < known.cold_until_s:
+            self._context.cold.take(known.entry.server_id, rate, now_s)
+
+    def _connection_cap(self, service: str) -> int:
+        cap_count = 1
+        if self.table is not None:
+            terms = self.table.service_terms(service)
+            part = terms.connection_cap * CONNECTION_CAP_SHARE
+            cap_count = int(part / max(1, self.sender_count))
+        return max(1, cap_count)
+
+    def _choose(
+        self, order: SendOrder, now_s: float
+    ) -> KnownServer | SendRefusal:
+        context = self._context
+        usable = [
+            known
+            for known in context.directory.usable(order.service)
+            if known.entry.server_id not in order.excluded_ids
+        ]
+        if not usable:
+            return SendRefusal.NO_SERVER
+        cap_count = self._connection_cap(order.service)
+        cold_rate = self._cold_rate(order.service)
+        candidates = []
+        for known in usable:
+            server_id = known.entry.server_id
+            if not context.connections.has_room(server_id, cap_count):
+                continue
+            if (
+                cold_rate > 0
+                and now_s < known.cold_until_s
+                and now_s < context.cold.next_at_s(server_id)
+            ):
+                continue
+            candidates.append((known, self._state(server_id)))
+        query = PlacementQuery(
+            now_s, order.history.usual_s(), context.failure_domain
+        )
+        chosen = choose_server(candidates, query, self._random)
+        return chosen or SendRefusal.FULL
+
+    def _state(self, server_id: str) -> ServerState:
+        state = self._states.get(server_id)
+        if state is None:
+            state = self._states[server_id] = ServerState()
+        return state
+
+    def _start(
+        self, order: SendOrder, known: KnownServer, on_result: ResultHandler
+    ) -> _Attempt | SendRefusal:
+        entry = known.entry
+        state = self._state(entry.server_id)
+        key = next(self._keys)
+        attempt = _Attempt(self, known, state, order.history, key, on_result)
+
+        def encode(now_s: float) -> bytes | None:
+            # The process may have been paused, and the connection may have
+            # taken a while: what allowed this attempt is checked again.
+            time_left_s = order.deadline_at_s - now_s
+            if time_left_s < MIN_TIME_LEFT_S:
+                return None
+            if not self._context.directory.may_use(known, now_s):
+                return None
+            return order.template.encode(entry.server_id, time_left_s)
+
+        def check(reply: HttpReply) -> bool:
+            echoed_id = reply.headers.get(self._id_header)
+            return echoed_id is None or echoed_id == order.template.request_id
+
+        exchange = Exchange(
+            encode, check, lambda result: self._on_result(attempt, result)
+        )
+        attempt.exchange = exchange
+        state.in_flight[key] = attempt.started_at_s
+        max_idle_s = ANY_IDLE_S if order.may_repeat else FRESH_IDLE_S
+        is_started = self._context.connections.start(
+            entry.server_id, entry.address, exchange, max_idle_s
+        )
+        if not is_started:
+            state.in_flight.pop(key, None)
+            return self._refuse(SendRefusal.NO_SERVER)
+        return attempt
+
+    def cancel(self, attempt: _Attempt) -> None:
+        """Gives an attempt up; see `AttemptHandle`."""
+        exchange = attempt.exchange
+        if exchange is None:
+            return
+        attempt.exchange = None
+        attempt.state.in_flight.pop(attempt.key, None)
+        now_s = read_clock_s()
+        age_s = now_s - attempt.started_at_s
+        attempt.history.note_latency(age_s)
+        attempt.state.note_abandoned(age_s / attempt.history.usual_s(), now_s)
+        self.outcome_counts["cancelled"] += 1
+        exchange.cancel()
+
+    def _on_result(self, attempt: _Attempt, result: ExchangeResult) -> None:
+        if attempt.exchange is None:
+            return
+        attempt.exchange = None
+        attempt.state.in_flight.pop(attempt.key, None)
+        answer = self._read_result(attempt, result)
+        self.outcome_counts[answer.outcome.value] += 1
+        attempt.on_result(answer)
+
+    def _read_result(
+        self, attempt: _Attempt, result: ExchangeResult
+    ) -> AttemptResult:
+        now_s = read_clock_s()
+        server_id = attempt.server_id
+        state = attempt.state
+        if result.outcome is ExchangeOutcome.NOT_SENT:
+            return AttemptResult(
+                AttemptOutcome.NOT_RUN, server_id, None, "not sent", False
+            )
+        reply = result.reply
+        if reply is None:
+            state.note_failure(now_s)
+            is_sent = result.outcome is not ExchangeOutcome.NOT_CONNECTED
+            outcome = AttemptOutcome.LOST if is_sent else AttemptOutcome.NOT_RUN
+            return AttemptResult(
+                outcome, server_id, None, result.detail, is_sent
+            )
+        self._note_load(state, reply, now_s)
+        if self._not_run_header in reply.headers or reply.status == 421:
+            state.note_failure(now_s)
+            detail = f"the server answered {reply.status}, not run"
+            return AttemptResult(
+                AttemptOutcome.NOT_RUN, server_id, reply, detail, True
+            )
+        if "content-encoding" in reply.headers:
+            state.note_failure(now_s)
+            detail = "the reply has an encoding that was not asked for"
+            return AttemptResult(
+                AttemptOutcome.LOST, server_id, None, detail, True
+            )
+        if 200 <= reply.status < 300:
+            latency_s = now_s - attempt.started_at_s
+            attempt.history.note_latency(latency_s)
+            state.note_success(latency_s / attempt.history.usual_s(), now_s)
+            return AttemptResult(AttemptOutcome.OK, server_id, reply, "", True)
+        state.note_failure(now_s)
+        detail = f"the server answered {reply.status}"
+        return AttemptResult(
+            AttemptOutcome.FAILED, server_id, reply, detail, True
+        )
+
+    def _note_load(
+        self, state: ServerState, reply: HttpReply, now_s: float
+    ) -> None:
+        fields = reply.headers.get(self._load_header, "").split(",")
+        if len(fields) != 3:
+            return
+        try:
+            running, waiting, slots = (int(field) for field in fields)
+        except ValueError:
+            return
+        state.note_load(LoadReport(running, waiting, slots), now_s)
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -0,0 +1,228 @@
+"""One request to one backend server, with repeats where they are allowed."""
+
+from mulberrybay_core import caller_errors
+from mulberrybay_core.caller_messages import (
+    HOP_BY_HOP_HEADERS,
+    CallerAnswer,
+)
+from mulberrybay_core.routing import RouteKind
+from mulberrybay_edge.dispatcher import (
+    AttemptHandle,
+    AttemptOutcome,
+    AttemptResult,
+    SendOrder,
+    SendRefusal,
+)
+from mulberrybay_edge.run_context import (
+    MAX_QUEUE_SHARE,
+    ROOM_CHECK_PERIOD_S,
+    TIMEOUT_MARGIN_S,
+    RunJob,
+    RunTools,
+    retry_after_s,
+    with_request_id,
+)
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import HttpReply
+from mulberrybay_runtime.timers import Timer
+
+
+class ForwardRun:
+    """One request that a single backend server answers."""
+
+    def __init__(self, tools: RunTools, job: RunJob, service: str) -> None:
+        self._tools = tools
+        self._job = job
+        self._service = service
+        self._may_repeat = job.route.kind is RouteKind.IDEMPOTENT
+        self._attempts: list[AttemptHandle] = []
+        # Servers that got the request, and those that could not be reached.
+        self._used_ids: set[str] = set()
+        self._unreachable_ids: set[str] = set()
+        # Whether a server has run the request or may have.
+        self._may_have_run = False
+        self._failure: HttpReply | None = None
+        self._timer: Timer | None = None
+        self._is_over = False
+        started_at_s = job.request.received_at_s
+        self._deadline_at_s = job.deadline_at_s()
+        self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
+        self._queue_until_s = min(
+            started_at_s + MAX_QUEUE_SHARE * job.route.target_latency_s,
+            self._last_answer_at_s,
+        )
+        self._hedge_at_s = started_at_s + job.history.hedge_delay_s(
+            tools.repeat_ratio
+        )
+        self._failures: list[str] = []
+
+    def start(self) -> None:
+        """Sends the request, or refuses it if no server can take it."""
+        self._tools.sender.note_request(self._service)
+        self._send()
+        self._arm()
+
+    def cancel(self) -> None:
+        """The caller has gone: ends the work at the backend server."""
+        self._tools.counts["caller_gone"] += 1
+        self._close()
+
+    # Sending.
+
+    def _send(self) -> bool:
+        order = SendOrder(
+            template=self._job.template,
+            service=self._service,
+            history=self._job.history,
+            deadline_at_s=self._deadline_at_s,
+            excluded_ids=frozenset(self._used_ids | self._unreachable_ids),
+            is_repeat=bool(self._used_ids),
+            may_repeat=self._may_repeat,
+        )
+        attempt = self._tools.sender.send(order, self._on_result)
+        if not isinstance(attempt, SendRefusal):
+            if not attempt.is_finished:
+                self._used_ids.add(attempt.server_id)
+                self._attempts.append(attempt)
+            return True
+        if attempt is SendRefusal.NO_SERVER and self._unreachable_ids:
+            # Those that could not be reached may be tried once more, later.
+            self._unreachable_ids.clear()
+        elif attempt is SendRefusal.NO_SERVER and not self._attempts:
+            self._end_unserved("the service has no backend server to use")
+        return False
+
+    def _may_send(self) -> bool:
+        return (
+            not self._is_over
+            and len(self._used_ids) < self._job.route.max_server_count
+            and (self._may_repeat or not self._attempts)
+        )
+
+    def _on_result(self, result: AttemptResult) -> None:
+        self._attempts = [
+            attempt for attempt in self._attempts if not attempt.is_finished
+        ]
+        if self._is_over:
+            return
+        if result.outcome is AttemptOutcome.OK and result.reply is not None:
+            self._tools.counts["forward_served"] += 1
+            self._log("served", server=result.server_id)
+            self._finish(self._pass_on(result.reply))
+            return
+        self._failures.append(f"{result.server_id}: {result.detail}")
+        if not result.has_arrived:
+            self._used_ids.discard(result.server_id)
+            self._unreachable_ids.add(result.server_id)
+        elif result.outcome is not AttemptOutcome.NOT_RUN:
+            self._may_have_run = True
+            if result.outcome is AttemptOutcome.FAILED:
+                self._failure = result.reply
+        may_go_on = self._may_repeat or not self._may_have_run
+        if may_go_on and self._may_send():
+            self._send()
+        if self._is_over or self._attempts:
+            return
+        if not may_go_on or not self._may_send():
+            self._end_unserved("no further server may be tried")
+        else:
+            self._arm()
+
+    # Time.
+
+    def _arm(self) -> None:
+        if self._is_over:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now_s = read_clock_s()
+        due_s = self._last_answer_at_s
+        if self._may_send():
+            if not self._attempts:
+                due_s = min(due_s, now_s + ROOM_CHECK_PERIOD_S)
+            elif now_s < self._hedge_at_s:
+                due_s = min(due_s, self._hedge_at_s)
+            else:
+                due_s = min(due_s, now_s + 2 * ROOM_CHECK_PERIOD_S)
+        self._timer = self._tools.timers.call_at(due_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        if self._is_over:
+            return
+        now_s = read_clock_s()
+        if now_s >= self._last_answer_at_s:
+            if self._attempts:
+                self._may_have_run = True
+            self._end_unserved("the time is over", is_late=True)
+            return
+        if self._may_send():
+            if not self._attempts:
+                is_sent = self._send()
+                if not is_sent and now_s >= self._queue_until_s:
+                    self._end_unserved("no backend server has room")
+            elif now_s >= self._hedge_at_s:
+                self._send()
+        self._arm()
+
+    # The end.
+
+    def _pass_on(self, reply: HttpReply) -> CallerAnswer:
+        """Returns a server's reply as the caller gets it."""
+        names = self._tools.names
+        left_out = {
+            "content-length",
+            names.load.lower(),
+            names.request_id.lower(),
+        }
+        headers = tuple(
+            (name, value)
+            for name, value in reply.headers.items()
+            if name not in HOP_BY_HOP_HEADERS and name not in left_out
+        )
+        return CallerAnswer(reply.status, headers, reply.body)
+
+    def _end_unserved(self, reason: str, *, is_late: bool = False) -> None:
+        """Gives the caller the answer that is true of what happened."""
+        if self._is_over:
+            return
+        if self._failure is not None:
+            self._tools.counts["forward_failed"] += 1
+            self._log("failed", reason=reason)
+            self._finish(self._pass_on(self._failure))
+        elif not self._may_have_run and not self._attempts:
+            self._tools.counts["forward_refused"] += 1
+            self._log("refused", reason=reason)
+            pause_s = retry_after_s(self._job, read_clock_s())
+            self._finish(caller_errors.not_run(reason, pause_s))
+        else:
+            self._tools.counts["forward_failed"] += 1
+            self._log("failed", reason=reason)
+            late = caller_errors.OUT_OF_TIME
+            self._finish(late if is_late else caller_errors.REPLY_LOST)
+
+    def _log(self, outcome: str, **fields: object) -> None:
+        job = self._job
+        self._tools.log.request_end(
+            job.request.request_id,
+            outcome,
+            route=job.route.name,
+            service=self._service,
+            took_ms=round(
+                (read_clock_s() - job.request.received_at_s) * 1000, 1
+            ),
+            sent_to=sorted(self._used_ids),
+            failures=self._failures[:6],
+            **fields,
+        )
+
+    def _finish(self, answer: CallerAnswer) -> None:
+        self._close()
+        self._job.reply(with_request_id(answer, self._job, self._tools.names))
+
+    def _close(self) -> None:
+        self._is_over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        for attempt in self._attempts:
+            attempt.cancel()
+        self._attempts.clear()
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -0,0 +1,312 @@
+"""One query over all shards of a route, from first sends to the answer.
+
+Answers stragglers: with many shards nearly every query meets a replica that
+pauses, so a second attempt goes out for shards that are late, and at the
+target the answer goes out with the shards that are in, if they are enough.
+"""
+
+from mulberrybay_core import caller_errors
+from mulberrybay_core.caller_messages import CallerAnswer
+from mulberrybay_core.part_merge import Part, merge_parts
+from mulberrybay_edge.dispatcher import (
+    AttemptHandle,
+    AttemptOutcome,
+    AttemptResult,
+    SendOrder,
+    SendRefusal,
+)
+from mulberrybay_edge.run_context import (
+    ANSWER_MARGIN_S,
+    ROOM_CHECK_PERIOD_S,
+    TIMEOUT_MARGIN_S,
+    RunJob,
+    RunTools,
+    retry_after_s,
+    with_request_id,
+)
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timer
+
+
+class _Shard:
+    """What is known of one shard."""
+
+    __slots__ = ("attempts", "has_arrived", "part", "service", "used_ids")
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.part: Part | None = None
+        self.attempts: list[AttemptHandle] = []
+        self.used_ids: set[str] = set()
+        # Whether any server may have got the request.
+        self.has_arrived = False
+
+
+class GatherRun:
+    """One query over shards."""
+
+    def __init__(self, tools: RunTools, job: RunJob) -> None:
+        self._tools = tools
+        self._job = job
+        self._shards = [_Shard(service) for service in job.route.shards]
+        self._missing_count = len(self._shards)
+        self._signatures: set[str] = set()
+        self._timer: Timer | None = None
+        self._is_over = False
+        started_at_s = job.request.received_at_s
+        self._deadline_at_s = job.deadline_at_s()
+        self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
+        self._answer_at_s = min(
+            started_at_s + job.route.target_latency_s - ANSWER_MARGIN_S,
+            self._last_answer_at_s,
+        )
+        self._hedge_at_s = started_at_s + job.history.hedge_delay_s(
+            tools.repeat_ratio
+        )
+        self._hedge_count = 0
+        self._failures: list[str] = []
+
+    def start(self) -> None:
+        """Sends to every shard, or refuses if too few can be reached."""
+        sender = self._tools.sender
+        for shard in self._shards:
+            sender.note_request(shard.service)
+        reachable_count = sum(
+            sender.has_server(shard.service) for shard in self._shards
+        )
+        if not self._is_enough(reachable_count):
+            self._refuse("too few shards have a backend server")
+            return
+        for shard in self._shards:
+            self._send(shard)
+        self._arm()
+
+    def cancel(self) -> None:
+        """The caller has gone: ends the work at the backend servers."""
+        self._tools.counts["caller_gone"] += 1
+        self._close()
+
+    # Sending.
+
+    def _send(self, shard: _Shard, *, is_hedge: bool = False) -> bool:
+        job = self._job
+        order = SendOrder(
+            template=job.template,
+            service=shard.service,
+            history=job.history,
+            deadline_at_s=self._deadline_at_s,
+            excluded_ids=frozenset(shard.used_ids),
+            is_repeat=shard.has_arrived,
+            may_repeat=True,
+        )
+
+        def on_result(result: AttemptResult) -> None:
+            self._on_result(shard, result)
+
+        attempt = self._tools.sender.send(order, on_result)
+        if isinstance(attempt, SendRefusal):
+            return False
+        shard.used_ids.add(attempt.server_id)
+        if not attempt.is_finished:
+            shard.attempts.append(attempt)
+            shard.has_arrived = True
+        if is_hedge:
+            self._hedge_count += 1
+        return True
+
+    def _may_send(self, shard: _Shard) -> bool:
+        return (
+            not self._is_over
+            and shard.part is None
+            and len(shard.used_ids) < self._job.route.max_server_count
+        )
+
+    def _on_result(self, shard: _Shard, result: AttemptResult) -> None:
+        shard.attempts = [
+            attempt for attempt in shard.attempts if not attempt.is_finished
+        ]
+        if self._is_over or shard.part is not None:
+            return
+        if result.outcome is AttemptOutcome.OK and self._take(shard, result):
+            return
+        self._failures.append(
+            f"{shard.service}/{result.server_id}: {result.detail}"
+        )
+        if not result.has_arrived:
+            # No server has seen it: another may be tried in its place.
+            shard.used_ids.discard(result.server_id)
+            shard.has_arrived = bool(shard.used_ids)
+            self._retry_elsewhere(shard, result.server_id)
+        elif self._may_send(shard):
+            self._send(shard)
+        self._check_hopeless()
+
+    def _retry_elsewhere(self, shard: _Shard, server_id: str) -> None:
+        """Sends to another server than one that could not be reached."""
+        shard.used_ids.add(server_id)
+        is_sent = len(
+            shard.used_ids
+        ) <= self._job.route.max_server_count and self._send(shard)
+        shard.used_ids.discard(server_id)
+        if not is_sent:
+            self._arm()
+
+    def _take(self, shard: _Shard, result: AttemptResult) -> bool:
+        """Takes a part; False if it has no signature of its own."""
+        if result.reply is None:
+            return False
+        header = self._tools.names.signature.lower()
+        signature = result.reply.headers.get(header, "")
+        if not signature or signature in self._signatures:
+            return False
+        self._signatures.add(signature)
+        shard.part = Part(signature, result.reply.body)
+        self._missing_count -= 1
+        for attempt in shard.attempts:
+            attempt.cancel()
+        shard.attempts.clear()
+        if self._missing_count == 0:
+            self._answer()
+        elif read_clock_s() >= self._answer_at_s:
+            self._answer_if_enough()
+        return True
+
+    def _is_enough(self, count: int) -> bool:
+        needed = self._job.route.min_coverage * len(self._shards)
+        # Coverage is a fraction of shards; rounding must not ask for one more.
+        return count > 0 and count >= needed - 1e-9
+
+    def _check_hopeless(self) -> None:
+        """Ends a query whose open shards can't be answered any more."""
+        if self._is_over:
+            return
+        hopeful_count = 0
+        for shard in self._shards:
+            hopeful_count += self._is_hopeful(shard)
+        taken_count = len(self._shards) - self._missing_count
+        if hopeful_count == taken_count and self._is_enough(taken_count):
+            self._answer()
+        elif not self._is_enough(hopeful_count):
+            self._fail(caller_errors.TOO_FEW_SHARDS, "too few shards replied")
+
+    def _is_hopeful(self, shard: _Shard) -> bool:
+        """Whether a shard is in or may still come in."""
+        if shard.part is not None or shard.attempts:
+            return True
+        return self._may_send(shard) and self._tools.sender.has_server(
+            shard.service
+        )
+
+    # Time.
+
+    def _arm(self) -> None:
+        """Sets the timer to the next moment at which something may be due."""
+        if self._is_over:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now_s = read_clock_s()
+        due_s = self._last_answer_at_s
+        if now_s < self._answer_at_s:
+            due_s = min(due_s, self._answer_at_s)
+        if any(
+            not shard.attempts and self._may_send(shard)
+            for shard in self._shards
+        ):
+            due_s = min(due_s, now_s + ROOM_CHECK_PERIOD_S)
+        elif now_s < self._hedge_at_s:
+            due_s = min(due_s, self._hedge_at_s)
+        elif any(self._may_send(shard) for shard in self._shards):
+            due_s = min(due_s, now_s + 2 * ROOM_CHECK_PERIOD_S)
+        self._timer = self._tools.timers.call_at(due_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        if self._is_over:
+            return
+        now_s = read_clock_s()
+        if now_s >= self._last_answer_at_s:
+            if not self._answer_if_enough():
+                self._fail(caller_errors.OUT_OF_TIME, "the time is over")
+            return
+        if now_s >= self._answer_at_s and self._answer_if_enough():
+            return
+        for shard in self._shards:
+            if not self._may_send(shard):
+                continue
+            if not shard.attempts:
+                self._send(shard)
+            elif now_s >= self._hedge_at_s:
+                self._send(shard, is_hedge=True)
+        self._arm()
+
+    # The end.
+
+    def _answer_if_enough(self) -> bool:
+        if self._is_enough(len(self._shards) - self._missing_count):
+            self._answer()
+            return True
+        return False
+
+    def _answer(self) -> None:
+        job, names = self._job, self._tools.names
+        parts = [shard.part for shard in self._shards if shard.part is not None]
+        answer = CallerAnswer(
+            200,
+            (
+                (
+                    names.part_signatures,
+                    ", ".join(part.signature for part in parts),
+                ),
+                (names.missing_part_count, str(self._missing_count)),
+            ),
+            merge_parts(parts, job.route.top_hit_count),
+        )
+        outcome = "partial" if self._missing_count else "whole"
+        self._tools.counts[f"gather_{outcome}"] += 1
+        self._log(outcome)
+        self._finish(answer)
+
+    def _refuse(self, reason: str) -> None:
+        self._tools.counts["gather_refused"] += 1
+        self._log("refused", reason=reason)
+        pause_s = retry_after_s(self._job, read_clock_s())
+        self._finish(caller_errors.not_run(reason, pause_s))
+
+    def _fail(self, answer: CallerAnswer, reason: str) -> None:
+        if not any(shard.has_arrived for shard in self._shards):
+            self._refuse(reason)
+            return
+        self._tools.counts["gather_failed"] += 1
+        self._log("failed", reason=reason)
+        self._finish(answer)
+
+    def _log(self, outcome: str, **fields: object) -> None:
+        job = self._job
+        missing = [
+            shard.service for shard in self._shards if shard.part is None
+        ]
+        self._tools.log.request_end(
+            job.request.request_id,
+            outcome,
+            route=job.route.name,
+            took_ms=round(
+                (read_clock_s() - job.request.received_at_s) * 1000, 1
+            ),
+            hedges=self._hedge_count,
+            missing=missing[:8] if outcome != "refused" else [],
+            failures=self._failures[:6],
+            **fields,
+        )
+
+    def _finish(self, answer: CallerAnswer) -> None:
+        self._close()
+        self._job.reply(with_request_id(answer, self._job, self._tools.names))
+
+    def _close(self) -> None:
+        self._is_over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        for shard in self._shards:
+            for attempt in shard.attempts:
+                attempt.cancel()
+            shard.attempts.clear()
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -0,0 +1,61 @@
+"""Turns heartbeats into Cap'n Proto and back."""
+
+import pathlib
+from typing import Final
+
+import capnp
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
+
+PROTOCOL_VERSION: Final = 1
+_SCHEMA: Final = capnp.load(
+    str(pathlib.Path(__file__).with_name("heartbeat.capnp"))
+)
+
+
+class HeartbeatError(Exception):
+    """A datagram is no heartbeat, or one of another protocol version."""
+
+
+def encode_heartbeat(heartbeat: EdgeHeartbeat) -> bytes:
+    """Returns the datagram of a heartbeat."""
+    sender = heartbeat.sender
+    message = _SCHEMA.EdgeHeartbeat.new_message(
+        version=PROTOCOL_VERSION,
+        name=sender.name,
+        incarnation=sender.incarnation,
+        failureDomain=sender.failure_domain,
+        callerHost=sender.caller_address.host,
+        callerPort=sender.caller_address.port,
+        peerHost=sender.peer_address.host,
+        peerPort=sender.peer_address.port,
+        isServing=heartbeat.is_serving,
+        configurationRevision=heartbeat.configuration_revision,
+    )
+    return bytes(message.to_bytes())
+
+
+def decode_heartbeat(data: bytes) -> EdgeHeartbeat:
+    """Returns the heartbeat in a datagram.
+
+    Raises:
+        HeartbeatError: The datagram can't be read.
+    """
+    try:
+        with _SCHEMA.EdgeHeartbeat.from_bytes(data) as message:
+            if message.version != PROTOCOL_VERSION:
+                raise HeartbeatError(f"protocol version {message.version}")
+            return EdgeHeartbeat(
+                EdgeNodeInfo(
+                    message.name,
+                    message.incarnation,
+                    message.failureDomain,
+                    Address(message.callerHost, message.callerPort),
+                    Address(message.peerHost, message.peerPort),
+                ),
+                message.isServing,
+                message.configurationRevision,
+            )
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise HeartbeatError(str(error)) from error
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -0,0 +1,176 @@
+"""Registers this node in the platform's store and removes lost ones."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from expression import Result
+
+from mulberrybay_core.addresses import parse_address
+from mulberrybay_core.edge_nodes import EdgeNodeInfo, EdgeNodes
+from mulberrybay_core.errors import Failure
+from mulberrybay_core.platform_messages import (
+    JsonObject,
+    ObjectList,
+    PlatformStore,
+    StoredObject,
+    WriteOutcome,
+    WriteResult,
+)
+from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.logs import StateLog
+from mulberrybay_runtime.timers import Timers
+
+NODE_KIND: Final = "mulberrybay-nodes"
+FIRST_RETRY_S: Final = 0.3
+MAX_RETRY_S: Final = 2.0
+
+
+class _Registration(NamedTuple):
+    """A registration and its version in the store."""
+
+    info: EdgeNodeInfo
+    version: int
+
+
+def encode_registration(info: EdgeNodeInfo) -> JsonObject:
+    """Returns what the store keeps of a node."""
+    return {
+        "incarnation": info.incarnation,
+        "failure_domain": info.failure_domain,
+        "caller_address": str(info.caller_address),
+        "peer_address": str(info.peer_address),
+    }
+
+
+def decode_registration(stored: StoredObject) -> EdgeNodeInfo | None:
+    """Returns the node of an entry; None if it can't be read."""
+    value = stored.value
+    try:
+        return EdgeNodeInfo(
+            stored.name,
+            int(value["incarnation"]),
+            str(value["failure_domain"]),
+            parse_address(str(value["caller_address"])),
+            parse_address(str(value["peer_address"])),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+class NodeRegistry:
+    """Keeps this node's entry, and the other entries up to date."""
+
+    def __init__(
+        self, store: PlatformStore, timers: Timers, nodes: EdgeNodes
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._nodes = nodes
+        self._log = StateLog("registry")
+        self._backoff = Backoff(FIRST_RETRY_S, MAX_RETRY_S)
+        self._version = 0
+        self._is_writing = False
+        self._is_leaving = False
+        self._on_left: Callable[[], None] | None = None
+        self.unreadable_count = 0
+
+    @property
+    def is_registered(self) -> bool:
+        """Whether the store has confirmed this node's entry."""
+        return self._version > 0
+
+    # Entries of other nodes; see `WatchListener`.
+
+    def on_list(self, objects: ObjectList) -> None:
+        """Takes all entries."""
+        registrations = self._read(objects)
+        self._nodes.replace_registered(registrations)
+        own = self._nodes.own
+        known = [entry for entry in registrations if entry.info == own]
+        self._version = known[0].version if known else 0
+        if not known:
+            self.register()
+
+    def on_changes(self, changes: ObjectList) -> None:
+        """Takes entries that were written or removed."""
+        for info, version in self._read(changes):
+            self._nodes.put_registered(info, version)
+        for name in changes.removed_names:
+            if name == self._nodes.own.name:
+                # A survivor took this node for lost.
+                self._version = 0
+                self.register()
+            else:
+                self._nodes.remove_registered(name)
+
+    def _read(self, objects: ObjectList) -> list[_Registration]:
+        entries = []
+        for stored in objects.items:
+            info = decode_registration(stored)
+            if info is None:
+                self.unreadable_count += 1
+                self._log.warning("unreadable registration", name=stored.name)
+            else:
+                entries.append(_Registration(info, stored.version))
+        return entries
+
+    # This node's entry.
+
+    def register(self) -> None:
+        """Writes this node's entry until the store confirms it."""
+        if not self._is_writing and not self._is_leaving:
+            self._is_writing = True
+            self._write(0)
+
+    def _write(self, expected_version: int) -> None:
+        own = self._nodes.own
+        self._store.write(
+            NODE_KIND,
+            own.name,
+            encode_registration(own),
+            expected_version,
+            self._on_written,
+        )
+
+    def _on_written(self, result: Result[WriteResult, Failure]) -> None:
+        if self._is_leaving:
+            return
+        match result:
+            case Result(tag="ok", ok=written):
+                if written.outcome is WriteOutcome.CONFLICT:
+                    # An entry of an earlier incarnation.
+                    self._write(written.version)
+                    return
+                self._is_writing = False
+                self._version = written.version
+                self._backoff.reset()
+                self._log.info("registered", version=written.version)
+            case Result(error=failure):
+                self._log.warning("not registered", cause=failure.detail)
+                self._timers.call_later(
+                    self._backoff.next_delay_s(), lambda: self._write(0)
+                )
+
+    def leave(self) -> None:
+        """Removes this node's entry; a failure leaves it to a survivor."""
+        self._is_leaving = True
+        if self._version:
+            self._remove(self._nodes.own.name, self._version)
+
+    def remove_lost(self, now_s: float) -> None:
+        """Removes entries of nodes that have been silent for long."""
+        for name, version in self._nodes.removable(now_s):
+            self._log.info("removing a lost node", name=name)
+            self._remove(name, version)
+
+    def _remove(self, name: str, version: int) -> None:
+        def on_removed(result: Result[WriteResult, Failure]) -> None:
+            match result:
+                case Result(tag="error", error=failure):
+                    self._log.warning(
+                        "not removed", name=name, cause=failure.detail
+                    )
+                case _:
+                    self._nodes.remove_registered(name)
+
+        self._store.delete(NODE_KIND, name, version, on_removed)
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -0,0 +1,181 @@
+"""What this node believes of the platform: servers, routes, domains out."""
+
+from collections.abc import Callable
+
+from mulberrybay_core.platform_documents import PlatformDocuments
+from mulberrybay_core.platform_messages import (
+    ObjectList,
+    PlatformStore,
+    StoredObject,
+)
+from mulberrybay_core.routing import RouteTable
+from mulberrybay_core.server_directory import ServerDirectory
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timers
+
+
+class _ServerListener:
+    """Takes the entries of backend servers."""
+
+    def __init__(self, view: "PlatformView") -> None:
+        self._view = view
+
+    def on_list(self, objects: ObjectList) -> None:
+        view = self._view
+        entries = []
+        for stored in objects.items:
+            entry = view.documents.read_server(stored)
+            if entry is None:
+                view.note_unreadable(stored.kind, stored.name)
+            else:
+                entries.append(entry)
+        view.directory.replace_all(entries, read_clock_s())
+        view.log.belief(
+            "backend servers listed",
+            count=len(entries),
+            version=objects.store_version,
+        )
+
+    def on_changes(self, changes: ObjectList) -> None:
+        view = self._view
+        now_s = read_clock_s()
+        for stored in changes.items:
+            entry = view.documents.read_server(stored)
+            if entry is None:
+                view.note_unreadable(stored.kind, stored.name)
+                view.directory.remove(stored.name, now_s)
+                continue
+            view.directory.put(entry, now_s)
+            view.log.belief(
+                "backend server changed",
+                server=entry.server_id,
+                service=entry.service,
+                address=str(entry.address),
+                is_leaving=entry.is_leaving,
+                cold_left_s=entry.cold_left_s,
+                version=stored.version,
+            )
+        for name in changes.removed_names:
+            view.directory.remove(name, now_s)
+            view.log.belief(
+                "backend server removed",
+                server=name,
+                version=changes.store_version,
+            )
+
+
+class _ConfigurationListener:
+    """Takes configurations; only higher revisions count."""
+
+    def __init__(self, view: "PlatformView") -> None:
+        self._view = view
+
+    def on_list(self, objects: ObjectList) -> None:
+        self.on_changes(objects)
+
+    def on_changes(self, changes: ObjectList) -> None:
+        for stored in changes.items:
+            self._view.take_configuration_object(stored)
+
+
+class _DomainListener:
+    """Takes the failure domains that are out of service."""
+
+    def __init__(self, view: "PlatformView") -> None:
+        self._view = view
+        self._names: set[str] = set()
+
+    def on_list(self, objects: ObjectList) -> None:
+        self._set({stored.name for stored in objects.items})
+
+    def on_changes(self, changes: ObjectList) -> None:
+        names = self._names | {stored.name for stored in changes.items}
+        self._set(names - set(changes.removed_names))
+
+    def _set(self, names: set[str]) -> None:
+        if names != self._names:
+            self._view.log.belief(
+                "failure domains out of service", domains=sorted(names)
+            )
+        self._names = names
+        self._view.directory.set_out_domains(names)
+
+
+class PlatformView:
+    """Follows the platform's store and keeps what it says."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        timers: Timers,
+        documents: PlatformDocuments,
+        log: DecisionLog,
+        on_table: Callable[[RouteTable], None],
+    ) -> None:
+        self.documents = documents
+        self.directory = ServerDirectory()
+        self.log = log
+        self.table: RouteTable | None = None
+        self.unreadable_count = 0
+        self._on_table = on_table
+        kinds = documents.kinds
+        self._watches = {
+            kinds.configurations: StoreWatch(
+                store,
+                timers,
+                kinds.configurations,
+                _ConfigurationListener(self),
+            ),
+            kinds.servers: StoreWatch(
+                store, timers, kinds.servers, _ServerListener(self)
+            ),
+            kinds.out_domains: StoreWatch(
+                store, timers, kinds.out_domains, _DomainListener(self)
+            ),
+        }
+
+    def start(self) -> None:
+        """Starts to read."""
+        for watch in self._watches.values():
+            watch.start()
+
+    @property
+    def is_read(self) -> bool:
+        """Whether all that a request depends on was read once."""
+        return self.table is not None and all(
+            watch.version is not None or watch.is_failing
+            for watch in self._watches.values()
+        )
+
+    @property
+    def failing_kinds(self) -> list[str]:
+        """The kinds whose last call failed."""
+        return [
+            kind for kind, watch in self._watches.items() if watch.is_failing
+        ]
+
+    def note_unreadable(self, kind: str, name: str) -> None:
+        """Counts an object that can't be read."""
+        self.unreadable_count += 1
+        self.log.belief("unreadable object left out", kind=kind, name=name)
+
+    def take_configuration_object(self, stored: StoredObject) -> None:
+        """Takes a configuration if it is newer than the one in force."""
+        configuration = self.documents.read_configuration(stored)
+        if configuration is None:
+            self.note_unreadable(stored.kind, stored.name)
+            return
+        if self.table is not None and (
+            configuration.revision <= self.table.revision
+        ):
+            return
+        self.table = RouteTable(configuration)
+        self.log.belief(
+            "configuration in force",
+            revision=configuration.revision,
+            routes=len(configuration.routes),
+            version=stored.version,
+        )
+        self._on_table(self.table)
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/run_context.py
@@ -0,0 +1,99 @@
+"""What the runs of callers' requests share."""
+
+from collections import Counter
+from typing import Final, NamedTuple, Protocol
+
+from mulberrybay_core.caller_messages import (
+    AnswerHandler,
+    CallerAnswer,
+    CallerRequest,
+    HeaderNames,
+)
+from mulberrybay_core.route_history import RouteHistory
+from mulberrybay_core.routing import Route
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.dispatcher import RequestTemplate, Sender
+from mulberrybay_runtime.timers import Timer
+
+# How often a run looks again for a server with room.
+ROOM_CHECK_PERIOD_S: Final = 0.01
+# A request that finds no room is refused after this part of its target.
+MAX_QUEUE_SHARE: Final = 0.2
+# Time for the answer's way to the caller.
+ANSWER_MARGIN_S: Final = 0.006
+# An answer by the timeout leaves this much before it.
+TIMEOUT_MARGIN_S: Final = 0.01
+
+
+class RunTimers(Protocol):
+    """The timers of a run."""
+
+    def call_at(self, due_s: float, callback: object) -> Timer:
+        """Schedules a callback at a time of the process's clock."""
+
+
+class RunTools(NamedTuple):
+    """What all runs of a node share.
+
+    Attributes:
+        sender: Sends attempts.
+        timers: Calls back.
+        names: The names of headers.
+        log: One line for each decision.
+        counts: Runs by how they ended, and decisions on the way.
+        repeat_ratio: Repeats allowed for each request, over all nodes.
+    """
+
+    sender: Sender
+    timers: RunTimers
+    names: HeaderNames
+    log: DecisionLog
+    counts: Counter[str]
+    repeat_ratio: float
+
+
+class RunJob(NamedTuple):
+    """One caller's request on its route.
+
+    Attributes:
+        request: The request.
+        route: The route that it takes, of one configuration.
+        history: The latencies of that route.
+        template: The request as backend servers get it.
+        reply: Takes the answer.
+    """
+
+    request: CallerRequest
+    route: Route
+    history: RouteHistory
+    template: RequestTemplate
+    reply: AnswerHandler
+
+    def deadline_at_s(self) -> float:
+        """Returns when the caller's request times out."""
+        timeout_s = self.route.timeout_s
+        if self.request.deadline_s is not None:
+            timeout_s = min(timeout_s, self.request.deadline_s)
+        return self.request.received_at_s + timeout_s
+
+
+def retry_after_s(job: RunJob, now_s: float) -> float:
+    """Returns when a refused caller may come back.
+
+    Within a third of the time it has left, which is as long as callers wait;
+    spread by its request's identity, so that callers refused together do not
+    come back together.
+    """
+    left_s = max(0.0, job.deadline_at_s() - now_s)
+    spread = (sum(job.request.request_id.encode()) % 16) / 16
+    return min(0.3 * left_s, 0.5 * job.route.target_latency_s * (1 + spread))
+
+
+def with_request_id(
+    answer: CallerAnswer, job: RunJob, names: HeaderNames
+) -> CallerAnswer:
+    """Returns the answer with the identity of the request."""
+    if not job.request.request_id:
+        return answer
+    header = (names.request_id, job.request.request_id)
+    return answer._replace(headers=(header, *answer.headers))
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -0,0 +1,396 @@
+"""Connections to backend servers, each with one request at a time.
+
+A connection is used again only after a whole reply with nothing behind it.
+Giving a request up closes its connection, which tells the server to stop.
+"""
+
+import enum
+import re
+from collections.abc import Callable
+from typing import Final, NamedTuple, Self
+
+import httptools
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import (
+    HttpReply,
+    ReplyTooLargeError,
+    SingleReplyParser,
+)
+from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_runtime.timers import Timers
+
+# Longer than any handshake of a server that accepts, shorter than the first
+# repeat of a lost opening packet.
+CONNECT_TIMEOUT_S: Final = 0.25
+# Used for servers that don't say how long they keep idle connections.
+DEFAULT_IDLE_LIFE_S: Final = 5.0
+# Part of the announced idle time; the rest covers the way to the server.
+IDLE_SHARE: Final = 0.7
+CLOSED_BY_PEER: Final = "the peer closed the connection"
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
+
+
+class ExchangeOutcome(enum.Enum):
+    """How an exchange with a backend server ended."""
+
+    REPLY = "reply"
+    NOT_CONNECTED = "not connected"
+    NOT_SENT = "not sent"
+    LOST = "lost"
+    MALFORMED = "malformed"
+
+
+class ExchangeResult(NamedTuple):
+    """How an exchange ended.
+
+    Attributes:
+        outcome: NOT_CONNECTED and NOT_SENT: the server got no byte of it.
+        reply: The whole reply, if there is one.
+        detail: What happened, for people.
+    """
+
+    outcome: ExchangeOutcome
+    reply: HttpReply | None = None
+    detail: str = ""
+
+
+ResultHandler = Callable[[ExchangeResult], None]
+# Returns the bytes to send now, or None if nothing may be sent any more.
+RequestEncoder = Callable[[float], bytes | None]
+# Whether a whole reply belongs to the request; if not, the connection is out
+# of step and is closed.
+ReplyCheck = Callable[[HttpReply], bool]
+
+
+class Exchange:
+    """One request to one server, until its reply."""
+
+    __slots__ = (
+        "_on_result",
+        "check",
+        "connection",
+        "encode",
+        "sent_at_s",
+        "started_at_s",
+    )
+
+    def __init__(
+        self,
+        encode: RequestEncoder,
+        check: ReplyCheck,
+        on_result: ResultHandler,
+    ) -> None:
+        self.encode = encode
+        self.check = check
+        self._on_result: ResultHandler | None = on_result
+        self.connection: _Connection | None = None
+        self.started_at_s = read_clock_s()
+        self.sent_at_s: float | None = None
+
+    def finish(self, result: ExchangeResult) -> None:
+        """Gives the result, once."""
+        on_result = self._on_result
+        self._on_result = None
+        if on_result is not None:
+            on_result(result)
+
+    def cancel(self) -> None:
+        """Gives the request up; there will be no result."""
+        self._on_result = None
+        connection = self.connection
+        self.connection = None
+        if connection is not None:
+            connection.abandon()
+
+
+class _Connection:
+    """One connection to one server."""
+
+    __slots__ = (
+        "_exchange",
+        "_parser",
+        "_pool",
+        "idle_life_s",
+        "idle_since_s",
+        "is_connected",
+        "started_at_s",
+        "stream",
+    )
+
+    def __init__(self, pool: "_Pool") -> None:
+        self._pool = pool
+        self._parser: SingleReplyParser | None = None
+        self._exchange: Exchange | None = None
+        self.stream: Stream | None = None
+        self.started_at_s = self.idle_since_s = read_clock_s()
+        self.idle_life_s = DEFAULT_IDLE_LIFE_S
+        self.is_connected = False
+
+    def wait_for_connection(self, exchange: Exchange) -> None:
+        """Takes the request that is sent once the connection stands."""
+        self._exchange = exchange
+        exchange.connection = self
+
+    def send(self, exchange: Exchange) -> bool:
+        """Sends a request on the open connection.
+
+        Returns:
+            False if there was nothing to send any more.
+        """
+        self._exchange = exchange
+        exchange.connection = self
+        now_s = read_clock_s()
+        data = exchange.encode(now_s)
+        if data is None or self.stream is None:
+            self._exchange = exchange.connection = None
+            return False
+        self._parser = SingleReplyParser()
+        exchange.sent_at_s = now_s
+        self.stream.send(data)
+        return True
+
+    def on_connected(self, stream: Stream) -> None:
+        """Sends the request that waits for the connection."""
+        self.is_connected = True
+        exchange = self._exchange
+        if exchange is None:
+            self._pool.put_idle(self)
+        elif not self.send(exchange):
+            self._pool.put_idle(self)
+            exchange.finish(ExchangeResult(ExchangeOutcome.NOT_SENT))
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Takes bytes of the reply."""
+        if self._parser is None or self._exchange is None:
+            # Nothing was asked.
+            self._pool.discard(self)
+            return
+        try:
+            reply = self._parser.feed(data)
+        except (httptools.HttpParserError, ReplyTooLargeError) as error:
+            self._fail(ExchangeOutcome.MALFORMED, repr(error))
+            return
+        if reply is not None:
+            self._finish(reply)
+
+    def _finish(self, reply: HttpReply) -> None:
+        exchange, parser, stream = self._exchange, self._parser, self.stream
+        if exchange is None or parser is None or stream is None:
+            return
+        self._exchange = self._parser = exchange.connection = None
+        is_own = exchange.check(reply)
+        if (
+            is_own
+            and reply.keeps_alive
+            and not parser.has_extra_bytes
+            # The server answered before it had read the whole request.
+            and not stream.unsent
+        ):
+            self._read_idle_life(reply)
+            self._pool.put_idle(self)
+        else:
+            self._pool.discard(self)
+        if is_own:
+            exchange.finish(ExchangeResult(ExchangeOutcome.REPLY, reply))
+        else:
+            detail = "the reply belongs to another request"
+            exchange.finish(
+                ExchangeResult(ExchangeOutcome.MALFORMED, detail=detail)
+            )
+
+    def _read_idle_life(self, reply: HttpReply) -> None:
+        match = _KEEP_ALIVE_TIMEOUT.search(reply.headers.get("keep-alive", ""))
+        if match is not None:
+            self.idle_life_s = int(match[1]) * IDLE_SHARE
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """The connection has ended, perhaps as the end of the reply."""
+        if self._parser is not None and reason == CLOSED_BY_PEER:
+            reply = self._parser.end()
+            if reply is not None:
+                self._finish(reply)
+                return
+        self._fail(ExchangeOutcome.LOST, reason)
+
+    def _fail(self, outcome: ExchangeOutcome, detail: str) -> None:
+        exchange = self._exchange
+        self._exchange = None
+        self._pool.discard(self)
+        if exchange is None:
+            return
+        exchange.connection = None
+        if exchange.sent_at_s is None:
+            outcome = ExchangeOutcome.NOT_CONNECTED
+        exchange.finish(ExchangeResult(outcome, detail=detail))
+
+    def abandon(self) -> None:
+        """Closes the connection of a request that was given up.
+
+        A connection that does not stand yet is kept for the next request.
+        """
+        self._exchange = None
+        if self.is_connected:
+            self._pool.discard(self)
+
+    def expire_dial(self) -> None:
+        """Gives up a connection that was not accepted in time."""
+        self._fail(ExchangeOutcome.NOT_CONNECTED, "no connection in time")
+
+
+class _Pool:
+    """The connections to one server."""
+
+    __slots__ = ("_idle", "_is_closed", "_owner", "_used", "address")
+
+    def __init__(self, owner: "ServerConnections", address: Address) -> None:
+        self._owner = owner
+        self.address = address
+        self._idle: list[_Connection] = []
+        self._used: set[_Connection] = set()
+        self._is_closed = False
+
+    @property
+    def connection_count(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._idle) + len(self._used)
+
+    @property
+    def idle_count(self) -> int:
+        """Connections that wait for a request."""
+        return len(self._idle)
+
+    def start(self, exchange: Exchange, max_idle_s: float) -> bool:
+        """Sends a request on an idle connection or on a new one."""
+        now_s = read_clock_s()
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = now_s - connection.idle_since_s
+            if idle_s > min(connection.idle_life_s, max_idle_s):
+                # Those below it have been idle for longer.
+                self._idle.append(connection)
+                if idle_s > connection.idle_life_s:
+                    self.close_idle()
+                break
+            self._used.add(connection)
+            if connection.send(exchange):
+                return True
+            self.put_idle(connection)
+            return False
+        self._dial(exchange)
+        return True
+
+    def _dial(self, exchange: Exchange) -> None:
+        connection = _Connection(self)
+        self._used.add(connection)
+        connection.wait_for_connection(exchange)
+        connection.stream = self._owner.streams.dial(self.address, connection)
+        self._owner.dial_count += 1
+
+    def put_idle(self, connection: _Connection) -> None:
+        """Keeps a connection for the next request."""
+        if self._is_closed:
+            self.discard(connection)
+            return
+        self._used.discard(connection)
+        connection.idle_since_s = read_clock_s()
+        self._idle.append(connection)
+
+    def discard(self, connection: _Connection) -> None:
+        """Closes a connection."""
+        self._used.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if connection.stream is not None:
+            connection.stream.close()
+            connection.stream = None
+
+    def close_idle(self) -> None:
+        """Closes the connections that carry no request."""
+        for connection in [*self._idle]:
+            self.discard(connection)
+
+    def close(self) -> None:
+        """Closes idle connections now and busy ones as they end."""
+        self._is_closed = True
+        self.close_idle()
+
+    def sweep(self, now_s: float) -> None:
+        """Closes what was idle for too long or was not accepted in time."""
+        for connection in [*self._idle]:
+            if now_s - connection.idle_since_s > connection.idle_life_s:
+                self.discard(connection)
+        for connection in [*self._used]:
+            if (
+                not connection.is_connected
+                and now_s - connection.started_at_s > CONNECT_TIMEOUT_S
+            ):
+                connection.expire_dial()
+
+
+class ServerConnections:
+    """Sends requests to backend servers; see the module."""
+
+    def __init__(self, streams: Streams, timers: Timers) -> None:
+        self.streams = streams
+        self._pools: dict[str, _Pool] = {}
+        self.dial_count = 0
+        timers.call_every(CONNECT_TIMEOUT_S / 2, self._sweep)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for pool in self._pools.values():
+            pool.close()
+
+    def has_room(self, server_id: str, cap_count: int) -> bool:
+        """Whether a request may start now without a connection too many."""
+        pool = self._pools.get(server_id)
+        return (
+            pool is None
+            or pool.idle_count > 0
+            or pool.connection_count < cap_count
+        )
+
+    def start(
+        self,
+        server_id: str,
+        address: Address,
+        exchange: Exchange,
+        max_idle_s: float = DEFAULT_IDLE_LIFE_S,
+    ) -> bool:
+        """Sends a request.
+
+        Args:
+            server_id: The server's identity.
+            address: Where it listens.
+            exchange: The request.
+            max_idle_s: Connections idle for longer are not used.
+
+        Returns:
+            False if the encoder had nothing to send any more.
+        """
+        pool = self._pools.get(server_id)
+        if pool is None or pool.address != address:
+            if pool is not None:
+                pool.close()
+            pool = self._pools[server_id] = _Pool(self, address)
+        return pool.start(exchange, max_idle_s)
+
+    def forget(self, server_id: str) -> None:
+        """Closes the idle connections to a server that has left."""
+        pool = self._pools.pop(server_id, None)
+        if pool is not None:
+            pool.close()
+
+    def _sweep(self) -> None:
+        now_s = read_clock_s()
+        for pool in [*self._pools.values()]:
+            pool.sweep(now_s)
+
+    @property
+    def connection_count(self) -> int:
+        """Connections to all backend servers."""
+        return sum(pool.connection_count for pool in self._pools.values())
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -5,8 +5,6 @@
 has a timer, since the store can be slow or a connection silent.
 """
 
-import json
-import urllib.parse
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Final, NamedTuple, Self
@@ -20,16 +18,12 @@
     FleetReply,
     JsonObject,
     ListReply,
+    ObjectList,
     ObjectReply,
     WriteReply,
 )
-from mulberrybay_platform.object_codec import (
-    decode_list,
-    decode_object,
-    decode_write,
-    kind_path,
-    object_path,
-)
+from mulberrybay_platform.dialect import StoreCall, StoreDialect
+from mulberrybay_platform.object_codec import ObjectDialect
 from mulberrybay_platform.vm_list import decode_vm_list
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import (
@@ -55,10 +49,13 @@
     Attributes:
         address: Where its object API listens.
         timeout_s: How long a call may take.
+        detects_silence: Whether probes of the kernel end connections whose
+            peer has fallen silent.
     """
 
     address: Address
     timeout_s: float = 1.0
+    detects_silence: bool = False
 
 
 class _Call:
@@ -131,9 +128,14 @@
     """Speaks the platform's object API; see `PlatformStore`."""
 
     def __init__(
-        self, settings: PlatformSettings, streams: Streams, timers: Timers
+        self,
+        settings: PlatformSettings,
+        streams: Streams,
+        timers: Timers,
+        dialect: StoreDialect | None = None,
     ) -> None:
         self._settings = settings
+        self._dialect: StoreDialect = dialect or ObjectDialect()
         self._streams = streams
         self._timers = timers
         self._idle: list[_Connection] = []
@@ -163,17 +165,40 @@
         """Reads an object; None if there is none."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(decode_object))
+            reply(result.bind(self._dialect.decode_object))
 
-        self._request("read", "GET", object_path(kind, name), on_result)
+        self._request(self._dialect.read(kind, name), on_result)
 
     def list_kind(self, kind: str, reply: ListReply) -> None:
         """Reads all objects of a kind."""
+        self._list_page(kind, "", None, reply)
+
+    def _list_page(
+        self,
+        kind: str,
+        after_name: str,
+        pages: ObjectList | None,
+        reply: ListReply,
+    ) -> None:
+        """Reads one page after another; changes since the first are watched."""
+
+        def on_page(page: ObjectList) -> None:
+            whole = page
+            if pages is not None:
+                whole = pages._replace(items=pages.items + page.items)
+            if page.next_name:
+                self._list_page(kind, page.next_name, whole, reply)
+            else:
+                reply(Ok(whole))
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(decode_list))
+            match result.bind(self._dialect.decode_list):
+                case Result(tag="ok", ok=page):
+                    on_page(page)
+                case Result(error=failure):
+                    reply(Error(failure))
 
-        self._request("list", "GET", kind_path(kind), on_result)
+        self._request(self._dialect.list_kind(kind, after_name), on_result)
 
     def write(
         self,
@@ -186,18 +211,10 @@
         """Writes an object if its version is as expected; 0 for absent."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(decode_write))
+            reply(result.bind(self._dialect.decode_write))
 
-        condition = ("If-Match", f'"{expected_version}"')
-        if expected_version == 0:
-            condition = ("If-None-Match", "*")
         self._request(
-            "write",
-            "PUT",
-            object_path(kind, name),
-            on_result,
-            headers=(condition, ("Content-Type", "application/json")),
-            body=json.dumps(value).encode(),
+            self._dialect.write(kind, name, value, expected_version), on_result
         )
 
     def delete(
@@ -206,14 +223,10 @@
         """Deletes an object if its version is as expected."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(decode_write))
+            reply(result.bind(self._dialect.decode_write))
 
         self._request(
-            "delete",
-            "DELETE",
-            object_path(kind, name),
-            on_result,
-            headers=(("If-Match", f'"{expected_version}"'),),
+            self._dialect.delete(kind, name, expected_version), on_result
         )
 
     def watch(
@@ -222,21 +235,19 @@
         """Waits for objects of a kind written after a version."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(decode_list))
+            reply(result.bind(self._dialect.decode_list))
 
-        path = (
-            f"/v1/watch/{urllib.parse.quote(kind, safe='')}"
-            f"?after={after_version}&timeout_s={timeout_s}"
-        )
-        call = _Call(
-            "watch",
-            encode_request("GET", path, self._settings.address),
-            timeout_s + WATCH_GRACE_S,
-            on_result,
-        )
-        self.call_counts["watch"] += 1
+        spec = self._dialect.watch(kind, after_version, timeout_s)
+        call = self._make_call(spec, timeout_s + WATCH_GRACE_S, on_result)
         self._arm(call)
-        self._open(call)
+        # Its wait must not hold up the calls that are queued. A connection
+        # that was quiet may have fallen silent, unless that is probed for.
+        if self._idle and self._settings.detects_silence:
+            connection = self._idle.pop()
+            self._busy.add(connection)
+            connection.start(call)
+        else:
+            self._open(call)
 
     def list_vms(self, reply: FleetReply) -> None:
         """Reads the lagging list of VMs."""
@@ -244,22 +255,28 @@
         def on_result(result: HttpResult) -> None:
             reply(result.bind(decode_vm_list))
 
-        self._request("list_vms", "GET", "/v1/vms", on_result)
+        self._request(StoreCall("list_vms", "GET", "/v1/vms"), on_result)
 
-    def _request(
+    def _make_call(
         self,
-        operation: str,
-        method: str,
-        path: str,
+        spec: StoreCall,
+        timeout_s: float,
         reply: Callable[[HttpResult], None],
-        headers: tuple[tuple[str, str], ...] = (),
-        body: bytes = b"",
-    ) -> None:
+    ) -> _Call:
         data = encode_request(
-            method, path, self._settings.address, headers, body
+            spec.method,
+            spec.path,
+            self._settings.address,
+            spec.headers,
+            spec.body,
         )
-        call = _Call(operation, data, self._settings.timeout_s, reply)
-        self.call_counts[operation] += 1
+        self.call_counts[spec.operation] += 1
+        return _Call(spec.operation, data, timeout_s, reply)
+
+    def _request(
+        self, spec: StoreCall, reply: Callable[[HttpResult], None]
+    ) -> None:
+        call = self._make_call(spec, self._settings.timeout_s, reply)
         if len(self._queue) >= MAX_QUEUED_COUNT:
             self._fail(call, "too many calls wait for the platform")
             return
@@ -289,7 +306,9 @@
         connection = _Connection(self, call)
         self._busy.add(connection)
         connection.stream = self._streams.dial(
-            self._settings.address, connection
+            self._settings.address,
+            connection,
+            detects_silence=self._settings.detects_silence,
         )
 
     def _on_timeout(self, call: _Call) -> None:
--- a/packages/platform/mulberrybay_platform/object_codec.py
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -1,4 +1,4 @@
-"""Reads and writes the messages of the platform's object API."""
+"""The product's own form of the platform's object API."""
 
 import json
 import urllib.parse
@@ -15,6 +15,7 @@
     WriteOutcome,
     WriteResult,
 )
+from mulberrybay_platform.dialect import StoreCall
 from mulberrybay_runtime.http_exchange import HttpReply
 
 T = TypeVar("T")
@@ -114,3 +115,64 @@
             ),
         )
     return Error(_unexpected(reply))
+
+
+class ObjectDialect:
+    """How the product's own object API is spoken; see `StoreDialect`."""
+
+    def read(self, kind: str, name: str) -> StoreCall:
+        """Returns the call that reads an object."""
+        return StoreCall("read", "GET", object_path(kind, name))
+
+    def list_kind(self, kind: str, after_name: str) -> StoreCall:
+        """Returns the call that lists a kind; this API has no pages."""
+        del after_name
+        return StoreCall("list", "GET", kind_path(kind))
+
+    def watch(
+        self, kind: str, after_version: int, timeout_s: float
+    ) -> StoreCall:
+        """Returns the call that waits for changes."""
+        path = (
+            f"/v1/watch/{urllib.parse.quote(kind, safe='')}"
+            f"?after={after_version}&timeout_s={timeout_s}"
+        )
+        return StoreCall("watch", "GET", path)
+
+    def write(
+        self, kind: str, name: str, value: JsonObject, expected_version: int
+    ) -> StoreCall:
+        """Returns the call that writes an object."""
+        condition = ("If-Match", f'"{expected_version}"')
+        if expected_version == 0:
+            condition = ("If-None-Match", "*")
+        return StoreCall(
+            "write",
+            "PUT",
+            object_path(kind, name),
+            (condition, ("Content-Type", "application/json")),
+            json.dumps(value).encode(),
+        )
+
+    def delete(self, kind: str, name: str, expected_version: int) -> StoreCall:
+        """Returns the call that deletes an object."""
+        return StoreCall(
+            "delete",
+            "DELETE",
+            object_path(kind, name),
+            (("If-Match", f'"{expected_version}"'),),
+        )
+
+    def decode_object(
+        self, reply: HttpReply
+    ) -> Result[StoredObject | None, Failure]:
+        """Parses the answer to the read of an object."""
+        return decode_object(reply)
+
+    def decode_list(self, reply: HttpReply) -> Result[ObjectList, Failure]:
+        """Parses the answer to a list or a watch."""
+        return decode_list(reply)
+
+    def decode_write(self, reply: HttpReply) -> Result[WriteResult, Failure]:
+        """Parses the answer to a conditional write or deletion."""
+        return decode_write(reply)
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -99,3 +99,94 @@
                 keeps_alive=self._parser.should_keep_alive(),
             )
         )
+
+
+class SingleReplyParser:
+    """Parses the reply to one request.
+
+    Attributes:
+        reply: The whole reply, once it is complete.
+        has_extra_bytes: Whether bytes followed the reply; they answer nothing
+            that was asked.
+    """
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._has_head = False
+        self.reply: HttpReply | None = None
+        self.has_extra_bytes = False
+
+    def feed(self, data: bytes) -> HttpReply | None:
+        """Takes bytes from the connection.
+
+        Returns:
+            The reply, once it is complete.
+
+        Raises:
+            ReplyTooLargeError: The reply exceeds the limit.
+            httptools.HttpParserError: The bytes are not HTTP.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.reply is None:
+                raise
+            self.has_extra_bytes = True
+        if self._body_bytes > MAX_REPLY_BYTES:
+            raise ReplyTooLargeError
+        return self.reply
+
+    def end(self) -> HttpReply | None:
+        """Takes the orderly end of the connection.
+
+        Returns:
+            The reply if its length is that of the connection.
+        """
+        has_length = (
+            "content-length" in self._headers
+            or "transfer-encoding" in self._headers
+        )
+        if self.reply is None and self._has_head and not has_length:
+            self._finish(keeps_alive=False)
+        return self.reply
+
+    def on_message_begin(self) -> None:
+        """Starts a reply."""
+        if self.reply is not None:
+            self.has_extra_bytes = True
+            return
+        self._headers = {}
+        self._body = []
+        self._has_head = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        if self.reply is None:
+            self._headers[_lower_name(name)] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Notes that status and headers are known."""
+        if self.reply is None:
+            self._has_head = self._parser.get_status_code() >= 200
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of the body."""
+        if self.reply is None:
+            self._body.append(body)
+            self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Finishes the reply, unless it is an interim one."""
+        if self.reply is None and self._has_head:
+            self._finish(keeps_alive=self._parser.should_keep_alive())
+
+    def _finish(self, *, keeps_alive: bool) -> None:
+        self.reply = HttpReply(
+            status=self._parser.get_status_code(),
+            headers=self._headers,
+            body=b"".join(self._body),
+            keeps_alive=keeps_alive,
+        )
--- a/packages/runtime/mulberrybay_runtime/logs.py
+++ b/packages/runtime/mulberrybay_runtime/logs.py
@@ -1,9 +1,10 @@
 """Structured logs: one line for each change of state."""
 
+import io
 import json
 import sys
 from datetime import UTC
-from typing import Any
+from typing import Any, TextIO
 
 import logbook
 
@@ -36,17 +37,20 @@
         return f"{at} {level:<7} {record.message}  {fields}".rstrip()
 
 
-def make_log_handler(log_form: str, log_level: str) -> logbook.StreamHandler:
+def make_log_handler(
+    log_form: str, log_level: str, stream: io.TextIOBase | TextIO | None = None
+) -> logbook.StreamHandler:
     """Returns the handler for a process, to be entered as a context.
 
     Args:
         log_form: "json" or "console".
         log_level: The lowest level to write, in lower case.
+        stream: Where to write; standard error if it is left out.
     """
     level = logbook.lookup_level(log_level.upper())
     if log_form == "json":
-        return JsonHandler(sys.stderr, level=level)
-    return ConsoleHandler(sys.stderr, level=level)
+        return JsonHandler(stream or sys.stderr, level=level)
+    return ConsoleHandler(stream or sys.stderr, level=level)
 
 
 class StateLog:
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -21,6 +21,9 @@
 READ_SIZE_BYTES: Final = 262_144
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 LISTEN_BACKLOG_COUNT: Final = 512
+# A silent peer is noticed within about PROBE_PERIOD_S * (PROBE_COUNT + 1).
+PROBE_PERIOD_S: Final = 1
+PROBE_COUNT: Final = 2
 
 
 class streams_ready(Event):  # noqa: N801
@@ -56,6 +59,18 @@
         return bool(self.getTarget(connection) == Streams.channel)
 
 
+def _probe_when_quiet(connection: socket.socket) -> None:
+    """Ends a connection whose peer does not answer for a few seconds."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, PROBE_PERIOD_S),
+        (socket.TCP_KEEPINTVL, PROBE_PERIOD_S),
+        (socket.TCP_KEEPCNT, PROBE_COUNT),
+        (socket.TCP_USER_TIMEOUT, PROBE_PERIOD_S * PROBE_COUNT * 1000),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class StreamObserver(Protocol):
     """What the owner of a stream learns of it."""
 
@@ -87,6 +102,7 @@
         self.postponed: list[bytes] = []
         self.is_connecting = observer is not None
         self.is_open = True
+        self.ends_when_sent = False
 
     def send(self, data: bytes) -> bool:
         """Hands bytes to the socket; keeps what it does not take yet.
@@ -104,6 +120,18 @@
         """
         return self._owner.send_soon(self, data)
 
+    def end_sending_when_sent(self) -> None:
+        """Tells the peer that nothing follows; reading goes on."""
+        self.ends_when_sent = True
+        if not self.unsent and not self.postponed:
+            self.end_sending()
+
+    def end_sending(self) -> None:
+        """Ends this side of the connection."""
+        # A peer that has reset the connection shows at the next read.
+        with contextlib.suppress(OSError):
+            self.connection.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Closes the connection without telling the observer."""
         self._owner.close_stream(self, reason=None)
@@ -153,11 +181,26 @@
             listener.close()
         self._listeners.clear()
 
-    def dial(self, address: Address, observer: StreamObserver) -> Stream:
-        """Starts to connect; the observer hears how it went, later."""
+    def dial(
+        self,
+        address: Address,
+        observer: StreamObserver,
+        *,
+        detects_silence: bool = False,
+    ) -> Stream:
+        """Starts to connect; the observer hears how it went, later.
+
+        Args:
+            address: The peer.
+            observer: Hears what happens.
+            detects_silence: Whether the kernel probes the connection while it
+                is quiet and ends it when the peer does not answer.
+        """
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if detects_silence:
+            _probe_when_quiet(connection)
         stream = Stream(self, connection, address, observer)
         self._streams[connection] = stream
         connection.connect_ex(address)
@@ -213,6 +256,8 @@
             self._poller.addWriter(self, stream.connection)
         elif was_waiting and not stream.unsent:
             self._poller.removeWriter(stream.connection)
+        if stream.ends_when_sent and not stream.unsent:
+            stream.end_sending()
         return True
 
     def close_stream(self, stream: Stream, reason: str | None) -> None:
