Restart a store watch that other nodes show to have missed a change

Ruled out: store down or slow for the node (other kinds were answered). Change: heartbeats carry the version of the last change seen for each kind; a node that stays behind 0.7 s starts its watch anew; watches end after 8 s, 2.5 s with one or two nodes. Answers over shards leave time for the caller's own round trips, read from the kernel.

--- a/packages/core/mulberrybay_core/caller_messages.py
+++ b/packages/core/mulberrybay_core/caller_messages.py
@@ -60,6 +60,8 @@
         request_id: The caller's name for it; empty if it gave none.
         received_at_s: When its last byte was read.
         deadline_s: How long the caller waits; None if it did not say.
+        travel_s: What the caller's latency has besides the time at this node:
+            the ways of request and answer, and of opening the connection.
     """
 
     method: str
@@ -71,6 +73,7 @@
     request_id: str
     received_at_s: float
     deadline_s: float | None
+    travel_s: float = 0.0
 
 
 class CallerAnswer(NamedTuple):
--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -45,11 +45,14 @@
         sender: The node.
         is_serving: Whether callers should be sent to it.
         configuration_revision: The configuration that it follows.
+        changed_versions: The store's version at the last change that it saw,
+            for each kind of objects, in an order that all nodes share.
     """
 
     sender: EdgeNodeInfo
     is_serving: bool
     configuration_revision: int
+    changed_versions: tuple[int, ...] = ()
 
 
 class _Peer:
@@ -153,6 +156,15 @@
             and peer.heartbeat.is_serving
         ]
 
+    def highest_changed(self, now_s: float) -> tuple[int, ...]:
+        """Returns the newest change that any running peer saw, by kind."""
+        known = [
+            peer.heartbeat.changed_versions
+            for peer in self._peers.values()
+            if peer.heartbeat is not None and self._is_alive(peer, now_s)
+        ]
+        return tuple(max(versions) for versions in zip(*known, strict=False))
+
     # Shares and removals.
 
     def sharing_count(self, now_s: float) -> int:
--- a/packages/core/mulberrybay_core/platform_messages.py
+++ b/packages/core/mulberrybay_core/platform_messages.py
@@ -38,12 +38,14 @@
         store_version: Where to watch from.
         removed_names: The objects that a watch saw removed.
         next_name: The name after which a list goes on; empty at its end.
+        changed_version: The version of the last change that is in it.
     """
 
     items: tuple[StoredObject, ...]
     store_version: int
     removed_names: tuple[str, ...] = ()
     next_name: str = ""
+    changed_version: int = 0
 
 
 class WriteOutcome(enum.Enum):
--- a/packages/core/mulberrybay_core/route_history.py
+++ b/packages/core/mulberrybay_core/route_history.py
@@ -35,18 +35,19 @@
             median_s = FIRST_USUAL_SHARE * self.target_latency_s
         return max(MIN_USUAL_S, median_s)
 
-    def hedge_delay_s(self, repeat_ratio: float) -> float:
+    def hedge_delay_s(self, repeat_ratio: float, available_s: float) -> float:
         """Returns how long to wait for a reply before a second attempt.
 
         Args:
             repeat_ratio: Repeats allowed for each request.
+            available_s: The time in which the answer meets its target.
         """
         percent = 100 * repeat_ratio * HEDGE_PART_OF_ALLOWANCE
         delay_s = self._quantiles.delay_s(percent)
-        longest_s = MAX_HEDGE_SHARE * self.target_latency_s
+        longest_s = MAX_HEDGE_SHARE * available_s
         if delay_s is None:
             return longest_s
-        shortest_s = MIN_HEDGE_SHARE * self.target_latency_s
+        shortest_s = MIN_HEDGE_SHARE * available_s
         return min(max(delay_s, shortest_s), longest_s)
 
 
--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -57,6 +57,8 @@
         self._cancel: CancelRequest | None = None
         self._request_count = 0
         self._is_ending = False
+        self._has_request = False
+        self._round_trip_s = stream.round_trip_s()
         self.quiet_since_s = read_clock_s()
         self.message_since_s: float | None = None
         self._clear_message()
@@ -208,8 +210,15 @@
             request_id=request_id,
             received_at_s=read_clock_s(),
             deadline_s=deadline_s,
+            travel_s=self._take_travel_s(),
         )
 
+    def _take_travel_s(self) -> float:
+        """Returns the time of a request that is spent on the way."""
+        round_trip_count = 1 if self._has_request else 2
+        self._has_request = True
+        return round_trip_count * self._round_trip_s
+
     # Answers.
 
     def _start_next(self) -> None:
--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -52,7 +52,7 @@
             self._last_answer_at_s,
         )
         self._hedge_at_s = started_at_s + job.history.hedge_delay_s(
-            tools.repeat_ratio
+            tools.repeat_ratio, job.available_s()
         )
         self._failures: list[str] = []
 
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -16,7 +16,6 @@
     SendRefusal,
 )
 from mulberrybay_edge.run_context import (
-    ANSWER_MARGIN_S,
     ROOM_CHECK_PERIOD_S,
     TIMEOUT_MARGIN_S,
     RunJob,
@@ -57,11 +56,10 @@
         self._deadline_at_s = job.deadline_at_s()
         self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
         self._answer_at_s = min(
-            started_at_s + job.route.target_latency_s - ANSWER_MARGIN_S,
-            self._last_answer_at_s,
+            started_at_s + job.available_s(), self._last_answer_at_s
         )
         self._hedge_at_s = started_at_s + job.history.hedge_delay_s(
-            tools.repeat_ratio
+            tools.repeat_ratio, job.available_s()
         )
         self._hedge_count = 0
         self._failures: list[str] = []
--- a/packages/edge/mulberrybay_edge/heartbeat.capnp
+++ b/packages/edge/mulberrybay_edge/heartbeat.capnp
@@ -13,4 +13,5 @@
   peerPort @7 :UInt16;
   isServing @8 :Bool;
   configurationRevision @9 :UInt64;
+  changedVersions @10 :List(UInt64);
 }
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -32,6 +32,7 @@
         peerPort=sender.peer_address.port,
         isServing=heartbeat.is_serving,
         configurationRevision=heartbeat.configuration_revision,
+        changedVersions=list(heartbeat.changed_versions),
     )
     return bytes(message.to_bytes())
 
@@ -56,6 +57,7 @@
                 ),
                 message.isServing,
                 message.configurationRevision,
+                tuple(message.changedVersions),
             )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise HeartbeatError(str(error)) from error
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -43,7 +43,12 @@
 from mulberrybay_edge.run_context import RunTools
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
-from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.store_watch import (
+    LONE_NODE_COUNT,
+    LONE_WATCH_TIMEOUT_S,
+    WATCH_TIMEOUT_S,
+    StoreWatch,
+)
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_platform.dialect import StoreDialect
 from mulberrybay_runtime.clock import read_clock_s
@@ -143,9 +148,10 @@
             self._on_table,
         )
         self._registry = NodeRegistry(self._store, self._timers, self._nodes)
-        self._node_watch = StoreWatch(
+        node_watch = StoreWatch(
             self._store, self._timers, NODE_KIND, self._registry
         )
+        self._watches = [*self._view.watches, node_watch]
 
     def _build_dispatch(self) -> None:
         settings = self._settings
@@ -222,8 +228,8 @@
             if address is not None:
                 enter(server)
                 server.listen(address)
-        self._view.start()
-        self._node_watch.start()
+        for watch in self._watches:
+            watch.start()
         self._timers.call_later(0.0, self._send_heartbeats_again)
         self._timers.call_every(UPKEEP_PERIOD_S, self._keep_up)
         self._timers.call_every(SETTINGS_CHECK_PERIOD_S, self._check_settings)
@@ -275,8 +281,9 @@
         if not addresses:
             return
         revision = self._view.table.revision if self._view.table else 0
+        versions = tuple(watch.changed_version for watch in self._watches)
         data = encode_heartbeat(
-            EdgeHeartbeat(self._nodes.own, self._is_ready(), revision)
+            EdgeHeartbeat(self._nodes.own, self._is_ready(), revision, versions)
         )
         for address in addresses:
             self._datagrams.send(data, address)
@@ -304,12 +311,25 @@
         sharing_count = self._nodes.sharing_count(now_s)
         self._retries.node_count = sharing_count
         self._cold.node_count = sharing_count
-        self._sender.sender_count = len(self._nodes.alive_names(now_s))
+        alive_count = len(self._nodes.alive_names(now_s))
+        self._sender.sender_count = alive_count
+        self._check_watches(alive_count, now_s)
         if self._stopping_since_s is None:
             self._registry.remove_lost(now_s)
         else:
             self._check_stop(now_s - self._stopping_since_s)
 
+    def _check_watches(self, alive_count: int, now_s: float) -> None:
+        """Compares what the watches saw with what other nodes saw."""
+        is_lone = alive_count <= LONE_NODE_COUNT
+        peer_versions = self._nodes.highest_changed(now_s)
+        for index, watch in enumerate(self._watches):
+            watch.timeout_s = (
+                LONE_WATCH_TIMEOUT_S if is_lone else WATCH_TIMEOUT_S
+            )
+            if index < len(peer_versions):
+                watch.note_peer_version(peer_versions[index], now_s)
+
     # Settings.
 
     def _read_settings_stamp(self) -> int:
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -136,11 +136,6 @@
             ),
         }
 
-    def start(self) -> None:
-        """Starts to read."""
-        for watch in self._watches.values():
-            watch.start()
-
     @property
     def is_read(self) -> bool:
         """Whether all that a request depends on was read once."""
@@ -149,6 +144,11 @@
             for watch in self._watches.values()
         )
 
+    @property
+    def watches(self) -> list[StoreWatch]:
+        """The watches, in the order of their kinds."""
+        return [*self._watches.values()]
+
     @property
     def failing_kinds(self) -> list[str]:
         """The kinds whose last call failed."""
--- a/packages/edge/mulberrybay_edge/run_context.py
+++ b/packages/edge/mulberrybay_edge/run_context.py
@@ -19,8 +19,10 @@
 ROOM_CHECK_PERIOD_S: Final = 0.01
 # A request that finds no room is refused after this part of its target.
 MAX_QUEUE_SHARE: Final = 0.2
-# Time for the answer's way to the caller.
-ANSWER_MARGIN_S: Final = 0.006
+# Time to merge and send an answer, and for a timer that fires late.
+ANSWER_MARGIN_S: Final = 0.002
+# A caller that is very far away still gets this part of the target.
+MIN_AVAILABLE_SHARE: Final = 0.3
 # An answer by the timeout leaves this much before it.
 TIMEOUT_MARGIN_S: Final = 0.01
 
@@ -69,6 +71,12 @@
     template: RequestTemplate
     reply: AnswerHandler
 
+    def available_s(self) -> float:
+        """Returns the time at this node in which the target is met."""
+        target_s = self.route.target_latency_s
+        available_s = target_s - self.request.travel_s - ANSWER_MARGIN_S
+        return max(available_s, MIN_AVAILABLE_SHARE * target_s)
+
     def deadline_at_s(self) -> float:
         """Returns when the caller's request times out."""
         timeout_s = self.route.timeout_s
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -10,7 +10,14 @@
 from mulberrybay_runtime.logs import StateLog
 from mulberrybay_runtime.timers import Timers
 
-WATCH_TIMEOUT_S: Final = 25.0
+# A lost answer leaves its connection alive and silent, so a watch must end
+# before what it missed gets too old. Other nodes show that something was
+# missed; a node that has hardly any relies on the time alone.
+WATCH_TIMEOUT_S: Final = 8.0
+LONE_WATCH_TIMEOUT_S: Final = 2.5
+LONE_NODE_COUNT: Final = 2
+# Nodes learn of a change at different moments, by this much at most.
+BEHIND_FOR_S: Final = 0.7
 # Changes that come together cost one call instead of one each.
 BATCH_PAUSE_S: Final = 0.3
 # Refused calls are priced and use up the rate, so they are spaced out.
@@ -44,12 +51,44 @@
         self._listener = listener
         self._backoff = Backoff(FIRST_RETRY_S, MAX_RETRY_S)
         self._log = StateLog("store")
+        self._generation = 0
+        self._behind_since_s: float | None = None
+        # The list or the last watch goes up to this version.
         self.version: int | None = None
+        # The version of the last change of this kind that was seen.
+        self.changed_version = 0
         self.is_failing = False
+        self.timeout_s = LONE_WATCH_TIMEOUT_S
 
     def start(self) -> None:
         """Reads the list; watches follow."""
-        self._store.list_kind(self._kind, self._on_listed)
+        self._generation += 1
+        generation = self._generation
+
+        def on_result(result: Result[ObjectList, Failure]) -> None:
+            if generation == self._generation:
+                self._on_listed(result)
+
+        self._store.list_kind(self._kind, on_result)
+
+    def note_peer_version(self, version: int, now_s: float) -> None:
+        """Takes the newest change that other nodes have seen.
+
+        Starts the watch anew if it stays behind: its answer was lost.
+        """
+        if self.version is None or version <= self.version:
+            self._behind_since_s = None
+        elif self._behind_since_s is None:
+            self._behind_since_s = now_s
+        elif now_s - self._behind_since_s >= BEHIND_FOR_S:
+            self._behind_since_s = None
+            self._log.warning(
+                "a change was missed",
+                kind=self._kind,
+                version=self.version,
+                peer_version=version,
+            )
+            self._watch()
 
     def _on_listed(self, result: Result[ObjectList, Failure]) -> None:
         match result:
@@ -57,24 +96,38 @@
                 self._note_success()
                 self._listener.on_list(objects)
                 self.version = objects.store_version
+                self._note_changed(objects)
                 self._watch()
             case Result(error=failure):
                 self._retry(failure)
 
     def _watch(self) -> None:
-        if self.version is not None:
-            self._store.watch(
-                self._kind, self.version, WATCH_TIMEOUT_S, self._on_changes
-            )
+        if self.version is None:
+            return
+        self._generation += 1
+        generation = self._generation
+
+        def on_result(result: Result[ObjectList, Failure]) -> None:
+            if generation == self._generation:
+                self._on_changes(result)
+
+        self._store.watch(self._kind, self.version, self.timeout_s, on_result)
+
+    def _watch_again(self, generation: int) -> None:
+        if generation == self._generation:
+            self._watch()
 
     def _on_changes(self, result: Result[ObjectList, Failure]) -> None:
         match result:
             case Result(tag="ok", ok=changes):
                 self._note_success()
                 self._listener.on_changes(changes)
-                if changes.store_version > (self.version or 0):
-                    self.version = changes.store_version
-                self._timers.call_later(BATCH_PAUSE_S, self._watch)
+                self.version = max(self.version or 0, changes.store_version)
+                self._note_changed(changes)
+                generation = self._generation
+                self._timers.call_later(
+                    BATCH_PAUSE_S, lambda: self._watch_again(generation)
+                )
             case Result(error=failure):
                 if failure.kind is FailureKind.HISTORY_GONE:
                     self.version = None
@@ -86,8 +139,22 @@
                 "the store fails", kind=self._kind, cause=failure.detail
             )
         self.is_failing = True
-        next_step = self.start if self.version is None else self._watch
-        self._timers.call_later(self._backoff.next_delay_s(), next_step)
+        generation = self._generation
+
+        def try_again() -> None:
+            if generation != self._generation:
+                return
+            if self.version is None:
+                self.start()
+            else:
+                self._watch()
+
+        self._timers.call_later(self._backoff.next_delay_s(), try_again)
+
+    def _note_changed(self, objects: ObjectList) -> None:
+        self.changed_version = max(
+            self.changed_version, objects.changed_version
+        )
 
     def _note_success(self) -> None:
         if self.is_failing:
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -185,7 +185,12 @@
         def on_page(page: ObjectList) -> None:
             whole = page
             if pages is not None:
-                whole = pages._replace(items=pages.items + page.items)
+                whole = pages._replace(
+                    items=pages.items + page.items,
+                    changed_version=max(
+                        pages.changed_version, page.changed_version
+                    ),
+                )
             if page.next_name:
                 self._list_page(kind, page.next_name, whole, reply)
             else:
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -10,6 +10,7 @@
 import errno
 import select
 import socket
+import struct
 from collections.abc import Callable
 from typing import Final, Protocol, Self
 
@@ -24,6 +25,9 @@
 # A silent peer is noticed within about PROBE_PERIOD_S * (PROBE_COUNT + 1).
 PROBE_PERIOD_S: Final = 1
 PROBE_COUNT: Final = 2
+# Where struct tcp_info of Linux has tcpi_rtt, in microseconds.
+_RTT_OFFSET_BYTES: Final = 68
+_TCP_INFO_BYTES: Final = 104
 
 
 class streams_ready(Event):  # noqa: N801
@@ -132,6 +136,21 @@
         with contextlib.suppress(OSError):
             self.connection.shutdown(socket.SHUT_WR)
 
+    def round_trip_s(self) -> float:
+        """Returns the kernel's estimate of the round trip to the peer.
+
+        Returns:
+            Seconds; 0 if the kernel does not tell.
+        """
+        try:
+            info = self.connection.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+            )
+            (round_trip_us,) = struct.unpack_from("I", info, _RTT_OFFSET_BYTES)
+        except (OSError, struct.error):
+            return 0.0
+        return int(round_trip_us) / 1e6
+
     def close(self) -> None:
         """Closes the connection without telling the observer."""
         self._owner.close_stream(self, reason=None)
