Pass objects of the store on from node to node

Ruled out: lost answers alone (watches started anew were not answered either). Change: each node keeps the objects of a kind with their versions (ObjectCache) and answers peers that lack some, over TCP in Cap'n Proto; a node that stays behind asks the best informed peer beside the store.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -74,6 +74,7 @@
         self.own = own
         self._peers: dict[str, _Peer] = {}
         self._started_at_s = now_s
+        self._ask_count = own.incarnation
 
     # Registrations.
 
@@ -165,6 +166,23 @@
         ]
         return tuple(max(versions) for versions in zip(*known, strict=False))
 
+    def best_informed(self, kind_index: int, now_s: float) -> Address | None:
+        """Returns the running peer that saw the newest change of a kind."""
+        informed = [
+            (peer.heartbeat.changed_versions[kind_index], peer)
+            for peer in self._peers.values()
+            if peer.heartbeat is not None
+            and self._is_alive(peer, now_s)
+            and kind_index < len(peer.heartbeat.changed_versions)
+        ]
+        if not informed:
+            return None
+        newest = max(version for version, _ in informed)
+        # Peers that are as well informed are asked in turn.
+        peers = [peer for version, peer in informed if version == newest]
+        self._ask_count += 1
+        return peers[self._ask_count % len(peers)].info.peer_address
+
     # Shares and removals.
 
     def sharing_count(self, now_s: float) -> int:
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -0,0 +1,41 @@
+@0xb3f1d9c26a7e4058;
+
+# What passes between the nodes that serve callers: heartbeats, one in each
+# datagram, and objects of the platform's store, in frames on a connection.
+
+struct EdgeHeartbeat {
+  version @0 :UInt16;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  failureDomain @3 :Text;
+  callerHost @4 :Text;
+  callerPort @5 :UInt16;
+  peerHost @6 :Text;
+  peerPort @7 :UInt16;
+  isServing @8 :Bool;
+  configurationRevision @9 :UInt64;
+  changedVersions @10 :List(UInt64);
+}
+
+# Asks for what has changed of one kind; kinds are numbered from 0, in an order
+# that all nodes share.
+struct UpdateRequest {
+  version @0 :UInt16;
+  kindIndex @1 :UInt16;
+  sinceVersion @2 :UInt64;
+}
+
+struct StoredObject {
+  name @0 :Text;
+  version @1 :UInt64;
+  # JSON.
+  value @2 :Text;
+}
+
+struct Update {
+  version @0 :UInt16;
+  kindIndex @1 :UInt16;
+  storeVersion @2 :UInt64;
+  names @3 :List(Text);
+  items @4 :List(StoredObject);
+}
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -9,9 +9,7 @@
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
 
 PROTOCOL_VERSION: Final = 1
-_SCHEMA: Final = capnp.load(
-    str(pathlib.Path(__file__).with_name("heartbeat.capnp"))
-)
+SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name("edge.capnp")))
 
 
 class HeartbeatError(Exception):
@@ -21,7 +19,7 @@
 def encode_heartbeat(heartbeat: EdgeHeartbeat) -> bytes:
     """Returns the datagram of a heartbeat."""
     sender = heartbeat.sender
-    message = _SCHEMA.EdgeHeartbeat.new_message(
+    message = SCHEMA.EdgeHeartbeat.new_message(
         version=PROTOCOL_VERSION,
         name=sender.name,
         incarnation=sender.incarnation,
@@ -44,7 +42,7 @@
         HeartbeatError: The datagram can't be read.
     """
     try:
-        with _SCHEMA.EdgeHeartbeat.from_bytes(data) as message:
+        with SCHEMA.EdgeHeartbeat.from_bytes(data) as message:
             if message.version != PROTOCOL_VERSION:
                 raise HeartbeatError(f"protocol version {message.version}")
             return EdgeHeartbeat(
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -39,6 +39,7 @@
     encode_heartbeat,
 )
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
+from mulberrybay_edge.peer_exchange import PeerExchange
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.run_context import RunTools
 from mulberrybay_edge.server_connections import ServerConnections
@@ -152,6 +153,9 @@
             self._store, self._timers, NODE_KIND, self._registry
         )
         self._watches = [*self._view.watches, node_watch]
+        self._exchange = PeerExchange(
+            self._streams, self._timers, self._watches
+        )
 
     def _build_dispatch(self) -> None:
         settings = self._settings
@@ -218,7 +222,9 @@
         enter(self._datagrams)
         enter(self._store)
         enter(self._connections)
+        enter(self._exchange)
         self._datagrams.listen(addresses.peers)
+        self._exchange.listen(addresses.peers)
         for server, address in (
             (self._callers, addresses.callers),
             (self._readiness, addresses.readiness),
@@ -327,8 +333,19 @@
             watch.timeout_s = (
                 LONE_WATCH_TIMEOUT_S if is_lone else WATCH_TIMEOUT_S
             )
-            if index < len(peer_versions):
-                watch.note_peer_version(peer_versions[index], now_s)
+            if index >= len(peer_versions):
+                continue
+            peer_version = peer_versions[index]
+            if watch.is_behind(peer_version, now_s):
+                watch.restart(peer_version)
+                self._ask_peer(index, now_s)
+
+    def _ask_peer(self, index: int, now_s: float) -> None:
+        """Asks a node that has seen more of a kind for what it knows."""
+        address = self._nodes.best_informed(index, now_s)
+        if address is not None:
+            since_version = self._watches[index].version or 0
+            self._exchange.ask(address, index, since_version)
 
     # Settings.
 
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -86,9 +86,11 @@
         registrations = self._read(objects)
         self._nodes.replace_registered(registrations)
         own = self._nodes.own
-        known = [entry for entry in registrations if entry.info == own]
-        self._version = known[0].version if known else 0
-        if not known:
+        self._version = max(
+            (entry.version for entry in registrations if entry.info == own),
+            default=0,
+        )
+        if not self._version:
             self.register()
 
     def on_changes(self, changes: ObjectList) -> None:
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -5,6 +5,7 @@
 from expression import Result
 
 from mulberrybay_core.errors import Failure, FailureKind
+from mulberrybay_core.object_cache import CacheUpdate, ObjectCache
 from mulberrybay_core.platform_messages import ObjectList, PlatformStore
 from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.logs import StateLog
@@ -53,10 +54,8 @@
         self._log = StateLog("store")
         self._generation = 0
         self._behind_since_s: float | None = None
-        # The list or the last watch goes up to this version.
-        self.version: int | None = None
-        # The version of the last change of this kind that was seen.
-        self.changed_version = 0
+        self.cache = ObjectCache()
+        self._needs_list = True
         self.is_failing = False
         self.timeout_s = LONE_WATCH_TIMEOUT_S
 
@@ -71,36 +70,67 @@
 
         self._store.list_kind(self._kind, on_result)
 
-    def note_peer_version(self, version: int, now_s: float) -> None:
-        """Takes the newest change that other nodes have seen.
+    @property
+    def version(self) -> int | None:
+        """What is known is complete up to this version of the store."""
+        return self.cache.version
 
-        Starts the watch anew if it stays behind: its answer was lost.
+    @property
+    def changed_version(self) -> int:
+        """The version of the last change of this kind that was seen."""
+        return self.cache.changed_version
+
+    def is_behind(self, peer_version: int, now_s: float) -> bool:
+        """Whether this node has lacked a change for longer than usual.
+
+        Args:
+            peer_version: The newest change that other nodes have seen.
+            now_s: The time.
         """
-        if self.version is None or version <= self.version:
+        if peer_version <= (self.version or 0):
             self._behind_since_s = None
-        elif self._behind_since_s is None:
+            return False
+        if self._behind_since_s is None:
             self._behind_since_s = now_s
-        elif now_s - self._behind_since_s >= BEHIND_FOR_S:
-            self._behind_since_s = None
-            self._log.warning(
-                "a change was missed",
-                kind=self._kind,
-                version=self.version,
-                peer_version=version,
-            )
-            self._watch()
+        return now_s - self._behind_since_s >= BEHIND_FOR_S
+
+    def restart(self, peer_version: int) -> None:
+        """Starts anew what waits for an answer that was lost."""
+        self._behind_since_s = None
+        self._log.warning(
+            "a change was missed",
+            kind=self._kind,
+            version=self.version,
+            peer_version=peer_version,
+        )
+        self._go_on()
+
+    def take_update(self, update: CacheUpdate) -> None:
+        """Takes what another node knows, if it is more."""
+        is_first = self.version is None
+        changes = self.cache.merge(update)
+        if is_first:
+            self._listener.on_list(self.cache.all_objects())
+        elif changes.items or changes.removed_names:
+            self._listener.on_changes(changes)
 
     def _on_listed(self, result: Result[ObjectList, Failure]) -> None:
         match result:
             case Result(tag="ok", ok=objects):
                 self._note_success()
-                self._listener.on_list(objects)
-                self.version = objects.store_version
-                self._note_changed(objects)
+                self._needs_list = False
+                self.cache.replace(objects)
+                self._listener.on_list(self.cache.all_objects())
                 self._watch()
             case Result(error=failure):
                 self._retry(failure)
 
+    def _go_on(self) -> None:
+        if self._needs_list:
+            self.start()
+        else:
+            self._watch()
+
     def _watch(self) -> None:
         if self.version is None:
             return
@@ -121,16 +151,16 @@
         match result:
             case Result(tag="ok", ok=changes):
                 self._note_success()
-                self._listener.on_changes(changes)
-                self.version = max(self.version or 0, changes.store_version)
-                self._note_changed(changes)
+                news = self.cache.apply(changes)
+                if news.items or news.removed_names:
+                    self._listener.on_changes(news)
                 generation = self._generation
                 self._timers.call_later(
                     BATCH_PAUSE_S, lambda: self._watch_again(generation)
                 )
             case Result(error=failure):
                 if failure.kind is FailureKind.HISTORY_GONE:
-                    self.version = None
+                    self._needs_list = True
                 self._retry(failure)
 
     def _retry(self, failure: Failure) -> None:
@@ -142,20 +172,11 @@
         generation = self._generation
 
         def try_again() -> None:
-            if generation != self._generation:
-                return
-            if self.version is None:
-                self.start()
-            else:
-                self._watch()
+            if generation == self._generation:
+                self._go_on()
 
         self._timers.call_later(self._backoff.next_delay_s(), try_again)
 
-    def _note_changed(self, objects: ObjectList) -> None:
-        self.changed_version = max(
-            self.changed_version, objects.changed_version
-        )
-
     def _note_success(self) -> None:
         if self.is_failing:
             self._log.info("the store answers again", kind=self._kind)
