Test edge nodes: decisions by tables, the whole on stand-ins of the platform

Change: tests of routing, leaving and lapsed servers, shared limits, placing, merging, caches, nodes' lists, runs over shards and to one server with a hand moved clock; stand-ins of the platform's store and backend servers with real nodes (lost answers, 410, silence, graceful stop, bad input, callers leaving). Ruled out: tests beside platform/ (importlib mode then hides the standard library's module platform).

--- /dev/null
+++ b/packages/core/tests/test_shared_limits.py
@@ -0,0 +1,70 @@
+"""Limits that all nodes share hold in every window, whatever each node does."""
+
+import random
+
+import pytest
+
+from mulberrybay_core.shared_limits import (
+    ColdAllowance,
+    RetryAllowance,
+    RetryTerms,
+)
+
+TERMS = RetryTerms(ratio=0.2, window_s=10.0, slack_count=56)
+
+
+@pytest.mark.parametrize("node_count", [1, 3, 8])
+@pytest.mark.parametrize("seed", range(4))
+def test_repeats_of_all_nodes_stay_within_ratio_and_slack(
+    node_count: int, seed: int
+) -> None:
+    source = random.Random(seed)
+    nodes = [RetryAllowance(TERMS) for _ in range(node_count)]
+    for node in nodes:
+        node.node_count = node_count
+    requests: list[float] = []
+    repeats: list[float] = []
+    now_s = 0.0
+    for _ in range(6000):
+        now_s += source.expovariate(100)
+        node = source.choice(nodes)
+        node.note_request("search", now_s)
+        requests.append(now_s)
+        # Every request wants a repeat.
+        if node.take("search", now_s):
+            repeats.append(now_s)
+
+    for end_s in [now_s * share / 40 for share in range(1, 41)]:
+        start_s = end_s - TERMS.window_s
+        request_count = sum(start_s < at_s <= end_s for at_s in requests)
+        repeat_count = sum(start_s < at_s <= end_s for at_s in repeats)
+        assert repeat_count <= 0.2 * request_count + TERMS.slack_count
+
+
+def test_each_service_has_an_allowance_of_its_own() -> None:
+    allowance = RetryAllowance(TERMS)
+    while allowance.take("search", 0.0):
+        pass
+
+    assert allowance.take("billing", 0.0)
+
+
+@pytest.mark.parametrize("node_count", [1, 6])
+def test_cold_server_gets_no_more_than_its_rate_from_all_nodes(
+    node_count: int,
+) -> None:
+    per_s = 12.0
+    nodes = [ColdAllowance() for _ in range(node_count)]
+    sent: list[float] = []
+    for step in range(4000):
+        now_s = step / 1000
+        for node in nodes:
+            node.node_count = node_count
+            if now_s >= node.next_at_s("i-1"):
+                node.take("i-1", per_s, now_s)
+                sent.append(now_s)
+
+    for start_s in range(3):
+        count = sum(start_s <= at_s < start_s + 1 for at_s in sent)
+        # One request of each node may open the first second.
+        assert count <= per_s + node_count
--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -22,7 +22,6 @@
     retry_after_s,
     with_request_id,
 )
-from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import HttpReply
 from mulberrybay_runtime.timers import Timer
 
@@ -135,7 +134,7 @@
             return
         if self._timer is not None:
             self._timer.cancel()
-        now_s = read_clock_s()
+        now_s = self._tools.clock()
         due_s = self._last_answer_at_s
         if self._may_send():
             if not self._attempts:
@@ -149,7 +148,7 @@
     def _on_timer(self) -> None:
         if self._is_over:
             return
-        now_s = read_clock_s()
+        now_s = self._tools.clock()
         if now_s >= self._last_answer_at_s:
             if self._attempts:
                 self._may_have_run = True
@@ -192,7 +191,7 @@
         elif not self._may_have_run and not self._attempts:
             self._tools.counts["forward_refused"] += 1
             self._log("refused", reason=reason)
-            pause_s = retry_after_s(self._job, read_clock_s())
+            pause_s = retry_after_s(self._job, self._tools.clock())
             self._finish(caller_errors.not_run(reason, pause_s))
         else:
             self._tools.counts["forward_failed"] += 1
@@ -208,7 +207,7 @@
             route=job.route.name,
             service=self._service,
             took_ms=round(
-                (read_clock_s() - job.request.received_at_s) * 1000, 1
+                (self._tools.clock() - job.request.received_at_s) * 1000, 1
             ),
             sent_to=sorted(self._used_ids),
             failures=self._failures[:6],
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -23,7 +23,6 @@
     retry_after_s,
     with_request_id,
 )
-from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timer
 
 
@@ -165,7 +164,7 @@
         shard.attempts.clear()
         if self._missing_count == 0:
             self._answer()
-        elif read_clock_s() >= self._answer_at_s:
+        elif self._tools.clock() >= self._answer_at_s:
             self._answer_if_enough()
         return True
 
@@ -203,7 +202,7 @@
             return
         if self._timer is not None:
             self._timer.cancel()
-        now_s = read_clock_s()
+        now_s = self._tools.clock()
         due_s = self._last_answer_at_s
         if now_s < self._answer_at_s:
             due_s = min(due_s, self._answer_at_s)
@@ -221,7 +220,7 @@
     def _on_timer(self) -> None:
         if self._is_over:
             return
-        now_s = read_clock_s()
+        now_s = self._tools.clock()
         if now_s >= self._last_answer_at_s:
             if not self._answer_if_enough():
                 self._fail(caller_errors.OUT_OF_TIME, "the time is over")
@@ -267,7 +266,7 @@
     def _refuse(self, reason: str) -> None:
         self._tools.counts["gather_refused"] += 1
         self._log("refused", reason=reason)
-        pause_s = retry_after_s(self._job, read_clock_s())
+        pause_s = retry_after_s(self._job, self._tools.clock())
         self._finish(caller_errors.not_run(reason, pause_s))
 
     def _fail(self, answer: CallerAnswer, reason: str) -> None:
@@ -288,7 +287,7 @@
             outcome,
             route=job.route.name,
             took_ms=round(
-                (read_clock_s() - job.request.received_at_s) * 1000, 1
+                (self._tools.clock() - job.request.received_at_s) * 1000, 1
             ),
             hedges=self._hedge_count,
             missing=missing[:8] if outcome != "refused" else [],
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -181,6 +181,7 @@
             self._decisions,
             self._counts,
             settings.retry_terms.ratio,
+            read_clock_s,
         )
         self._service = RoutedService(
             tools, settings.names, lambda: self._view.table, read_clock_s
--- a/packages/edge/mulberrybay_edge/run_context.py
+++ b/packages/edge/mulberrybay_edge/run_context.py
@@ -1,6 +1,7 @@
 """What the runs of callers' requests share."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
 from mulberrybay_core.caller_messages import (
@@ -30,7 +31,7 @@
 class RunTimers(Protocol):
     """The timers of a run."""
 
-    def call_at(self, due_s: float, callback: object) -> Timer:
+    def call_at(self, due_s: float, callback: Callable[[], None]) -> Timer:
         """Schedules a callback at a time of the process's clock."""
 
 
@@ -44,6 +45,7 @@
         log: One line for each decision.
         counts: Runs by how they ended, and decisions on the way.
         repeat_ratio: Repeats allowed for each request, over all nodes.
+        clock: Returns the time in seconds.
     """
 
     sender: Sender
@@ -52,6 +54,7 @@
     log: DecisionLog
     counts: Counter[str]
     repeat_ratio: float
+    clock: Callable[[], float]
 
 
 class RunJob(NamedTuple):
--- /dev/null
+++ b/packages/edge/tests/run_fakes.py
@@ -0,0 +1,210 @@
+"""A sender, timers and a clock that tests move by hand."""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+from mulberrybay_core.caller_messages import (
+    CallerAnswer,
+    CallerRequest,
+    HeaderNames,
+)
+from mulberrybay_core.route_history import RouteHistory
+from mulberrybay_core.routing import Route, RouteKind, WeightedService
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.dispatcher import (
+    AttemptOutcome,
+    AttemptResult,
+    RequestTemplate,
+    ResultHandler,
+    SendOrder,
+    SendRefusal,
+)
+from mulberrybay_edge.run_context import RunJob, RunTools
+from mulberrybay_runtime.http_exchange import HttpReply
+from mulberrybay_runtime.timers import Timer
+
+NAMES: Final = HeaderNames(
+    request_id="Id",
+    deadline_ms="Deadline",
+    expected_server="Server",
+    signature="Signature",
+    part_signatures="Parts",
+    missing_part_count="Missing",
+    not_run="Not-Run",
+    load="Load",
+)
+
+
+class FakeTimers:
+    """Timers on a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._numbers = itertools.count()
+
+    def clock(self) -> float:
+        """Returns the time."""
+        return self.now_s
+
+    def call_at(self, due_s: float, callback: Callable[[], None]) -> Timer:
+        """Schedules a callback."""
+        timer = Timer(callback)
+        heapq.heappush(self._heap, (due_s, next(self._numbers), timer))
+        return timer
+
+    def advance(self, span_s: float) -> None:
+        """Moves the clock, firing what comes due on the way."""
+        end_s = self.now_s + span_s
+        while self._heap and self._heap[0][0] <= end_s:
+            due_s, _, timer = heapq.heappop(self._heap)
+            self.now_s = max(self.now_s, due_s)
+            timer.fire()
+        self.now_s = end_s
+
+
+class FakeAttempt:
+    """An attempt that the test ends."""
+
+    def __init__(
+        self, order: SendOrder, server_id: str, on_result: ResultHandler
+    ) -> None:
+        self.order = order
+        self.server_id = server_id
+        self._on_result = on_result
+        self.is_finished = False
+        self.is_cancelled = False
+
+    def cancel(self) -> None:
+        """Notes that the run gave the attempt up."""
+        self.is_finished = self.is_cancelled = True
+
+    def end(
+        self,
+        outcome: AttemptOutcome,
+        reply: HttpReply | None = None,
+        *,
+        has_arrived: bool = True,
+    ) -> None:
+        """Ends the attempt."""
+        self.is_finished = True
+        self._on_result(
+            AttemptResult(outcome, self.server_id, reply, "", has_arrived)
+        )
+
+    def succeed(self, body: bytes = b"body", signature: str = "") -> None:
+        """Ends the attempt with a good reply."""
+        signature = signature or f"signature-of-{self.server_id}"
+        reply = HttpReply(200, {"signature": signature}, body, True)
+        self.end(AttemptOutcome.OK, reply)
+
+
+class FakeSender:
+    """Sends to two replicas of each service, `a` first."""
+
+    def __init__(self) -> None:
+        self.attempts: list[FakeAttempt] = []
+        self.lost_services: set[str] = set()
+        self.full_services: set[str] = set()
+        self.may_repeat = True
+
+    def note_request(self, service: str) -> None:
+        """Ignores the count."""
+
+    def has_server(self, service: str) -> bool:
+        """Whether a service has servers."""
+        return service not in self.lost_services
+
+    def send(
+        self, order: SendOrder, on_result: ResultHandler
+    ) -> FakeAttempt | SendRefusal:
+        """Keeps the attempt for the test."""
+        service = order.service
+        servers = [f"{service}-{name}" for name in "ab"]
+        left = [name for name in servers if name not in order.excluded_ids]
+        if service in self.lost_services or not left:
+            return SendRefusal.NO_SERVER
+        if service in self.full_services:
+            return SendRefusal.FULL
+        if order.is_repeat and not self.may_repeat:
+            return SendRefusal.NO_ALLOWANCE
+        attempt = FakeAttempt(order, left[0], on_result)
+        self.attempts.append(attempt)
+        return attempt
+
+    def of(self, service: str) -> list[FakeAttempt]:
+        """Returns the attempts at a service."""
+        return [
+            attempt
+            for attempt in self.attempts
+            if attempt.order.service == service
+        ]
+
+
+class Bench:
+    """One request's surroundings, and its answer."""
+
+    def __init__(
+        self,
+        *,
+        shards: tuple[str, ...] = (),
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+        min_coverage: float = 0.0,
+        deadline_s: float | None = None,
+    ) -> None:
+        self.timers = FakeTimers()
+        self.sender = FakeSender()
+        self.answers: list[CallerAnswer] = []
+        self.route = Route(
+            "route",
+            "a.example",
+            "/",
+            kind,
+            timeout_s=2.0,
+            target_latency_s=0.2,
+            max_server_count=2,
+            split=() if shards else (WeightedService("one", 1.0),),
+            shards=shards,
+            top_hit_count=2,
+            min_coverage=min_coverage,
+        )
+        self.tools = RunTools(
+            self.sender,
+            self.timers,
+            NAMES,
+            DecisionLog(self.timers.clock),
+            Counter(),
+            0.2,
+            self.timers.clock,
+        )
+        request = CallerRequest(
+            "GET",
+            "/x",
+            "/x",
+            "a.example",
+            (("Host", "a.example"),),
+            b"",
+            "id-1",
+            self.timers.now_s,
+            deadline_s,
+        )
+        self.job = RunJob(
+            request,
+            self.route,
+            RouteHistory(self.route.target_latency_s),
+            RequestTemplate(request, NAMES),
+            self.answers.append,
+        )
+
+    @property
+    def answer(self) -> CallerAnswer:
+        """The only answer."""
+        (answer,) = self.answers
+        return answer
+
+    def header(self, name: str) -> str | None:
+        """Returns a header of the answer."""
+        return dict(self.answer.headers).get(name)
--- a/packages/testing/mulberrybay_testing/http_server.py
+++ b/packages/testing/mulberrybay_testing/http_server.py
@@ -40,6 +40,10 @@
     TWICE = "twice"
     CUT_SHORT = "cut_short"
     CLOSED = "closed"
+    # Without a length: the end of the connection is the end of the body.
+    UNFRAMED = "unframed"
+    # Not at all; the connection stays open.
+    LOST = "lost"
 
 
 class Request(NamedTuple):
@@ -188,7 +192,14 @@
         if response.delivery is Delivery.CLOSED:
             self._transport.abort()
             return
+        if response.delivery is Delivery.LOST:
+            self.silent = True
+            return
         encoded = _encode(response)
+        if response.delivery is Delivery.UNFRAMED:
+            self._transport.write(encoded)
+            self._transport.close()
+            return
         if response.delivery is Delivery.CUT_SHORT:
             kept = len(encoded) - max(1, len(response.body) // 2)
             self._transport.write(encoded[:kept])
@@ -210,7 +221,8 @@
     lines += [f"{name}: {value}" for name, value in response.headers]
     if response.status != 204:
         lines.append("Content-Type: application/json")
-        lines.append(f"Content-Length: {len(response.body)}")
+        if response.delivery is not Delivery.UNFRAMED:
+            lines.append(f"Content-Length: {len(response.body)}")
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
 
 
--- /dev/null
+++ b/tests/on_platform/deployment.py
@@ -0,0 +1,281 @@
+"""A deployment on loopback: stand-ins of the platform and real nodes."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import sys
+from typing import Any, Final, NamedTuple, Self
+
+from standins import BackendStandIn, LoopThread, StoreStandIn, serve
+
+from mulberrybay_testing.http_server import HttpServer
+from mulberrybay_testing.ports import HOST, free_port
+from mulberrybay_testing.processes import ManagedProcess, Processes
+from mulberrybay_testing.waiting import wait_until
+
+NODE_PROGRAM: Final = pathlib.Path(__file__).parents[2] / "platform" / "node.py"
+SHARDS: Final = ("shard-0", "shard-1", "shard-2", "shard-3")
+START_TIMEOUT_S: Final = 10.0
+
+
+class Answer(NamedTuple):
+    """An answer of a node; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class RunningNode(NamedTuple):
+    """A node's process and where it listens."""
+
+    name: str
+    process: ManagedProcess
+    callers_port: int
+    readiness_port: int
+    directory_port: int
+    metrics_port: int
+    peer_port: int
+
+    def ask(
+        self,
+        path: str,
+        *,
+        method: str = "GET",
+        request_id: str = "id-1",
+        deadline_ms: int = 2000,
+        host: str = "a.example",
+        body: bytes | None = None,
+    ) -> Answer:
+        """Sends one request on a connection of its own."""
+        headers = {
+            "Host": host,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(deadline_ms),
+        }
+        return fetch(self.callers_port, path, method, headers, body)
+
+    def is_ready(self) -> bool:
+        """Whether the node says that it is ready."""
+        with contextlib.suppress(OSError):
+            return fetch(self.readiness_port, "/api/readiness").status == 200
+        return False
+
+    def named(self) -> list[str]:
+        """Returns the addresses in an answer of the directory."""
+        path = "/api/resolve?name=a.example&region=r&zone=zone-a"
+        answer = fetch(self.directory_port, path)
+        if answer.status != 200:
+            return []
+        return list(json.loads(answer.body)["addrs"])
+
+    @property
+    def address(self) -> str:
+        """Where callers connect."""
+        return f"{HOST}:{self.callers_port}"
+
+
+def fetch(
+    port: int,
+    path: str,
+    method: str = "GET",
+    headers: dict[str, str] | None = None,
+    body: bytes | None = None,
+) -> Answer:
+    """Sends one request to loopback."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    with contextlib.closing(connection):
+        connection.request(method, path, body, headers or {})
+        reply = connection.getresponse()
+        lower = {name.lower(): value for name, value in reply.getheaders()}
+        return Answer(reply.status, lower, reply.read())
+
+
+def route(name: str, prefix: str, **fields: object) -> dict[str, Any]:
+    """Returns a route of the operator's configuration."""
+    return {
+        "name": name,
+        "hostname": "a.example",
+        "path_prefix": prefix,
+        "route_type": "idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+def configuration(revision: int, **fields: object) -> dict[str, Any]:
+    """Returns the operator's configuration."""
+    services = [*SHARDS, "records", "bookings"]
+    return {
+        "revision": revision,
+        "routes": [
+            route(
+                "search",
+                "/search/",
+                gather=[*SHARDS],
+                top_k=3,
+                oldest_version=0.5,
+            ),
+            route("record", "/records/", service="records"),
+            route(
+                "booking",
+                "/bookings/",
+                service="bookings",
+                route_type="non_idempotent",
+            ),
+        ],
+        "services": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_conns": 30,
+                "protocol": "h1",
+                "tls": False,
+                "warmup_s": 3.0,
+                "warmup_per_s": 0.0,
+            }
+            for name in services
+        ],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        },
+        **fields,
+    }
+
+
+class Deployment:
+    """Stand-ins and nodes; a context manager."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._exits = contextlib.ExitStack()
+        self.store = StoreStandIn()
+        self.store_port = free_port()
+        self.backends: dict[str, list[BackendStandIn]] = {}
+        self._servers: dict[str, HttpServer] = {}
+        self.nodes: list[RunningNode] = []
+
+    def __enter__(self) -> Self:
+        self._loop = self._exits.enter_context(LoopThread())
+        self._loop.run(serve(self.store, self.store_port))
+        self._processes = self._exits.enter_context(Processes(self._folder))
+        for service in SHARDS:
+            self.add_backend(service, is_shard=True)
+            self.add_backend(service, is_shard=True)
+        for service in ("records", "bookings"):
+            self.add_backend(service, is_shard=False)
+            self.add_backend(service, is_shard=False)
+        self.put("config", "main", configuration(1))
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._exits.close()
+
+    # The platform.
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Writes to the store."""
+        self._loop.run(self.store.put(kind, name, spec))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes from the store."""
+        self._loop.run(self.store.remove(kind, name))
+
+    def forget_history(self) -> None:
+        """Lets the store forget its history."""
+        self._loop.run(self.store.forget_history())
+
+    def add_backend(self, service: str, *, is_shard: bool) -> BackendStandIn:
+        """Starts a backend server, which registers itself."""
+        backend = BackendStandIn(service, is_shard=is_shard)
+        self._servers[backend.server_id] = self._loop.run(
+            serve(backend, backend.port)
+        )
+        self.backends.setdefault(service, []).append(backend)
+        self.put("servers", backend.server_id, backend.entry())
+        return backend
+
+    def stop_listening(self, backend: BackendStandIn) -> None:
+        """Refuses new connections to a backend server."""
+
+        async def stop() -> None:
+            self._servers[backend.server_id].stop_listening()
+
+        self._loop.run(stop())
+
+    # Nodes.
+
+    def start_node(self, name: str) -> RunningNode:
+        """Starts a node without waiting for it."""
+        return self._start(name, [free_port() for _ in range(5)])
+
+    def restart(self, node: RunningNode) -> RunningNode:
+        """Starts a node again that has ended, at its addresses."""
+        self.nodes.remove(node)
+        ports = [
+            node.peer_port,
+            node.callers_port,
+            node.readiness_port,
+            node.directory_port,
+            node.metrics_port,
+        ]
+        return self._start(node.name, ports)
+
+    def peer_ports(self) -> list[int]:
+        """Returns where the nodes take heartbeats."""
+        return [node.peer_port for node in self.nodes]
+
+    def _start(self, name: str, ports: list[int]) -> RunningNode:
+        settings = self._folder / f"{name}.toml"
+        settings.write_text(
+            f'node_name = "{name}"\n'
+            'failure_domain = "zone-a"\n'
+            "stop_grace_s = 3\n"
+            "max_address_life_s = 0.3\n"
+            "cold_factor = 1.5\n"
+            f'store_address = "{HOST}:{self.store_port}"\n'
+            "[listen]\n"
+            f'host = "{HOST}"\n'
+            f"peer_port = {ports[0]}\n"
+            f'callers = "{HOST}:{ports[1]}"\n'
+            f'readiness = "{HOST}:{ports[2]}"\n'
+            f'directory = "{HOST}:{ports[3]}"\n'
+            f"metrics_port = {ports[4]}\n"
+            "[repeats]\n"
+            "ratio = 0.2\nwindow_s = 10\nslack_count = 56\n",
+            encoding="utf-8",
+        )
+        process = self._processes.start(
+            name,
+            [sys.executable, str(NODE_PROGRAM)],
+            {"MULBERRYBAY_SETTINGS": str(settings)},
+        )
+        node = RunningNode(name, process, *ports[1:], ports[0])
+        self.nodes.append(node)
+        return node
+
+    def start_nodes(self, count: int) -> list[RunningNode]:
+        """Starts nodes and waits until each names all of them."""
+        nodes = [self.start_node(f"node-{n}") for n in range(1, count + 1)]
+        for node in nodes:
+            wait_until(node.is_ready, START_TIMEOUT_S, f"{node.name} is ready")
+        for node in nodes:
+            wait_until(
+                lambda node=node: len(node.named()) == count,  # type: ignore[misc]
+                START_TIMEOUT_S,
+                f"{node.name} names all nodes",
+            )
+        return nodes
+
+    def log_lines(self, node: RunningNode) -> list[dict[str, Any]]:
+        """Returns the lines that a node has written."""
+        path = self._folder / f"{node.name}.stdout"
+        lines = path.read_text(errors="replace").split("\n")[:-1]
+        return [json.loads(line) for line in lines if line.startswith("{")]
--- /dev/null
+++ b/tests/on_platform/standins.py
@@ -0,0 +1,309 @@
+"""Stand-ins for the users' platform: its store and its backend servers.
+
+They run on an event loop in a thread of the test's process; the nodes are
+real processes.
+"""
+
+import asyncio
+import itertools
+import json
+import threading
+import time
+from collections.abc import Coroutine
+from typing import Any, Final, NamedTuple, Self, TypeVar
+
+from mulberrybay_testing.http_server import (
+    Connection,
+    Delivery,
+    HttpServer,
+    JsonHandler,
+    Request,
+    Response,
+    json_response,
+)
+from mulberrybay_testing.ports import HOST, free_port
+
+T = TypeVar("T")
+PAGE_COUNT: Final = 5
+OBJECTS_PATH: Final = "/api/objects/"
+NOT_RUN_503: Final = Response(503, b"", (("X-Not-Executed", "1"),))
+
+
+class LoopThread:
+    """An event loop in a thread; a context manager."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        """Runs a coroutine on the loop and waits for its result."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(10)
+
+
+class _Change(NamedTuple):
+    """One change of the store."""
+
+    revision: int
+    kind: str
+    body: dict[str, Any]
+    is_deleted: bool
+
+
+class StoreStandIn(JsonHandler):
+    """The platform's metadata store, with faults that tests switch on.
+
+    Attributes:
+        status: Answers every call with this status, unless it is 0.
+        is_silent: Answers nothing.
+        lost_count: Answers to lose; the calls are executed.
+        call_count: Calls that arrived.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.is_silent = False
+        self.lost_count = 0
+        self.call_count = 0
+        self._revision = 1
+        self._first_revision = 1
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._changes: list[_Change] = []
+        self._changed = asyncio.Event()
+
+    # For tests, from their own thread.
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of a kind's objects."""
+        return sorted(self._objects.get(kind, {}))
+
+    async def put(self, kind: str, name: str, spec: object) -> None:
+        """Writes an object as the operator or a backend server does."""
+        self._write(kind, name, spec)
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        self._remove(kind, name)
+
+    async def forget_history(self) -> None:
+        """Forgets all changes; watches from before get 410."""
+        self._changes.clear()
+        self._first_revision = self._revision
+        self._notify()
+
+    # Objects.
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _write(self, kind: str, name: str, spec: object) -> dict[str, Any]:
+        self._revision += 1
+        body = {
+            "meta": {"name": name, "rev": self._revision, "finalizers": []},
+            "spec": spec,
+            "status": None,
+        }
+        self._objects.setdefault(kind, {})[name] = body
+        self._changes.append(_Change(self._revision, kind, body, False))
+        self._notify()
+        return body
+
+    def _remove(self, kind: str, name: str) -> None:
+        body = self._objects[kind].pop(name)
+        self._revision += 1
+        meta = {**body["meta"], "rev": self._revision}
+        gone = {**body, "meta": meta}
+        self._changes.append(_Change(self._revision, kind, gone, True))
+        self._notify()
+
+    # Calls.
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one call."""
+        self.call_count += 1
+        if self.is_silent:
+            return Response(0, delivery=Delivery.LOST)
+        if self.status:
+            return Response(self.status)
+        response = await self._answer(request)
+        if self.lost_count > 0:
+            self.lost_count -= 1
+            return Response(0, delivery=Delivery.LOST)
+        return response
+
+    async def _answer(self, request: Request) -> Response:
+        kind, _, name = request.path.removeprefix(OBJECTS_PATH).partition("/")
+        match request.method:
+            case "GET" if "watch" in request.query:
+                return await self._watch(kind, request.query)
+            case "GET":
+                return self._list(kind, request.query.get("after", ""))
+            case "POST":
+                return self._create(kind, json.loads(request.body))
+            case "PUT":
+                return self._replace(kind, name, json.loads(request.body))
+            case _:
+                return self._delete(kind, name, request.query)
+
+    def _list(self, kind: str, after: str) -> Response:
+        objects = self._objects.get(kind, {})
+        names = [name for name in sorted(objects) if name > after]
+        return json_response(
+            200,
+            {
+                "items": [objects[name] for name in names[:PAGE_COUNT]],
+                "has_more": len(names) > PAGE_COUNT,
+                "as_of": self._revision,
+            },
+        )
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> Response:
+        since = int(query["watch"])
+        ends_at_s = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            if since < self._first_revision:
+                return Response(410)
+            events = [
+                {"object": change.body, "deleted": change.is_deleted}
+                for change in self._changes
+                if change.kind == kind and change.revision > since
+            ]
+            left_s = ends_at_s - time.monotonic()
+            if events or left_s <= 0:
+                document = {"events": events, "as_of": self._revision}
+                return json_response(200, document)
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _create(self, kind: str, body: dict[str, Any]) -> Response:
+        name = body["meta"]["name"]
+        known = self._objects.get(kind, {}).get(name)
+        if known is not None:
+            return json_response(409, known)
+        return json_response(200, self._write(kind, name, body["spec"]))
+
+    def _replace(self, kind: str, name: str, body: dict[str, Any]) -> Response:
+        known = self._objects.get(kind, {}).get(name)
+        if known is None:
+            return Response(404)
+        if body["meta"].get("rev") != known["meta"]["rev"]:
+            return json_response(409, known)
+        return json_response(200, self._write(kind, name, body["spec"]))
+
+    def _delete(self, kind: str, name: str, query: dict[str, str]) -> Response:
+        known = self._objects.get(kind, {}).get(name)
+        if known is None:
+            return Response(404)
+        if int(query.get("rev", 0)) != known["meta"]["rev"]:
+            return json_response(409, known)
+        self._remove(kind, name)
+        return json_response(200, known)
+
+
+class Arrival(NamedTuple):
+    """One request that reached a backend server."""
+
+    at_s: float
+    request_id: str
+    path: str
+    deadline_ms: float
+    has_run: bool
+
+
+class BackendStandIn(JsonHandler):
+    """One backend server of a service.
+
+    Attributes:
+        delay_s: How long a request takes.
+        delivery: How its replies are put on the connection.
+        status: What it answers; 503 says that it did not run.
+        arrivals: The requests that reached it.
+        open_count: Connections that are open.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, service: str, *, is_shard: bool) -> None:
+        self.service = service
+        self.server_id = f"i-{next(self._numbers):04d}"
+        self.port = free_port()
+        self.delay_s = 0.0
+        self.delivery = Delivery.WHOLE
+        self.status = 200
+        self.arrivals: list[Arrival] = []
+        self.open_count = 0
+        self._is_shard = is_shard
+
+    def entry(self, **changes: object) -> dict[str, object]:
+        """Returns what the server writes of itself to the store."""
+        return {
+            "service": self.service,
+            "address": f"{HOST}:{self.port}",
+            "zone": "zone-a",
+            "revision": "v1",
+            "concurrency": 2,
+            "state": "ready",
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            **changes,
+        }
+
+    def connection_opened(self, connection: Connection) -> bool:
+        """Accepts the connection."""
+        self.open_count += 1
+        return True
+
+    def connection_closed(self, connection: Connection) -> None:
+        """Notes the end of the connection."""
+        self.open_count -= 1
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request."""
+        request_id = request.headers.get("x-request-id", "")
+        is_other = request.headers.get("x-expect-instance") != self.server_id
+        is_shed = self.status == 503
+        self.arrivals.append(
+            Arrival(
+                time.monotonic(),
+                request_id,
+                request.path,
+                float(request.headers.get("x-deadline-ms", 0)),
+                not is_other and not is_shed,
+            )
+        )
+        if is_other:
+            return Response(421)
+        if is_shed:
+            return NOT_RUN_503
+        await asyncio.sleep(self.delay_s)
+        body = f"{self.service} {request.path}".encode()
+        if self._is_shard:
+            body = self.server_id.encode().rjust(16, b"-")
+        headers = (
+            ("X-Server-Stamp", f"{self.server_id}.{request_id}"),
+            ("X-Server-Load", "1,0,2"),
+        )
+        if not self._is_shard:
+            headers = (*headers, ("X-Request-Id", request_id))
+        return Response(self.status, body, headers, self.delivery)
+
+
+async def serve(
+    handler: StoreStandIn | BackendStandIn, port: int
+) -> HttpServer:
+    """Starts a stand-in on a port."""
+    server = HttpServer(HOST, port, handler)
+    await server.listen()
+    return server
