--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -12,6 +12,7 @@
 import httptools
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import (
     HttpReply,
@@ -24,6 +25,10 @@
 # Longer than any handshake of a server that accepts, shorter than the first
 # repeat of a lost opening packet.
 CONNECT_TIMEOUT_S: Final = 0.25
+# Between dials to a server that refuses: the first is short, since a server
+# whose queue is long takes connections again soon.
+FIRST_DIAL_DELAY_S: Final = 0.03
+MAX_DIAL_DELAY_S: Final = 0.5
 # Used for servers that don't say how long they keep idle connections.
 DEFAULT_IDLE_LIFE_S: Final = 5.0
 # Part of the announced idle time; the rest covers the way to the server.
@@ -154,6 +159,7 @@
     def on_connected(self, stream: Stream) -> None:
         """Sends the request that waits for the connection."""
         self.is_connected = True
+        self._pool.note_dial(is_accepted=True)
         exchange = self._exchange
         if exchange is None:
             self._pool.put_idle(self)
@@ -217,6 +223,8 @@
     def _fail(self, outcome: ExchangeOutcome, detail: str) -> None:
         exchange = self._exchange
         self._exchange = None
+        if not self.is_connected:
+            self._pool.note_dial(is_accepted=False)
         self._pool.discard(self)
         if exchange is None:
             return
@@ -242,7 +250,15 @@
 class _Pool:
     """The connections to one server."""
 
-    __slots__ = ("_idle", "_is_closed", "_owner", "_used", "address")
+    __slots__ = (
+        "_backoff",
+        "_dial_after_s",
+        "_idle",
+        "_is_closed",
+        "_owner",
+        "_used",
+        "address",
+    )
 
     def __init__(self, owner: "ServerConnections", address: Address) -> None:
         self._owner = owner
@@ -250,16 +266,31 @@
         self._idle: list[_Connection] = []
         self._used: set[_Connection] = set()
         self._is_closed = False
+        self._backoff = Backoff(FIRST_DIAL_DELAY_S, MAX_DIAL_DELAY_S)
+        self._dial_after_s = 0.0
 
     @property
     def connection_count(self) -> int:
         """Connections that are open or being opened."""
         return len(self._idle) + len(self._used)
 
-    @property
-    def idle_count(self) -> int:
-        """Connections that wait for a request."""
-        return len(self._idle)
+    def has_room(self, cap_count: int) -> bool:
+        """Whether a request may start now; see `ServerConnections`."""
+        if self._idle:
+            return True
+        return (
+            self.connection_count < cap_count
+            and read_clock_s() >= self._dial_after_s
+        )
+
+    def note_dial(self, *, is_accepted: bool) -> None:
+        """Takes how a dial ended: failures delay the next one."""
+        if is_accepted:
+            self._backoff.reset()
+            self._dial_after_s = 0.0
+        else:
+            delay_s = self._backoff.next_delay_s()
+            self._dial_after_s = read_clock_s() + delay_s
 
     def start(self, exchange: Exchange, max_idle_s: float) -> bool:
         """Sends a request on an idle connection or on a new one."""
@@ -346,13 +377,13 @@
             pool.close()
 
     def has_room(self, server_id: str, cap_count: int) -> bool:
-        """Whether a request may start now without a connection too many."""
+        """Whether a request may start now.
+
+        It needs an idle connection, or a new one within the cap; a server
+        that refuses connections is not dialled again for a while.
+        """
         pool = self._pools.get(server_id)
-        return (
-            pool is None
-            or pool.idle_count > 0
-            or pool.connection_count < cap_count
-        )
+        return pool is None or pool.has_room(cap_count)
 
     def start(
         self,
