Place by the share of failures; send again to a server that answers at times

Cause: one reset made a server the last choice for 0.3 s and more, so while many answers were lost queries went to replicas that were far too slow. Change: a decaying share of failures raises the expected cost instead; a shard may be sent to the same server again, within the servers the route allows.

--- a/packages/core/mulberrybay_core/placement.py
+++ b/packages/core/mulberrybay_core/placement.py
@@ -15,7 +15,7 @@
 SPEED_WEIGHT: Final = 0.15
 MIN_RELATIVE_LATENCY: Final = 0.3
 MAX_RELATIVE_LATENCY: Final = 12.0
-# How long an estimate of a server's speed lasts without new samples.
+# How long an estimate of a server lasts without new samples.
 ESTIMATE_LIFE_S: Final = 3.0
 # A reported load says little after this; requests take tens of milliseconds.
 LOAD_REPORT_LIFE_S: Final = 0.25
@@ -23,11 +23,12 @@
 STALL_FACTOR: Final = 3.0
 MIN_STALL_S: Final = 0.03
 STALL_COST: Final = 4.0
-SUSPECT_COST: Final = 12.0
 COLD_COST: Final = 0.6
 OTHER_DOMAIN_COST: Final = 0.08
-FIRST_SUSPICION_S: Final = 0.3
-MAX_SUSPICION_S: Final = 3.0
+# Weight of one outcome in the share of failures, and the largest share that
+# is believed: a server that fails always is still tried now and then.
+FAILURE_WEIGHT: Final = 0.3
+MAX_FAILURE_SHARE: Final = 0.95
 # Breaks ties, so that nodes with like knowledge don't all pick one server.
 JITTER: Final = 0.06
 
@@ -44,14 +45,14 @@
     """What this node has seen of one backend server."""
 
     __slots__ = (
-        "_failure_count",
+        "_failed_at_s",
+        "_failure_share",
         "_report",
         "_report_at_s",
         "_report_own_count",
         "_sampled_at_s",
         "_slowness",
         "in_flight",
-        "suspected_until_s",
     )
 
     def __init__(self) -> None:
@@ -60,8 +61,8 @@
         # The latency beyond the usual one, as a multiple of that.
         self._slowness = 0.0
         self._sampled_at_s = 0.0
-        self.suspected_until_s = 0.0
-        self._failure_count = 0
+        self._failure_share = 0.0
+        self._failed_at_s = 0.0
         self._report: LoadReport | None = None
         self._report_at_s = 0.0
         self._report_own_count = 0
@@ -78,8 +79,7 @@
     def note_success(self, relative_latency: float, now_s: float) -> None:
         """Takes a latency, as a multiple of what is usual on its route."""
         self._note_latency(relative_latency, now_s)
-        self._failure_count = 0
-        self.suspected_until_s = 0.0
+        self._note_outcome(now_s, failed=False)
 
     def note_abandoned(self, relative_latency: float, now_s: float) -> None:
         """Takes how long a request had waited that was given up."""
@@ -95,10 +95,19 @@
         self._sampled_at_s = now_s
 
     def note_failure(self, now_s: float) -> None:
-        """Suspects the server, for longer with each failure in a row."""
-        self._failure_count += 1
-        span_s = FIRST_SUSPICION_S * 2 ** min(self._failure_count - 1, 8)
-        self.suspected_until_s = now_s + min(span_s, MAX_SUSPICION_S)
+        """Takes that a request came to nothing at the server."""
+        self._note_outcome(now_s, failed=True)
+
+    def failure_share(self, now_s: float) -> float:
+        """Returns the share of requests that is expected to fail."""
+        age_s = now_s - self._failed_at_s
+        return self._failure_share * math.exp(-age_s / ESTIMATE_LIFE_S)
+
+    def _note_outcome(self, now_s: float, *, failed: bool) -> None:
+        share = self.failure_share(now_s)
+        share += FAILURE_WEIGHT * (float(failed) - share)
+        self._failure_share = share
+        self._failed_at_s = now_s
 
     def note_load(self, report: LoadReport, now_s: float) -> None:
         """Takes the load that the server reported with a reply."""
@@ -153,8 +162,9 @@
     cost = state.relative_latency(now_s) * (1 + busy + queued)
     if state.is_stalled(now_s, query.usual_s):
         cost += STALL_COST
-    if now_s < state.suspected_until_s:
-        cost += SUSPECT_COST
+    # A failed request is sent again and takes its time once more.
+    share = min(state.failure_share(now_s), MAX_FAILURE_SHARE)
+    cost /= 1 - share
     if now_s < known.cold_until_s:
         cost += COLD_COST
     if known.entry.failure_domain != query.failure_domain:
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -82,7 +82,7 @@
         service: The service.
         history: The latencies of the route.
         deadline_at_s: When the reply is of no use any more.
-        excluded_ids: Servers that it must not go to.
+        tried: The servers that the request was sent to before.
         is_repeat: Whether the service got the request before.
         may_repeat: Whether it may be sent again if the reply is lost.
     """
@@ -91,13 +91,57 @@
     service: str
     history: RouteHistory
     deadline_at_s: float
-    excluded_ids: frozenset[str]
+    tried: "TriedServers"
     is_repeat: bool
     may_repeat: bool
 
 
 ResultHandler = Callable[[AttemptResult], None]
 
+# Sends of one request to one service, beyond one for each server that the
+# route allows: a reply that was lost may come from the same server next time.
+MAX_SAME_SERVER_SENDS: Final = 2
+
+
+class TriedServers:
+    """The servers of one service that one request was sent to."""
+
+    __slots__ = ("_max_server_count", "_send_count", "reached", "running")
+
+    def __init__(self, max_server_count: int) -> None:
+        self._max_server_count = max_server_count
+        self._send_count = 0
+        # Those that have got the request, and those at work on it now.
+        self.reached: set[str] = set()
+        self.running: set[str] = set()
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the request may be sent once more."""
+        return self._send_count < self._max_server_count + MAX_SAME_SERVER_SENDS
+
+    def allows(self, server_id: str) -> bool:
+        """Whether the request may go to a server next."""
+        if server_id in self.running:
+            return False
+        return (
+            server_id in self.reached
+            or len(self.reached) < self._max_server_count
+        )
+
+    def note_sent(self, server_id: str) -> None:
+        """Notes an attempt at a server."""
+        self._send_count += 1
+        self.reached.add(server_id)
+        self.running.add(server_id)
+
+    def note_end(self, server_id: str, *, has_arrived: bool) -> None:
+        """Notes the end of an attempt; one that did not arrive counts not."""
+        self.running.discard(server_id)
+        if not has_arrived:
+            self._send_count -= 1
+            self.reached.discard(server_id)
+
 
 class RequestTemplate:
     """A caller's request as it is sent to backend servers."""
@@ -300,7 +344,7 @@
         usable = [
             known
             for known in context.directory.usable(order.service)
-            if known.entry.server_id not in order.excluded_ids
+            if order.tried.allows(known.entry.server_id)
         ]
         if not usable:
             return SendRefusal.NO_SERVER
--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -12,6 +12,7 @@
     AttemptResult,
     SendOrder,
     SendRefusal,
+    TriedServers,
 )
 from mulberrybay_edge.run_context import (
     MAX_QUEUE_SHARE,
@@ -35,9 +36,7 @@
         self._service = service
         self._may_repeat = job.route.kind is RouteKind.IDEMPOTENT
         self._attempts: list[AttemptHandle] = []
-        # Servers that got the request, and those that could not be reached.
-        self._used_ids: set[str] = set()
-        self._unreachable_ids: set[str] = set()
+        self._tried = TriedServers(job.route.max_server_count)
         # Whether a server has run the request or may have.
         self._may_have_run = False
         self._failure: HttpReply | None = None
@@ -74,27 +73,24 @@
             service=self._service,
             history=self._job.history,
             deadline_at_s=self._deadline_at_s,
-            excluded_ids=frozenset(self._used_ids | self._unreachable_ids),
-            is_repeat=bool(self._used_ids),
+            tried=self._tried,
+            is_repeat=bool(self._tried.reached),
             may_repeat=self._may_repeat,
         )
         attempt = self._tools.sender.send(order, self._on_result)
         if not isinstance(attempt, SendRefusal):
             if not attempt.is_finished:
-                self._used_ids.add(attempt.server_id)
+                self._tried.note_sent(attempt.server_id)
                 self._attempts.append(attempt)
             return True
-        if attempt is SendRefusal.NO_SERVER and self._unreachable_ids:
-            # Those that could not be reached may be tried once more, later.
-            self._unreachable_ids.clear()
-        elif attempt is SendRefusal.NO_SERVER and not self._attempts:
+        if attempt is SendRefusal.NO_SERVER and not self._attempts:
             self._end_unserved("the service has no backend server to use")
         return False
 
     def _may_send(self) -> bool:
         return (
             not self._is_over
-            and len(self._used_ids) < self._job.route.max_server_count
+            and self._tried.may_send
             and (self._may_repeat or not self._attempts)
         )
 
@@ -102,6 +98,7 @@
         self._attempts = [
             attempt for attempt in self._attempts if not attempt.is_finished
         ]
+        self._tried.note_end(result.server_id, has_arrived=result.has_arrived)
         if self._is_over:
             return
         if result.outcome is AttemptOutcome.OK and result.reply is not None:
@@ -110,10 +107,7 @@
             self._finish(self._pass_on(result.reply))
             return
         self._failures.append(f"{result.server_id}: {result.detail}")
-        if not result.has_arrived:
-            self._used_ids.discard(result.server_id)
-            self._unreachable_ids.add(result.server_id)
-        elif result.outcome is not AttemptOutcome.NOT_RUN:
+        if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
             if result.outcome is AttemptOutcome.FAILED:
                 self._failure = result.reply
@@ -209,7 +203,7 @@
             took_ms=round(
                 (self._tools.clock() - job.request.received_at_s) * 1000, 1
             ),
-            sent_to=sorted(self._used_ids),
+            sent_to=sorted(self._tried.reached),
             failures=self._failures[:6],
             **fields,
         )
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -14,6 +14,7 @@
     AttemptResult,
     SendOrder,
     SendRefusal,
+    TriedServers,
 )
 from mulberrybay_edge.run_context import (
     ROOM_CHECK_PERIOD_S,
@@ -29,15 +30,13 @@
 class _Shard:
     """What is known of one shard."""
 
-    __slots__ = ("attempts", "has_arrived", "part", "service", "used_ids")
+    __slots__ = ("attempts", "part", "service", "tried")
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, max_server_count: int) -> None:
         self.service = service
         self.part: Part | None = None
         self.attempts: list[AttemptHandle] = []
-        self.used_ids: set[str] = set()
-        # Whether any server may have got the request.
-        self.has_arrived = False
+        self.tried = TriedServers(max_server_count)
 
 
 class GatherRun:
@@ -46,7 +45,10 @@
     def __init__(self, tools: RunTools, job: RunJob) -> None:
         self._tools = tools
         self._job = job
-        self._shards = [_Shard(service) for service in job.route.shards]
+        max_server_count = job.route.max_server_count
+        self._shards = [
+            _Shard(service, max_server_count) for service in job.route.shards
+        ]
         self._missing_count = len(self._shards)
         self._signatures: set[str] = set()
         self._timer: Timer | None = None
@@ -92,8 +94,8 @@
             service=shard.service,
             history=job.history,
             deadline_at_s=self._deadline_at_s,
-            excluded_ids=frozenset(shard.used_ids),
-            is_repeat=shard.has_arrived,
+            tried=shard.tried,
+            is_repeat=bool(shard.tried.reached),
             may_repeat=True,
         )
 
@@ -103,25 +105,21 @@
         attempt = self._tools.sender.send(order, on_result)
         if isinstance(attempt, SendRefusal):
             return False
-        shard.used_ids.add(attempt.server_id)
         if not attempt.is_finished:
+            shard.tried.note_sent(attempt.server_id)
             shard.attempts.append(attempt)
-            shard.has_arrived = True
         if is_hedge:
             self._hedge_count += 1
         return True
 
     def _may_send(self, shard: _Shard) -> bool:
-        return (
-            not self._is_over
-            and shard.part is None
-            and len(shard.used_ids) < self._job.route.max_server_count
-        )
+        return not self._is_over and shard.part is None and shard.tried.may_send
 
     def _on_result(self, shard: _Shard, result: AttemptResult) -> None:
         shard.attempts = [
             attempt for attempt in shard.attempts if not attempt.is_finished
         ]
+        shard.tried.note_end(result.server_id, has_arrived=result.has_arrived)
         if self._is_over or shard.part is not None:
             return
         if result.outcome is AttemptOutcome.OK and self._take(shard, result):
@@ -129,24 +127,9 @@
         self._failures.append(
             f"{shard.service}/{result.server_id}: {result.detail}"
         )
-        if not result.has_arrived:
-            # No server has seen it: another may be tried in its place.
-            shard.used_ids.discard(result.server_id)
-            shard.has_arrived = bool(shard.used_ids)
-            self._retry_elsewhere(shard, result.server_id)
-        elif self._may_send(shard):
-            self._send(shard)
-        self._check_hopeless()
-
-    def _retry_elsewhere(self, shard: _Shard, server_id: str) -> None:
-        """Sends to another server than one that could not be reached."""
-        shard.used_ids.add(server_id)
-        is_sent = len(
-            shard.used_ids
-        ) <= self._job.route.max_server_count and self._send(shard)
-        shard.used_ids.discard(server_id)
-        if not is_sent:
+        if self._may_send(shard) and not self._send(shard):
             self._arm()
+        self._check_hopeless()
 
     def _take(self, shard: _Shard, result: AttemptResult) -> bool:
         """Takes a part; False if it has no signature of its own."""
@@ -270,7 +253,7 @@
         self._finish(caller_errors.not_run(reason, pause_s))
 
     def _fail(self, answer: CallerAnswer, reason: str) -> None:
-        if not any(shard.has_arrived for shard in self._shards):
+        if not any(shard.tried.reached for shard in self._shards):
             self._refuse(reason)
             return
         self._tools.counts["gather_failed"] += 1
