Serve callers before the libraries between nodes are loaded

Cause: after a final fault every tenth of a second until a node listens loses requests. Of 0.246 s to listening 0.113 s were the import of expression and 0.075 s that of pycapnp; both load asyncio. Ruled out: leaving either library out (the house style names them). Change: the store's client replies with a value or a Failure, and the node with holders wraps it in results (result_store); heartbeats and the exchange of objects are loaded 0.3 s after a node listens.

--- a/packages/core/mulberrybay_core/object_cache.py
+++ b/packages/core/mulberrybay_core/object_cache.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from mulberrybay_core.platform_messages import ObjectList, StoredObject
+from mulberrybay_core.store_messages import ObjectList, StoredObject
 
 
 class CacheUpdate(NamedTuple):
--- a/packages/core/mulberrybay_core/platform_documents.py
+++ b/packages/core/mulberrybay_core/platform_documents.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple, Protocol
 
-from mulberrybay_core.platform_messages import StoredObject
 from mulberrybay_core.routing import RoutingConfiguration
 from mulberrybay_core.server_directory import ServerEntry
+from mulberrybay_core.store_messages import StoredObject
 
 
 class DocumentKinds(NamedTuple):
--- a/packages/core/mulberrybay_core/platform_messages.py
+++ b/packages/core/mulberrybay_core/platform_messages.py
@@ -1,66 +1,27 @@
-"""Messages between the node and the client of the platform's store."""
+"""The platform's store as the tasks of a node with holders use it."""
 
-import enum
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import Protocol
 
 from expression import Result
 
 from mulberrybay_core.errors import Failure
 from mulberrybay_core.fleet import Fleet
-
-# The store keeps JSON values whose shape each kind defines; the codecs in
-# `documents` turn them into typed messages.
-JsonObject = dict[str, Any]
-
-
-class StoredObject(NamedTuple):
-    """One object of the store.
-
-    Attributes:
-        kind: The kind of object.
-        name: Unique within the kind.
-        version: Grows with every write.
-        value: The content.
-    """
-
-    kind: str
-    name: str
-    version: int
-    value: JsonObject
-
-
-class ObjectList(NamedTuple):
-    """Objects of one kind and the store's version when they were read.
-
-    Attributes:
-        items: The objects, or those that a watch saw written.
-        store_version: Where to watch from.
-        removed_names: The objects that a watch saw removed.
-        next_name: The name after which a list goes on; empty at its end.
-        changed_version: The version of the last change that is in it.
-    """
-
-    items: tuple[StoredObject, ...]
-    store_version: int
-    removed_names: tuple[str, ...] = ()
-    next_name: str = ""
-    changed_version: int = 0
-
-
-class WriteOutcome(enum.Enum):
-    """How a conditional write ended."""
-
-    WRITTEN = "written"
-    CONFLICT = "conflict"
-
-
-class WriteResult(NamedTuple):
-    """How a conditional write ended, and the object's version after it."""
-
-    outcome: WriteOutcome
-    version: int
-
+from mulberrybay_core.store_messages import (
+    JsonObject,
+    ObjectList,
+    StoredObject,
+    WriteOutcome,
+    WriteResult,
+)
+
+__all__ = [
+    "JsonObject",
+    "ObjectList",
+    "StoredObject",
+    "WriteOutcome",
+    "WriteResult",
+]
 
 ObjectReply = Callable[[Result[StoredObject | None, Failure]], None]
 ListReply = Callable[[Result[ObjectList, Failure]], None]
--- a/packages/core/tests/test_object_cache.py
+++ b/packages/core/tests/test_object_cache.py
@@ -1,7 +1,7 @@
 """What is known of the store never goes back, whoever tells it and when."""
 
 from mulberrybay_core.object_cache import ObjectCache
-from mulberrybay_core.platform_messages import ObjectList, StoredObject
+from mulberrybay_core.store_messages import ObjectList, StoredObject
 
 
 def stored(name: str, version: int) -> StoredObject:
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -44,6 +44,7 @@
 from mulberrybay_daemon.node_parts import NodeParts
 from mulberrybay_daemon.operator_side import OperatorSide
 from mulberrybay_daemon.record_expiry import RecordExpiry
+from mulberrybay_daemon.result_store import ResultStore
 from mulberrybay_daemon.runs import RunCoordinator
 from mulberrybay_daemon.service import NodeService
 from mulberrybay_daemon.settings import NodeSettings
@@ -80,13 +81,14 @@
         self._timers = Timers().register(self)
         self._streams = Streams(self._poller).register(self)
         self._links = NodeLinks(self._streams, self._timers, self)
-        self._store = PlatformClient(
+        self._platform = PlatformClient(
             PlatformSettings(
                 settings.platform_address, settings.platform_timeout_s
             ),
             self._streams,
             self._timers,
         )
+        self._store = ResultStore(self._platform)
         self._build_holding()
         self._build_membership()
         self._build_requests()
@@ -206,7 +208,7 @@
             holder=self._holder,
             backends=self._backends,
             links=self._links,
-            store=self._store,
+            store=self._platform,
             configuration=self._configuration,
             members=self._members,
             coordinator=self._coordinator,
@@ -224,7 +226,7 @@
         settings = self._settings
         self._exits.enter_context(self._streams)
         self._exits.enter_context(self._links)
-        self._exits.enter_context(self._store)
+        self._exits.enter_context(self._platform)
         self._exits.enter_context(self._backends)
         self._exits.enter_context(self._health_connections)
         caller_server = HttpServer(
--- a/packages/daemon/mulberrybay_daemon/operator_side.py
+++ b/packages/daemon/mulberrybay_daemon/operator_side.py
@@ -5,6 +5,7 @@
 from mulberrybay_daemon.node_parts import NodeParts
 from mulberrybay_daemon.operator_desk import OperatorDesk
 from mulberrybay_daemon.operator_service import NodeOperatorService
+from mulberrybay_daemon.result_store import ResultStore
 from mulberrybay_daemon.settings import NodeSettings
 from mulberrybay_daemon.state_watch import StateWatch
 from mulberrybay_operators.application import OperatorApplication
@@ -20,7 +21,7 @@
         self, settings: NodeSettings, parts: NodeParts, log: StateLog
     ) -> None:
         self._desk = OperatorDesk(
-            parts.store,
+            ResultStore(parts.store),
             parts.timers,
             parts.configuration,
             lambda: parts.membership.has_lease(read_clock_s()),
--- /dev/null
+++ b/packages/daemon/mulberrybay_daemon/result_store.py
@@ -0,0 +1,81 @@
+"""The platform's store with its replies as results of `expression`."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from expression import Error, Ok, Result
+
+from mulberrybay_core.errors import Failure
+from mulberrybay_core.platform_messages import (
+    FleetReply,
+    JsonObject,
+    ListReply,
+    ObjectReply,
+    WriteReply,
+)
+from mulberrybay_platform.client import PlatformClient
+
+T = TypeVar("T")
+
+
+def _as_result(
+    reply: Callable[[Result[T, Failure]], None],
+) -> Callable[[T | Failure], None]:
+    """Returns a handler that passes a value or a failure on as a result."""
+
+    def pass_on(value: T | Failure) -> None:
+        if isinstance(value, Failure):
+            reply(Error(value))
+        else:
+            reply(Ok(value))
+
+    return pass_on
+
+
+class ResultStore:
+    """Calls the client of the store; see `PlatformStore`."""
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last few calls all failed."""
+        return self._client.is_failing
+
+    def read(self, kind: str, name: str, reply: ObjectReply) -> None:
+        """Reads an object; None if there is none."""
+        self._client.read(kind, name, _as_result(reply))
+
+    def list_kind(self, kind: str, reply: ListReply) -> None:
+        """Reads all objects of a kind."""
+        self._client.list_kind(kind, _as_result(reply))
+
+    def write(
+        self,
+        kind: str,
+        name: str,
+        value: JsonObject,
+        expected_version: int,
+        reply: WriteReply,
+    ) -> None:
+        """Writes an object if its version is as expected; 0 for absent."""
+        self._client.write(
+            kind, name, value, expected_version, _as_result(reply)
+        )
+
+    def delete(
+        self, kind: str, name: str, expected_version: int, reply: WriteReply
+    ) -> None:
+        """Deletes an object if its version is as expected."""
+        self._client.delete(kind, name, expected_version, _as_result(reply))
+
+    def watch(
+        self, kind: str, after_version: int, timeout_s: float, reply: ListReply
+    ) -> None:
+        """Waits for objects of a kind written after a version."""
+        self._client.watch(kind, after_version, timeout_s, _as_result(reply))
+
+    def list_vms(self, reply: FleetReply) -> None:
+        """Reads the lagging list of VMs."""
+        self._client.list_vms(_as_result(reply))
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -10,11 +10,10 @@
 from collections import Counter
 from collections.abc import Callable
 from types import TracebackType
-from typing import Any, Final, NamedTuple, Self
+from typing import TYPE_CHECKING, Any, Final, NamedTuple, Self
 
 from circuits import BaseComponent, handler
 
-from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import (
     EdgeHeartbeat,
     EdgeNodeInfo,
@@ -33,13 +32,7 @@
 )
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import DispatchContext, Dispatcher
-from mulberrybay_edge.heartbeat_codec import (
-    HeartbeatError,
-    decode_heartbeat,
-    encode_heartbeat,
-)
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
-from mulberrybay_edge.peer_exchange import PeerExchange
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.run_context import RunTools
 from mulberrybay_edge.server_connections import ServerConnections
@@ -59,6 +52,9 @@
 from mulberrybay_runtime.streams import StreamPoller, Streams
 from mulberrybay_runtime.timers import Timers
 
+if TYPE_CHECKING:
+    from mulberrybay_edge.peer_link import PeerLink
+
 UPKEEP_PERIOD_S: Final = 0.2
 SETTINGS_CHECK_PERIOD_S: Final = 2.0
 # An answer of the directory names at most so many nodes.
@@ -68,6 +64,10 @@
 # The process ends this long before it would be killed.
 STOP_MARGIN_S: Final = 0.4
 STORE_TIMEOUT_S: Final = 1.5
+# Callers that were turned away while the node was down come first.
+PEERS_AFTER_S: Final = 0.3
+# By then a new node has heard of the peers that run.
+NEW_NODE_S: Final = 3.0
 
 
 class PlatformAdapter(NamedTuple):
@@ -108,7 +108,7 @@
         self._counts: Counter[str] = Counter()
         self._settings_stamp_ns = 0
         self._stopping_since_s: float | None = None
-        self._bad_heartbeat_count = 0
+        self._started_at_s = read_clock_s()
         self._build_runtime()
         self._build_beliefs()
         self._build_dispatch()
@@ -119,9 +119,8 @@
         self._poller = StreamPoller().register(self)
         self._timers = Timers().register(self)
         self._streams = Streams(self._poller).register(self)
-        self._datagrams = Datagrams(self._poller, self._on_datagram).register(
-            self
-        )
+        self._datagrams = Datagrams(self._poller).register(self)
+        self._peers: PeerLink | None = None
 
     def _build_beliefs(self) -> None:
         settings = self._settings
@@ -153,9 +152,6 @@
             self._store, self._timers, NODE_KIND, self._registry
         )
         self._watches = [*self._view.watches, node_watch]
-        self._exchange = PeerExchange(
-            self._streams, self._timers, self._watches
-        )
 
     def _build_dispatch(self) -> None:
         settings = self._settings
@@ -223,9 +219,6 @@
         enter(self._datagrams)
         enter(self._store)
         enter(self._connections)
-        enter(self._exchange)
-        self._datagrams.listen(addresses.peers)
-        self._exchange.listen(addresses.peers)
         for server, address in (
             (self._callers, addresses.callers),
             (self._readiness, addresses.readiness),
@@ -237,7 +230,7 @@
                 server.listen(address)
         for watch in self._watches:
             watch.start()
-        self._timers.call_later(0.0, self._send_heartbeats_again)
+        self._timers.call_later(PEERS_AFTER_S, self._open_peer_link)
         self._timers.call_every(UPKEEP_PERIOD_S, self._keep_up)
         self._timers.call_every(SETTINGS_CHECK_PERIOD_S, self._check_settings)
         self._settings_stamp_ns = self._read_settings_stamp()
@@ -275,36 +268,31 @@
         named = choose_named(nodes, MAX_NAMED_COUNT, self._random)
         return [str(node.caller_address) for node in named]
 
-    # Heartbeats.
-
-    def _send_heartbeats_again(self) -> None:
-        self._send_heartbeats()
-        self._timers.call_later(
-            self._nodes.heartbeat_period_s(), self._send_heartbeats_again
+    # Peers.
+
+    def _open_peer_link(self) -> None:
+        # Imported here since it takes longer than the rest of the start.
+        from mulberrybay_edge.peer_link import PeerLink  # noqa: PLC0415
+
+        self._peers = self._exits.enter_context(
+            PeerLink(
+                self._nodes,
+                self._watches,
+                self._datagrams,
+                self._streams,
+                self._timers,
+                self._decisions,
+                self._describe,
+            )
         )
 
-    def _send_heartbeats(self) -> None:
-        addresses = self._nodes.peer_addresses()
-        if not addresses:
-            return
-        revision = self._view.table.revision if self._view.table else 0
-        versions = tuple(watch.changed_version for watch in self._watches)
-        data = encode_heartbeat(
-            EdgeHeartbeat(self._nodes.own, self._is_ready(), revision, versions)
+    def _describe(self) -> EdgeHeartbeat:
+        return EdgeHeartbeat(
+            self._nodes.own,
+            self._is_ready(),
+            self._view.table.revision if self._view.table else 0,
+            tuple(watch.changed_version for watch in self._watches),
         )
-        for address in addresses:
-            self._datagrams.send(data, address)
-
-    def _on_datagram(self, data: bytes, peer: Address) -> None:
-        try:
-            heartbeat = decode_heartbeat(data)
-        except HeartbeatError as error:
-            self._bad_heartbeat_count += 1
-            self._decisions.belief(
-                "unreadable heartbeat", peer=str(peer), cause=str(error)
-            )
-            return
-        self._nodes.note_heartbeat(heartbeat, read_clock_s())
 
     # Upkeep.
 
@@ -319,35 +307,21 @@
         self._retries.node_count = sharing_count
         self._cold.node_count = sharing_count
         alive_count = len(self._nodes.alive_names(now_s))
-        self._sender.sender_count = alive_count
-        self._check_watches(alive_count, now_s)
+        is_new = now_s - self._started_at_s < NEW_NODE_S
+        self._sender.sender_count = sharing_count if is_new else alive_count
+        for watch in self._watches:
+            watch.timeout_s = (
+                LONE_WATCH_TIMEOUT_S
+                if alive_count <= LONE_NODE_COUNT
+                else WATCH_TIMEOUT_S
+            )
+        if self._peers is not None:
+            self._peers.check_watches()
         if self._stopping_since_s is None:
             self._registry.remove_lost(now_s)
         else:
             self._check_stop(now_s - self._stopping_since_s)
 
-    def _check_watches(self, alive_count: int, now_s: float) -> None:
-        """Compares what the watches saw with what other nodes saw."""
-        is_lone = alive_count <= LONE_NODE_COUNT
-        peer_versions = self._nodes.highest_changed(now_s)
-        for index, watch in enumerate(self._watches):
-            watch.timeout_s = (
-                LONE_WATCH_TIMEOUT_S if is_lone else WATCH_TIMEOUT_S
-            )
-            if index >= len(peer_versions):
-                continue
-            peer_version = peer_versions[index]
-            if watch.is_behind(peer_version, now_s):
-                watch.restart(peer_version)
-                self._ask_peer(index, now_s)
-
-    def _ask_peer(self, index: int, now_s: float) -> None:
-        """Asks a node that has seen more of a kind for what it knows."""
-        address = self._nodes.best_informed(index, now_s)
-        if address is not None:
-            since_version = self._watches[index].version or 0
-            self._exchange.ask(address, index, since_version)
-
     # Settings.
 
     def _read_settings_stamp(self) -> int:
@@ -391,7 +365,8 @@
         self._stopping_since_s = read_clock_s()
         self._log.info("stopping", signal=signal_number)
         self._callers.is_stopping = True
-        self._send_heartbeats()
+        if self._peers is not None:
+            self._peers.send_heartbeats()
         self._registry.leave()
 
     def _check_stop(self, stopping_for_s: float) -> None:
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -3,15 +3,13 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from expression import Result
-
 from mulberrybay_core.addresses import parse_address
 from mulberrybay_core.edge_nodes import EdgeNodeInfo, EdgeNodes
 from mulberrybay_core.errors import Failure
-from mulberrybay_core.platform_messages import (
+from mulberrybay_core.store_messages import (
     JsonObject,
     ObjectList,
-    PlatformStore,
+    ObjectStore,
     StoredObject,
     WriteOutcome,
     WriteResult,
@@ -61,7 +59,7 @@
     """Keeps this node's entry, and the other entries up to date."""
 
     def __init__(
-        self, store: PlatformStore, timers: Timers, nodes: EdgeNodes
+        self, store: ObjectStore, timers: Timers, nodes: EdgeNodes
     ) -> None:
         self._store = store
         self._timers = timers
@@ -134,24 +132,22 @@
             self._on_written,
         )
 
-    def _on_written(self, result: Result[WriteResult, Failure]) -> None:
+    def _on_written(self, result: WriteResult | Failure) -> None:
         if self._is_leaving:
             return
-        match result:
-            case Result(tag="ok", ok=written):
-                if written.outcome is WriteOutcome.CONFLICT:
-                    # An entry of an earlier incarnation.
-                    self._write(written.version)
-                    return
-                self._is_writing = False
-                self._version = written.version
-                self._backoff.reset()
-                self._log.info("registered", version=written.version)
-            case Result(error=failure):
-                self._log.warning("not registered", cause=failure.detail)
-                self._timers.call_later(
-                    self._backoff.next_delay_s(), lambda: self._write(0)
-                )
+        if isinstance(result, Failure):
+            self._log.warning("not registered", cause=result.detail)
+            self._timers.call_later(
+                self._backoff.next_delay_s(), lambda: self._write(0)
+            )
+        elif result.outcome is WriteOutcome.CONFLICT:
+            # An entry of an earlier incarnation.
+            self._write(result.version)
+        else:
+            self._is_writing = False
+            self._version = result.version
+            self._backoff.reset()
+            self._log.info("registered", version=result.version)
 
     def leave(self) -> None:
         """Removes this node's entry; a failure leaves it to a survivor."""
@@ -166,13 +162,10 @@
             self._remove(name, version)
 
     def _remove(self, name: str, version: int) -> None:
-        def on_removed(result: Result[WriteResult, Failure]) -> None:
-            match result:
-                case Result(tag="error", error=failure):
-                    self._log.warning(
-                        "not removed", name=name, cause=failure.detail
-                    )
-                case _:
-                    self._nodes.remove_registered(name)
+        def on_removed(result: WriteResult | Failure) -> None:
+            if isinstance(result, Failure):
+                self._log.warning("not removed", name=name, cause=result.detail)
+            else:
+                self._nodes.remove_registered(name)
 
         self._store.delete(NODE_KIND, name, version, on_removed)
--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -14,7 +14,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.object_cache import CacheUpdate
-from mulberrybay_core.platform_messages import StoredObject
+from mulberrybay_core.store_messages import StoredObject
 from mulberrybay_edge.heartbeat_codec import PROTOCOL_VERSION, SCHEMA
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_nodes.frames import (
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -0,0 +1,109 @@
+"""What passes between this node and its peers: heartbeats and objects.
+
+The modules behind this one load Cap'n Proto, which takes longer than the rest
+of a node's start; a node serves callers before it loads them.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import Self
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodes
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.heartbeat_codec import (
+    HeartbeatError,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from mulberrybay_edge.peer_exchange import PeerExchange
+from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.datagrams import Datagrams
+from mulberrybay_runtime.streams import Streams
+from mulberrybay_runtime.timers import Timers
+
+
+class PeerLink:
+    """Speaks to the other nodes; a context manager."""
+
+    def __init__(
+        self,
+        nodes: EdgeNodes,
+        watches: Sequence[StoreWatch],
+        datagrams: Datagrams,
+        streams: Streams,
+        timers: Timers,
+        log: DecisionLog,
+        describe: Callable[[], EdgeHeartbeat],
+    ) -> None:
+        self._nodes = nodes
+        self._watches = watches
+        self._datagrams = datagrams
+        self._timers = timers
+        self._log = log
+        self._describe = describe
+        self._exchange = PeerExchange(streams, timers, watches)
+        self.unreadable_count = 0
+
+    def __enter__(self) -> Self:
+        """Listens and starts to send heartbeats.
+
+        Raises:
+            OSError: The address is in use or is not this VM's.
+        """
+        address = self._nodes.own.peer_address
+        self._datagrams.listen(address, self._on_datagram)
+        self._exchange.listen(address)
+        self._send_again()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """The sockets close with their owners."""
+
+    @property
+    def exchange_counts(self) -> Counter[str]:
+        """Questions to peers and answers to theirs, by what came of them."""
+        return self._exchange.counts
+
+    def _send_again(self) -> None:
+        self.send_heartbeats()
+        self._timers.call_later(
+            self._nodes.heartbeat_period_s(), self._send_again
+        )
+
+    def send_heartbeats(self) -> None:
+        """Sends a heartbeat to every peer now."""
+        addresses = self._nodes.peer_addresses()
+        if not addresses:
+            return
+        data = encode_heartbeat(self._describe())
+        for address in addresses:
+            self._datagrams.send(data, address)
+
+    def _on_datagram(self, data: bytes, peer: Address) -> None:
+        try:
+            heartbeat = decode_heartbeat(data)
+        except HeartbeatError as error:
+            self.unreadable_count += 1
+            self._log.belief(
+                "unreadable heartbeat", peer=str(peer), cause=str(error)
+            )
+            return
+        self._nodes.note_heartbeat(heartbeat, read_clock_s())
+
+    def check_watches(self) -> None:
+        """Asks for what other nodes have seen and this one has not."""
+        now_s = read_clock_s()
+        peer_versions = self._nodes.highest_changed(now_s)
+        pairs = zip(self._watches, peer_versions, strict=False)
+        for index, (watch, peer_version) in enumerate(pairs):
+            if watch.is_behind(peer_version, now_s):
+                watch.restart(peer_version)
+                self._ask_peer(index, now_s)
+
+    def _ask_peer(self, index: int, now_s: float) -> None:
+        address = self._nodes.best_informed(index, now_s)
+        if address is not None:
+            since_version = self._watches[index].version or 0
+            self._exchange.ask(address, index, since_version)
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable
 
 from mulberrybay_core.platform_documents import PlatformDocuments
-from mulberrybay_core.platform_messages import (
+from mulberrybay_core.routing import RouteTable
+from mulberrybay_core.server_directory import ServerDirectory
+from mulberrybay_core.store_messages import (
     ObjectList,
-    PlatformStore,
+    ObjectStore,
     StoredObject,
 )
-from mulberrybay_core.routing import RouteTable
-from mulberrybay_core.server_directory import ServerDirectory
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_runtime.clock import read_clock_s
@@ -108,7 +108,7 @@
 
     def __init__(
         self,
-        store: PlatformStore,
+        store: ObjectStore,
         timers: Timers,
         documents: PlatformDocuments,
         log: DecisionLog,
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -2,11 +2,9 @@
 
 from typing import Final, Protocol
 
-from expression import Result
-
 from mulberrybay_core.errors import Failure, FailureKind
 from mulberrybay_core.object_cache import CacheUpdate, ObjectCache
-from mulberrybay_core.platform_messages import ObjectList, PlatformStore
+from mulberrybay_core.store_messages import ObjectList, ObjectStore
 from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.logs import StateLog
 from mulberrybay_runtime.timers import Timers
@@ -41,7 +39,7 @@
 
     def __init__(
         self,
-        store: PlatformStore,
+        store: ObjectStore,
         timers: Timers,
         kind: str,
         listener: WatchListener,
@@ -64,7 +62,7 @@
         self._generation += 1
         generation = self._generation
 
-        def on_result(result: Result[ObjectList, Failure]) -> None:
+        def on_result(result: ObjectList | Failure) -> None:
             if generation == self._generation:
                 self._on_listed(result)
 
@@ -114,16 +112,15 @@
         elif changes.items or changes.removed_names:
             self._listener.on_changes(changes)
 
-    def _on_listed(self, result: Result[ObjectList, Failure]) -> None:
-        match result:
-            case Result(tag="ok", ok=objects):
-                self._note_success()
-                self._needs_list = False
-                self.cache.replace(objects)
-                self._listener.on_list(self.cache.all_objects())
-                self._watch()
-            case Result(error=failure):
-                self._retry(failure)
+    def _on_listed(self, result: ObjectList | Failure) -> None:
+        if isinstance(result, Failure):
+            self._retry(result)
+            return
+        self._note_success()
+        self._needs_list = False
+        self.cache.replace(result)
+        self._listener.on_list(self.cache.all_objects())
+        self._watch()
 
     def _go_on(self) -> None:
         if self._needs_list:
@@ -137,7 +134,7 @@
         self._generation += 1
         generation = self._generation
 
-        def on_result(result: Result[ObjectList, Failure]) -> None:
+        def on_result(result: ObjectList | Failure) -> None:
             if generation == self._generation:
                 self._on_changes(result)
 
@@ -147,21 +144,20 @@
         if generation == self._generation:
             self._watch()
 
-    def _on_changes(self, result: Result[ObjectList, Failure]) -> None:
-        match result:
-            case Result(tag="ok", ok=changes):
-                self._note_success()
-                news = self.cache.apply(changes)
-                if news.items or news.removed_names:
-                    self._listener.on_changes(news)
-                generation = self._generation
-                self._timers.call_later(
-                    BATCH_PAUSE_S, lambda: self._watch_again(generation)
-                )
-            case Result(error=failure):
-                if failure.kind is FailureKind.HISTORY_GONE:
-                    self._needs_list = True
-                self._retry(failure)
+    def _on_changes(self, result: ObjectList | Failure) -> None:
+        if isinstance(result, Failure):
+            if result.kind is FailureKind.HISTORY_GONE:
+                self._needs_list = True
+            self._retry(result)
+            return
+        self._note_success()
+        news = self.cache.apply(result)
+        if news.items or news.removed_names:
+            self._listener.on_changes(news)
+        generation = self._generation
+        self._timers.call_later(
+            BATCH_PAUSE_S, lambda: self._watch_again(generation)
+        )
 
     def _retry(self, failure: Failure) -> None:
         if not self.is_failing:
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -7,20 +7,19 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import Final, NamedTuple, Self
+from typing import Final, NamedTuple, Self, TypeVar
 
 import httptools
-from expression import Error, Ok, Result
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
-from mulberrybay_core.platform_messages import (
-    FleetReply,
+from mulberrybay_core.store_messages import (
+    FleetHandler,
     JsonObject,
-    ListReply,
+    ListHandler,
+    ObjectHandler,
     ObjectList,
-    ObjectReply,
-    WriteReply,
+    WriteHandler,
 )
 from mulberrybay_platform.dialect import StoreCall, StoreDialect
 from mulberrybay_platform.object_codec import ObjectDialect
@@ -40,7 +39,8 @@
 WATCH_GRACE_S: Final = 2.0
 FAILING_COUNT: Final = 3
 
-HttpResult = Result[HttpReply, Failure]
+T = TypeVar("T")
+HttpResult = HttpReply | Failure
 
 
 class PlatformSettings(NamedTuple):
@@ -124,8 +124,15 @@
         self._client.on_connection_lost(self, reason)
 
 
+def _decode(
+    result: HttpResult, decode: Callable[[HttpReply], T | Failure]
+) -> T | Failure:
+    """Returns what a reply says; a failure stays one."""
+    return result if isinstance(result, Failure) else decode(result)
+
+
 class PlatformClient:
-    """Speaks the platform's object API; see `PlatformStore`."""
+    """Speaks the platform's object API; see `ObjectStore`."""
 
     def __init__(
         self,
@@ -161,15 +168,15 @@
         """
         return self._failure_count >= FAILING_COUNT
 
-    def read(self, kind: str, name: str, reply: ObjectReply) -> None:
+    def read(self, kind: str, name: str, reply: ObjectHandler) -> None:
         """Reads an object; None if there is none."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(self._dialect.decode_object))
+            reply(_decode(result, self._dialect.decode_object))
 
         self._request(self._dialect.read(kind, name), on_result)
 
-    def list_kind(self, kind: str, reply: ListReply) -> None:
+    def list_kind(self, kind: str, reply: ListHandler) -> None:
         """Reads all objects of a kind."""
         self._list_page(kind, "", None, reply)
 
@@ -178,7 +185,7 @@
         kind: str,
         after_name: str,
         pages: ObjectList | None,
-        reply: ListReply,
+        reply: ListHandler,
     ) -> None:
         """Reads one page after another; changes since the first are watched."""
 
@@ -194,14 +201,14 @@
             if page.next_name:
                 self._list_page(kind, page.next_name, whole, reply)
             else:
-                reply(Ok(whole))
+                reply(whole)
 
         def on_result(result: HttpResult) -> None:
-            match result.bind(self._dialect.decode_list):
-                case Result(tag="ok", ok=page):
-                    on_page(page)
-                case Result(error=failure):
-                    reply(Error(failure))
+            page = _decode(result, self._dialect.decode_list)
+            if isinstance(page, Failure):
+                reply(page)
+            else:
+                on_page(page)
 
         self._request(self._dialect.list_kind(kind, after_name), on_result)
 
@@ -211,36 +218,40 @@
         name: str,
         value: JsonObject,
         expected_version: int,
-        reply: WriteReply,
+        reply: WriteHandler,
     ) -> None:
         """Writes an object if its version is as expected; 0 for absent."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(self._dialect.decode_write))
+            reply(_decode(result, self._dialect.decode_write))
 
         self._request(
             self._dialect.write(kind, name, value, expected_version), on_result
         )
 
     def delete(
-        self, kind: str, name: str, expected_version: int, reply: WriteReply
+        self, kind: str, name: str, expected_version: int, reply: WriteHandler
     ) -> None:
         """Deletes an object if its version is as expected."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(self._dialect.decode_write))
+            reply(_decode(result, self._dialect.decode_write))
 
         self._request(
             self._dialect.delete(kind, name, expected_version), on_result
         )
 
     def watch(
-        self, kind: str, after_version: int, timeout_s: float, reply: ListReply
+        self,
+        kind: str,
+        after_version: int,
+        timeout_s: float,
+        reply: ListHandler,
     ) -> None:
         """Waits for objects of a kind written after a version."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(self._dialect.decode_list))
+            reply(_decode(result, self._dialect.decode_list))
 
         spec = self._dialect.watch(kind, after_version, timeout_s)
         call = self._make_call(spec, timeout_s + WATCH_GRACE_S, on_result)
@@ -254,11 +265,11 @@
         else:
             self._open(call)
 
-    def list_vms(self, reply: FleetReply) -> None:
+    def list_vms(self, reply: FleetHandler) -> None:
         """Reads the lagging list of VMs."""
 
         def on_result(result: HttpResult) -> None:
-            reply(result.bind(decode_vm_list))
+            reply(_decode(result, decode_vm_list))
 
         self._request(StoreCall("list_vms", "GET", "/v1/vms"), on_result)
 
@@ -353,7 +364,7 @@
         elif connection.stream is not None:
             connection.stream.close()
         if call is not None:
-            call.finish(Ok(reply))
+            call.finish(reply)
         self._pump()
 
     def on_connection_lost(self, connection: _Connection, reason: str) -> None:
@@ -371,16 +382,14 @@
         self.failure_counts[call.operation] += 1
         self._failure_count += 1
         call.finish(
-            Error(
-                Failure(
-                    kind=FailureKind.PLATFORM,
-                    step=Step.RECORD,
-                    peer=f"platform {self._settings.address}",
-                    detail=f"{call.operation}: {detail}",
-                    retry_after_s=1.0,
-                    run_state=(
-                        RunState.UNKNOWN if call.was_sent else RunState.NOT_RUN
-                    ),
-                )
+            Failure(
+                kind=FailureKind.PLATFORM,
+                step=Step.RECORD,
+                peer=f"platform {self._settings.address}",
+                detail=f"{call.operation}: {detail}",
+                retry_after_s=1.0,
+                run_state=(
+                    RunState.UNKNOWN if call.was_sent else RunState.NOT_RUN
+                ),
             )
         )
--- a/packages/platform/mulberrybay_platform/dialect.py
+++ b/packages/platform/mulberrybay_platform/dialect.py
@@ -5,10 +5,8 @@
 
 from typing import NamedTuple, Protocol
 
-from expression import Result
-
 from mulberrybay_core.errors import Failure
-from mulberrybay_core.platform_messages import (
+from mulberrybay_core.store_messages import (
     JsonObject,
     ObjectList,
     StoredObject,
@@ -57,13 +55,11 @@
     def delete(self, kind: str, name: str, expected_version: int) -> StoreCall:
         """Returns the call that deletes an object."""
 
-    def decode_object(
-        self, reply: HttpReply
-    ) -> Result[StoredObject | None, Failure]:
+    def decode_object(self, reply: HttpReply) -> StoredObject | Failure | None:
         """Parses the answer to the read of an object."""
 
-    def decode_list(self, reply: HttpReply) -> Result[ObjectList, Failure]:
+    def decode_list(self, reply: HttpReply) -> ObjectList | Failure:
         """Parses the answer to a list or a watch."""
 
-    def decode_write(self, reply: HttpReply) -> Result[WriteResult, Failure]:
+    def decode_write(self, reply: HttpReply) -> WriteResult | Failure:
         """Parses the answer to a conditional write or deletion."""
--- a/packages/platform/mulberrybay_platform/object_codec.py
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -5,10 +5,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from expression import Error, Ok, Result
-
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
-from mulberrybay_core.platform_messages import (
+from mulberrybay_core.store_messages import (
     JsonObject,
     ObjectList,
     StoredObject,
@@ -48,11 +46,9 @@
     )
 
 
-def _parse(
-    reply: HttpReply, read: Callable[[JsonObject], T]
-) -> Result[T, Failure]:
+def _parse(reply: HttpReply, read: Callable[[JsonObject], T]) -> T | Failure:
     try:
-        return Ok(read(json.loads(reply.body)))
+        return read(json.loads(reply.body))
     except (
         ArithmeticError,
         AttributeError,
@@ -61,7 +57,7 @@
         TypeError,
         ValueError,
     ) as error:
-        return Error(_unexpected(reply, f"malformed answer: {error!r}"))
+        return _unexpected(reply, f"malformed answer: {error!r}")
 
 
 def _read_object(value: JsonObject) -> StoredObject:
@@ -80,23 +76,23 @@
     )
 
 
-def decode_object(reply: HttpReply) -> Result[StoredObject | None, Failure]:
+def decode_object(reply: HttpReply) -> StoredObject | Failure | None:
     """Parses the answer to the read of an object; None if there is none."""
     if reply.status == 404:
-        return Ok(None)
+        return None
     if reply.status != 200:
-        return Error(_unexpected(reply))
+        return _unexpected(reply)
     return _parse(reply, _read_object)
 
 
-def decode_list(reply: HttpReply) -> Result[ObjectList, Failure]:
+def decode_list(reply: HttpReply) -> ObjectList | Failure:
     """Parses the answer to a list or a watch."""
     if reply.status != 200:
-        return Error(_unexpected(reply))
+        return _unexpected(reply)
     return _parse(reply, _read_list)
 
 
-def decode_write(reply: HttpReply) -> Result[WriteResult, Failure]:
+def decode_write(reply: HttpReply) -> WriteResult | Failure:
     """Parses the answer to a conditional write or deletion."""
     if reply.status in {200, 201}:
         return _parse(
@@ -106,7 +102,7 @@
             ),
         )
     if reply.status == 204:
-        return Ok(WriteResult(WriteOutcome.WRITTEN, 0))
+        return WriteResult(WriteOutcome.WRITTEN, 0)
     if reply.status in {404, 412}:
         return _parse(
             reply,
@@ -114,7 +110,7 @@
                 WriteOutcome.CONFLICT, int(value.get("version", 0))
             ),
         )
-    return Error(_unexpected(reply))
+    return _unexpected(reply)
 
 
 class ObjectDialect:
@@ -163,16 +159,14 @@
             (("If-Match", f'"{expected_version}"'),),
         )
 
-    def decode_object(
-        self, reply: HttpReply
-    ) -> Result[StoredObject | None, Failure]:
+    def decode_object(self, reply: HttpReply) -> StoredObject | Failure | None:
         """Parses the answer to the read of an object."""
         return decode_object(reply)
 
-    def decode_list(self, reply: HttpReply) -> Result[ObjectList, Failure]:
+    def decode_list(self, reply: HttpReply) -> ObjectList | Failure:
         """Parses the answer to a list or a watch."""
         return decode_list(reply)
 
-    def decode_write(self, reply: HttpReply) -> Result[WriteResult, Failure]:
+    def decode_write(self, reply: HttpReply) -> WriteResult | Failure:
         """Parses the answer to a conditional write or deletion."""
         return decode_write(reply)
--- a/packages/platform/mulberrybay_platform/vm_list.py
+++ b/packages/platform/mulberrybay_platform/vm_list.py
@@ -2,26 +2,24 @@
 
 import json
 
-from expression import Error, Ok, Result
-
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.errors import Failure, FailureKind, Step
 from mulberrybay_core.fleet import BackendServer, EntryVm, Fleet, VmState
-from mulberrybay_core.platform_messages import JsonObject
+from mulberrybay_core.store_messages import JsonObject
 from mulberrybay_runtime.http_exchange import HttpReply
 
 
-def decode_vm_list(reply: HttpReply) -> Result[Fleet, Failure]:
+def decode_vm_list(reply: HttpReply) -> Fleet | Failure:
     """Parses the answer to GET /v1/vms."""
     if reply.status != 200:
-        return Error(_failure(f"the platform answered {reply.status}"))
+        return _failure(f"the platform answered {reply.status}")
     try:
         vms = json.loads(reply.body)["vms"]
         entry_vms = [_read_entry(vm) for vm in vms if vm["role"] == "entry"]
         servers = [_read_server(vm) for vm in vms if vm["role"] == "backend"]
     except (KeyError, TypeError, ValueError) as error:
-        return Error(_failure(f"malformed list: {error!r}"))
-    return Ok(Fleet(entry_vms, servers))
+        return _failure(f"malformed list: {error!r}")
+    return Fleet(entry_vms, servers)
 
 
 def _failure(detail: str) -> Failure:
--- a/packages/runtime/mulberrybay_runtime/datagrams.py
+++ b/packages/runtime/mulberrybay_runtime/datagrams.py
@@ -18,14 +18,10 @@
 
     channel = "datagrams"
 
-    def __init__(
-        self,
-        poller: StreamPoller,
-        on_datagram: Callable[[bytes, Address], None],
-    ) -> None:
+    def __init__(self, poller: StreamPoller) -> None:
         super().__init__()
         self._poller = poller
-        self._on_datagram = on_datagram
+        self._on_datagram: Callable[[bytes, Address], None] | None = None
         self._socket: socket.socket | None = None
         self.unsent_count = 0
 
@@ -38,12 +34,15 @@
             self._socket.close()
             self._socket = None
 
-    def listen(self, address: Address) -> None:
-        """Opens the socket.
+    def listen(
+        self, address: Address, on_datagram: Callable[[bytes, Address], None]
+    ) -> None:
+        """Opens the socket; the handler takes each datagram and its sender.
 
         Raises:
             OSError: The address is in use or is not this VM's.
         """
+        self._on_datagram = on_datagram
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self._socket.bind(address)
@@ -60,7 +59,7 @@
 
     @handler("_read", priority=1)
     def _on_readable(self, connection: socket.socket) -> None:
-        if connection is not self._socket:
+        if connection is not self._socket or self._on_datagram is None:
             return
         while True:
             try:
