Take a given up request as slower than its age

Cause: a request that is given up shows only that its server takes longer; the age itself kept slow servers near the cost of sound ones. Change: twice the age is taken.

--- a/packages/core/mulberrybay_core/placement.py
+++ b/packages/core/mulberrybay_core/placement.py
@@ -13,6 +13,7 @@
 from mulberrybay_core.server_directory import KnownServer
 
 SPEED_WEIGHT: Final = 0.15
+ABANDONED_FACTOR: Final = 2.0
 MIN_RELATIVE_LATENCY: Final = 0.3
 MAX_RELATIVE_LATENCY: Final = 12.0
 # How long an estimate of a server lasts without new samples.
@@ -82,9 +83,13 @@
         self._note_outcome(now_s, failed=False)
 
     def note_abandoned(self, relative_latency: float, now_s: float) -> None:
-        """Takes how long a request had waited that was given up."""
-        if relative_latency > self.relative_latency(now_s):
-            self._note_latency(relative_latency, now_s)
+        """Takes how long a request had waited that was given up.
+
+        Its reply would have taken longer, by as much again on the average.
+        """
+        expected = ABANDONED_FACTOR * relative_latency
+        if expected > self.relative_latency(now_s):
+            self._note_latency(expected, now_s)
 
     def _note_latency(self, relative_latency: float, now_s: float) -> None:
         bounded = min(
