--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -38,12 +38,14 @@
 class KnownServer:
     """A backend server and what this node believes of it."""
 
-    __slots__ = ("cold_until_s", "entry", "gone_at_s")
+    __slots__ = ("cold_until_s", "entry", "gone_at_s", "is_misplaced")
 
     def __init__(self, entry: ServerEntry, now_s: float) -> None:
         self.entry = entry
         self.cold_until_s = now_s + entry.cold_left_s
         self.gone_at_s: float | None = None
+        # Whether another server has answered at its address.
+        self.is_misplaced = False
 
 
 class ServerDirectory:
@@ -70,6 +72,7 @@
         if known is not None and known.entry.service == entry.service:
             known.entry = entry
             known.gone_at_s = None
+            known.is_misplaced = False
             known.cold_until_s = now_s + entry.cold_left_s
             return
         if known is not None:
@@ -122,6 +125,7 @@
             known
             for known in self._by_service.get(service, ())
             if not known.entry.is_leaving
+            and not known.is_misplaced
             and known.entry.failure_domain not in self._out_domains
         ]
 
@@ -131,6 +135,7 @@
         return (
             self._servers.get(entry.server_id) is known
             and not entry.is_leaving
+            and not known.is_misplaced
             and entry.failure_domain not in self._out_domains
             and (
                 known.gone_at_s is None
--- a/packages/core/tests/test_server_directory.py
+++ b/packages/core/tests/test_server_directory.py
@@ -94,3 +94,16 @@
     directory.expire(5.01 + LAPSE_GRACE_S)
 
     assert usable_ids(directory) == ["i-1"]
+
+
+def test_server_whose_address_another_has_waits_for_a_new_entry() -> None:
+    directory = ServerDirectory()
+    directory.put(ENTRY, 0.0)
+    (known,) = directory.usable("search")
+
+    known.is_misplaced = True
+    assert usable_ids(directory) == []
+    assert not directory.may_use(known, 0.0)
+
+    directory.put(ENTRY._replace(address=Address("10.0.0.2", 80)), 1.0)
+    assert usable_ids(directory) == ["i-1"]
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -454,6 +454,10 @@
         self._note_load(state, reply, now_s)
         if self._not_run_header in reply.headers or reply.status == 421:
             state.note_failure(now_s)
+            if reply.status == 421:
+                # Its address was given to another server: nothing sent there
+                # can reach it before its entry changes.
+                attempt.known.is_misplaced = True
             detail = f"the server answered {reply.status}, not run"
             return AttemptResult(
                 AttemptOutcome.NOT_RUN, server_id, reply, detail, True
