--- /dev/null
+++ b/packages/edge/mulberrybay_edge/edge_parts.py
@@ -0,0 +1,36 @@
+"""The parts of a node whose counters its metrics show."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
+
+from mulberrybay_core.edge_nodes import EdgeNodes
+from mulberrybay_edge.caller_server import CallerServer
+from mulberrybay_edge.caller_service import RoutedService
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.dispatcher import Dispatcher
+from mulberrybay_edge.platform_view import PlatformView
+from mulberrybay_edge.run_context import RunCounts
+from mulberrybay_edge.server_connections import ServerConnections
+from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_platform.client import PlatformClient
+from mulberrybay_runtime.faults import FaultLog
+
+if TYPE_CHECKING:
+    from mulberrybay_edge.peer_link import PeerLink
+
+
+class EdgeParts(NamedTuple):
+    """The parts of a node; the link to its peers is opened after its start."""
+
+    service: RoutedService
+    counts: RunCounts
+    sender: Dispatcher
+    connections: ServerConnections
+    callers: CallerServer
+    store: PlatformClient
+    view: PlatformView
+    watches: list[StoreWatch]
+    nodes: EdgeNodes
+    decisions: DecisionLog
+    faults: FaultLog
+    find_peers: Callable[[], "PeerLink | None"]
--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -62,7 +62,7 @@
 
     def cancel(self) -> None:
         """The caller has gone: ends the work at the backend server."""
-        self._tools.counts["caller_gone"] += 1
+        self._tools.counts.caller_gone_count += 1
         self._close()
 
     # Sending.
@@ -102,7 +102,7 @@
         if self._is_over:
             return
         if result.outcome is AttemptOutcome.OK and result.reply is not None:
-            self._tools.counts["forward_served"] += 1
+            self._tools.counts.outcomes["forward", "served"] += 1
             self._log("served", server=result.server_id)
             self._finish(self._pass_on(result.reply))
             return
@@ -179,16 +179,17 @@
         if self._is_over:
             return
         if self._failure is not None:
-            self._tools.counts["forward_failed"] += 1
+            self._tools.counts.outcomes["forward", "failed"] += 1
             self._log("failed", reason=reason)
             self._finish(self._pass_on(self._failure))
         elif not self._may_have_run and not self._attempts:
-            self._tools.counts["forward_refused"] += 1
+            self._tools.counts.outcomes["forward", "refused"] += 1
+            self._tools.counts.refusals[reason] += 1
             self._log("refused", reason=reason)
             pause_s = retry_after_s(self._job, self._tools.clock())
             self._finish(caller_errors.not_run(reason, pause_s))
         else:
-            self._tools.counts["forward_failed"] += 1
+            self._tools.counts.outcomes["forward", "failed"] += 1
             self._log("failed", reason=reason)
             late = caller_errors.OUT_OF_TIME
             self._finish(late if is_late else caller_errors.REPLY_LOST)
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -30,12 +30,13 @@
 class _Shard:
     """What is known of one shard."""
 
-    __slots__ = ("attempts", "part", "service", "tried")
+    __slots__ = ("attempts", "hedge", "part", "service", "tried")
 
     def __init__(self, service: str, max_server_count: int) -> None:
         self.service = service
         self.part: Part | None = None
         self.attempts: list[AttemptHandle] = []
+        self.hedge: AttemptHandle | None = None
         self.tried = TriedServers(max_server_count)
 
 
@@ -82,7 +83,7 @@
 
     def cancel(self) -> None:
         """The caller has gone: ends the work at the backend servers."""
-        self._tools.counts["caller_gone"] += 1
+        self._tools.counts.caller_gone_count += 1
         self._close()
 
     # Sending.
@@ -109,7 +110,9 @@
             shard.tried.note_sent(attempt.server_id)
             shard.attempts.append(attempt)
         if is_hedge:
+            shard.hedge = attempt
             self._hedge_count += 1
+            self._tools.counts.hedge_count += 1
         return True
 
     def _may_send(self, shard: _Shard) -> bool:
@@ -142,6 +145,9 @@
         self._signatures.add(signature)
         shard.part = Part(signature, result.reply.body)
         self._missing_count -= 1
+        hedge = shard.hedge
+        if hedge is not None and hedge.server_id == result.server_id:
+            self._tools.counts.hedge_win_count += 1
         for attempt in shard.attempts:
             attempt.cancel()
         shard.attempts.clear()
@@ -242,12 +248,14 @@
             merge_parts(parts, job.route.top_hit_count),
         )
         outcome = "partial" if self._missing_count else "whole"
-        self._tools.counts[f"gather_{outcome}"] += 1
+        self._tools.counts.outcomes["gather", outcome] += 1
+        self._tools.counts.missing_shard_count += self._missing_count
         self._log(outcome)
         self._finish(answer)
 
     def _refuse(self, reason: str) -> None:
-        self._tools.counts["gather_refused"] += 1
+        self._tools.counts.outcomes["gather", "refused"] += 1
+        self._tools.counts.refusals[reason] += 1
         self._log("refused", reason=reason)
         pause_s = retry_after_s(self._job, self._tools.clock())
         self._finish(caller_errors.not_run(reason, pause_s))
@@ -256,7 +264,7 @@
         if not any(shard.tried.reached for shard in self._shards):
             self._refuse(reason)
             return
-        self._tools.counts["gather_failed"] += 1
+        self._tools.counts.outcomes["gather", "failed"] += 1
         self._log("failed", reason=reason)
         self._finish(answer)
 
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -1,13 +1,11 @@
 """The edge node: joins the tasks of the other modules into one process."""
 
 import contextlib
-import json
 import os
 import random
 import signal
 import sys
 import time
-from collections import Counter
 from collections.abc import Callable
 from types import TracebackType
 from typing import TYPE_CHECKING, Any, Final, NamedTuple, Self
@@ -32,9 +30,10 @@
 )
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import DispatchContext, Dispatcher
+from mulberrybay_edge.edge_parts import EdgeParts
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
 from mulberrybay_edge.platform_view import PlatformView
-from mulberrybay_edge.run_context import RunTools
+from mulberrybay_edge.run_context import RunCounts, RunTools
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
 from mulberrybay_edge.store_watch import (
@@ -54,6 +53,7 @@
 
 if TYPE_CHECKING:
     from mulberrybay_edge.peer_link import PeerLink
+    from mulberrybay_runtime.metrics import MetricsPage
 
 UPKEEP_PERIOD_S: Final = 0.2
 SETTINGS_CHECK_PERIOD_S: Final = 2.0
@@ -105,10 +105,11 @@
         self._decisions = DecisionLog(read_clock_s)
         self._exits = contextlib.ExitStack()
         self._random = random.Random()
-        self._counts: Counter[str] = Counter()
+        self._counts = RunCounts()
         self._settings_stamp_ns = 0
         self._stopping_since_s: float | None = None
         self._started_at_s = read_clock_s()
+        self._metrics_page: MetricsPage | None = None
         self._build_runtime()
         self._build_beliefs()
         self._build_dispatch()
@@ -385,7 +386,30 @@
             self.stop()
 
     def _render_metrics(self) -> tuple[str, bytes]:
-        return "text/plain", json.dumps(dict(self._counts)).encode()
+        # Imported here since a node that starts does not need it.
+        from mulberrybay_edge.node_metrics import EdgeMetrics  # noqa: PLC0415
+        from mulberrybay_runtime.metrics import (  # noqa: PLC0415
+            CONTENT_TYPE,
+            MetricsPage,
+        )
+
+        if self._metrics_page is None:
+            parts = EdgeParts(
+                service=self._service,
+                counts=self._counts,
+                sender=self._sender,
+                connections=self._connections,
+                callers=self._callers,
+                store=self._store,
+                view=self._view,
+                watches=self._watches,
+                nodes=self._nodes,
+                decisions=self._decisions,
+                faults=self._faults,
+                find_peers=lambda: self._peers,
+            )
+            self._metrics_page = MetricsPage(EdgeMetrics(parts))
+        return CONTENT_TYPE, self._metrics_page.render()
 
 
 def run_edge_node(settings: EdgeSettings, adapter: PlatformAdapter) -> int:
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -0,0 +1,216 @@
+"""The metrics of an edge node; docs/OPERATIONS.md lists the same ones."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from mulberrybay_edge.caller_service import LATENCY_BOUNDS_S
+from mulberrybay_edge.edge_parts import EdgeParts
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.metrics import (
+    HistogramValue,
+    MetricSpec,
+    Sample,
+    SampleSource,
+    count_samples,
+)
+
+CALLER_SPECS: Final = (
+    MetricSpec("edge_answers", "counter", "Answers to callers.", ("status",)),
+    MetricSpec(
+        "edge_answer_latency_seconds",
+        "histogram",
+        "From the last byte of a request to its answer.",
+    ),
+    MetricSpec(
+        "edge_runs",
+        "counter",
+        "Requests that ended, over shards (gather) or at one server.",
+        ("kind", "outcome"),
+    ),
+    MetricSpec(
+        "edge_refusals", "counter", "Requests that were not run.", ("reason",)
+    ),
+    MetricSpec(
+        "edge_callers_gone", "counter", "Callers that left before the answer."
+    ),
+    MetricSpec(
+        "edge_missing_shards",
+        "counter",
+        "Shards that answers did not cover.",
+    ),
+    MetricSpec("edge_caller_connections", "gauge", "Connections of callers."),
+)
+SERVER_SPECS: Final = (
+    MetricSpec(
+        "edge_attempts",
+        "counter",
+        "Requests to backend servers that ended.",
+        ("outcome",),
+    ),
+    MetricSpec(
+        "edge_unsent_attempts",
+        "counter",
+        "Attempts that were not sent.",
+        ("reason",),
+    ),
+    MetricSpec(
+        "edge_repeats",
+        "counter",
+        "Attempts at a service that had the request before.",
+    ),
+    MetricSpec(
+        "edge_hedges",
+        "counter",
+        "Second attempts beside one that was late.",
+    ),
+    MetricSpec("edge_hedge_wins", "counter", "Hedges whose reply came first."),
+    MetricSpec(
+        "edge_dials", "counter", "Connections opened to backend servers."
+    ),
+    MetricSpec(
+        "edge_backend_connections", "gauge", "Connections to backend servers."
+    ),
+)
+BELIEF_SPECS: Final = (
+    MetricSpec(
+        "edge_configuration_revision",
+        "gauge",
+        "The configuration in force; 0 before the first.",
+    ),
+    MetricSpec(
+        "edge_known_servers", "gauge", "Backend servers that are known."
+    ),
+    MetricSpec("edge_out_domains", "gauge", "Failure domains out of service."),
+    MetricSpec(
+        "edge_store_version",
+        "gauge",
+        "Version up to which a kind of objects is known.",
+        ("kind",),
+    ),
+    MetricSpec(
+        "edge_store_failing",
+        "gauge",
+        "1 while the store fails for a kind of objects.",
+        ("kind",),
+    ),
+    MetricSpec(
+        "edge_store_calls",
+        "counter",
+        "Calls to the platform's store.",
+        ("operation",),
+    ),
+    MetricSpec(
+        "edge_store_failures",
+        "counter",
+        "Calls to the store without an answer.",
+        ("operation",),
+    ),
+    MetricSpec(
+        "edge_unreadable",
+        "counter",
+        "Objects and heartbeats that were left out.",
+        ("source",),
+    ),
+)
+NODE_SPECS: Final = (
+    MetricSpec(
+        "edge_running_nodes", "gauge", "Nodes heard of, this one included."
+    ),
+    MetricSpec(
+        "edge_sharing_nodes",
+        "gauge",
+        "Nodes among which limits on all of them are divided.",
+    ),
+    MetricSpec(
+        "edge_peer_exchanges",
+        "counter",
+        "Questions to peers about objects, and answers to theirs.",
+        ("outcome",),
+    ),
+    MetricSpec(
+        "edge_left_out_lines",
+        "counter",
+        "Log lines left out to bound the log.",
+        ("line",),
+    ),
+    MetricSpec(
+        "edge_faults", "counter", "Faults of the program that were caught."
+    ),
+)
+
+
+class EdgeMetrics(SampleSource):
+    """Reads the counters of a node's parts."""
+
+    specs = (*CALLER_SPECS, *SERVER_SPECS, *BELIEF_SPECS, *NODE_SPECS)
+
+    def __init__(self, parts: EdgeParts) -> None:
+        self._parts = parts
+
+    def read_samples(self) -> Iterator[Sample]:
+        """Returns the present values."""
+        yield from self._read_callers()
+        yield from self._read_servers()
+        yield from self._read_beliefs()
+        yield from self._read_nodes()
+
+    def _read_callers(self) -> Iterator[Sample]:
+        service, counts = self._parts.service, self._parts.counts
+        for status, count in service.answer_counts.items():
+            yield Sample("edge_answers", count, (str(status),))
+        yield Sample(
+            "edge_answer_latency_seconds",
+            HistogramValue(
+                LATENCY_BOUNDS_S, service.latency_counts, service.latency_sum_s
+            ),
+        )
+        for labels, count in counts.outcomes.items():
+            yield Sample("edge_runs", count, labels)
+        yield from count_samples("edge_refusals", counts.refusals)
+        yield Sample("edge_callers_gone", counts.caller_gone_count)
+        yield Sample("edge_missing_shards", counts.missing_shard_count)
+        yield Sample(
+            "edge_caller_connections", self._parts.callers.connection_count
+        )
+
+    def _read_servers(self) -> Iterator[Sample]:
+        sender, counts = self._parts.sender, self._parts.counts
+        yield from count_samples("edge_attempts", sender.outcome_counts)
+        yield from count_samples("edge_unsent_attempts", sender.refusal_counts)
+        yield Sample("edge_repeats", sender.repeat_count)
+        yield Sample("edge_hedges", counts.hedge_count)
+        yield Sample("edge_hedge_wins", counts.hedge_win_count)
+        connections = self._parts.connections
+        yield Sample("edge_dials", connections.dial_count)
+        yield Sample("edge_backend_connections", connections.connection_count)
+
+    def _read_beliefs(self) -> Iterator[Sample]:
+        view, store = self._parts.view, self._parts.store
+        revision = view.table.revision if view.table else 0
+        yield Sample("edge_configuration_revision", revision)
+        yield Sample("edge_known_servers", len(view.directory.server_ids()))
+        yield Sample("edge_out_domains", len(view.directory.out_domains))
+        for watch in self._parts.watches:
+            labels = (watch.kind,)
+            yield Sample("edge_store_version", watch.version or 0, labels)
+            yield Sample("edge_store_failing", int(watch.is_failing), labels)
+        yield from count_samples("edge_store_calls", store.call_counts)
+        yield from count_samples("edge_store_failures", store.failure_counts)
+        yield Sample("edge_unreadable", view.unreadable_count, ("store",))
+
+    def _read_nodes(self) -> Iterator[Sample]:
+        nodes, now_s = self._parts.nodes, read_clock_s()
+        yield Sample("edge_running_nodes", len(nodes.alive_names(now_s)))
+        yield Sample("edge_sharing_nodes", nodes.sharing_count(now_s))
+        peers = self._parts.find_peers()
+        if peers is not None:
+            yield from count_samples(
+                "edge_peer_exchanges", peers.exchange_counts
+            )
+            yield Sample(
+                "edge_unreadable", peers.unreadable_count, ("heartbeats",)
+            )
+        yield from count_samples(
+            "edge_left_out_lines", self._parts.decisions.left_out_counts
+        )
+        yield Sample("edge_faults", self._parts.faults.fault_count)
--- a/packages/edge/mulberrybay_edge/run_context.py
+++ b/packages/edge/mulberrybay_edge/run_context.py
@@ -35,6 +35,27 @@
         """Schedules a callback at a time of the process's clock."""
 
 
+class RunCounts:
+    """What the runs of a node have come to.
+
+    Attributes:
+        outcomes: Runs that ended, by kind and outcome.
+        refusals: Requests that were not run, by reason.
+        hedge_count: Second attempts beside one that was late.
+        hedge_win_count: Hedges whose reply came first.
+        missing_shard_count: Shards that answers did not cover.
+        caller_gone_count: Callers that left before their answer.
+    """
+
+    def __init__(self) -> None:
+        self.outcomes: Counter[tuple[str, str]] = Counter()
+        self.refusals: Counter[str] = Counter()
+        self.hedge_count = 0
+        self.hedge_win_count = 0
+        self.missing_shard_count = 0
+        self.caller_gone_count = 0
+
+
 class RunTools(NamedTuple):
     """What all runs of a node share.
 
@@ -43,7 +64,7 @@
         timers: Calls back.
         names: The names of headers.
         log: One line for each decision.
-        counts: Runs by how they ended, and decisions on the way.
+        counts: What the runs have come to.
         repeat_ratio: Repeats allowed for each request, over all nodes.
         clock: Returns the time in seconds.
     """
@@ -52,7 +73,7 @@
     timers: RunTimers
     names: HeaderNames
     log: DecisionLog
-    counts: Counter[str]
+    counts: RunCounts
     repeat_ratio: float
     clock: Callable[[], float]
 
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -46,7 +46,7 @@
     ) -> None:
         self._store = store
         self._timers = timers
-        self._kind = kind
+        self.kind = kind
         self._listener = listener
         self._backoff = Backoff(FIRST_RETRY_S, MAX_RETRY_S)
         self._log = StateLog("store")
@@ -66,7 +66,7 @@
             if generation == self._generation:
                 self._on_listed(result)
 
-        self._store.list_kind(self._kind, on_result)
+        self._store.list_kind(self.kind, on_result)
 
     @property
     def version(self) -> int | None:
@@ -97,7 +97,7 @@
         self._behind_since_s = None
         self._log.warning(
             "a change was missed",
-            kind=self._kind,
+            kind=self.kind,
             version=self.version,
             peer_version=peer_version,
         )
@@ -138,7 +138,7 @@
             if generation == self._generation:
                 self._on_changes(result)
 
-        self._store.watch(self._kind, self.version, self.timeout_s, on_result)
+        self._store.watch(self.kind, self.version, self.timeout_s, on_result)
 
     def _watch_again(self, generation: int) -> None:
         if generation == self._generation:
@@ -162,7 +162,7 @@
     def _retry(self, failure: Failure) -> None:
         if not self.is_failing:
             self._log.warning(
-                "the store fails", kind=self._kind, cause=failure.detail
+                "the store fails", kind=self.kind, cause=failure.detail
             )
         self.is_failing = True
         generation = self._generation
@@ -175,6 +175,6 @@
 
     def _note_success(self) -> None:
         if self.is_failing:
-            self._log.info("the store answers again", kind=self._kind)
+            self._log.info("the store answers again", kind=self.kind)
         self.is_failing = False
         self._backoff.reset()
--- a/packages/edge/tests/run_fakes.py
+++ b/packages/edge/tests/run_fakes.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
@@ -22,7 +21,7 @@
     SendOrder,
     SendRefusal,
 )
-from mulberrybay_edge.run_context import RunJob, RunTools
+from mulberrybay_edge.run_context import RunCounts, RunJob, RunTools
 from mulberrybay_runtime.http_exchange import HttpReply
 from mulberrybay_runtime.timers import Timer
 
@@ -181,7 +180,7 @@
             self.timers,
             NAMES,
             DecisionLog(self.timers.clock),
-            Counter(),
+            RunCounts(),
             0.2,
             self.timers.clock,
         )
--- a/tests/on_platform/test_node_on_the_platform.py
+++ b/tests/on_platform/test_node_on_the_platform.py
@@ -1,18 +1,22 @@
 """Nodes as processes, against stand-ins of the platform."""
 
 import http.client
+import pathlib
+import re
 import signal
 import socket
 import threading
 import time
 
 import pytest
-from deployment import SHARDS, Deployment, configuration, route
+from deployment import SHARDS, Deployment, configuration, fetch, route
 
 from mulberrybay_testing.http_server import Delivery
 from mulberrybay_testing.ports import HOST
 from mulberrybay_testing.waiting import wait_until
 
+ROOT = pathlib.Path(__file__).parents[2]
+
 
 def signatures(headers: dict[str, str]) -> list[str]:
     text = headers.get("x-part-stamps", "")
@@ -380,3 +384,50 @@
 
     for node in nodes:
         assert len(node.named()) == 2
+
+
+def test_metrics_are_those_that_the_page_lists(deployment: Deployment) -> None:
+    (node,) = deployment.start_nodes(1)
+    node.ask("/search/x")
+    node.ask("/records/1", request_id="id-2")
+
+    text = fetch(node.metrics_port, "/metrics").body.decode()
+
+    shown = set(re.findall(r"^# TYPE (mulberrybay_edge_\w+)", text, re.M))
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    listed = set(re.findall(r"^\| `(mulberrybay_edge_\w+)` \|", page, re.M))
+    assert shown == listed
+    assert 'mulberrybay_edge_answers_total{status="200"} 2.0' in text
+    assert 'edge_runs_total{kind="gather",outcome="whole"} 1.0' in text
+
+
+def test_request_can_be_followed_from_its_id_to_its_cause(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["bookings"]:
+        backend.delivery = Delivery.CUT_SHORT
+
+    node.ask("/bookings/1", method="POST", request_id="id-77", body=b"van")
+
+    (line,) = [
+        line
+        for line in deployment.log_lines(node)
+        if line.get("request_id") == "id-77"
+    ]
+    assert line["message"] == "failed"
+    assert line["route"] == "booking"
+    assert line["sent_to"] == [line["failures"][0].partition(":")[0]]
+    assert "closed the connection" in line["failures"][0]
+
+
+def test_lines_of_one_kind_are_bounded(deployment: Deployment) -> None:
+    (node,) = deployment.start_nodes(1)
+
+    for number in range(600):
+        assert node.ask(f"/nowhere/{number}").status == 404
+
+    lines = deployment.log_lines(node)
+    kinds = [line["message"] for line in lines]
+    assert kinds.count("no route") < 600
+    assert node.ask("/records/1").status == 200
