Tell a request's story from the logs of nodes: mulberrybay explain

Cause: an engineer who has an id and the logs of several nodes had to put the story together by hand. Change: the command finds the request's lines and what its nodes believed in the ten seconds before: the servers and services that it names, the store, peers, starts and stops; text and JSON.

--- a/packages/operators/mulberrybay_operators/command_line.py
+++ b/packages/operators/mulberrybay_operators/command_line.py
@@ -244,6 +244,24 @@
     return [part for text in texts for part in _split_nodes(text)]
 
 
+@cappa.command(
+    name="explain", help="Tell a request's story from the logs of nodes."
+)
+@dataclass
+class Explain:
+    """Tells a request's story; asks no node."""
+
+    request_id: Annotated[
+        str, cappa.Arg(value_name="ID", help="The request's identity.")
+    ]
+    files: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(
+            value_name="FILE", num_args=-1, help="The log of a node, in JSON."
+        ),
+    ]
+
+
 @cappa.command(
     name="mulberrybay",
     help="Drives the nodes of a query tier.",
@@ -267,6 +285,7 @@
         | Addresses
         | Query
         | Run
+        | Explain
     ]
     nodes: Annotated[
         list[str],
--- /dev/null
+++ b/packages/operators/mulberrybay_operators/explain_command.py
@@ -0,0 +1,142 @@
+"""The command `explain`: a request's story from the log lines of nodes."""
+
+import json
+import pathlib
+import re
+from collections.abc import Iterable
+from datetime import datetime, timedelta
+from typing import Any, Final, NamedTuple
+
+from expression import Error, Ok
+
+from mulberrybay_operators.command_line import Explain
+from mulberrybay_operators.exit_codes import CommandFailure, ExitCode
+from mulberrybay_operators.outputs import CommandResult, Output
+
+# Beliefs from so long before a request's end can have decided it: the longest
+# time between a change and its effect, and the longest usual request.
+CONTEXT_BEFORE: Final = timedelta(seconds=10)
+CONTEXT_AFTER: Final = timedelta(seconds=1)
+# Lines of these loggers matter to every request of their node.
+NODE_LOGGERS: Final = frozenset({"node", "store", "peers", "faults"})
+# Keys that are shown in columns of their own, or say nothing to people.
+SHOWN_APART: Final = frozenset({"at", "level", "logger", "message"})
+_NAME: Final = re.compile(r"[A-Za-z0-9_-]{3,}")
+
+
+class LogLine(NamedTuple):
+    """One line of a node's log.
+
+    Attributes:
+        at: When it was written, by the node's clock.
+        source: The file that it stands in.
+        document: All its fields.
+    """
+
+    at: datetime
+    source: str
+    document: dict[str, Any]
+
+    def describe(self) -> str:
+        """Returns the line for people."""
+        fields = " ".join(
+            f"{name}={json.dumps(value)}"
+            for name, value in self.document.items()
+            if name not in SHOWN_APART
+        )
+        message = self.document.get("message", "")
+        return f"{self.at.isoformat()}  {self.source}  {message}  {fields}"
+
+
+def read_lines(path: pathlib.Path) -> list[LogLine]:
+    """Returns the lines of a file that are a node's; others are left out.
+
+    What stands before a line's object, as a collector's prefix, is ignored.
+
+    Raises:
+        OSError: The file can't be read.
+    """
+    lines = []
+    with path.open(encoding="utf-8", errors="replace") as file:
+        for text in file:
+            start = text.find("{")
+            if start < 0:
+                continue
+            try:
+                document = json.loads(text[start:])
+                at = datetime.fromisoformat(document["at"])
+            except (KeyError, TypeError, ValueError):
+                continue
+            lines.append(LogLine(at, path.stem, document))
+    return lines
+
+
+def find_story(request_id: str, logs: Iterable[list[LogLine]]) -> list[LogLine]:
+    """Returns the lines of a request and what its nodes believed then.
+
+    Args:
+        request_id: The caller's name for the request.
+        logs: The lines of each node.
+    """
+    story = []
+    for lines in logs:
+        own = [
+            line
+            for line in lines
+            if line.document.get("request_id") == request_id
+        ]
+        if not own:
+            continue
+        first_at = min(line.at for line in own) - CONTEXT_BEFORE
+        last_at = max(line.at for line in own) + CONTEXT_AFTER
+        names = _names_in(own)
+        story += own
+        story += [
+            line
+            for line in lines
+            if first_at <= line.at <= last_at
+            and "request_id" not in line.document
+            and _concerns(line, names)
+        ]
+    return sorted(story, key=lambda line: line.at)
+
+
+def _names_in(lines: list[LogLine]) -> set[str]:
+    """Returns the servers and services that a request's lines name."""
+    names: set[str] = set()
+    for line in lines:
+        for key in ("sent_to", "failures", "missing", "service", "server"):
+            names.update(_NAME.findall(json.dumps(line.document.get(key, ""))))
+    return names
+
+
+def _concerns(line: LogLine, names: set[str]) -> bool:
+    document = line.document
+    if document.get("logger") in NODE_LOGGERS:
+        return True
+    if "server" not in document and "service" not in document:
+        return document.get("logger") == "beliefs"
+    return document.get("server") in names or document.get("service") in names
+
+
+def explain(command: Explain) -> CommandResult:
+    """Prints a request's story; asks no node."""
+    logs = []
+    for path in command.files:
+        try:
+            logs.append(read_lines(path))
+        except OSError as error:
+            return Error(CommandFailure(ExitCode.USAGE, f"{path}: {error}"))
+    story = find_story(command.request_id, logs)
+    if not story:
+        detail = (
+            f"no line has the request {command.request_id}; lines of requests "
+            "that went well are left out first when a node is busy"
+        )
+        return Error(CommandFailure(ExitCode.FAILED, detail))
+    return Ok(
+        Output(
+            "\n".join(line.describe() for line in story),
+            [{"source": line.source, **line.document} for line in story],
+        )
+    )
--- a/packages/operators/mulberrybay_operators/main.py
+++ b/packages/operators/mulberrybay_operators/main.py
@@ -10,6 +10,7 @@
 from mulberrybay_operators import (
     burn_command,
     configuration_commands,
+    explain_command,
     node_commands,
     status_command,
 )
@@ -22,6 +23,7 @@
     ConfigShow,
     ConfigValidate,
     Domain,
+    Explain,
     Mulberrybay,
     Query,
     Report,
@@ -43,6 +45,8 @@
     match arguments.command:
         case Config(ConfigValidate() as command):
             return configuration_commands.validate(command)
+        case Explain() as command:
+            return explain_command.explain(command)
         case _:
             pass
     if not arguments.nodes:
@@ -79,6 +83,8 @@
             return node_commands.send_query(session, command)
         case Run() as command:
             return node_commands.send_run(session, command)
+        case Explain() as command:
+            return explain_command.explain(command)
 
 
 def _run_config(
