--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -204,6 +204,7 @@
             took_ms=round(
                 (self._tools.clock() - job.request.received_at_s) * 1000, 1
             ),
+            target_ms=round(job.route.target_latency_s * 1000),
             sent_to=sorted(self._tried.reached),
             failures=self._failures[:6],
             **fields,
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -271,7 +271,9 @@
     def _log(self, outcome: str, **fields: object) -> None:
         job = self._job
         missing = [
-            shard.service for shard in self._shards if shard.part is None
+            f"{shard.service}: {' '.join(sorted(shard.tried.reached))}"
+            for shard in self._shards
+            if shard.part is None
         ]
         self._tools.log.request_end(
             job.request.request_id,
@@ -280,6 +282,7 @@
             took_ms=round(
                 (self._tools.clock() - job.request.received_at_s) * 1000, 1
             ),
+            target_ms=round(job.route.target_latency_s * 1000),
             hedges=self._hedge_count,
             missing=missing[:8] if outcome != "refused" else [],
             failures=self._failures[:6],
