Let few of many nodes watch the store; name as many nodes as the load warms

Change: of more than 12 nodes 5 by rank watch; the others learn from them, and more watch while the store answers none. The directory names as many nodes as send each backend server 3 requests a second, two in each failure domain at least, spread and alike at every node.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -4,7 +4,8 @@
 that it runs by heartbeats. What callers are told depends on heartbeats only.
 """
 
-import random
+import hashlib
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -47,12 +48,17 @@
         configuration_revision: The configuration that it follows.
         changed_versions: The store's version at the last change that it saw,
             for each kind of objects, in an order that all nodes share.
+        attempts_per_s: What it sends to backend servers.
+        store_age_s: How long the store has not answered it, for the kind for
+            which that is longest.
     """
 
     sender: EdgeNodeInfo
     is_serving: bool
     configuration_revision: int
     changed_versions: tuple[int, ...] = ()
+    attempts_per_s: float = 0.0
+    store_age_s: float = math.inf
 
 
 class _Peer:
@@ -75,6 +81,7 @@
         self._peers: dict[str, _Peer] = {}
         self._started_at_s = now_s
         self._ask_count = own.incarnation
+        self._uncovered_since_s: float | None = None
 
     # Registrations.
 
@@ -183,6 +190,43 @@
         self._ask_count += 1
         return peers[self._ask_count % len(peers)].info.peer_address
 
+    def attempts_per_s(self, now_s: float) -> float:
+        """Returns what the running peers send to backend servers."""
+        return sum(
+            peer.heartbeat.attempts_per_s
+            for peer in self._peers.values()
+            if peer.heartbeat is not None and self._is_alive(peer, now_s)
+        )
+
+    # Who watches the store.
+
+    def should_watch(self, now_s: float) -> bool:
+        """Whether this node follows the store itself.
+
+        With few nodes each does. With many, the first by rank do, and more
+        while the store answers none of the running peers.
+        """
+        names = sorted(self.alive_names(now_s), key=rank)
+        if len(names) <= ALL_WATCH_COUNT:
+            return True
+        if self._is_covered(now_s):
+            self._uncovered_since_s = None
+            count = WATCHER_COUNT
+        else:
+            if self._uncovered_since_s is None:
+                self._uncovered_since_s = now_s
+            periods = (now_s - self._uncovered_since_s) / MORE_WATCHERS_PERIOD_S
+            count = WATCHER_COUNT * (1 + math.ceil(periods))
+        return names.index(self.own.name) < count
+
+    def _is_covered(self, now_s: float) -> bool:
+        return any(
+            peer.heartbeat.store_age_s + now_s - peer.heard_at_s
+            < WATCHER_FRESH_S
+            for peer in self._peers.values()
+            if peer.heartbeat is not None and peer.heard_at_s is not None
+        )
+
     # Shares and removals.
 
     def sharing_count(self, now_s: float) -> int:
@@ -229,15 +273,63 @@
                 del self._peers[name]
 
 
+# Up to so many nodes all watch the store; with more, this many do and tell
+# the others. Calls are priced, and a few that answer soon cost no more than
+# many that wait long.
+ALL_WATCH_COUNT: Final = 12
+WATCHER_COUNT: Final = 5
+# The store answers a watcher at least this often; with none that it has
+# answered, more nodes watch, as many again with each further period.
+WATCHER_FRESH_S: Final = 4.0
+MORE_WATCHERS_PERIOD_S: Final = 1.0
+# A node that callers are told of sends each backend server so many requests
+# a second, so that its connections stay open and its estimates fresh.
+MIN_ATTEMPTS_PER_SERVER_PER_S: Final = 3.0
+# Callers are told of so many nodes in each failure domain at least, so that
+# the loss of one leaves one.
+MIN_NAMED_PER_DOMAIN: Final = 2
+
+
+def rank(name: str) -> str:
+    """Returns a key by which nodes are ranked, alike at every node."""
+    return hashlib.sha256(name.encode()).hexdigest()
+
+
+def count_named(
+    attempts_per_s: float, server_count: int, domain_count: int
+) -> int:
+    """Returns how many nodes callers should be told of.
+
+    Args:
+        attempts_per_s: What all nodes send to backend servers.
+        server_count: The backend servers that they send to.
+        domain_count: The failure domains that have nodes.
+    """
+    by_load = attempts_per_s / (
+        MIN_ATTEMPTS_PER_SERVER_PER_S * max(1, server_count)
+    )
+    return max(MIN_NAMED_PER_DOMAIN * domain_count, math.ceil(by_load))
+
+
 def choose_named(
-    nodes: list[EdgeNodeInfo], count: int, random_source: random.Random
+    nodes: Iterable[EdgeNodeInfo], count: int
 ) -> list[EdgeNodeInfo]:
-    """Returns the nodes that callers are told of, in random order.
+    """Returns the nodes that callers are told of.
+
+    Spread over failure domains, and alike at every node that knows the same
+    nodes: one that comes or goes changes the others as little as can be.
 
     Args:
         nodes: The nodes that serve.
-        count: How many are told at most.
-        random_source: Spreads callers where there are more.
+        count: How many are told of.
     """
-    named = random_source.sample(nodes, len(nodes))
-    return named[:count]
+    by_domain: dict[str, list[EdgeNodeInfo]] = {}
+    for node in sorted(nodes, key=lambda node: rank(node.name)):
+        by_domain.setdefault(node.failure_domain, []).append(node)
+    turns = [
+        (position, domain, node)
+        for domain, members in by_domain.items()
+        for position, node in enumerate(members)
+    ]
+    turns.sort(key=lambda turn: turn[:2])
+    return [node for _, _, node in turns[:count]]
--- a/packages/core/tests/test_edge_nodes.py
+++ b/packages/core/tests/test_edge_nodes.py
@@ -4,13 +4,19 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import (
+    ALL_WATCH_COUNT,
     HEARTBEAT_PERIOD_S,
     MAX_HEARTBEATS_PER_S,
+    MORE_WATCHERS_PERIOD_S,
     REMOVAL_AFTER_S,
     SILENT_PERIOD_COUNT,
+    WATCHER_COUNT,
+    WATCHER_FRESH_S,
     EdgeHeartbeat,
     EdgeNodeInfo,
     EdgeNodes,
+    choose_named,
+    count_named,
 )
 
 SILENT_S = SILENT_PERIOD_COUNT * HEARTBEAT_PERIOD_S
@@ -103,3 +109,68 @@
     assert nodes.best_informed(0, 0.1) == info("node-3").peer_address
     assert nodes.best_informed(1, 0.1) == info("node-2").peer_address
     assert nodes.best_informed(1, SILENT_S + 1) is None
+
+
+def watcher_count(
+    node_count: int, now_s: float, *, store_age_s: float, since_s: float
+) -> int:
+    """Returns how many of the nodes watch the store at a time."""
+    names = [f"node-{number}" for number in range(1, node_count + 1)]
+    count = 0
+    for own_name in names:
+        nodes = EdgeNodes(info(own_name), 0.0)
+        for at_s in (since_s, now_s):
+            for name in names:
+                beat = heartbeat(name)._replace(store_age_s=store_age_s)
+                nodes.note_heartbeat(beat, at_s)
+            nodes.should_watch(at_s)
+        count += nodes.should_watch(now_s)
+    return count
+
+
+def test_few_nodes_all_watch_the_store_and_of_many_some() -> None:
+    few = watcher_count(ALL_WATCH_COUNT, 5.0, store_age_s=0.1, since_s=5.0)
+    many = watcher_count(40, 5.0, store_age_s=0.1, since_s=5.0)
+
+    assert few == ALL_WATCH_COUNT
+    assert many == WATCHER_COUNT
+
+
+def test_more_nodes_watch_while_the_store_answers_none() -> None:
+    counts = [
+        watcher_count(
+            40,
+            10.0 + periods * MORE_WATCHERS_PERIOD_S,
+            store_age_s=WATCHER_FRESH_S,
+            since_s=10.0,
+        )
+        for periods in (0, 1, 2)
+    ]
+
+    assert counts == [WATCHER_COUNT, 2 * WATCHER_COUNT, 3 * WATCHER_COUNT]
+
+
+@pytest.mark.parametrize(
+    ("attempts_per_s", "server_count", "domain_count", "count"),
+    [(0.0, 0, 3, 6), (2600.0, 100, 3, 9), (1700.0, 270, 3, 6)],
+)
+def test_callers_are_told_of_as_many_nodes_as_the_load_keeps_warm(
+    attempts_per_s: float, server_count: int, domain_count: int, count: int
+) -> None:
+    assert count_named(attempts_per_s, server_count, domain_count) == count
+
+
+def test_named_nodes_are_spread_and_change_little() -> None:
+    nodes = [
+        info(f"node-{number}")._replace(failure_domain=f"domain-{number % 3}")
+        for number in range(1, 31)
+    ]
+    named = choose_named(nodes, 6)
+    domains = [node.failure_domain for node in named]
+    lost = named[0]
+
+    after = choose_named([node for node in nodes if node != lost], 6)
+
+    assert {domains.count(domain) for domain in domains} == {2}
+    assert choose_named(reversed(nodes), 6) == named
+    assert len(set(after) & set(named)) == 5
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -278,6 +278,7 @@
         self.outcome_counts: Counter[str] = Counter()
         self.refusal_counts: Counter[str] = Counter()
         self.repeat_count = 0
+        self.sent_count = 0
 
     def note_request(self, service: str) -> None:
         """Counts a caller's request for a service."""
@@ -400,6 +401,7 @@
             encode, check, lambda result: self._on_result(attempt, result)
         )
         attempt.exchange = exchange
+        self.sent_count += 1
         state.in_flight[key] = attempt.started_at_s
         max_idle_s = ANY_IDLE_S if order.may_repeat else FRESH_IDLE_S
         is_started = self._context.connections.start(
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -15,6 +15,8 @@
   isServing @8 :Bool;
   configurationRevision @9 :UInt64;
   changedVersions @10 :List(UInt64);
+  attemptsPerS @11 :Float32;
+  storeAgeS @12 :Float32;
 }
 
 # Asks for what has changed of one kind; kinds are numbered from 0, in an order
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -31,6 +31,8 @@
         isServing=heartbeat.is_serving,
         configurationRevision=heartbeat.configuration_revision,
         changedVersions=list(heartbeat.changed_versions),
+        attemptsPerS=heartbeat.attempts_per_s,
+        storeAgeS=heartbeat.store_age_s,
     )
     return bytes(message.to_bytes())
 
@@ -56,6 +58,8 @@
                 message.isServing,
                 message.configurationRevision,
                 tuple(message.changedVersions),
+                message.attemptsPerS,
+                message.storeAgeS,
             )
     except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
         raise HeartbeatError(str(error)) from error
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -13,14 +13,17 @@
 from circuits import BaseComponent, handler
 
 from mulberrybay_core.edge_nodes import (
+    ALL_WATCH_COUNT,
     EdgeHeartbeat,
     EdgeNodeInfo,
     EdgeNodes,
     choose_named,
+    count_named,
 )
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.shared_limits import ColdAllowance, RetryAllowance
+from mulberrybay_core.smoothed_rate import SmoothedRate
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import (
     DirectoryService,
@@ -39,6 +42,7 @@
 from mulberrybay_edge.store_watch import (
     LONE_NODE_COUNT,
     LONE_WATCH_TIMEOUT_S,
+    SHARED_WATCH_TIMEOUT_S,
     WATCH_TIMEOUT_S,
     StoreWatch,
 )
@@ -109,6 +113,7 @@
         self._settings_stamp_ns = 0
         self._stopping_since_s: float | None = None
         self._started_at_s = read_clock_s()
+        self._attempt_rate = SmoothedRate()
         self._metrics_page: MetricsPage | None = None
         self._build_runtime()
         self._build_beliefs()
@@ -266,7 +271,14 @@
         nodes = self._nodes.serving(read_clock_s())
         if self._is_ready():
             nodes.append(self._nodes.own)
-        named = choose_named(nodes, MAX_NAMED_COUNT, self._random)
+        attempts_per_s = self._nodes.attempts_per_s(read_clock_s())
+        count = count_named(
+            attempts_per_s + self._attempt_rate.per_s,
+            len(self._view.directory.server_ids()),
+            len({node.failure_domain for node in nodes}),
+        )
+        named = choose_named(nodes, min(count, MAX_NAMED_COUNT))
+        self._random.shuffle(named)
         return [str(node.caller_address) for node in named]
 
     # Peers.
@@ -293,6 +305,8 @@
             self._is_ready(),
             self._view.table.revision if self._view.table else 0,
             tuple(watch.changed_version for watch in self._watches),
+            self._attempt_rate.per_s,
+            max(watch.age_s(read_clock_s()) for watch in self._watches),
         )
 
     # Upkeep.
@@ -310,19 +324,30 @@
         alive_count = len(self._nodes.alive_names(now_s))
         is_new = now_s - self._started_at_s < NEW_NODE_S
         self._sender.sender_count = sharing_count if is_new else alive_count
-        for watch in self._watches:
-            watch.timeout_s = (
-                LONE_WATCH_TIMEOUT_S
-                if alive_count <= LONE_NODE_COUNT
-                else WATCH_TIMEOUT_S
-            )
-        if self._peers is not None:
-            self._peers.check_watches()
+        self._attempt_rate.note(self._sender.sent_count, now_s)
+        self._share_watching(alive_count, now_s)
         if self._stopping_since_s is None:
             self._registry.remove_lost(now_s)
         else:
             self._check_stop(now_s - self._stopping_since_s)
 
+    def _share_watching(self, alive_count: int, now_s: float) -> None:
+        """Follows the store, or leaves that to others if there are many."""
+        watches = self._nodes.should_watch(now_s)
+        is_shared = alive_count > ALL_WATCH_COUNT
+        for watch in self._watches:
+            watch.set_paused(not watches)
+            if is_shared:
+                watch.timeout_s = SHARED_WATCH_TIMEOUT_S
+            elif alive_count <= LONE_NODE_COUNT:
+                watch.timeout_s = LONE_WATCH_TIMEOUT_S
+            else:
+                watch.timeout_s = WATCH_TIMEOUT_S
+        if self._peers is not None:
+            self._peers.check_watches()
+            if is_shared and watches:
+                self._peers.tell_changes()
+
     # Settings.
 
     def _read_settings_stamp(self) -> int:
--- a/packages/edge/mulberrybay_edge/peer_link.py
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -44,6 +44,7 @@
         self._log = log
         self._describe = describe
         self._exchange = PeerExchange(streams, timers, watches)
+        self._told_versions: tuple[int, ...] = ()
         self.unreadable_count = 0
 
     def __enter__(self) -> Self:
@@ -77,7 +78,9 @@
         addresses = self._nodes.peer_addresses()
         if not addresses:
             return
-        data = encode_heartbeat(self._describe())
+        heartbeat = self._describe()
+        self._told_versions = heartbeat.changed_versions
+        data = encode_heartbeat(heartbeat)
         for address in addresses:
             self._datagrams.send(data, address)
 
@@ -102,6 +105,11 @@
                 watch.restart(peer_version)
                 self._ask_peer(index, now_s)
 
+    def tell_changes(self) -> None:
+        """Sends heartbeats if there are changes that peers wait for."""
+        if self._describe().changed_versions != self._told_versions:
+            self.send_heartbeats()
+
     def _ask_peer(self, index: int, now_s: float) -> None:
         address = self._nodes.best_informed(index, now_s)
         if address is not None:
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -1,11 +1,14 @@
 """Follows one kind of objects in the platform's store: a list, then watches."""
 
+import math
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from mulberrybay_core.errors import Failure, FailureKind
 from mulberrybay_core.object_cache import CacheUpdate, ObjectCache
 from mulberrybay_core.store_messages import ObjectList, ObjectStore
 from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.logs import StateLog
 from mulberrybay_runtime.timers import Timers
 
@@ -14,6 +17,8 @@
 # missed; a node that has hardly any relies on the time alone.
 WATCH_TIMEOUT_S: Final = 8.0
 LONE_WATCH_TIMEOUT_S: Final = 2.5
+# Others rely on a watcher, so it must notice soon that it hears nothing.
+SHARED_WATCH_TIMEOUT_S: Final = 2.5
 LONE_NODE_COUNT: Final = 2
 # Nodes learn of a change at different moments, by this much at most.
 BEHIND_FOR_S: Final = 0.7
@@ -43,7 +48,9 @@
         timers: Timers,
         kind: str,
         listener: WatchListener,
+        clock: Callable[[], float] = read_clock_s,
     ) -> None:
+        self._clock = clock
         self._store = store
         self._timers = timers
         self.kind = kind
@@ -52,6 +59,8 @@
         self._log = StateLog("store")
         self._generation = 0
         self._behind_since_s: float | None = None
+        self._is_paused = False
+        self._answered_at_s: float | None = None
         self.cache = ObjectCache()
         self._needs_list = True
         self.is_failing = False
@@ -78,6 +87,24 @@
         """The version of the last change of this kind that was seen."""
         return self.cache.changed_version
 
+    def age_s(self, now_s: float) -> float:
+        """Returns how long ago the store answered."""
+        if self._answered_at_s is None:
+            return math.inf
+        return now_s - self._answered_at_s
+
+    def set_paused(self, is_paused: bool) -> None:
+        """Leaves it to other nodes to follow the store, or takes it up."""
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        self._log.info(
+            "left to other nodes" if is_paused else "followed by this node",
+            kind=self.kind,
+        )
+        if not is_paused:
+            self._go_on()
+
     def is_behind(self, peer_version: int, now_s: float) -> bool:
         """Whether this node has lacked a change for longer than usual.
 
@@ -90,11 +117,14 @@
             return False
         if self._behind_since_s is None:
             self._behind_since_s = now_s
-        return now_s - self._behind_since_s >= BEHIND_FOR_S
+        wait_s = 0.0 if self._is_paused else BEHIND_FOR_S
+        return now_s - self._behind_since_s >= wait_s
 
     def restart(self, peer_version: int) -> None:
         """Starts anew what waits for an answer that was lost."""
         self._behind_since_s = None
+        if self._is_paused:
+            return
         self._log.warning(
             "a change was missed",
             kind=self.kind,
@@ -129,7 +159,7 @@
             self._watch()
 
     def _watch(self) -> None:
-        if self.version is None:
+        if self.version is None or self._is_paused:
             return
         self._generation += 1
         generation = self._generation
@@ -174,6 +204,7 @@
         self._timers.call_later(self._backoff.next_delay_s(), try_again)
 
     def _note_success(self) -> None:
+        self._answered_at_s = self._clock()
         if self.is_failing:
             self._log.info("the store answers again", kind=self.kind)
         self.is_failing = False
