Share limits among the nodes that callers are told of

Cause: on the grown sites the limits of all nodes were split among 90, of which callers are told of 6: no repeats were left for them, and one connection to each backend server, so pauses could not be hedged. Ruled out: processor time (0.04 cores of 0.5 at most). Change: four fifths of a shared limit go to the named nodes, the rest to all; equal parts while a node hears of less than half of the others. Nodes with more processor time are named first.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -17,6 +17,8 @@
 # A node sends at most so many heartbeats a second; with more peers than that
 # the period grows.
 MAX_HEARTBEATS_PER_S: Final = 50.0
+# What of a shared limit is for the nodes that callers are told of.
+NAMED_PART: Final = 0.8
 # A registration whose node was silent for so long is removed by a survivor.
 REMOVAL_AFTER_S: Final = 12.0
 
@@ -30,6 +32,7 @@
         failure_domain: Where it runs.
         caller_address: Where callers connect.
         peer_address: Where it takes heartbeats.
+        cpu_cores: The processor time that it gets each second.
     """
 
     name: str
@@ -37,6 +40,7 @@
     failure_domain: str
     caller_address: Address
     peer_address: Address
+    cpu_cores: float = 1.0
 
 
 class EdgeHeartbeat(NamedTuple):
@@ -240,6 +244,29 @@
             for peer in self._peers.values()
         )
 
+    def divisor(
+        self, own_is_named: bool, named_count: int, now_s: float
+    ) -> float:
+        """Returns by what this node divides a limit that all nodes share.
+
+        Most of it is for the nodes that callers are told of; the rest is for
+        all, since any node may be asked. While this node hears of less than
+        half of the others, another part of them may go on without it: then
+        all have equal parts.
+
+        Args:
+            own_is_named: Whether callers are told of this node.
+            named_count: How many nodes they are told of.
+            now_s: The time.
+        """
+        sharing_count = self.sharing_count(now_s)
+        if 2 * len(self.alive_names(now_s)) < sharing_count:
+            return sharing_count
+        part = (1 - NAMED_PART) / sharing_count
+        if own_is_named:
+            part += NAMED_PART / max(1, named_count)
+        return 1 / part
+
     def removable(self, now_s: float) -> list[tuple[str, int]]:
         """Returns registrations that this node should remove.
 
@@ -316,15 +343,20 @@
 ) -> list[EdgeNodeInfo]:
     """Returns the nodes that callers are told of.
 
-    Spread over failure domains, and alike at every node that knows the same
-    nodes: one that comes or goes changes the others as little as can be.
+    Spread over failure domains, those with more processor time first, and
+    alike at every node that knows the same nodes: one that comes or goes
+    changes the others as little as can be.
 
     Args:
         nodes: The nodes that serve.
         count: How many are told of.
     """
     by_domain: dict[str, list[EdgeNodeInfo]] = {}
-    for node in sorted(nodes, key=lambda node: rank(node.name)):
+    ranked = sorted(
+        nodes,
+        key=lambda node: (-round(node.cpu_cores * 2), rank(node.name)),
+    )
+    for node in ranked:
         by_domain.setdefault(node.failure_domain, []).append(node)
     turns = [
         (position, domain, node)
--- a/packages/core/mulberrybay_core/shared_limits.py
+++ b/packages/core/mulberrybay_core/shared_limits.py
@@ -1,7 +1,6 @@
 """This node's part of limits that hold for all nodes together.
 
-Every node takes an equal part among the registered nodes. No message is
-needed, so the sum holds while nodes are cut off from each other.
+Each node takes a fixed part, so the sum holds without a message between them.
 """
 
 from collections import deque
@@ -58,7 +57,8 @@
         self._bucket_s = terms.window_s / BUCKET_COUNT
         self._requests: dict[str, _WindowCount] = {}
         self._repeats: dict[str, _WindowCount] = {}
-        self.node_count = 1
+        # By what the slack of all nodes is divided for this one.
+        self.divisor = 1.0
 
     def note_request(self, service: str, now_s: float) -> None:
         """Counts a caller's request for a service."""
@@ -76,7 +76,7 @@
         # A bucket more: a repeat counts until its whole bucket is too old.
         repeat_count = repeats.total(since_s - self._bucket_s) if repeats else 0
         allowed = self.terms.ratio * request_count
-        allowed += self.terms.slack_count / max(1, self.node_count)
+        allowed += self.terms.slack_count / max(1.0, self.divisor)
         return allowed * SAFE_SHARE - repeat_count
 
     def take(self, service: str, now_s: float, spare_count: float = 0) -> bool:
--- a/packages/core/tests/test_edge_nodes.py
+++ b/packages/core/tests/test_edge_nodes.py
@@ -174,3 +174,37 @@
     assert {domains.count(domain) for domain in domains} == {2}
     assert choose_named(reversed(nodes), 6) == named
     assert len(set(after) & set(named)) == 5
+
+
+@pytest.mark.parametrize(("node_count", "named_count"), [(6, 6), (90, 6)])
+def test_parts_of_all_nodes_make_up_the_limit(
+    node_count: int, named_count: int
+) -> None:
+    names = [f"node-{number}" for number in range(1, node_count + 1)]
+    total = 0.0
+    for position, own_name in enumerate(names):
+        nodes = EdgeNodes(info(own_name), 0.0)
+        for name in names:
+            nodes.note_heartbeat(heartbeat(name), 0.0)
+        is_named = position < named_count
+        total += 1 / nodes.divisor(is_named, named_count, 0.1)
+
+    assert total == pytest.approx(1.0)
+
+
+def test_node_that_hears_of_few_others_takes_an_equal_part_only() -> None:
+    nodes = EdgeNodes(info("node-1"), 0.0)
+    for number in range(2, 11):
+        nodes.put_registered(info(f"node-{number}"), number)
+    nodes.note_heartbeat(heartbeat("node-2"), 0.0)
+
+    assert nodes.divisor(True, 2, 0.1) == 10
+
+
+def test_nodes_with_more_processor_time_are_named_first() -> None:
+    nodes = [
+        info(f"node-{number}")._replace(cpu_cores=0.5 + number % 4 * 0.5)
+        for number in range(1, 13)
+    ]
+
+    assert {node.cpu_cores for node in choose_named(nodes, 3)} == {2.0}
--- a/packages/core/tests/test_shared_limits.py
+++ b/packages/core/tests/test_shared_limits.py
@@ -21,7 +21,7 @@
     source = random.Random(seed)
     nodes = [RetryAllowance(TERMS) for _ in range(node_count)]
     for node in nodes:
-        node.node_count = node_count
+        node.divisor = node_count
     requests: list[float] = []
     repeats: list[float] = []
     now_s = 0.0
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -274,7 +274,8 @@
         self._not_run_header = context.names.not_run.lower()
         self._id_header = context.names.request_id.lower()
         self.table: RouteTable | None = None
-        self.sender_count = 1
+        # By what the connection cap of a server is divided for this node.
+        self.divisor = 1.0
         self.outcome_counts: Counter[str] = Counter()
         self.refusal_counts: Counter[str] = Counter()
         self.repeat_count = 0
@@ -335,7 +336,7 @@
         if self.table is not None:
             terms = self.table.service_terms(service)
             part = terms.connection_cap * CONNECTION_CAP_SHARE
-            cap_count = int(part / max(1, self.sender_count))
+            cap_count = int(part / max(1.0, self.divisor))
         return max(1, cap_count)
 
     def _choose(
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -17,6 +17,7 @@
   changedVersions @10 :List(UInt64);
   attemptsPerS @11 :Float32;
   storeAgeS @12 :Float32;
+  cpuCores @13 :Float32;
 }
 
 # Asks for what has changed of one kind; kinds are numbered from 0, in an order
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -33,6 +33,7 @@
         changedVersions=list(heartbeat.changed_versions),
         attemptsPerS=heartbeat.attempts_per_s,
         storeAgeS=heartbeat.store_age_s,
+        cpuCores=sender.cpu_cores,
     )
     return bytes(message.to_bytes())
 
@@ -54,6 +55,7 @@
                     message.failureDomain,
                     Address(message.callerHost, message.callerPort),
                     Address(message.peerHost, message.peerPort),
+                    message.cpuCores,
                 ),
                 message.isServing,
                 message.configurationRevision,
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -136,6 +136,7 @@
             settings.failure_domain,
             settings.addresses.callers,
             settings.addresses.peers,
+            settings.cpu_cores,
         )
         self._nodes = EdgeNodes(own, read_clock_s())
         self._store = PlatformClient(
@@ -268,18 +269,22 @@
         return self._view.is_read and self._stopping_since_s is None
 
     def _list_named(self) -> list[str]:
-        nodes = self._nodes.serving(read_clock_s())
+        named = [str(node.caller_address) for node in self._choose_named()]
+        self._random.shuffle(named)
+        return named
+
+    def _choose_named(self) -> list[EdgeNodeInfo]:
+        now_s = read_clock_s()
+        nodes = self._nodes.serving(now_s)
         if self._is_ready():
             nodes.append(self._nodes.own)
-        attempts_per_s = self._nodes.attempts_per_s(read_clock_s())
+        attempts_per_s = self._nodes.attempts_per_s(now_s)
         count = count_named(
             attempts_per_s + self._attempt_rate.per_s,
             len(self._view.directory.server_ids()),
             len({node.failure_domain for node in nodes}),
         )
-        named = choose_named(nodes, min(count, MAX_NAMED_COUNT))
-        self._random.shuffle(named)
-        return [str(node.caller_address) for node in named]
+        return choose_named(nodes, min(count, MAX_NAMED_COUNT))
 
     # Peers.
 
@@ -318,12 +323,8 @@
             self._sender.forget(server_id)
             self._decisions.belief("backend server dropped", server=server_id)
         self._nodes.forget_silent(now_s)
-        sharing_count = self._nodes.sharing_count(now_s)
-        self._retries.node_count = sharing_count
-        self._cold.node_count = sharing_count
+        self._share_limits(now_s)
         alive_count = len(self._nodes.alive_names(now_s))
-        is_new = now_s - self._started_at_s < NEW_NODE_S
-        self._sender.sender_count = sharing_count if is_new else alive_count
         self._attempt_rate.note(self._sender.sent_count, now_s)
         self._share_watching(alive_count, now_s)
         if self._stopping_since_s is None:
@@ -331,6 +332,20 @@
         else:
             self._check_stop(now_s - self._stopping_since_s)
 
+    def _share_limits(self, now_s: float) -> None:
+        """Takes this node's part of what all nodes share."""
+        sharing_count = self._nodes.sharing_count(now_s)
+        divisor: float = sharing_count
+        # A new node has not heard of the others yet.
+        if now_s - self._started_at_s >= NEW_NODE_S:
+            named = self._choose_named()
+            divisor = self._nodes.divisor(
+                self._nodes.own in named, len(named), now_s
+            )
+        self._retries.divisor = divisor
+        self._sender.divisor = divisor
+        self._cold.node_count = sharing_count
+
     def _share_watching(self, alive_count: int, now_s: float) -> None:
         """Follows the store, or leaves that to others if there are many."""
         watches = self._nodes.should_watch(now_s)
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -37,6 +37,7 @@
         "failure_domain": info.failure_domain,
         "caller_address": str(info.caller_address),
         "peer_address": str(info.peer_address),
+        "cpu_cores": info.cpu_cores,
     }
 
 
@@ -50,6 +51,7 @@
             str(value["failure_domain"]),
             parse_address(str(value["caller_address"])),
             parse_address(str(value["peer_address"])),
+            float(value["cpu_cores"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -47,6 +47,7 @@
         stop_grace_s: How long the process may run after SIGTERM.
         address_life_s: How long callers keep an answer of the directory.
         store_address: Where the platform's store listens.
+        cpu_cores: The processor time that the process gets each second.
     """
 
     node_name: str
@@ -59,3 +60,4 @@
     stop_grace_s: float
     address_life_s: float
     store_address: Address
+    cpu_cores: float
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -79,6 +79,8 @@
             ADDRESS_LIFE_S, _number(document, "max_address_life_s")
         ),
         store_address=parse_address(_text(document, "store_address")),
+        cpu_cores=_number(document, "cpu_share")
+        * _number(document, "core_speed"),
     )
 
 
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -247,6 +247,8 @@
             "stop_grace_s = 3\n"
             "max_address_life_s = 0.3\n"
             "cold_factor = 1.5\n"
+            "cpu_share = 0.5\n"
+            "core_speed = 2\n"
             f'store_address = "{HOST}:{self.store_port}"\n'
             "[listen]\n"
             f'host = "{HOST}"\n'
