Split the edge node by job; one class for what runs have in common

Change: sending, exchange, fleet_sharing and settings_watch are modules of their own; class Run; a test of SIGHUP with good and spoiled settings. Two tests of the graceful stop of nodes with holders are listed as known red: one failed again beside load, both were seen before and their cause is not found.

--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -14,10 +14,10 @@
 )
 from mulberrybay_core.route_history import RouteHistories
 from mulberrybay_core.routing import Route, RouteTable, WeightedTurn
-from mulberrybay_edge.dispatcher import RequestTemplate
 from mulberrybay_edge.forward_run import ForwardRun
 from mulberrybay_edge.gather_run import GatherRun
 from mulberrybay_edge.run_context import RunJob, RunTools
+from mulberrybay_edge.sending import RequestTemplate
 
 # A node that starts reads its configuration within a few round trips.
 STARTING_RETRY_S: Final = 0.25
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -1,13 +1,11 @@
 """Sends requests to backend servers: choice, limits, last checks, outcome."""
 
-import enum
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
-from typing import Final, NamedTuple, Protocol
+from typing import Final, NamedTuple
 
-from mulberrybay_core.caller_messages import CallerRequest, HeaderNames
+from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.placement import (
     LoadReport,
     PlacementQuery,
@@ -18,12 +16,19 @@
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_directory import KnownServer, ServerDirectory
 from mulberrybay_core.shared_limits import ColdAllowance, RetryAllowance
-from mulberrybay_edge.server_connections import (
+from mulberrybay_edge.exchange import (
     Exchange,
     ExchangeOutcome,
     ExchangeResult,
-    ServerConnections,
 )
+from mulberrybay_edge.sending import (
+    AttemptOutcome,
+    AttemptResult,
+    ResultHandler,
+    SendOrder,
+    SendRefusal,
+)
+from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import HttpReply
 
@@ -38,168 +43,6 @@
 MIN_TIME_LEFT_S: Final = 0.003
 
 
-class AttemptOutcome(enum.Enum):
-    """What is known of one attempt."""
-
-    OK = "ok"
-    FAILED = "failed"
-    NOT_RUN = "not_run"
-    LOST = "lost"
-
-
-class AttemptResult(NamedTuple):
-    """How an attempt ended.
-
-    Attributes:
-        outcome: FAILED has run and failed; LOST may have run.
-        server_id: The server that it was sent to.
-        reply: The server's whole reply, if there is one.
-        detail: What happened, for people.
-        has_arrived: Whether the server got it.
-    """
-
-    outcome: AttemptOutcome
-    server_id: str
-    reply: HttpReply | None
-    detail: str
-    has_arrived: bool
-
-
-class SendRefusal(enum.Enum):
-    """Why an attempt was not sent."""
-
-    NO_SERVER = "no server"
-    FULL = "all servers are full"
-    NO_ALLOWANCE = "the limit on repeats is reached"
-    OUT_OF_TIME = "no time is left"
-
-
-class SendOrder(NamedTuple):
-    """One request to one of a service's servers.
-
-    Attributes:
-        template: The request, encoded but for what differs by attempt.
-        service: The service.
-        history: The latencies of the route.
-        deadline_at_s: When the reply is of no use any more.
-        tried: The servers that the request was sent to before.
-        is_repeat: Whether the service got the request before.
-        may_repeat: Whether it may be sent again if the reply is lost.
-    """
-
-    template: "RequestTemplate"
-    service: str
-    history: RouteHistory
-    deadline_at_s: float
-    tried: "TriedServers"
-    is_repeat: bool
-    may_repeat: bool
-
-
-ResultHandler = Callable[[AttemptResult], None]
-
-# Sends of one request to one service, beyond one for each server that the
-# route allows: a reply that was lost may come from the same server next time.
-MAX_SAME_SERVER_SENDS: Final = 2
-
-
-class TriedServers:
-    """The servers of one service that one request was sent to."""
-
-    __slots__ = ("_max_server_count", "_send_count", "reached", "running")
-
-    def __init__(self, max_server_count: int) -> None:
-        self._max_server_count = max_server_count
-        self._send_count = 0
-        # Those that have got the request, and those at work on it now.
-        self.reached: set[str] = set()
-        self.running: set[str] = set()
-
-    @property
-    def may_send(self) -> bool:
-        """Whether the request may be sent once more."""
-        return self._send_count < self._max_server_count + MAX_SAME_SERVER_SENDS
-
-    def allows(self, server_id: str) -> bool:
-        """Whether the request may go to a server next."""
-        if server_id in self.running:
-            return False
-        return (
-            server_id in self.reached
-            or len(self.reached) < self._max_server_count
-        )
-
-    def note_sent(self, server_id: str) -> None:
-        """Notes an attempt at a server."""
-        self._send_count += 1
-        self.reached.add(server_id)
-        self.running.add(server_id)
-
-    def note_end(self, server_id: str, *, has_arrived: bool) -> None:
-        """Notes the end of an attempt; one that did not arrive counts not."""
-        self.running.discard(server_id)
-        if not has_arrived:
-            self._send_count -= 1
-            self.reached.discard(server_id)
-
-
-class RequestTemplate:
-    """A caller's request as it is sent to backend servers."""
-
-    __slots__ = ("_body", "_head", "_names", "request_id")
-
-    def __init__(self, request: CallerRequest, names: HeaderNames) -> None:
-        self.request_id = request.request_id
-        self._names = names
-        self._body = request.body
-        lines = [f"{request.method} {request.target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in request.headers]
-        if request.request_id:
-            lines.append(f"{names.request_id}: {request.request_id}")
-        if request.body or request.method not in {"GET", "HEAD", "DELETE"}:
-            lines.append(f"Content-Length: {len(request.body)}")
-        self._head = "\r\n".join(lines)
-
-    def encode(self, server_id: str, time_left_s: float) -> bytes:
-        """Returns the bytes for one server."""
-        names = self._names
-        return (
-            f"{self._head}\r\n"
-            f"{names.deadline_ms}: {max(1, int(time_left_s * 1000))}\r\n"
-            f"{names.expected_server}: {server_id}\r\n\r\n"
-        ).encode("latin-1") + self._body
-
-
-class AttemptHandle(Protocol):
-    """An attempt that is under way."""
-
-    @property
-    def server_id(self) -> str:
-        """The server that it was sent to."""
-
-    @property
-    def is_finished(self) -> bool:
-        """Whether its result is known or it was given up."""
-
-    def cancel(self) -> None:
-        """Gives the attempt up; there will be no result."""
-
-
-class Sender(Protocol):
-    """Sends attempts; see `Dispatcher`."""
-
-    def send(
-        self, order: SendOrder, on_result: ResultHandler
-    ) -> AttemptHandle | SendRefusal:
-        """Sends one attempt; the handler is called once, unless cancelled."""
-
-    def note_request(self, service: str) -> None:
-        """Counts a caller's request for a service."""
-
-    def has_server(self, service: str) -> bool:
-        """Whether any server of a service may get new work."""
-
-
 class _Attempt:
     """One request on its way to one server."""
 
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -0,0 +1,108 @@
+"""What a node shares with the others: callers, limits, watching the store."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from mulberrybay_core.edge_nodes import (
+    ALL_WATCH_COUNT,
+    EdgeNodeInfo,
+    EdgeNodes,
+    choose_named,
+    count_named,
+)
+from mulberrybay_core.server_directory import ServerDirectory
+from mulberrybay_core.shared_limits import ColdAllowance, RetryAllowance
+from mulberrybay_core.smoothed_rate import SmoothedRate
+from mulberrybay_edge.dispatcher import Dispatcher
+from mulberrybay_edge.store_watch import (
+    LONE_NODE_COUNT,
+    LONE_WATCH_TIMEOUT_S,
+    SHARED_WATCH_TIMEOUT_S,
+    WATCH_TIMEOUT_S,
+    StoreWatch,
+)
+from mulberrybay_runtime.clock import read_clock_s
+
+# An answer of the directory names at most so many nodes.
+MAX_NAMED_COUNT: Final = 64
+# By then a new node has heard of the peers that run.
+NEW_NODE_S: Final = 3.0
+
+
+class FleetSharing:
+    """This node's part of what all nodes do together."""
+
+    def __init__(
+        self,
+        nodes: EdgeNodes,
+        directory: ServerDirectory,
+        sender: Dispatcher,
+        retries: RetryAllowance,
+        cold: ColdAllowance,
+        watches: Sequence[StoreWatch],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._nodes = nodes
+        self._directory = directory
+        self._sender = sender
+        self._retries = retries
+        self._cold = cold
+        self._watches = watches
+        self._is_ready = is_ready
+        self._started_at_s = read_clock_s()
+        self._attempt_rate = SmoothedRate()
+        # Whether this node watches the store on behalf of others.
+        self.watches_for_others = False
+
+    @property
+    def attempts_per_s(self) -> float:
+        """What this node sends to backend servers."""
+        return self._attempt_rate.per_s
+
+    def choose_named(self) -> list[EdgeNodeInfo]:
+        """Returns the nodes that callers are told of."""
+        now_s = read_clock_s()
+        nodes = self._nodes.serving(now_s)
+        if self._is_ready():
+            nodes.append(self._nodes.own)
+        count = count_named(
+            self._nodes.attempts_per_s(now_s) + self.attempts_per_s,
+            len(self._directory.server_ids()),
+            len({node.failure_domain for node in nodes}),
+        )
+        return choose_named(nodes, min(count, MAX_NAMED_COUNT))
+
+    def keep_up(self) -> None:
+        """Takes its part anew, as nodes come and go."""
+        now_s = read_clock_s()
+        self._attempt_rate.note(self._sender.sent_count, now_s)
+        self._share_limits(now_s)
+        self._share_watching(now_s)
+
+    def _share_limits(self, now_s: float) -> None:
+        sharing_count = self._nodes.sharing_count(now_s)
+        divisor: float = sharing_count
+        # A new node has not heard of the others yet.
+        if now_s - self._started_at_s >= NEW_NODE_S:
+            named = self.choose_named()
+            divisor = self._nodes.divisor(
+                self._nodes.own in named, len(named), now_s
+            )
+        self._retries.divisor = divisor
+        self._sender.divisor = divisor
+        self._cold.node_count = sharing_count
+
+    def _share_watching(self, now_s: float) -> None:
+        alive_count = len(self._nodes.alive_names(now_s))
+        watches = self._nodes.should_watch(now_s)
+        is_shared = alive_count > ALL_WATCH_COUNT
+        self.watches_for_others = watches and is_shared
+        if is_shared:
+            timeout_s = SHARED_WATCH_TIMEOUT_S
+        elif alive_count <= LONE_NODE_COUNT:
+            timeout_s = LONE_WATCH_TIMEOUT_S
+        else:
+            timeout_s = WATCH_TIMEOUT_S
+        for watch in self._watches:
+            watch.timeout_s = timeout_s
+            watch.set_paused(not watches)
--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -6,7 +6,14 @@
     CallerAnswer,
 )
 from mulberrybay_core.routing import RouteKind
-from mulberrybay_edge.dispatcher import (
+from mulberrybay_edge.run_context import (
+    MAX_QUEUE_SHARE,
+    ROOM_CHECK_PERIOD_S,
+    Run,
+    RunJob,
+    RunTools,
+)
+from mulberrybay_edge.sending import (
     AttemptHandle,
     AttemptOutcome,
     AttemptResult,
@@ -14,25 +21,16 @@
     SendRefusal,
     TriedServers,
 )
-from mulberrybay_edge.run_context import (
-    MAX_QUEUE_SHARE,
-    ROOM_CHECK_PERIOD_S,
-    TIMEOUT_MARGIN_S,
-    RunJob,
-    RunTools,
-    retry_after_s,
-    with_request_id,
-)
 from mulberrybay_runtime.http_exchange import HttpReply
-from mulberrybay_runtime.timers import Timer
 
 
-class ForwardRun:
+class ForwardRun(Run):
     """One request that a single backend server answers."""
 
+    kind = "forward"
+
     def __init__(self, tools: RunTools, job: RunJob, service: str) -> None:
-        self._tools = tools
-        self._job = job
+        super().__init__(tools, job)
         self._service = service
         self._may_repeat = job.route.kind is RouteKind.IDEMPOTENT
         self._attempts: list[AttemptHandle] = []
@@ -40,19 +38,11 @@
         # Whether a server has run the request or may have.
         self._may_have_run = False
         self._failure: HttpReply | None = None
-        self._timer: Timer | None = None
-        self._is_over = False
-        started_at_s = job.request.received_at_s
-        self._deadline_at_s = job.deadline_at_s()
-        self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
         self._queue_until_s = min(
-            started_at_s + MAX_QUEUE_SHARE * job.route.target_latency_s,
+            job.request.received_at_s
+            + MAX_QUEUE_SHARE * job.route.target_latency_s,
             self._last_answer_at_s,
         )
-        self._hedge_at_s = started_at_s + job.history.hedge_delay_s(
-            tools.repeat_ratio, job.available_s()
-        )
-        self._failures: list[str] = []
 
     def start(self) -> None:
         """Sends the request, or refuses it if no server can take it."""
@@ -60,11 +50,6 @@
         self._send()
         self._arm()
 
-    def cancel(self) -> None:
-        """The caller has gone: ends the work at the backend server."""
-        self._tools.counts.caller_gone_count += 1
-        self._close()
-
     # Sending.
 
     def _send(self) -> bool:
@@ -102,8 +87,9 @@
         if self._is_over:
             return
         if result.outcome is AttemptOutcome.OK and result.reply is not None:
-            self._tools.counts.outcomes["forward", "served"] += 1
-            self._log("served", server=result.server_id)
+            self._note_end(
+                "served", server=result.server_id, **self._describe()
+            )
             self._finish(self._pass_on(result.reply))
             return
         self._failures.append(f"{result.server_id}: {result.detail}")
@@ -126,8 +112,6 @@
     def _arm(self) -> None:
         if self._is_over:
             return
-        if self._timer is not None:
-            self._timer.cancel()
         now_s = self._tools.clock()
         due_s = self._last_answer_at_s
         if self._may_send():
@@ -137,7 +121,7 @@
                 due_s = min(due_s, self._hedge_at_s)
             else:
                 due_s = min(due_s, now_s + 2 * ROOM_CHECK_PERIOD_S)
-        self._timer = self._tools.timers.call_at(due_s, self._on_timer)
+        self._set_timer(due_s, self._on_timer)
 
     def _on_timer(self) -> None:
         if self._is_over:
@@ -178,46 +162,24 @@
         """Gives the caller the answer that is true of what happened."""
         if self._is_over:
             return
+        if not self._may_have_run and not self._attempts:
+            self._refuse(reason, **self._describe())
+            return
+        self._note_end("failed", reason=reason, **self._describe())
         if self._failure is not None:
-            self._tools.counts.outcomes["forward", "failed"] += 1
-            self._log("failed", reason=reason)
             self._finish(self._pass_on(self._failure))
-        elif not self._may_have_run and not self._attempts:
-            self._tools.counts.outcomes["forward", "refused"] += 1
-            self._tools.counts.refusals[reason] += 1
-            self._log("refused", reason=reason)
-            pause_s = retry_after_s(self._job, self._tools.clock())
-            self._finish(caller_errors.not_run(reason, pause_s))
         else:
-            self._tools.counts.outcomes["forward", "failed"] += 1
-            self._log("failed", reason=reason)
             late = caller_errors.OUT_OF_TIME
             self._finish(late if is_late else caller_errors.REPLY_LOST)
 
-    def _log(self, outcome: str, **fields: object) -> None:
-        job = self._job
-        self._tools.log.request_end(
-            job.request.request_id,
-            outcome,
-            route=job.route.name,
-            service=self._service,
-            took_ms=round(
-                (self._tools.clock() - job.request.received_at_s) * 1000, 1
-            ),
-            target_ms=round(job.route.target_latency_s * 1000),
-            sent_to=sorted(self._tried.reached),
-            failures=self._failures[:6],
-            **fields,
-        )
-
-    def _finish(self, answer: CallerAnswer) -> None:
-        self._close()
-        self._job.reply(with_request_id(answer, self._job, self._tools.names))
+    def _describe(self) -> dict[str, object]:
+        """Returns the fields of the run's line in the log."""
+        return {
+            "service": self._service,
+            "sent_to": sorted(self._tried.reached),
+        }
 
-    def _close(self) -> None:
-        self._is_over = True
-        if self._timer is not None:
-            self._timer.cancel()
+    def _cancel_attempts(self) -> None:
         for attempt in self._attempts:
             attempt.cancel()
         self._attempts.clear()
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -8,7 +8,14 @@
 from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import CallerAnswer
 from mulberrybay_core.part_merge import Part, merge_parts
-from mulberrybay_edge.dispatcher import (
+from mulberrybay_edge.run_context import (
+    MAX_LOGGED_COUNT,
+    ROOM_CHECK_PERIOD_S,
+    Run,
+    RunJob,
+    RunTools,
+)
+from mulberrybay_edge.sending import (
     AttemptHandle,
     AttemptOutcome,
     AttemptResult,
@@ -16,15 +23,6 @@
     SendRefusal,
     TriedServers,
 )
-from mulberrybay_edge.run_context import (
-    ROOM_CHECK_PERIOD_S,
-    TIMEOUT_MARGIN_S,
-    RunJob,
-    RunTools,
-    retry_after_s,
-    with_request_id,
-)
-from mulberrybay_runtime.timers import Timer
 
 
 class _Shard:
@@ -40,31 +38,24 @@
         self.tried = TriedServers(max_server_count)
 
 
-class GatherRun:
+class GatherRun(Run):
     """One query over shards."""
 
+    kind = "gather"
+
     def __init__(self, tools: RunTools, job: RunJob) -> None:
-        self._tools = tools
-        self._job = job
+        super().__init__(tools, job)
         max_server_count = job.route.max_server_count
         self._shards = [
             _Shard(service, max_server_count) for service in job.route.shards
         ]
         self._missing_count = len(self._shards)
         self._signatures: set[str] = set()
-        self._timer: Timer | None = None
-        self._is_over = False
-        started_at_s = job.request.received_at_s
-        self._deadline_at_s = job.deadline_at_s()
-        self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
         self._answer_at_s = min(
-            started_at_s + job.available_s(), self._last_answer_at_s
-        )
-        self._hedge_at_s = started_at_s + job.history.hedge_delay_s(
-            tools.repeat_ratio, job.available_s()
+            job.request.received_at_s + job.available_s(),
+            self._last_answer_at_s,
         )
         self._hedge_count = 0
-        self._failures: list[str] = []
 
     def start(self) -> None:
         """Sends to every shard, or refuses if too few can be reached."""
@@ -81,11 +72,6 @@
             self._send(shard)
         self._arm()
 
-    def cancel(self) -> None:
-        """The caller has gone: ends the work at the backend servers."""
-        self._tools.counts.caller_gone_count += 1
-        self._close()
-
     # Sending.
 
     def _send(self, shard: _Shard, *, is_hedge: bool = False) -> bool:
@@ -189,8 +175,6 @@
         """Sets the timer to the next moment at which something may be due."""
         if self._is_over:
             return
-        if self._timer is not None:
-            self._timer.cancel()
         now_s = self._tools.clock()
         due_s = self._last_answer_at_s
         if now_s < self._answer_at_s:
@@ -204,7 +188,7 @@
             due_s = min(due_s, self._hedge_at_s)
         elif any(self._may_send(shard) for shard in self._shards):
             due_s = min(due_s, now_s + 2 * ROOM_CHECK_PERIOD_S)
-        self._timer = self._tools.timers.call_at(due_s, self._on_timer)
+        self._set_timer(due_s, self._on_timer)
 
     def _on_timer(self) -> None:
         if self._is_over:
@@ -248,55 +232,30 @@
             merge_parts(parts, job.route.top_hit_count),
         )
         outcome = "partial" if self._missing_count else "whole"
-        self._tools.counts.outcomes["gather", outcome] += 1
         self._tools.counts.missing_shard_count += self._missing_count
-        self._log(outcome)
+        self._note_end(outcome, **self._describe())
         self._finish(answer)
 
-    def _refuse(self, reason: str) -> None:
-        self._tools.counts.outcomes["gather", "refused"] += 1
-        self._tools.counts.refusals[reason] += 1
-        self._log("refused", reason=reason)
-        pause_s = retry_after_s(self._job, self._tools.clock())
-        self._finish(caller_errors.not_run(reason, pause_s))
-
     def _fail(self, answer: CallerAnswer, reason: str) -> None:
         if not any(shard.tried.reached for shard in self._shards):
             self._refuse(reason)
             return
-        self._tools.counts.outcomes["gather", "failed"] += 1
-        self._log("failed", reason=reason)
+        self._note_end("failed", reason=reason, **self._describe())
         self._finish(answer)
 
-    def _log(self, outcome: str, **fields: object) -> None:
-        job = self._job
+    def _describe(self) -> dict[str, object]:
+        """Returns the fields of the run's line in the log."""
         missing = [
             f"{shard.service}: {' '.join(sorted(shard.tried.reached))}"
             for shard in self._shards
             if shard.part is None
         ]
-        self._tools.log.request_end(
-            job.request.request_id,
-            outcome,
-            route=job.route.name,
-            took_ms=round(
-                (self._tools.clock() - job.request.received_at_s) * 1000, 1
-            ),
-            target_ms=round(job.route.target_latency_s * 1000),
-            hedges=self._hedge_count,
-            missing=missing[:8] if outcome != "refused" else [],
-            failures=self._failures[:6],
-            **fields,
-        )
-
-    def _finish(self, answer: CallerAnswer) -> None:
-        self._close()
-        self._job.reply(with_request_id(answer, self._job, self._tools.names))
+        return {
+            "hedges": self._hedge_count,
+            "missing": missing[:MAX_LOGGED_COUNT],
+        }
 
-    def _close(self) -> None:
-        self._is_over = True
-        if self._timer is not None:
-            self._timer.cancel()
+    def _cancel_attempts(self) -> None:
         for shard in self._shards:
             for attempt in shard.attempts:
                 attempt.cancel()
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -1,7 +1,6 @@
 """The edge node: joins the tasks of the other modules into one process."""
 
 import contextlib
-import os
 import random
 import signal
 import sys
@@ -13,17 +12,13 @@
 from circuits import BaseComponent, handler
 
 from mulberrybay_core.edge_nodes import (
-    ALL_WATCH_COUNT,
     EdgeHeartbeat,
     EdgeNodeInfo,
     EdgeNodes,
-    choose_named,
-    count_named,
 )
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.shared_limits import ColdAllowance, RetryAllowance
-from mulberrybay_core.smoothed_rate import SmoothedRate
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import (
     DirectoryService,
@@ -34,18 +29,14 @@
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import DispatchContext, Dispatcher
 from mulberrybay_edge.edge_parts import EdgeParts
+from mulberrybay_edge.fleet_sharing import FleetSharing
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.run_context import RunCounts, RunTools
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
-from mulberrybay_edge.store_watch import (
-    LONE_NODE_COUNT,
-    LONE_WATCH_TIMEOUT_S,
-    SHARED_WATCH_TIMEOUT_S,
-    WATCH_TIMEOUT_S,
-    StoreWatch,
-)
+from mulberrybay_edge.settings_watch import SettingsWatch
+from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_platform.dialect import StoreDialect
 from mulberrybay_runtime.clock import read_clock_s
@@ -60,9 +51,6 @@
     from mulberrybay_runtime.metrics import MetricsPage
 
 UPKEEP_PERIOD_S: Final = 0.2
-SETTINGS_CHECK_PERIOD_S: Final = 2.0
-# An answer of the directory names at most so many nodes.
-MAX_NAMED_COUNT: Final = 64
 # Some callers keep an answer of the directory three times as long as told.
 ADDRESS_LIFE_FACTOR: Final = 3
 # The process ends this long before it would be killed.
@@ -70,8 +58,6 @@
 STORE_TIMEOUT_S: Final = 1.5
 # Callers that were turned away while the node was down come first.
 PEERS_AFTER_S: Final = 0.3
-# By then a new node has heard of the peers that run.
-NEW_NODE_S: Final = 3.0
 
 
 class PlatformAdapter(NamedTuple):
@@ -110,10 +96,7 @@
         self._exits = contextlib.ExitStack()
         self._random = random.Random()
         self._counts = RunCounts()
-        self._settings_stamp_ns = 0
         self._stopping_since_s: float | None = None
-        self._started_at_s = read_clock_s()
-        self._attempt_rate = SmoothedRate()
         self._metrics_page: MetricsPage | None = None
         self._build_runtime()
         self._build_beliefs()
@@ -177,6 +160,15 @@
             ),
             self._random,
         )
+        self._sharing = FleetSharing(
+            self._nodes,
+            self._view.directory,
+            self._sender,
+            self._retries,
+            self._cold,
+            self._watches,
+            self._is_ready,
+        )
         tools = RunTools(
             self._sender,
             self._timers,
@@ -239,9 +231,13 @@
             watch.start()
         self._timers.call_later(PEERS_AFTER_S, self._open_peer_link)
         self._timers.call_every(UPKEEP_PERIOD_S, self._keep_up)
-        self._timers.call_every(SETTINGS_CHECK_PERIOD_S, self._check_settings)
-        self._settings_stamp_ns = self._read_settings_stamp()
-        signal.signal(signal.SIGHUP, self._on_hangup)
+        settings_watch = SettingsWatch(
+            self._adapter.settings_path,
+            self._adapter.load_settings,
+            self._apply_settings,
+            self._timers,
+        )
+        signal.signal(signal.SIGHUP, lambda *_: settings_watch.reload_soon())
         self._log.info(
             "started",
             node=self._settings.node_name,
@@ -269,23 +265,12 @@
         return self._view.is_read and self._stopping_since_s is None
 
     def _list_named(self) -> list[str]:
-        named = [str(node.caller_address) for node in self._choose_named()]
+        named = [
+            str(node.caller_address) for node in self._sharing.choose_named()
+        ]
         self._random.shuffle(named)
         return named
 
-    def _choose_named(self) -> list[EdgeNodeInfo]:
-        now_s = read_clock_s()
-        nodes = self._nodes.serving(now_s)
-        if self._is_ready():
-            nodes.append(self._nodes.own)
-        attempts_per_s = self._nodes.attempts_per_s(now_s)
-        count = count_named(
-            attempts_per_s + self._attempt_rate.per_s,
-            len(self._view.directory.server_ids()),
-            len({node.failure_domain for node in nodes}),
-        )
-        return choose_named(nodes, min(count, MAX_NAMED_COUNT))
-
     # Peers.
 
     def _open_peer_link(self) -> None:
@@ -310,7 +295,7 @@
             self._is_ready(),
             self._view.table.revision if self._view.table else 0,
             tuple(watch.changed_version for watch in self._watches),
-            self._attempt_rate.per_s,
+            self._sharing.attempts_per_s,
             max(watch.age_s(read_clock_s()) for watch in self._watches),
         )
 
@@ -323,78 +308,23 @@
             self._sender.forget(server_id)
             self._decisions.belief("backend server dropped", server=server_id)
         self._nodes.forget_silent(now_s)
-        self._share_limits(now_s)
-        alive_count = len(self._nodes.alive_names(now_s))
-        self._attempt_rate.note(self._sender.sent_count, now_s)
-        self._share_watching(alive_count, now_s)
+        self._sharing.keep_up()
+        if self._peers is not None:
+            self._peers.check_watches()
+            if self._sharing.watches_for_others:
+                self._peers.tell_changes()
         if self._stopping_since_s is None:
             self._registry.remove_lost(now_s)
         else:
             self._check_stop(now_s - self._stopping_since_s)
 
-    def _share_limits(self, now_s: float) -> None:
-        """Takes this node's part of what all nodes share."""
-        sharing_count = self._nodes.sharing_count(now_s)
-        divisor: float = sharing_count
-        # A new node has not heard of the others yet.
-        if now_s - self._started_at_s >= NEW_NODE_S:
-            named = self._choose_named()
-            divisor = self._nodes.divisor(
-                self._nodes.own in named, len(named), now_s
-            )
-        self._retries.divisor = divisor
-        self._sender.divisor = divisor
-        self._cold.node_count = sharing_count
-
-    def _share_watching(self, alive_count: int, now_s: float) -> None:
-        """Follows the store, or leaves that to others if there are many."""
-        watches = self._nodes.should_watch(now_s)
-        is_shared = alive_count > ALL_WATCH_COUNT
-        for watch in self._watches:
-            watch.set_paused(not watches)
-            if is_shared:
-                watch.timeout_s = SHARED_WATCH_TIMEOUT_S
-            elif alive_count <= LONE_NODE_COUNT:
-                watch.timeout_s = LONE_WATCH_TIMEOUT_S
-            else:
-                watch.timeout_s = WATCH_TIMEOUT_S
-        if self._peers is not None:
-            self._peers.check_watches()
-            if is_shared and watches:
-                self._peers.tell_changes()
-
-    # Settings.
-
-    def _read_settings_stamp(self) -> int:
-        try:
-            return os.stat(self._adapter.settings_path).st_mtime_ns
-        except OSError:
-            return self._settings_stamp_ns
-
-    def _check_settings(self) -> None:
-        stamp_ns = self._read_settings_stamp()
-        if stamp_ns != self._settings_stamp_ns:
-            self._settings_stamp_ns = stamp_ns
-            self._reload("the settings file has changed")
-
-    def _on_hangup(self, *_: object) -> None:
-        self._timers.call_later(0.0, lambda: self._reload("SIGHUP"))
-
-    def _reload(self, reason: str) -> None:
+    def _apply_settings(self, settings: EdgeSettings) -> None:
         """Takes the settings that can change while the process runs."""
-        try:
-            settings = self._adapter.load_settings()
-        except (OSError, ValueError) as error:
-            self._log.warning(
-                "settings not reloaded", reason=reason, cause=str(error)
-            )
-            return
         self._settings = self._settings._replace(
             retry_terms=settings.retry_terms,
             stop_grace_s=settings.stop_grace_s,
         )
         self._retries.terms = settings.retry_terms
-        self._log.info("settings reloaded", reason=reason)
 
     # Stopping.
 
--- a/packages/edge/mulberrybay_edge/run_context.py
+++ b/packages/edge/mulberrybay_edge/run_context.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
+from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import (
     AnswerHandler,
     CallerAnswer,
@@ -13,7 +14,7 @@
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
 from mulberrybay_edge.decision_log import DecisionLog
-from mulberrybay_edge.dispatcher import RequestTemplate, Sender
+from mulberrybay_edge.sending import RequestTemplate, Sender
 from mulberrybay_runtime.timers import Timer
 
 # How often a run looks again for a server with room.
@@ -24,6 +25,8 @@
 ANSWER_MARGIN_S: Final = 0.002
 # A caller that is very far away still gets this part of the target.
 MIN_AVAILABLE_SHARE: Final = 0.3
+# What a line of a request lists at most, of failures and of shards.
+MAX_LOGGED_COUNT: Final = 8
 # An answer by the timeout leaves this much before it.
 TIMEOUT_MARGIN_S: Final = 0.01
 
@@ -129,3 +132,66 @@
         return answer
     header = (names.request_id, job.request.request_id)
     return answer._replace(headers=(header, *answer.headers))
+
+
+class Run:
+    """What runs of all kinds have in common: their answer and their end."""
+
+    kind = ""
+
+    def __init__(self, tools: RunTools, job: RunJob) -> None:
+        self._tools = tools
+        self._job = job
+        self._timer: Timer | None = None
+        self._is_over = False
+        self._failures: list[str] = []
+        self._deadline_at_s = job.deadline_at_s()
+        self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
+        self._hedge_at_s = job.request.received_at_s + (
+            job.history.hedge_delay_s(tools.repeat_ratio, job.available_s())
+        )
+
+    def cancel(self) -> None:
+        """The caller has gone: ends the work at the backend servers."""
+        self._tools.counts.caller_gone_count += 1
+        self._close()
+
+    def _set_timer(self, due_s: float, callback: Callable[[], None]) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._tools.timers.call_at(due_s, callback)
+
+    def _note_end(self, outcome: str, **fields: object) -> None:
+        """Counts and logs how the run ended."""
+        job = self._job
+        self._tools.counts.outcomes[self.kind, outcome] += 1
+        took_s = self._tools.clock() - job.request.received_at_s
+        self._tools.log.request_end(
+            job.request.request_id,
+            outcome,
+            route=job.route.name,
+            took_ms=round(took_s * 1000, 1),
+            target_ms=round(job.route.target_latency_s * 1000),
+            failures=self._failures[:MAX_LOGGED_COUNT],
+            **fields,
+        )
+
+    def _refuse(self, reason: str, **fields: object) -> None:
+        """Answers a request that has not run."""
+        self._tools.counts.refusals[reason] += 1
+        self._note_end("refused", reason=reason, **fields)
+        pause_s = retry_after_s(self._job, self._tools.clock())
+        self._finish(caller_errors.not_run(reason, pause_s))
+
+    def _finish(self, answer: CallerAnswer) -> None:
+        self._close()
+        self._job.reply(with_request_id(answer, self._job, self._tools.names))
+
+    def _close(self) -> None:
+        self._is_over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._cancel_attempts()
+
+    def _cancel_attempts(self) -> None:
+        """Gives up the attempts that are under way."""
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -4,14 +4,17 @@
 Giving a request up closes its connection, which tells the server to stop.
 """
 
-import enum
 import re
-from collections.abc import Callable
-from typing import Final, NamedTuple, Self
+from typing import Final, Self
 
 import httptools
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_edge.exchange import (
+    Exchange,
+    ExchangeOutcome,
+    ExchangeResult,
+)
 from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import (
@@ -37,79 +40,6 @@
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 
 
-class ExchangeOutcome(enum.Enum):
-    """How an exchange with a backend server ended."""
-
-    REPLY = "reply"
-    NOT_CONNECTED = "not connected"
-    NOT_SENT = "not sent"
-    LOST = "lost"
-    MALFORMED = "malformed"
-
-
-class ExchangeResult(NamedTuple):
-    """How an exchange ended.
-
-    Attributes:
-        outcome: NOT_CONNECTED and NOT_SENT: the server got no byte of it.
-        reply: The whole reply, if there is one.
-        detail: What happened, for people.
-    """
-
-    outcome: ExchangeOutcome
-    reply: HttpReply | None = None
-    detail: str = ""
-
-
-ResultHandler = Callable[[ExchangeResult], None]
-# Returns the bytes to send now, or None if nothing may be sent any more.
-RequestEncoder = Callable[[float], bytes | None]
-# Whether a whole reply belongs to the request; if not, the connection is out
-# of step and is closed.
-ReplyCheck = Callable[[HttpReply], bool]
-
-
-class Exchange:
-    """One request to one server, until its reply."""
-
-    __slots__ = (
-        "_on_result",
-        "check",
-        "connection",
-        "encode",
-        "sent_at_s",
-        "started_at_s",
-    )
-
-    def __init__(
-        self,
-        encode: RequestEncoder,
-        check: ReplyCheck,
-        on_result: ResultHandler,
-    ) -> None:
-        self.encode = encode
-        self.check = check
-        self._on_result: ResultHandler | None = on_result
-        self.connection: _Connection | None = None
-        self.started_at_s = read_clock_s()
-        self.sent_at_s: float | None = None
-
-    def finish(self, result: ExchangeResult) -> None:
-        """Gives the result, once."""
-        on_result = self._on_result
-        self._on_result = None
-        if on_result is not None:
-            on_result(result)
-
-    def cancel(self) -> None:
-        """Gives the request up; there will be no result."""
-        self._on_result = None
-        connection = self.connection
-        self.connection = None
-        if connection is not None:
-            connection.abandon()
-
-
 class _Connection:
     """One connection to one server."""
 
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/settings_watch.py
@@ -0,0 +1,59 @@
+"""Reads the settings again when their file changes, or on request."""
+
+import os
+from collections.abc import Callable
+from typing import Final
+
+from mulberrybay_edge.settings import EdgeSettings
+from mulberrybay_runtime.logs import StateLog
+from mulberrybay_runtime.timers import Timers
+
+CHECK_PERIOD_S: Final = 2.0
+
+
+class SettingsWatch:
+    """Follows the settings file."""
+
+    def __init__(
+        self,
+        path: str,
+        load: Callable[[], EdgeSettings],
+        apply: Callable[[EdgeSettings], None],
+        timers: Timers,
+    ) -> None:
+        self._path = path
+        self._load = load
+        self._apply = apply
+        self._timers = timers
+        self._log = StateLog("node")
+        self._stamp_ns = self._read_stamp()
+        timers.call_every(CHECK_PERIOD_S, self._check)
+
+    def reload_soon(self) -> None:
+        """Reads the settings at the next turn; safe in a signal handler."""
+        self._timers.call_later(0.0, lambda: self._reload("SIGHUP"))
+
+    def _read_stamp(self) -> int | None:
+        try:
+            return os.stat(self._path).st_mtime_ns
+        except OSError:
+            # The file is being replaced, or was taken away: the settings that
+            # were read go on to hold, and a file that comes back is read.
+            return None
+
+    def _check(self) -> None:
+        stamp_ns = self._read_stamp()
+        if stamp_ns is not None and stamp_ns != self._stamp_ns:
+            self._stamp_ns = stamp_ns
+            self._reload("the settings file has changed")
+
+    def _reload(self, reason: str) -> None:
+        try:
+            settings = self._load()
+        except (OSError, ValueError) as error:
+            self._log.warning(
+                "settings not reloaded", reason=reason, cause=str(error)
+            )
+            return
+        self._apply(settings)
+        self._log.info("settings reloaded", reason=reason)
--- a/packages/edge/tests/run_fakes.py
+++ b/packages/edge/tests/run_fakes.py
@@ -13,7 +13,8 @@
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route, RouteKind, WeightedService
 from mulberrybay_edge.decision_log import DecisionLog
-from mulberrybay_edge.dispatcher import (
+from mulberrybay_edge.run_context import RunCounts, RunJob, RunTools
+from mulberrybay_edge.sending import (
     AttemptOutcome,
     AttemptResult,
     RequestTemplate,
@@ -21,7 +22,6 @@
     SendOrder,
     SendRefusal,
 )
-from mulberrybay_edge.run_context import RunCounts, RunJob, RunTools
 from mulberrybay_runtime.http_exchange import HttpReply
 from mulberrybay_runtime.timers import Timer
 
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -235,6 +235,11 @@
         ]
         return self._start(node.name, ports)
 
+    def spoil_settings(self, node: RunningNode) -> None:
+        """Replaces a node's settings by a text that is none."""
+        path = self._folder / f"{node.name}.toml"
+        path.write_text("listen = [", encoding="utf-8")
+
     def peer_ports(self) -> list[int]:
         """Returns where the nodes take heartbeats."""
         return [node.peer_port for node in self.nodes]
@@ -288,3 +293,7 @@
         path = self._folder / f"{node.name}.stdout"
         lines = path.read_text(errors="replace").split("\n")[:-1]
         return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def messages(self, node: RunningNode) -> set[str]:
+        """Returns the messages of the lines that a node has written."""
+        return {line["message"] for line in self.log_lines(node)}
--- a/tests/on_platform/test_node_on_the_platform.py
+++ b/tests/on_platform/test_node_on_the_platform.py
@@ -431,3 +431,35 @@
     kinds = [line["message"] for line in lines]
     assert kinds.count("no route") < 600
     assert node.ask("/records/1").status == 200
+
+
+def test_hangup_reads_the_settings_again_and_cuts_nothing(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["records"]:
+        backend.delay_s = 0.5
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(node.ask("/records/1"))
+    )
+    thread.start()
+    time.sleep(0.1)
+
+    node.process.signal(signal.SIGHUP)
+    wait_until(
+        lambda: "settings reloaded" in deployment.messages(node),
+        4.0,
+        "the settings are read",
+    )
+    deployment.spoil_settings(node)
+    node.process.signal(signal.SIGHUP)
+    wait_until(
+        lambda: "settings not reloaded" in deployment.messages(node),
+        4.0,
+        "the spoiled settings are refused",
+    )
+    thread.join()
+
+    assert [answer.status for answer in answers] == [200]
+    assert node.is_ready()
