--- a/packages/edge/tests/test_gather_run.py
+++ b/packages/edge/tests/test_gather_run.py
@@ -178,11 +178,10 @@
     bench.sender.of("s0")[0].succeed(record(1), "sig-0")
 
     attempt = bench.sender.of("s1")[0]
-    reply = attempt  # The attempt of s1 replies with a signature seen before.
     if signature:
-        reply.succeed(record(1), signature)
+        attempt.succeed(record(1), signature)
     else:
-        reply.end(AttemptOutcome.OK, None)
+        attempt.end(AttemptOutcome.OK, None)
 
     assert len(bench.sender.of("s1")) == 2
     assert bench.answers == []
