Count watches of the store apart from the connections of calls

Cause: the client allows four connections and counted open watches among them, though its docstring says that watches have connections of their own. An edge node watches four kinds: with all four open, no call went out until one of them ended.

--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -1,8 +1,9 @@
 """The client of the platform's object store.
 
 One kept connection carries one request at a time; requests that wait are
-queued up to a limit. Watches have connections of their own. Every request
-has a timer, since the store can be slow or a connection silent.
+queued up to a limit. Watches have connections of their own, which do not
+count towards that of the requests. Every request has a timer, since the store
+can be slow or a connection silent.
 """
 
 from collections import Counter, deque
@@ -147,6 +148,7 @@
         self._timers = timers
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
+        self._watching: set[_Connection] = set()
         self._queue: deque[_Call] = deque()
         self._failure_count = 0
         self.call_counts: Counter[str] = Counter()
@@ -156,7 +158,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for connection in [*self._idle, *self._busy]:
+        for connection in [*self._idle, *self._busy, *self._watching]:
             if connection.stream is not None:
                 connection.stream.close()
 
@@ -260,10 +262,10 @@
         # that was quiet may have fallen silent, unless that is probed for.
         if self._idle and self._settings.detects_silence:
             connection = self._idle.pop()
-            self._busy.add(connection)
+            self._watching.add(connection)
             connection.start(call)
         else:
-            self._open(call)
+            self._watching.add(self._open(call))
 
     def list_vms(self, reply: FleetHandler) -> None:
         """Reads the lagging list of VMs."""
@@ -314,24 +316,29 @@
                 self._busy.add(connection)
                 connection.start(self._queue.popleft())
             elif len(self._busy) < MAX_CONNECTION_COUNT:
-                self._open(self._queue.popleft())
+                self._busy.add(self._open(self._queue.popleft()))
             else:
                 return
 
-    def _open(self, call: _Call) -> None:
+    def _open(self, call: _Call) -> _Connection:
         connection = _Connection(self, call)
-        self._busy.add(connection)
         connection.stream = self._streams.dial(
             self._settings.address,
             connection,
             detects_silence=self._settings.detects_silence,
         )
+        return connection
+
+    def _release(self, connection: _Connection) -> None:
+        """Takes a connection from those that carry a call."""
+        self._busy.discard(connection)
+        self._watching.discard(connection)
 
     def _on_timeout(self, call: _Call) -> None:
-        for connection in list(self._busy):
+        for connection in [*self._busy, *self._watching]:
             if connection.call is call:
                 # The reply may still come: the connection is not used again.
-                self._busy.discard(connection)
+                self._release(connection)
                 if connection.stream is not None:
                     connection.stream.close()
         self._drop_quiet(call.started_at_s)
@@ -357,7 +364,7 @@
         self._failure_count = (
             self._failure_count + 1 if reply.status >= 500 else 0
         )
-        self._busy.discard(connection)
+        self._release(connection)
         is_reusable = reply.keeps_alive and call is not None
         if is_reusable and len(self._idle) < MAX_CONNECTION_COUNT:
             self._idle.append(connection)
@@ -369,7 +376,7 @@
 
     def on_connection_lost(self, connection: _Connection, reason: str) -> None:
         """Fails the call on a connection that has ended."""
-        self._busy.discard(connection)
+        self._release(connection)
         if connection in self._idle:
             self._idle.remove(connection)
         call = connection.call
--- /dev/null
+++ b/packages/platform/tests/test_client.py
@@ -0,0 +1,137 @@
+"""What one node's calls to the store wait for."""
+
+import pytest
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.errors import Failure
+from mulberrybay_core.store_messages import ObjectList
+from mulberrybay_platform.client import (
+    MAX_CONNECTION_COUNT,
+    PlatformClient,
+    PlatformSettings,
+)
+from mulberrybay_runtime.timers import Timers
+
+WATCH_TIMEOUT_S = 8.0
+EMPTY_LIST = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    b'Content-Length: 27\r\n\r\n{"objects":[],"version": 1}'
+)
+
+
+class _Stream:
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+        self.is_closed = False
+
+    def send(self, data: bytes) -> bool:
+        self.sent.append(data)
+        return True
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class _Streams:
+    """Connections that open at once and never end."""
+
+    def __init__(self) -> None:
+        self.dialled: list[tuple[_Stream, object]] = []
+
+    def dial(
+        self, address: Address, observer: object, *, detects_silence: bool
+    ) -> _Stream:
+        stream = _Stream()
+        self.dialled.append((stream, observer))
+        return stream
+
+    def open_all(self) -> None:
+        for stream, observer in self.dialled:
+            if not stream.sent:
+                observer.on_connected(stream)
+
+    def reply(self, index: int, data: bytes) -> None:
+        stream, observer = self.dialled[index]
+        observer.on_data(stream, data)
+
+    @property
+    def requests(self) -> list[bytes]:
+        return [data for stream, _ in self.dialled for data in stream.sent]
+
+
+class _Store:
+    """A client, and what its calls came to."""
+
+    def __init__(self, detects_silence: bool = False) -> None:
+        self.streams = _Streams()
+        self.client = PlatformClient(
+            PlatformSettings(
+                Address("127.0.0.1", 1), detects_silence=detects_silence
+            ),
+            self.streams,
+            Timers(),
+        )
+        self.results: list[ObjectList | Failure] = []
+
+    def watch(self, count: int = 1) -> None:
+        for index in range(count):
+            self.client.watch(
+                f"kind-{index}", 0, WATCH_TIMEOUT_S, self.results.append
+            )
+        self.streams.open_all()
+
+    def list_kind(self, count: int = 1) -> None:
+        for index in range(count):
+            self.client.list_kind(f"kind-{index}", self.results.append)
+        self.streams.open_all()
+
+
+@pytest.mark.parametrize("detects_silence", [False, True])
+def test_calls_do_not_wait_for_watches(detects_silence: bool) -> None:
+    store = _Store(detects_silence)
+    store.watch(2 * MAX_CONNECTION_COUNT)
+    store.list_kind(MAX_CONNECTION_COUNT)
+    assert len(store.streams.requests) == 3 * MAX_CONNECTION_COUNT
+
+
+def test_calls_beyond_the_connections_wait_for_a_reply() -> None:
+    store = _Store()
+    store.list_kind(MAX_CONNECTION_COUNT + 1)
+    assert len(store.streams.requests) == MAX_CONNECTION_COUNT
+    store.streams.reply(0, EMPTY_LIST)
+    assert len(store.results) == 1
+    assert len(store.streams.requests) == MAX_CONNECTION_COUNT + 1
+
+
+def test_connection_of_a_watch_serves_a_call_afterwards() -> None:
+    store = _Store()
+    store.watch()
+    store.streams.reply(0, EMPTY_LIST)
+    store.list_kind()
+    assert len(store.streams.dialled) == 1
+    assert len(store.streams.requests) == 2
+
+
+def test_watch_without_a_probed_connection_opens_its_own() -> None:
+    store = _Store()
+    store.list_kind()
+    store.streams.reply(0, EMPTY_LIST)
+    store.watch()
+    assert len(store.streams.dialled) == 2
+
+
+def test_lost_connection_of_a_watch_fails_it() -> None:
+    store = _Store()
+    store.watch()
+    stream, observer = store.streams.dialled[0]
+    observer.on_closed(stream, "reset")
+    assert [type(result) for result in store.results] == [Failure]
+
+
+def test_end_closes_every_connection() -> None:
+    store = _Store()
+    with store.client:
+        store.watch(2)
+        store.list_kind(2)
+        store.streams.reply(3, EMPTY_LIST)
+    assert all(stream.is_closed for stream, _ in store.streams.dialled)
