Let a node that comes back be heard before others step down for it

Cause: a node steps down at once for a peer with a smaller identity that lives, as others say, and was not reached for a lease. A peer that has just come back, or has just ended while reports of others still name it, looks the same until heartbeats have gone round. So a planned restart of node-1 made node-2 or node-3 give up all it held for 0.2 s and refuse ("no lease") or leave shards without a holder.

Ruled out: a lapsed lease (no node logged one; "not serving" and "serving" 0.2 s apart just after the restarted node served); callers that use the restarted node too soon (the refusing node was another one each time).

Change: the link counts as broken only when it has been so for half a lease.

--- a/packages/core/mulberrybay_core/broken_links.py
+++ b/packages/core/mulberrybay_core/broken_links.py
@@ -6,9 +6,17 @@
 """
 
 from collections.abc import Mapping
+from typing import Final
 
 from mulberrybay_core.member_peer import MemberPeer
 
+# In lease lengths, for the node with the larger identity. A peer that has just
+# come back or ended looks like a broken link until heartbeats have gone round
+# twice, which takes less than half a lease.
+FIRST_PATIENCE_RATIO: Final = 0.5
+# The other node may have noticed only a lease later.
+SECOND_PATIENCE_RATIO: Final = 2.0
+
 
 def must_step_down(
     node_id: str,
@@ -39,8 +47,11 @@
             peer.broken_since_s = now_s
         # The node with the larger identity goes first. It may not have
         # noticed, if the link is cut in one direction; then the other.
-        patience_s = 0 if node_id > peer_id else 2 * lease_s
-        is_due = now_s - peer.broken_since_s >= patience_s
+        patience_ratio = (
+            FIRST_PATIENCE_RATIO if node_id > peer_id else SECOND_PATIENCE_RATIO
+        )
+        broken_for_s = now_s - peer.broken_since_s
+        is_due = broken_for_s >= patience_ratio * lease_s
         if is_due and not peer.info.is_leaving:
             steps_down = True
     return steps_down
