Hold signals back until a node can take them

Cause: SIGHUP within about 0.2 s of the start met the default action and ended the node, and SIGTERM ended it by the signal instead of with exit code 0.

Ruled out: the watch of the settings file (its handler had not been set when the signal came; the log has no "started" line).

Change: the entry point blocks both signals first; the node lets them through once its event loop runs, so a request to reload or to stop is kept. What comes before the interpreter runs the first line still meets the default.

The new test fails for both signals without the change.

--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -326,7 +326,14 @@
         )
         self._retries.terms = settings.retry_terms
 
-    # Stopping.
+    # Signals and stopping.
+
+    @handler("started", channel="*")
+    def _on_started(self, *_: object) -> None:
+        # The entry point has blocked those that came during the start.
+        signal.pthread_sigmask(
+            signal.SIG_UNBLOCK, (signal.SIGHUP, signal.SIGTERM)
+        )
 
     @handler("signal", channel="*")
     def _on_signal(self, event: Any, signal_number: int, _: Any) -> None:  # noqa: ANN401
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import re
+import signal
 import sys
 from typing import Any, Final, NamedTuple, Self
 
@@ -17,6 +18,7 @@
 
 NODE_PROGRAM: Final = pathlib.Path(__file__).parents[2] / "platform" / "node.py"
 SHARDS: Final = ("shard-0", "shard-1", "shard-2", "shard-3")
+SINGLE_SERVICES: Final = ("records", "bookings")
 START_TIMEOUT_S: Final = 10.0
 
 
@@ -38,6 +40,7 @@
     directory_port: int
     metrics_port: int
     peer_port: int
+    zone: str
 
     def ask(
         self,
@@ -63,6 +66,22 @@
             return fetch(self.readiness_port, "/api/readiness").status == 200
         return False
 
+    def takes_signals(self) -> bool:
+        """Whether a signal to stop or to reload meets more than its default.
+
+        An interpreter that has just been started has run no line of ours.
+        """
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        with contextlib.suppress(OSError):
+            text = path.read_text(encoding="ascii")
+            masks = re.findall(r"^Sig(?:Blk|Cgt):\s*(\w+)", text, re.M)
+            taken = [int(mask, 16) for mask in masks]
+            return all(
+                any(mask >> (number - 1) & 1 for mask in taken)
+                for number in (signal.SIGHUP, signal.SIGTERM)
+            )
+        return False
+
     def named(self) -> list[str]:
         """Returns the addresses in an answer of the directory."""
         path = "/api/resolve?name=a.example&region=r&zone=zone-a"
@@ -116,7 +135,7 @@
 
 def configuration(revision: int, **fields: object) -> dict[str, Any]:
     """Returns the operator's configuration."""
-    services = [*SHARDS, "records", "bookings"]
+    services = [*SHARDS, *SINGLE_SERVICES]
     return {
         "revision": revision,
         "routes": [
@@ -158,7 +177,13 @@
 
 
 class Deployment:
-    """Stand-ins and nodes; a context manager."""
+    """Stand-ins and nodes; a context manager.
+
+    Attributes:
+        zones: The zone of each backend server of a service.
+    """
+
+    zones: tuple[str, ...] = ("zone-a", "zone-a")
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -168,17 +193,16 @@
         self.backends: dict[str, list[BackendStandIn]] = {}
         self._servers: dict[str, HttpServer] = {}
         self.nodes: list[RunningNode] = []
+        self._start_count = 0
 
     def __enter__(self) -> Self:
         self._loop = self._exits.enter_context(LoopThread())
         self._loop.run(serve(self.store, self.store_port))
+        self._reached_store_port = self._open_way("store", self.store_port)
         self._processes = self._exits.enter_context(Processes(self._folder))
-        for service in SHARDS:
-            self.add_backend(service, is_shard=True)
-            self.add_backend(service, is_shard=True)
-        for service in ("records", "bookings"):
-            self.add_backend(service, is_shard=False)
-            self.add_backend(service, is_shard=False)
+        for service in (*SHARDS, *SINGLE_SERVICES):
+            for zone in self.zones:
+                self.add_backend(service, zone=zone)
         self.put("config", "main", configuration(1))
         return self
 
@@ -199,9 +223,17 @@
         """Lets the store forget its history."""
         self._loop.run(self.store.forget_history())
 
-    def add_backend(self, service: str, *, is_shard: bool) -> BackendStandIn:
+    def _open_way(self, name: str, port: int) -> int:
+        """Returns the port at which nodes reach a stand-in."""
+        del name
+        return port
+
+    def add_backend(
+        self, service: str, *, zone: str = "zone-a"
+    ) -> BackendStandIn:
         """Starts a backend server, which registers itself."""
-        backend = BackendStandIn(service, is_shard=is_shard)
+        backend = BackendStandIn(service, is_shard=service in SHARDS, zone=zone)
+        backend.reached_port = self._open_way(backend.server_id, backend.port)
         self._servers[backend.server_id] = self._loop.run(
             serve(backend, backend.port)
         )
@@ -219,9 +251,9 @@
 
     # Nodes.
 
-    def start_node(self, name: str) -> RunningNode:
+    def start_node(self, name: str, zone: str = "zone-a") -> RunningNode:
         """Starts a node without waiting for it."""
-        return self._start(name, [free_port() for _ in range(5)])
+        return self._start(name, [free_port() for _ in range(5)], zone)
 
     def restart(self, node: RunningNode) -> RunningNode:
         """Starts a node again that has ended, at its addresses."""
@@ -233,7 +265,7 @@
             node.directory_port,
             node.metrics_port,
         ]
-        return self._start(node.name, ports)
+        return self._start(node.name, ports, node.zone)
 
     def spoil_settings(self, node: RunningNode) -> None:
         """Replaces a node's settings by a text that is none."""
@@ -244,17 +276,17 @@
         """Returns where the nodes take heartbeats."""
         return [node.peer_port for node in self.nodes]
 
-    def _start(self, name: str, ports: list[int]) -> RunningNode:
+    def _start(self, name: str, ports: list[int], zone: str) -> RunningNode:
         settings = self._folder / f"{name}.toml"
         settings.write_text(
             f'node_name = "{name}"\n'
-            'failure_domain = "zone-a"\n'
+            f'failure_domain = "{zone}"\n'
             "stop_grace_s = 3\n"
             "max_address_life_s = 0.3\n"
             "cold_factor = 1.5\n"
             "cpu_share = 0.5\n"
             "core_speed = 2\n"
-            f'store_address = "{HOST}:{self.store_port}"\n'
+            f'store_address = "{HOST}:{self._reached_store_port}"\n'
             "[listen]\n"
             f'host = "{HOST}"\n'
             f"peer_port = {ports[0]}\n"
@@ -266,12 +298,13 @@
             "ratio = 0.2\nwindow_s = 10\nslack_count = 56\n",
             encoding="utf-8",
         )
+        self._start_count += 1
         process = self._processes.start(
-            name,
+            f"{name}-{self._start_count}",
             [sys.executable, str(NODE_PROGRAM)],
             {"MULBERRYBAY_SETTINGS": str(settings)},
         )
-        node = RunningNode(name, process, *ports[1:], ports[0])
+        node = RunningNode(name, process, *ports[1:], ports[0], zone)
         self.nodes.append(node)
         return node
 
@@ -290,7 +323,7 @@
 
     def log_lines(self, node: RunningNode) -> list[dict[str, Any]]:
         """Returns the lines that a node has written."""
-        path = self._folder / f"{node.name}.stdout"
+        path = self._folder / f"{node.process.name}.stdout"
         lines = path.read_text(errors="replace").split("\n")[:-1]
         return [json.loads(line) for line in lines if line.startswith("{")]
 
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -231,14 +231,19 @@
         status: What it answers; 503 says that it did not run.
         arrivals: The requests that reached it.
         open_count: Connections that are open.
+        reached_port: Where the nodes reach it.
     """
 
     _numbers = itertools.count(1)
 
-    def __init__(self, service: str, *, is_shard: bool) -> None:
+    def __init__(
+        self, service: str, *, is_shard: bool, zone: str = "zone-a"
+    ) -> None:
         self.service = service
+        self.zone = zone
         self.server_id = f"i-{next(self._numbers):04d}"
         self.port = free_port()
+        self.reached_port = self.port
         self.delay_s = 0.0
         self.delivery = Delivery.WHOLE
         self.status = 200
@@ -250,8 +255,8 @@
         """Returns what the server writes of itself to the store."""
         return {
             "service": self.service,
-            "address": f"{HOST}:{self.port}",
-            "zone": "zone-a",
+            "address": f"{HOST}:{self.reached_port}",
+            "zone": self.zone,
             "revision": "v1",
             "concurrency": 2,
             "state": "ready",
--- a/tests/on_platform/test_node_on_the_platform.py
+++ b/tests/on_platform/test_node_on_the_platform.py
@@ -433,6 +433,28 @@
     assert node.ask("/records/1").status == 200
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signal_that_comes_during_the_start_is_taken_after_it(
+    deployment: Deployment, number: signal.Signals
+) -> None:
+    node = deployment.start_node("node-1")
+    wait_until(
+        lambda: node.takes_signals() or node.is_ready(), 5.0, "the start"
+    )
+    assert "started" not in deployment.messages(node)
+    node.process.signal(number)
+
+    message = "stopped" if number is signal.SIGTERM else "settings reloaded"
+    wait_until(
+        lambda: message in deployment.messages(node), 5.0, f"it has {message}"
+    )
+    if number is signal.SIGTERM:
+        wait_until(lambda: node.process.returncode is not None, 5.0, "its end")
+        assert node.process.returncode == 0
+    else:
+        wait_until(node.is_ready, 5.0, "it is ready")
+
+
 def test_hangup_reads_the_settings_again_and_cuts_nothing(
     deployment: Deployment,
 ) -> None:
