--- a/packages/daemon/mulberrybay_daemon/main.py
+++ b/packages/daemon/mulberrybay_daemon/main.py
@@ -1,10 +1,9 @@
 """The program `mulberrybayd`: one node of the query tier."""
 
-import gc
 import pathlib
 import sys
 from dataclasses import asdict, dataclass
-from typing import Annotated, Final
+from typing import Annotated
 
 import cappa
 from expression import Result
@@ -13,9 +12,9 @@
 from mulberrybay_daemon.settings import NodeSettings
 from mulberrybay_daemon.settings_checks import LOG_FORMS, LOG_LEVELS
 from mulberrybay_daemon.settings_sources import load_settings
+from mulberrybay_runtime.collector import relax_collector
 from mulberrybay_runtime.logs import make_log_handler
 
-COLLECTOR_THRESHOLD_COUNT: Final = 20_000
 FAILED_EXIT_CODE = 1
 USAGE_EXIT_CODE = 2
 
@@ -74,17 +73,6 @@
     ] = None
 
 
-def relax_collector() -> None:
-    """Lets the garbage collector run seldom and skip what lives for good.
-
-    Requests leave few reference cycles, so a collection mostly walks objects
-    that stay.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(COLLECTOR_THRESHOLD_COUNT, 20, 50)
-
-
 def run_node(settings: NodeSettings) -> int:
     """Runs a node until it is told to stop; returns the exit code."""
     handler = make_log_handler(settings.log_form, settings.log_level)
