--- /dev/null
+++ b/tests/on_platform/test_serving.py
@@ -0,0 +1,181 @@
+"""What callers of a node get, against stand-ins of the platform."""
+
+import socket
+
+import pytest
+from deployment import SHARDS, Deployment
+
+from mulberrybay_testing.http_server import Delivery
+from mulberrybay_testing.ports import HOST
+from mulberrybay_testing.waiting import wait_until
+
+
+def signatures(headers: dict[str, str]) -> list[str]:
+    text = headers.get("x-part-stamps", "")
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+def test_search_covers_all_shards_and_records_come_from_one_server(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+
+    search = node.ask("/search/x?q=1", request_id="id-a")
+    record = node.ask("/records/7", request_id="id-b")
+    missing = node.ask("/nowhere/7")
+
+    assert search.status == 200
+    parts = signatures(search.headers)
+    assert len(set(parts)) == len(SHARDS)
+    assert all(part.endswith(".id-a") for part in parts)
+    assert search.headers["x-missing-parts"] == "0"
+    assert len(search.body) == 3 * 16
+    assert (record.status, record.body) == (200, b"records /records/7")
+    assert record.headers["x-request-id"] == "id-b"
+    assert record.headers["x-server-stamp"].endswith(".id-b")
+    assert missing.status == 404
+
+
+def test_silent_replica_is_hedged_and_dead_one_is_replaced(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    deployment.backends["shard-0"][0].delay_s = 5.0
+    deployment.stop_listening(deployment.backends["shard-1"][0])
+
+    for number in range(10):
+        answer = node.ask("/search/x", request_id=f"id-{number}")
+        assert answer.status == 200
+        assert answer.headers["x-missing-parts"] == "0"
+
+
+@pytest.mark.parametrize(
+    "delivery", [Delivery.UNFRAMED, Delivery.TWICE, Delivery.WHOLE]
+)
+def test_every_form_of_a_whole_reply_is_passed_on(
+    deployment: Deployment, delivery: Delivery
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["records"]:
+        backend.delivery = delivery
+
+    for number in range(6):
+        answer = node.ask(f"/records/{number}", request_id=f"id-{number}")
+        assert answer.status == 200
+        assert answer.body == f"records /records/{number}".encode()
+
+
+def test_reply_that_is_cut_short_is_never_passed_on(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["bookings"]:
+        backend.delivery = Delivery.CUT_SHORT
+
+    answer = node.ask("/bookings/1", method="POST", body=b"van")
+
+    assert answer.status == 502
+    runs = [
+        arrival
+        for backend in deployment.backends["bookings"]
+        for arrival in backend.arrivals
+        if arrival.has_run
+    ]
+    assert len(runs) == 1
+
+
+def test_booking_that_a_server_sheds_runs_at_another(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    deployment.backends["bookings"][0].status = 503
+
+    for number in range(6):
+        answer = node.ask(
+            "/bookings/1", method="POST", request_id=f"id-{number}", body=b"v"
+        )
+        assert answer.status == 200
+
+
+def test_address_of_another_server_runs_nothing(
+    deployment: Deployment,
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["bookings"]:
+        backend.server_id = f"other-{backend.server_id}"
+
+    answer = node.ask("/bookings/1", method="POST", body=b"van")
+
+    assert answer.status == 503
+    assert not any(
+        arrival.has_run
+        for backend in deployment.backends["bookings"]
+        for arrival in backend.arrivals
+    )
+
+
+def test_work_ends_when_the_caller_leaves(deployment: Deployment) -> None:
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["records"]:
+        backend.delay_s = 5.0
+    with socket.create_connection((HOST, node.callers_port)) as caller:
+        caller.sendall(
+            b"GET /records/1 HTTP/1.1\r\nHost: a.example\r\n"
+            b"X-Request-Id: id-1\r\n\r\n"
+        )
+        wait_until(
+            lambda: any(b.open_count for b in deployment.backends["records"]),
+            2.0,
+            "a server is at work",
+        )
+
+    wait_until(
+        lambda: not any(b.open_count for b in deployment.backends["records"]),
+        0.5,
+        "the work has ended",
+    )
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /records/1 HTTP/1.1\r\n\r\n", 400),
+        (
+            b"GET /records/1 HTTP/1.1\r\nHost: a.example\r\nHost: b\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /records/1 HTTP/1.1\r\nHost: a.example\r\n"
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"GET /records/1 HTTP/1.1\r\nHost: a.example\r\nX: "
+            + b"y" * 9000
+            + b"\r\n\r\n",
+            431,
+        ),
+        (
+            b"POST /records/1 HTTP/1.1\r\nHost: a.example\r\n"
+            b"Content-Length: 70000\r\n\r\n" + b"z" * 70000,
+            413,
+        ),
+        (b"GET /records/1 HTTP/1.1\r\nHost: a.ex", 408),
+    ],
+)
+def test_bad_requests_get_a_clear_error_and_run_nothing(
+    deployment: Deployment, data: bytes, status: int
+) -> None:
+    (node,) = deployment.start_nodes(1)
+
+    with socket.create_connection((HOST, node.callers_port)) as caller:
+        caller.settimeout(5)
+        caller.sendall(data)
+        answer = b""
+        while chunk := caller.recv(4096):
+            answer += chunk
+
+    assert answer.startswith(f"HTTP/1.1 {status} ".encode())
+    assert not any(b.arrivals for b in deployment.backends["records"])
+    assert node.is_ready()
