Say in a request's line why it was not sent again

Change: the last refusal of an attempt that was due stands in the line, for a shard under `missing`, for one request as `not_sent_again`. Two tests, which fail without it.

--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -38,6 +38,8 @@
         # Whether a server has run the request or may have.
         self._may_have_run = False
         self._failure: HttpReply | None = None
+        # Why the last attempt that was due was not sent.
+        self._refusal: SendRefusal | None = None
         self._queue_until_s = min(
             job.request.received_at_s
             + MAX_QUEUE_SHARE * job.route.target_latency_s,
@@ -64,10 +66,12 @@
         )
         attempt = self._tools.sender.send(order, self._on_result)
         if not isinstance(attempt, SendRefusal):
+            self._refusal = None
             if not attempt.is_finished:
                 self._tried.note_sent(attempt.server_id)
                 self._attempts.append(attempt)
             return True
+        self._refusal = attempt
         if attempt is SendRefusal.NO_SERVER and not self._attempts:
             self._end_unserved("the service has no backend server to use")
         return False
@@ -174,10 +178,13 @@
 
     def _describe(self) -> dict[str, object]:
         """Returns the fields of the run's line in the log."""
-        return {
+        fields: dict[str, object] = {
             "service": self._service,
             "sent_to": sorted(self._tried.reached),
         }
+        if self._refusal is not None:
+            fields["not_sent_again"] = self._refusal.value
+        return fields
 
     def _cancel_attempts(self) -> None:
         for attempt in self._attempts:
--- a/packages/edge/mulberrybay_edge/gather_run.py
+++ b/packages/edge/mulberrybay_edge/gather_run.py
@@ -28,15 +28,23 @@
 class _Shard:
     """What is known of one shard."""
 
-    __slots__ = ("attempts", "hedge", "part", "service", "tried")
+    __slots__ = ("attempts", "hedge", "part", "refusal", "service", "tried")
 
     def __init__(self, service: str, max_server_count: int) -> None:
         self.service = service
         self.part: Part | None = None
         self.attempts: list[AttemptHandle] = []
         self.hedge: AttemptHandle | None = None
+        # Why the last attempt that was due was not sent.
+        self.refusal: SendRefusal | None = None
         self.tried = TriedServers(max_server_count)
 
+    def describe(self) -> str:
+        """Returns the service, the servers it was sent to, what held it."""
+        servers = " ".join(sorted(self.tried.reached))
+        held = f" ({self.refusal.value})" if self.refusal else ""
+        return f"{self.service}: {servers}{held}"
+
 
 class GatherRun(Run):
     """One query over shards."""
@@ -91,7 +99,9 @@
 
         attempt = self._tools.sender.send(order, on_result)
         if isinstance(attempt, SendRefusal):
+            shard.refusal = attempt
             return False
+        shard.refusal = None
         if not attempt.is_finished:
             shard.tried.note_sent(attempt.server_id)
             shard.attempts.append(attempt)
@@ -246,9 +256,7 @@
     def _describe(self) -> dict[str, object]:
         """Returns the fields of the run's line in the log."""
         missing = [
-            f"{shard.service}: {' '.join(sorted(shard.tried.reached))}"
-            for shard in self._shards
-            if shard.part is None
+            shard.describe() for shard in self._shards if shard.part is None
         ]
         return {
             "hedges": self._hedge_count,
--- a/packages/edge/tests/test_forward_run.py
+++ b/packages/edge/tests/test_forward_run.py
@@ -1,5 +1,6 @@
 """Requests to one backend server: true refusals, repeats by kind only."""
 
+import logbook
 import pytest
 from run_fakes import Bench
 
@@ -170,3 +171,16 @@
 
     assert bench.sender.attempts[0].is_cancelled
     assert bench.answers == []
+
+
+def test_line_says_why_a_request_was_not_sent_again() -> None:
+    bench = Bench()
+    bench.sender.may_repeat = False
+    with logbook.TestHandler().applicationbound() as handler:
+        ForwardRun(bench.tools, bench.job, "one").start()
+        bench.sender.attempts[0].end(AttemptOutcome.LOST)
+        bench.timers.advance(3.0)
+
+    (line,) = handler.records
+    assert line.message == "failed"
+    assert line.extra["not_sent_again"] == "the limit on repeats is reached"
--- a/packages/edge/tests/test_gather_run.py
+++ b/packages/edge/tests/test_gather_run.py
@@ -1,5 +1,6 @@
 """Queries over shards: answers in time, true coverage, bounded repeats."""
 
+import logbook
 import pytest
 from run_fakes import Bench
 
@@ -208,3 +209,19 @@
     bench.timers.advance(0.02)
 
     assert len(bench.sender.of("s0")) == 1
+
+
+def test_line_says_why_a_missing_shard_was_not_sent_again() -> None:
+    bench = Bench(shards=SHARDS)
+    bench.sender.may_repeat = False
+    with logbook.TestHandler().applicationbound() as handler:
+        start(bench)
+        for shard in SHARDS[:3]:
+            bench.sender.of(shard)[0].succeed(record(1), shard)
+        bench.timers.advance(0.3)
+
+    (line,) = handler.records
+    assert line.message == "partial"
+    assert line.extra["missing"] == [
+        "s3: s3-a (the limit on repeats is reached)"
+    ]
