--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -232,6 +232,7 @@
         arrivals: The requests that reached it.
         open_count: Connections that are open.
         reached_port: Where the nodes reach it.
+        echoed_id: The request that its replies name; empty for the right one.
     """
 
     _numbers = itertools.count(1)
@@ -246,6 +247,7 @@
         self.reached_port = self.port
         self.delay_s = 0.0
         self.delivery = Delivery.WHOLE
+        self.echoed_id = ""
         self.status = 200
         self.arrivals: list[Arrival] = []
         self.open_count = 0
@@ -301,7 +303,7 @@
             ("X-Server-Load", "1,0,2"),
         )
         if not self._is_shard:
-            headers = (*headers, ("X-Request-Id", request_id))
+            headers = (*headers, ("X-Request-Id", self.echoed_id or request_id))
         return Response(self.status, body, headers, self.delivery)
 
 
--- a/tests/on_platform/test_serving.py
+++ b/tests/on_platform/test_serving.py
@@ -84,6 +84,18 @@
     assert len(runs) == 1
 
 
+@pytest.mark.parametrize("path", ["/records/1", "/bookings/1"])
+def test_reply_to_another_request_is_never_passed_on(
+    deployment: Deployment, path: str
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    for service in ("records", "bookings"):
+        for backend in deployment.backends[service]:
+            backend.echoed_id = "id-of-another"
+
+    assert node.ask(path, request_id="id-1").status == 502
+
+
 def test_booking_that_a_server_sheds_runs_at_another(
     deployment: Deployment,
 ) -> None:
