Wait a pause between a store's list and its first watch

Change: the first watch comes a batch's pause (0.3 s) after the list, as every later one does after its changes.

Tests play a store by hand: a node that others watch for asks for no changes; the first fails without the change. The others are of what had none.

--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -151,7 +151,8 @@
         self._needs_list = False
         self.cache.replace(result)
         self._listener.on_list(self.cache.all_objects())
-        self._watch()
+        # By then it is known from the list of nodes whether others watch.
+        self._watch_soon()
 
     def _go_on(self) -> None:
         if self._needs_list:
@@ -190,6 +191,9 @@
         news = self.cache.apply(result)
         if news.items or news.removed_names:
             self._listener.on_changes(news)
+        self._watch_soon()
+
+    def _watch_soon(self) -> None:
         generation = self._generation
         self._timers.call_later(
             BATCH_PAUSE_S, lambda: self._watch_again(generation)
