--- a/packages/core/tests/test_server_directory.py
+++ b/packages/core/tests/test_server_directory.py
@@ -44,9 +44,13 @@
     directory = ServerDirectory()
     directory.put(ENTRY, 0.0)
 
+    (known,) = directory.usable("search")
+
     directory.remove("i-1", 10.0)
     directory.expire(10.0 + LAPSE_GRACE_S - 0.1)
     assert usable_ids(directory) == ["i-1"]
+    assert directory.may_use(known, 10.0 + LAPSE_GRACE_S - 0.1)
+    assert not directory.may_use(known, 10.01 + LAPSE_GRACE_S)
 
     directory.expire(10.01 + LAPSE_GRACE_S)
     assert usable_ids(directory) == []
--- a/tests/on_platform/test_beliefs.py
+++ b/tests/on_platform/test_beliefs.py
@@ -78,10 +78,21 @@
     ):
         deployment.put("servers", f"foreign-{number}", spec)
     deployment.put("config", "main", {"revision": "newest"})
+    # What comes together with them is taken.
+    for backend in deployment.backends["records"]:
+        entry = backend.entry(state="draining")
+        deployment.put("servers", backend.server_id, entry)
+    new = deployment.add_backend("records")
     time.sleep(0.8)
 
     for number in range(10):
         assert node.ask("/records/1", request_id=f"id-{number}").status == 200
+    assert new.arrivals
+    wait_until(
+        lambda: "unreadable object left out" in deployment.messages(node),
+        2.0,
+        "a line says so",
+    )
 
 
 def test_lost_answer_of_the_store_hides_no_change_for_long(
