Try a reserve of repeats for failed servers, and give it up

Tried: hedges leave three tenths of a service's repeats to requests whose server failed.

The argument of RetryAllowance.take that nobody uses goes too; nothing else has changed.

--- a/packages/core/mulberrybay_core/shared_limits.py
+++ b/packages/core/mulberrybay_core/shared_limits.py
@@ -79,15 +79,9 @@
         allowed += self.terms.slack_count / max(1.0, self.divisor)
         return allowed * SAFE_SHARE - repeat_count
 
-    def take(self, service: str, now_s: float, spare_count: float = 0) -> bool:
-        """Counts a repeat if there is room for it.
-
-        Args:
-            service: The service that it goes to.
-            now_s: The time.
-            spare_count: Room that must be left for more urgent repeats.
-        """
-        if self.room(service, now_s) < 1 + spare_count:
+    def take(self, service: str, now_s: float) -> bool:
+        """Counts a repeat if there is room for it."""
+        if self.room(service, now_s) < 1:
             return False
         count = self._repeats.get(service)
         if count is None:
