Answer HEAD

Cause: the reply of a backend server to HEAD names the length of a body that does not follow; the node waited for it and answered 504 at the deadline. A body of the node's own would have put the caller's connection out of step.

Change: the parser of replies is told whether a body follows; the answer to HEAD names the server's length and has no body.

Tests fail without it (504). The stand-in no longer sends a body after HEAD.

--- a/packages/core/mulberrybay_core/caller_messages.py
+++ b/packages/core/mulberrybay_core/caller_messages.py
@@ -77,11 +77,20 @@
 
 
 class CallerAnswer(NamedTuple):
-    """The answer to a caller's request; the length header is added."""
+    """The answer to a caller's request; the length header is added.
+
+    Attributes:
+        status: The status.
+        headers: The headers.
+        body: The body; it is not sent in answer to HEAD.
+        body_bytes: The length to name where it is not that of the body, as in
+            a server's answer to HEAD.
+    """
 
     status: int
     headers: HeaderList = ()
     body: bytes = b""
+    body_bytes: int | None = None
 
 
 AnswerHandler = Callable[[CallerAnswer], None]
--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -32,15 +32,21 @@
 REASONS: Final = {status.value: status.phrase for status in HTTPStatus}
 
 
-def encode_answer(answer: CallerAnswer, *, closes: bool) -> bytes:
-    """Returns the bytes of an answer."""
+def encode_answer(
+    answer: CallerAnswer, *, closes: bool, has_body: bool = True
+) -> bytes:
+    """Returns the bytes of an answer; one to HEAD has no body."""
     reason = REASONS.get(answer.status, "Unknown")
     lines = [f"HTTP/1.1 {answer.status} {reason}"]
     lines += [f"{name}: {value}" for name, value in answer.headers]
     if closes:
         lines.append("Connection: close")
-    lines.append(f"Content-Length: {len(answer.body)}\r\n\r\n")
-    return "\r\n".join(lines).encode("latin-1") + answer.body
+    body_bytes = answer.body_bytes
+    if body_bytes is None:
+        body_bytes = len(answer.body)
+    lines.append(f"Content-Length: {body_bytes}\r\n\r\n")
+    head = "\r\n".join(lines).encode("latin-1")
+    return head + answer.body if has_body else head
 
 
 class _Connection:
@@ -236,24 +242,28 @@
                 number: int = number,
                 *,
                 keeps_alive: bool = keeps_alive,
+                has_body: bool = request.method != "HEAD",
             ) -> None:
                 if number == self._request_count and self._is_busy:
-                    self._finish(answer, keeps_alive=keeps_alive)
+                    self._is_busy = False
+                    self._cancel = None
+                    self._answer(
+                        answer, keeps_alive=keeps_alive, has_body=has_body
+                    )
+                    self._start_next()
 
             cancel = self._server.service.submit(request, reply)
             if self._is_busy and number == self._request_count:
                 self._cancel = cancel
 
-    def _finish(self, answer: CallerAnswer, *, keeps_alive: bool) -> None:
-        self._is_busy = False
-        self._cancel = None
-        self._answer(answer, keeps_alive=keeps_alive)
-        self._start_next()
-
-    def _answer(self, answer: CallerAnswer, *, keeps_alive: bool) -> None:
+    def _answer(
+        self, answer: CallerAnswer, *, keeps_alive: bool, has_body: bool = True
+    ) -> None:
         closes = not keeps_alive or self._server.is_stopping
         self.quiet_since_s = read_clock_s()
-        self._stream.send(encode_answer(answer, closes=closes))
+        self._stream.send(
+            encode_answer(answer, closes=closes, has_body=has_body)
+        )
         if closes:
             self._end()
 
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -242,7 +242,10 @@
             return echoed_id is None or echoed_id == order.template.request_id
 
         exchange = Exchange(
-            encode, check, lambda result: self._on_result(attempt, result)
+            encode,
+            check,
+            lambda result: self._on_result(attempt, result),
+            expects_body=order.template.expects_body,
         )
         attempt.exchange = exchange
         self.sent_count += 1
--- a/packages/edge/mulberrybay_edge/exchange.py
+++ b/packages/edge/mulberrybay_edge/exchange.py
@@ -55,6 +55,7 @@
         "check",
         "connection",
         "encode",
+        "expects_body",
         "sent_at_s",
         "started_at_s",
     )
@@ -64,8 +65,11 @@
         encode: RequestEncoder,
         check: ReplyCheck,
         on_result: ResultHandler,
+        *,
+        expects_body: bool = True,
     ) -> None:
         self.encode = encode
+        self.expects_body = expects_body
         self.check = check
         self._on_result: ResultHandler | None = on_result
         self.connection: Carrier | None = None
--- a/packages/edge/mulberrybay_edge/forward_run.py
+++ b/packages/edge/mulberrybay_edge/forward_run.py
@@ -160,7 +160,11 @@
             for name, value in reply.headers.items()
             if name not in HOP_BY_HOP_HEADERS and name not in left_out
         )
-        return CallerAnswer(reply.status, headers, reply.body)
+        body_bytes = None
+        if not self._job.template.expects_body:
+            length = reply.headers.get("content-length", "")
+            body_bytes = int(length) if length.isdecimal() else None
+        return CallerAnswer(reply.status, headers, reply.body, body_bytes)
 
     def _end_unserved(self, reason: str, *, is_late: bool = False) -> None:
         """Gives the caller the answer that is true of what happened."""
--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -32,7 +32,7 @@
 ASK_TIMEOUT_S: Final = 1.0
 # Whoever asks beyond that asks another peer.
 MAX_ANSWER_COUNT: Final = 4
-# The fastest level; it leaves about a tenth of the objects' JSON.
+# The fastest level: nodes have little processor time to spare.
 COMPRESSION_LEVEL: Final = 1
 # Far more than the objects of one kind; what unpacks to more is no update.
 MAX_UPDATE_BYTES: Final = 64 * 1024 * 1024
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -117,10 +117,11 @@
 class RequestTemplate:
     """A caller's request as it is sent to backend servers."""
 
-    __slots__ = ("_body", "_head", "_names", "request_id")
+    __slots__ = ("_body", "_head", "_names", "expects_body", "request_id")
 
     def __init__(self, request: CallerRequest, names: HeaderNames) -> None:
         self.request_id = request.request_id
+        self.expects_body = request.method != "HEAD"
         self._names = names
         self._body = request.body
         lines = [f"{request.method} {request.target} HTTP/1.1"]
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -81,7 +81,7 @@
         if data is None or self.stream is None:
             self._exchange = exchange.connection = None
             return False
-        self._parser = SingleReplyParser()
+        self._parser = SingleReplyParser(expects_body=exchange.expects_body)
         exchange.sent_at_s = now_s
         self.stream.send(data)
         return True
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -110,8 +110,15 @@
             that was asked.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, expects_body: bool = True) -> None:
+        """Starts without a reply.
+
+        Args:
+            expects_body: Whether a body may follow; none does after HEAD,
+                whatever length the headers name.
+        """
         self._parser = httptools.HttpResponseParser(self)
+        self._expects_body = expects_body
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -171,12 +178,16 @@
         """Notes that status and headers are known."""
         if self.reply is None:
             self._has_head = self._parser.get_status_code() >= 200
+            if self._has_head and not self._expects_body:
+                self._finish(keeps_alive=self._parser.should_keep_alive())
 
     def on_body(self, body: bytes) -> None:
         """Takes a part of the body."""
         if self.reply is None:
             self._body.append(body)
             self._body_bytes += len(body)
+        elif not self._expects_body:
+            self.has_extra_bytes = True
 
     def on_message_complete(self) -> None:
         """Finishes the reply, unless it is an interim one."""
--- a/packages/testing/mulberrybay_testing/http_server.py
+++ b/packages/testing/mulberrybay_testing/http_server.py
@@ -181,11 +181,11 @@
                     response = json_response(400, {"error": str(error)})
                 except Exception as error:
                     response = json_response(500, {"error": repr(error)})
-                self._send(response)
+                self._send(response, has_body=request.method != "HEAD")
         finally:
             self._task = None
 
-    def _send(self, response: Response) -> None:
+    def _send(self, response: Response, *, has_body: bool) -> None:
         self.response_count += 1
         if self._transport is None or self.silent:
             return
@@ -196,6 +196,8 @@
             self.silent = True
             return
         encoded = _encode(response)
+        if not has_body:
+            encoded = encoded[: len(encoded) - len(response.body)]
         if response.delivery is Delivery.UNFRAMED:
             self._transport.write(encoded)
             self._transport.close()
--- a/tests/on_platform/test_serving.py
+++ b/tests/on_platform/test_serving.py
@@ -1,5 +1,6 @@
 """What callers of a node get, against stand-ins of the platform."""
 
+import http.client
 import socket
 
 import pytest
@@ -65,6 +66,28 @@
         assert answer.body == f"records /records/{number}".encode()
 
 
+@pytest.mark.parametrize("path", ["/records/1", "/search/x", "/nowhere/1"])
+def test_answer_to_head_has_the_length_and_no_body(
+    deployment: Deployment, path: str
+) -> None:
+    (node,) = deployment.start_nodes(1)
+    connection = http.client.HTTPConnection(HOST, node.callers_port, timeout=5)
+    headers = {"Host": "a.example", "X-Request-Id": "id-1"}
+
+    for _ in range(3):
+        connection.request("HEAD", path, None, headers)
+        reply = connection.getresponse()
+        assert reply.status == (404 if path == "/nowhere/1" else 200)
+        assert reply.read() == b""
+        if path == "/records/1":
+            assert reply.length == 0
+            length = reply.getheader("content-length")
+            assert length == str(len(b"records /records/1"))
+    # The connection is not out of step.
+    connection.request("GET", "/records/2", None, headers)
+    assert connection.getresponse().read() == b"records /records/2"
+
+
 def test_reply_that_is_cut_short_is_never_passed_on(
     deployment: Deployment,
 ) -> None:
