Follow a store that returns from an older copy

Cause: versions of the store were compared as numbers for good. After a return from a copy versions go back and are given out again, so nodes ignored new entries, configurations and registrations until the counter had caught up, and took late replies and peers' older objects for newer ones.

Change: a position is (era, version) in one integer, from the reply to the caches, watches, heartbeats, exchange between nodes and conditions of writes; a condition of an older era is never sent. With a higher era the kind is listed anew; for 10 s what a node knows to be newer goes before the copy (restore_rules), then a further list ends that, which nodes that don't call the store take from a peer. A node that starts meanwhile asks peers for what they kept, and waits for their first word only if their registrations are of an older era.

Ruled out: to order entries by `sequence` (the entry needn't change with it); to keep both versions and merge by number.

A node whose registration is confirmed after it has unregistered removes it again; one that finds its earlier entry replaces it in one call instead of two.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -59,6 +59,8 @@
         attempts_per_s: The rate of attempts that it sends to backend servers.
         store_age_s: The time since the store last answered the node, for the
             kind of objects for which that time is longest.
+        is_restoring: Whether the node holds objects that are newer than those
+            of the store, which has returned from an older copy.
     """
 
     sender: EdgeNodeInfo
@@ -67,6 +69,7 @@
     changed_versions: tuple[int, ...] = ()
     attempts_per_s: float = 0.0
     store_age_s: float = math.inf
+    is_restoring: bool = False
 
 
 class _Peer:
@@ -136,17 +139,49 @@
 
     # Heartbeats.
 
-    def record_heartbeat(self, heartbeat: EdgeHeartbeat, now_s: float) -> None:
-        """Records a heartbeat of another node."""
+    def record_heartbeat(self, heartbeat: EdgeHeartbeat, now_s: float) -> bool:
+        """Records a heartbeat of another node.
+
+        Returns:
+            Whether it is the first one of this incarnation of the node.
+        """
         info = heartbeat.sender
         if info.name == self.own_info.name:
-            return
+            return False
         peer = self._peers.get(info.name)
         if peer is None:
             peer = self._peers[info.name] = _Peer(info)
+        is_first = (
+            peer.heartbeat is None or peer.info.incarnation != info.incarnation
+        )
         peer.info = info
         peer.heartbeat = heartbeat
         peer.last_heartbeat_at_s = now_s
+        return is_first
+
+    @property
+    def has_heard_peer(self) -> bool:
+        """Whether any other node has sent a heartbeat."""
+        return any(peer.heartbeat is not None for peer in self._peers.values())
+
+    def find_peer(
+        self, now_s: float, *, is_restoring: bool
+    ) -> EdgeHeartbeat | None:
+        """Returns the heartbeat of a running peer that has read the store.
+
+        Args:
+            now_s: The time.
+            is_restoring: Whether it may hold objects that the store doesn't.
+        """
+        for peer in self._peers.values():
+            heartbeat = peer.heartbeat
+            if (
+                heartbeat is not None
+                and heartbeat.is_restoring is is_restoring
+                and self._is_alive(peer, now_s)
+            ):
+                return heartbeat
+        return None
 
     def heartbeat_period_s(self) -> float:
         """Returns the period at which heartbeats are sent to each peer."""
--- a/packages/core/mulberrybay_core/store_messages.py
+++ b/packages/core/mulberrybay_core/store_messages.py
@@ -23,7 +23,7 @@
     Attributes:
         kind: The kind of object.
         name: Unique within the kind.
-        version: Increases with every write.
+        version: Increases with every write; a position, see `store_position`.
         value: The content.
     """
 
@@ -38,11 +38,11 @@
 
     Attributes:
         items: All objects; for a watch, those that were written.
-        store_version: The version after which to continue watching.
+        store_version: The position after which to continue watching.
         removed_names: For a watch, the names of the objects that were removed.
         next_name: The name after which the next page of a list starts; empty on
             the last page.
-        changed_version: The version of the last change that the list includes.
+        changed_version: The position of the last change that the list includes.
     """
 
     items: tuple[StoredObject, ...]
@@ -81,6 +81,8 @@
     byte was sent.
     """
 
+    era: int
+
     def list_kind(self, kind: str, reply: ListHandler) -> None:
         """Reads all objects of a kind."""
 
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -18,6 +18,7 @@
   attemptsPerS @11 :Float32;
   storeAgeS @12 :Float32;
   cpuCores @13 :Float32;
+  isRestoring @14 :Bool;
 }
 
 # Requests the objects of one kind that changed after a version. Kinds are
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -43,6 +43,7 @@
         attemptsPerS=heartbeat.attempts_per_s,
         storeAgeS=heartbeat.store_age_s,
         cpuCores=sender.cpu_cores,
+        isRestoring=heartbeat.is_restoring,
     )
     return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
@@ -77,6 +78,7 @@
                 tuple(message.changedVersions),
                 message.attemptsPerS,
                 message.storeAgeS,
+                message.isRestoring,
             )
     except (
         capnp.KjException,
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -60,6 +60,9 @@
 # longer than the rest of the start. Requests of callers that could not connect
 # while the node was down are served first.
 PEER_LINK_DELAY_S: Final = 0.3
+# The longest time for which a node that starts waits for a first word of peers
+# that may know more than the store.
+MAX_PEER_WAIT_S: Final = 1.0
 
 
 class PlatformAdapter(NamedTuple):
@@ -98,6 +101,7 @@
         self._exit_stack = contextlib.ExitStack()
         self._random = random.Random()
         self._counts = RequestCounts()
+        self._started_at_s = read_clock_s()
         self._stopping_since_s: float | None = None
         self._metrics_page: MetricsPage | None = None
         self._build_runtime()
@@ -271,7 +275,28 @@
         self._callers.limits = table.limits
 
     def _is_ready(self) -> bool:
-        return self._view.is_loaded and self._stopping_since_s is None
+        return (
+            self._view.is_loaded
+            and self._stopping_since_s is None
+            and not self._awaits_peers()
+        )
+
+    def _awaits_peers(self) -> bool:
+        """Whether peers may know more than the store has told this node.
+
+        That is so if the store has returned from an older copy since these
+        peers registered, until one has answered.
+        """
+        if not self._registry.has_peers_of_older_era:
+            return False
+        if read_clock_s() - self._started_at_s >= MAX_PEER_WAIT_S:
+            return False
+        link = self._peer_link
+        return (
+            link is None
+            or not self._nodes.has_heard_peer
+            or link.awaits_kept_objects
+        )
 
     def _list_advertised(self) -> list[str]:
         addresses = [
@@ -307,6 +332,7 @@
             tuple(watch.changed_version for watch in self._watches),
             self._sharing.attempts_per_s,
             max(watch.age_s(read_clock_s()) for watch in self._watches),
+            any(watch.is_restoring for watch in self._watches),
         )
 
     # Periodic maintenance.
@@ -327,6 +353,7 @@
         self._sharing.update()
         if self._peer_link is not None:
             self._peer_link.request_missing_changes()
+            self._peer_link.request_restored_objects()
             if self._sharing.watches_for_others:
                 self._peer_link.send_changes()
         if self._stopping_since_s is None:
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -97,6 +97,17 @@
         "Version up to which a kind of objects is known.",
         ("kind",),
     ),
+    MetricSpec(
+        "edge_store_era",
+        "gauge",
+        "How often the store has returned from an older copy.",
+    ),
+    MetricSpec(
+        "edge_store_returns",
+        "counter",
+        "Returns of the store that changed a kind of objects here.",
+        ("kind",),
+    ),
     MetricSpec(
         "edge_store_failing",
         "gauge",
@@ -211,6 +222,11 @@
             labels = (watch.kind,)
             yield Sample("edge_store_version", watch.version or 0, labels)
             yield Sample("edge_store_failing", int(watch.is_failing), labels)
+            yield Sample("edge_store_returns", watch.restore_count, labels)
+        yield Sample("edge_store_era", store.era)
+        yield Sample(
+            "edge_unreadable", store.unreadable_era_count, ("store_era",)
+        )
         yield from count_samples("edge_store_calls", store.call_counts)
         yield from count_samples("edge_store_failures", store.failure_counts)
         yield Sample("edge_unreadable", view.unreadable_count, ("store",))
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -18,6 +18,7 @@
     WriteOutcome,
     WriteResult,
 )
+from mulberrybay_core.store_position import era_of
 from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.logs import StructuredLog
 from mulberrybay_runtime.timers import Timers
@@ -34,9 +35,17 @@
     version: int
 
 
-def encode_registration(info: EdgeNodeInfo) -> JsonObject:
-    """Returns the value that is stored for a node."""
+def encode_registration(info: EdgeNodeInfo, era: int) -> JsonObject:
+    """Returns the value that is stored for a node.
+
+    Args:
+        info: The node.
+        era: The era of the store in which it registers. A node that starts
+            later sees by it that the store has returned from an older copy
+            while the other node ran.
+    """
     return {
+        "era": era,
         "incarnation": info.incarnation,
         "failure_domain": info.failure_domain,
         "caller_address": str(info.caller_address),
@@ -71,6 +80,8 @@
         self, store: ObjectStore, timers: Timers, nodes: EdgeNodes
     ) -> None:
         self._store = store
+        # Whether other nodes registered before the store returned from a copy.
+        self.has_peers_of_older_era = False
         self._timers = timers
         self._nodes = nodes
         self._log = StructuredLog("registry")
@@ -92,6 +103,12 @@
         """Replaces the known entries; registers this node if it is missing."""
         registrations = self._decode_registrations(objects)
         self._nodes.replace_registered(registrations)
+        own_name = self._nodes.own_info.name
+        self.has_peers_of_older_era = any(
+            stored.name != own_name
+            and stored.value.get("era", 0) != era_of(objects.store_version)
+            for stored in objects.items
+        )
         own_info = self._nodes.own_info
         self._version = max(
             (
@@ -101,8 +118,14 @@
             ),
             default=0,
         )
-        if not self._version:
-            self.register()
+        if self._version:
+            return
+        earlier = [
+            stored.version
+            for stored in objects.items
+            if stored.name == own_name
+        ]
+        self.register(earlier[0] if earlier else 0)
 
     def on_changes(self, changes: ObjectList) -> None:
         """Applies entries that were written or removed."""
@@ -129,24 +152,37 @@
 
     # This node's entry.
 
-    def register(self) -> None:
-        """Writes this node's entry; retries until the store confirms it."""
+    def register(self, expected_version: int = 0) -> None:
+        """Writes this node's entry; retries until the store confirms it.
+
+        Args:
+            expected_version: The position of the entry of an earlier
+                incarnation; 0 if there is none.
+        """
         if not self._is_writing and not self._is_unregistering:
             self._is_writing = True
-            self._write(0)
+            self._write(expected_version)
 
     def _write(self, expected_version: int) -> None:
+        if self._is_unregistering:
+            return
         own_info = self._nodes.own_info
         self._store.write(
             NODE_KIND,
             own_info.name,
-            encode_registration(own_info),
+            encode_registration(own_info, self._store.era),
             expected_version,
             self._on_written,
         )
 
     def _on_written(self, result: WriteResult | Failure) -> None:
         if self._is_unregistering:
+            if (
+                not isinstance(result, Failure)
+                and result.outcome is WriteOutcome.WRITTEN
+            ):
+                # The entry was confirmed only after this node had given it up.
+                self._delete(self._nodes.own_info.name, result.version)
             return
         if isinstance(result, Failure):
             self._log.warning("registration failed", cause=result.detail)
--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -11,7 +11,7 @@
 import json
 import zlib
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final, Self
 
 import capnp
@@ -50,6 +50,9 @@
 )
 
 
+UpdateHandler = Callable[[CacheUpdate], None]
+
+
 class ExchangeMessageError(ValueError):
     """A frame is malformed or has another protocol version."""
 
@@ -162,11 +165,16 @@
     """A request to a peer, on a connection of its own."""
 
     def __init__(
-        self, exchange: "PeerExchange", kind_index: int, data: bytes
+        self,
+        exchange: "PeerExchange",
+        kind_index: int,
+        data: bytes,
+        apply: UpdateHandler,
     ) -> None:
         self._exchange = exchange
         self._frame_reader = FrameReader()
         self._data = data
+        self.apply = apply
         self.kind_index = kind_index
         self.timer: Timer | None = None
 
@@ -178,7 +186,10 @@
         """Applies the update that the peer sent."""
         try:
             for payload in self._frame_reader.feed(data):
-                self._exchange.apply_update(*decode_update(payload))
+                kind_index, update = decode_update(payload)
+                if kind_index == self.kind_index:
+                    self._exchange.record_update(kind_index, update)
+                    self.apply(update)
                 self._finish_and_close(stream)
                 return
         except _DECODE_ERRORS as error:
@@ -244,18 +255,28 @@
         self._streams.listen(address, lambda _: _IncomingConnection(self))
 
     def request_update(
-        self, peer: Address, kind_index: int, since_version: int
+        self,
+        peer: Address,
+        kind_index: int,
+        since_version: int,
+        apply: UpdateHandler,
     ) -> None:
         """Requests the objects of a kind that changed after a version.
 
         Does nothing while an earlier request for the kind is pending.
+
+        Args:
+            peer: The address of the peer.
+            kind_index: The number of the kind, in the order of the watches.
+            since_version: The position up to which the changes are known.
+            apply: Called with the peer's reply.
         """
         if kind_index in self._pending:
             return
         self.counts["asked"] += 1
         data = encode_request(kind_index, since_version)
         request = self._pending[kind_index] = _PendingRequest(
-            self, kind_index, data
+            self, kind_index, data, apply
         )
         stream = self._streams.dial(peer, request)
         request.timer = self._timers.call_later(
@@ -317,17 +338,15 @@
         """Removes a connection that has closed."""
         self._replying_streams.discard(stream)
 
-    def apply_update(self, kind_index: int, update: CacheUpdate) -> None:
-        """Applies an update that a peer sent."""
-        if kind_index < len(self._watches):
-            self.counts["taken"] += 1
-            self._log.info(
-                "learned from a peer",
-                kind=kind_index,
-                version=update.store_version,
-                changes=len(update.items),
-            )
-            self._watches[kind_index].apply_peer_update(update)
+    def record_update(self, kind_index: int, update: CacheUpdate) -> None:
+        """Counts and logs an update that a peer sent."""
+        self.counts["taken"] += 1
+        self._log.info(
+            "learned from a peer",
+            kind=kind_index,
+            version=update.store_version,
+            changes=len(update.items),
+        )
 
     def record_unreadable(self, peer: Address, error: Exception) -> None:
         """Counts and logs a frame that can't be decoded."""
--- a/packages/edge/mulberrybay_edge/peer_link.py
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -94,7 +94,14 @@
                 "unreadable heartbeat", peer=str(peer), cause=str(error)
             )
             return
-        self._nodes.record_heartbeat(heartbeat, read_clock_s())
+        is_first = self._nodes.record_heartbeat(heartbeat, read_clock_s())
+        if is_first and self._is_restoring():
+            # The peer has started since the store returned from an older copy.
+            data = encode_heartbeat(self._make_heartbeat())
+            self._datagrams.send(data, heartbeat.sender.peer_address)
+
+    def _is_restoring(self) -> bool:
+        return any(watch.is_restoring for watch in self._watches)
 
     def request_missing_changes(self) -> None:
         """Requests changes that peers have seen and this node lacks.
@@ -109,6 +116,45 @@
                 watch.restart(peer_version)
                 self._request_update(index, now_s)
 
+    def request_restored_objects(self) -> None:
+        """Requests objects from peers after the store returned from a copy.
+
+        A node that has started since then requests what running peers kept. A
+        node that doesn't call the store itself requests the complete list of a
+        peer that has read it again.
+        """
+        now_s = read_clock_s()
+        restoring = self._nodes.find_peer(now_s, is_restoring=True)
+        settled = self._nodes.find_peer(now_s, is_restoring=False)
+        for index, watch in enumerate(self._watches):
+            if restoring is not None and watch.needs_kept_objects(
+                restoring.changed_versions[index]
+            ):
+                self._exchange.request_update(
+                    restoring.sender.peer_address,
+                    index,
+                    0,
+                    watch.apply_kept_objects,
+                )
+            elif settled is not None and watch.needs_complete_update:
+                self._exchange.request_update(
+                    settled.sender.peer_address,
+                    index,
+                    0,
+                    watch.apply_complete_update,
+                )
+
+    @property
+    def awaits_kept_objects(self) -> bool:
+        """Whether a peer may know more than the store does."""
+        heartbeat = self._nodes.find_peer(read_clock_s(), is_restoring=True)
+        return heartbeat is not None and any(
+            watch.needs_kept_objects(peer_version)
+            for watch, peer_version in zip(
+                self._watches, heartbeat.changed_versions, strict=False
+            )
+        )
+
     def send_changes(self) -> None:
         """Sends heartbeats if an object changed since the last ones."""
         if self._make_heartbeat().changed_versions != self._sent_versions:
@@ -118,4 +164,9 @@
         since_version = self._watches[index].version or 0
         address = self._nodes.choose_newer_peer(index, since_version, now_s)
         if address is not None:
-            self._exchange.request_update(address, index, since_version)
+            self._exchange.request_update(
+                address,
+                index,
+                since_version,
+                self._watches[index].apply_peer_update,
+            )
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -7,6 +7,11 @@
 from collections.abc import Callable
 
 from mulberrybay_core.platform_documents import PlatformDocuments
+from mulberrybay_core.restore_rules import (
+    keep_out_of_service,
+    make_configuration_rule,
+    make_server_rule,
+)
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_directory import ServerDirectory
 from mulberrybay_core.store_messages import (
@@ -35,7 +40,7 @@
                 view.record_unreadable(stored.kind, stored.name)
             else:
                 entries.append(entry)
-        view.directory.replace_all(entries, read_clock_s())
+        view.directory.replace_all(entries, view.clock())
         view.log.log_view_change(
             "backend servers listed",
             count=len(entries),
@@ -44,7 +49,7 @@
 
     def on_changes(self, changes: ObjectList) -> None:
         view = self._view
-        now_s = read_clock_s()
+        now_s = view.clock()
         for stored in changes.items:
             entry = view.documents.read_server(stored)
             if entry is None:
@@ -124,7 +129,9 @@
         log: DecisionLog,
         on_route_table: Callable[[RouteTable], None],
         leaving_service_s: float,
+        clock: Callable[[], float] = read_clock_s,
     ) -> None:
+        self.clock = clock
         self.documents = documents
         self.directory = ServerDirectory(leaving_service_s)
         self.log = log
@@ -138,12 +145,24 @@
                 timers,
                 kinds.configurations,
                 _ConfigurationListener(self),
+                clock,
+                restore_rule=make_configuration_rule(documents),
             ),
             kinds.servers: StoreWatch(
-                store, timers, kinds.servers, _ServerListener(self)
+                store,
+                timers,
+                kinds.servers,
+                _ServerListener(self),
+                clock,
+                restore_rule=make_server_rule(documents),
             ),
             kinds.out_domains: StoreWatch(
-                store, timers, kinds.out_domains, _DomainListener(self)
+                store,
+                timers,
+                kinds.out_domains,
+                _DomainListener(self),
+                clock,
+                restore_rule=keep_out_of_service,
             ),
         }
 
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -1,7 +1,9 @@
 """Follows one kind of objects in the platform's store.
 
 Lists the objects once and then sends watch calls, each of which returns the
-changes after the known version or ends at its timeout.
+changes after the known version or ends at its timeout. When the store has
+returned from an older copy, the objects are listed anew; for a while, what this
+node knows goes before that copy, and then a further list ends that.
 """
 
 import math
@@ -9,8 +11,14 @@
 from typing import Final, Protocol
 
 from mulberrybay_core.errors import Failure, FailureKind
-from mulberrybay_core.object_cache import CacheUpdate, ObjectCache
+from mulberrybay_core.object_cache import (
+    CacheUpdate,
+    ObjectCache,
+    RestoreRule,
+)
+from mulberrybay_core.restore_rules import RESTORE_PERIOD_S, take_copy
 from mulberrybay_core.store_messages import ObjectList, ObjectStore
+from mulberrybay_core.store_position import era_of
 from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.logs import StructuredLog
@@ -54,6 +62,7 @@
         cache: The objects as they were read last.
         is_failing: Whether the last call to the store failed.
         timeout_s: How long the store may hold a watch call without changes.
+        restore_count: How often the store has returned from an older copy.
     """
 
     def __init__(
@@ -63,8 +72,14 @@
         kind: str,
         listener: WatchListener,
         clock: Callable[[], float] = read_clock_s,
+        restore_rule: RestoreRule = take_copy,
     ) -> None:
         self._clock = clock
+        self._restore_rule = restore_rule
+        # When to list the objects once more and to take the list as it is.
+        self._trust_store_at_s: float | None = None
+        self._has_kept_objects_of_peer = False
+        self.restore_count = 0
         self._store = store
         self._timers = timers
         self.kind = kind
@@ -151,29 +166,142 @@
         )
         self._resume()
 
+    @property
+    def is_restoring(self) -> bool:
+        """Whether this node may hold objects that the store doesn't."""
+        return self._trust_store_at_s is not None
+
+    @property
+    def trusts_store(self) -> bool:
+        """Whether the store's list goes before what this node knows."""
+        return (
+            self._trust_store_at_s is None
+            or self._clock() >= self._trust_store_at_s
+        )
+
+    @property
+    def needs_complete_update(self) -> bool:
+        """Whether to end the preference for own knowledge by a peer's list.
+
+        That is for nodes that don't call the store themselves.
+        """
+        return self._is_paused and self.is_restoring and self.trusts_store
+
+    def apply_complete_update(self, update: CacheUpdate) -> None:
+        """Takes all objects of a peer that has read the store's list."""
+        items = {stored.name: stored for stored in update.items}
+        if self.version is None or update.store_version < self.version:
+            return
+        self._trust_store_at_s = None
+        objects = tuple(items[name] for name in update.names if name in items)
+        self.cache.reset(ObjectList(objects, update.store_version))
+        self._listener.on_list(self.cache.all_objects())
+
+    def needs_kept_objects(self, peer_version: int) -> bool:
+        """Whether a peer that is restoring may know more than the store.
+
+        A node that has started since the store returned has only read the
+        older copy.
+        """
+        return (
+            self.version is not None
+            and era_of(peer_version) == era_of(self.version)
+            and self.restore_count == 0
+            and not self._has_kept_objects_of_peer
+        )
+
     def apply_peer_update(self, update: CacheUpdate) -> None:
         """Applies a peer's update if it is newer than the cache."""
         is_first = self.version is None
+        if self._is_later_era(update.store_version):
+            items = {stored.name: stored for stored in update.items}
+            objects = tuple(
+                items[name] for name in update.names if name in items
+            )
+            self._restore(ObjectList(objects, update.store_version))
+            return
         changes = self.cache.merge(update)
         if is_first:
             self._listener.on_list(self.cache.all_objects())
         elif changes.items or changes.removed_names:
             self._listener.on_changes(changes)
 
+    def apply_kept_objects(self, update: CacheUpdate) -> None:
+        """Applies objects that a peer kept when the store returned."""
+        if self.version is None or era_of(update.store_version) != era_of(
+            self.version
+        ):
+            self.apply_peer_update(update)
+            return
+        self._has_kept_objects_of_peer = True
+        self._prefer_own_knowledge()
+        changes = self.cache.merge_kept(update, self._restore_rule)
+        if changes.items:
+            self._listener.on_changes(changes)
+
+    def _is_later_era(self, position: int) -> bool:
+        return self.version is not None and era_of(position) > era_of(
+            self.version
+        )
+
+    def _is_earlier_era(self, position: int) -> bool:
+        return self.version is not None and era_of(position) < era_of(
+            self.version
+        )
+
+    def _prefer_own_knowledge(self) -> None:
+        """Lets what this node knows go before the store for a while."""
+        self._trust_store_at_s = self._clock() + RESTORE_PERIOD_S
+
+        def list_again() -> None:
+            if self.is_restoring and self.trusts_store and not self._is_paused:
+                self.start()
+
+        self._timers.call_later(RESTORE_PERIOD_S, list_again)
+
+    def _restore(self, objects: ObjectList) -> None:
+        """Handles the first list after the store returned from a copy."""
+        self.restore_count += 1
+        self._prefer_own_knowledge()
+        differing_count = self.cache.restore(objects, self._restore_rule)
+        self._log.warning(
+            "the store returned from an older copy",
+            kind=self.kind,
+            era=era_of(objects.store_version),
+            differing=differing_count,
+        )
+        self._listener.on_list(self.cache.all_objects())
+
     def _on_list_result(self, result: ObjectList | Failure) -> None:
         if isinstance(result, Failure):
             self._schedule_retry(result)
             return
         self._record_success()
+        if self._is_earlier_era(result.store_version):
+            # The reply was sent before the store returned from a copy.
+            self._call_later(self._resume)
+            return
         self._needs_list = False
-        self.cache.replace(result)
-        self._listener.on_list(self.cache.all_objects())
+        if self._is_later_era(result.store_version):
+            self._restore(result)
+        else:
+            self._apply_list(result)
         # After the delay, the list of nodes shows whether other nodes watch.
         # If they do, this watch is paused by then.
         self._schedule_watch()
 
+    def _apply_list(self, objects: ObjectList) -> None:
+        if not self.trusts_store:
+            self.cache.restore(objects, self._restore_rule)
+        elif self.is_restoring:
+            self._trust_store_at_s = None
+            self.cache.reset(objects)
+        else:
+            self.cache.replace(objects)
+        self._listener.on_list(self.cache.all_objects())
+
     def _resume(self) -> None:
-        if self._needs_list:
+        if self._needs_list or (self.is_restoring and self.trusts_store):
             self.start()
         else:
             self._watch()
@@ -181,6 +309,9 @@
     def _watch(self) -> None:
         if self.version is None or self._is_paused:
             return
+        if self.is_restoring and self.trusts_store:
+            self.start()
+            return
         self._generation += 1
         generation = self._generation
 
@@ -195,10 +326,6 @@
             self.kind, self.version, self.timeout_s, on_result
         )
 
-    def _watch_if_current(self, generation: int) -> None:
-        if generation == self._generation:
-            self._watch()
-
     def _on_watch_result(self, result: ObjectList | Failure) -> None:
         if isinstance(result, Failure):
             if result.kind is FailureKind.HISTORY_GONE:
@@ -206,16 +333,27 @@
             self._schedule_retry(result)
             return
         self._record_success()
+        if self._is_later_era(result.store_version):
+            self._needs_list = True
+            self.start()
+            return
         new_changes = self.cache.apply(result)
         if new_changes.items or new_changes.removed_names:
             self._listener.on_changes(new_changes)
         self._schedule_watch()
 
     def _schedule_watch(self) -> None:
+        self._call_later(self._watch)
+
+    def _call_later(self, callback: Callable[[], None]) -> None:
+        """Calls back after a delay unless another call is sent before."""
         generation = self._generation
-        self._timers.call_later(
-            BATCH_DELAY_S, lambda: self._watch_if_current(generation)
-        )
+
+        def call_if_current() -> None:
+            if generation == self._generation:
+                callback()
+
+        self._timers.call_later(BATCH_DELAY_S, call_if_current)
 
     def _schedule_retry(self, failure: Failure) -> None:
         if not self.is_failing:
--- a/packages/edge/tests/test_peer_exchange.py
+++ b/packages/edge/tests/test_peer_exchange.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.object_cache import CacheUpdate
 from mulberrybay_core.store_messages import ObjectList, StoredObject
 from mulberrybay_edge.peer_exchange import (
     MAX_CONCURRENT_REPLY_COUNT,
@@ -77,10 +78,16 @@
         return stream
 
 
+def apply(update: CacheUpdate) -> None:
+    del update
+
+
 def request_update(
     node: _Node, since_version: int = 0
 ) -> tuple[_Stream, object]:
-    node.exchange.request_update(PEER, 0, since_version)
+    node.exchange.request_update(
+        PEER, 0, since_version, node.watch.apply_peer_update
+    )
     stream, request = node.streams.dialled[-1]
     request.on_connected(stream)
     return stream, request
@@ -118,11 +125,11 @@
     """
     lagging = _Node()
     _, request = request_update(lagging)
-    lagging.exchange.request_update(PEER, 0, 0)
+    lagging.exchange.request_update(PEER, 0, 0, apply)
     assert len(lagging.streams.dialled) == 1
 
     request.on_closed(_Stream(), "refused")
-    lagging.exchange.request_update(PEER, 0, 0)
+    lagging.exchange.request_update(PEER, 0, 0, apply)
     assert len(lagging.streams.dialled) == 2
 
 
@@ -132,7 +139,7 @@
     stream, request = request_update(lagging)
     request.on_timeout(stream)
     assert stream.is_closed
-    lagging.exchange.request_update(PEER, 0, 0)
+    lagging.exchange.request_update(PEER, 0, 0, apply)
     assert len(lagging.streams.dialled) == 2
 
 
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -8,7 +8,7 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import Final, NamedTuple, Self, TypeVar
+from typing import Final, NamedTuple, Self
 
 import httptools
 
@@ -20,7 +20,16 @@
     ListHandler,
     ObjectHandler,
     ObjectList,
+    StoredObject,
     WriteHandler,
+    WriteResult,
+)
+from mulberrybay_core.store_position import (
+    era_of,
+    place_list,
+    place_object,
+    place_result,
+    version_of,
 )
 from mulberrybay_platform.dialect import StoreCall, StoreDialect
 from mulberrybay_platform.object_codec import ObjectDialect
@@ -41,7 +50,6 @@
 WATCH_TIMEOUT_MARGIN_S: Final = 2.0
 FAILING_THRESHOLD_COUNT: Final = 3
 
-T = TypeVar("T")
 HttpResult = HttpReply | Failure
 
 
@@ -135,17 +143,23 @@
         self._client.on_connection_lost(self, reason)
 
 
-def _decode(
-    result: HttpResult, decode: Callable[[HttpReply], T | Failure]
-) -> T | Failure:
-    """Returns the decoded reply, or the failure unchanged."""
-    return result if isinstance(result, Failure) else decode(result)
+def _make_failure(detail: str) -> Failure:
+    """Returns the failure of a call that did nothing."""
+    return Failure(
+        kind=FailureKind.PLATFORM,
+        step=Step.RECORD,
+        peer="platform",
+        detail=detail,
+        run_state=RunState.NOT_RUN,
+    )
 
 
 class PlatformClient:
     """Client of the platform's object API; implements `ObjectStore`.
 
     Attributes:
+        era: The highest era of the store that a reply has named.
+        unreadable_era_count: Replies that named no readable era.
         call_counts: Calls by operation.
         failure_counts: Calls without a usable reply by operation.
     """
@@ -166,6 +180,8 @@
         self._watching: set[_Connection] = set()
         self._queued_calls: deque[_Call] = deque()
         self._consecutive_failure_count = 0
+        self.era = 0
+        self.unreadable_era_count = 0
         self.call_counts: Counter[str] = Counter()
         self.failure_counts: Counter[str] = Counter()
 
@@ -189,7 +205,14 @@
         """Reads an object; the result is None if it does not exist."""
 
         def on_result(result: HttpResult) -> None:
-            reply(_decode(result, self._dialect.decode_object))
+            if isinstance(result, Failure):
+                reply(result)
+                return
+            stored = self._dialect.decode_object(result)
+            era = self._note_era(result)
+            if isinstance(stored, StoredObject):
+                stored = place_object(stored, era)
+            reply(stored)
 
         self._request(self._dialect.read(kind, name), on_result)
 
@@ -213,6 +236,11 @@
         def on_page(page: ObjectList) -> None:
             complete_list = page
             if previous_pages is not None:
+                if era_of(page.store_version) != era_of(
+                    previous_pages.store_version
+                ):
+                    reply(_make_failure("the store changed between pages"))
+                    return
                 complete_list = previous_pages._replace(
                     items=previous_pages.items + page.items,
                     changed_version=max(
@@ -225,7 +253,7 @@
                 reply(complete_list)
 
         def on_result(result: HttpResult) -> None:
-            page = _decode(result, self._dialect.decode_list)
+            page = self._decode_list(result)
             if isinstance(page, Failure):
                 reply(page)
             else:
@@ -242,25 +270,62 @@
         reply: WriteHandler,
     ) -> None:
         """Writes an object if it has the expected version; 0 means absent."""
+        if self._is_of_older_era(expected_version):
+            reply(_make_failure("write: the version is of an older era"))
+            return
 
         def on_result(result: HttpResult) -> None:
-            reply(_decode(result, self._dialect.decode_write))
+            reply(self._decode_write(result))
 
+        version = version_of(expected_version)
         self._request(
-            self._dialect.write(kind, name, value, expected_version), on_result
+            self._dialect.write(kind, name, value, version), on_result
         )
 
     def delete(
         self, kind: str, name: str, expected_version: int, reply: WriteHandler
     ) -> None:
         """Deletes an object if it has the expected version."""
+        if self._is_of_older_era(expected_version):
+            reply(_make_failure("delete: the version is of an older era"))
+            return
 
         def on_result(result: HttpResult) -> None:
-            reply(_decode(result, self._dialect.decode_write))
-
-        self._request(
-            self._dialect.delete(kind, name, expected_version), on_result
-        )
+            reply(self._decode_write(result))
+
+        version = version_of(expected_version)
+        self._request(self._dialect.delete(kind, name, version), on_result)
+
+    def _is_of_older_era(self, expected_version: int) -> bool:
+        """Whether the store may have given the version out again since."""
+        return expected_version > 0 and era_of(expected_version) < self.era
+
+    def _note_era(self, reply: HttpReply) -> int:
+        """Returns the era of a reply; the known one if it names none."""
+        era = self._dialect.read_era(reply)
+        if era is None:
+            self.unreadable_era_count += 1
+            return self.era
+        self.era = max(self.era, era)
+        return era
+
+    def _decode_list(self, result: HttpResult) -> ObjectList | Failure:
+        if isinstance(result, Failure):
+            return result
+        era = self._note_era(result)
+        objects = self._dialect.decode_list(result)
+        if isinstance(objects, Failure):
+            return objects
+        return place_list(objects, era)
+
+    def _decode_write(self, result: HttpResult) -> WriteResult | Failure:
+        if isinstance(result, Failure):
+            return result
+        era = self._note_era(result)
+        written = self._dialect.decode_write(result)
+        if isinstance(written, Failure):
+            return written
+        return place_result(written, era)
 
     def watch(
         self,
@@ -276,9 +341,9 @@
         """
 
         def on_result(result: HttpResult) -> None:
-            reply(_decode(result, self._dialect.decode_list))
+            reply(self._decode_list(result))
 
-        spec = self._dialect.watch(kind, after_version, timeout_s)
+        spec = self._dialect.watch(kind, version_of(after_version), timeout_s)
         call = self._make_call(
             spec, timeout_s + WATCH_TIMEOUT_MARGIN_S, on_result
         )
@@ -298,7 +363,10 @@
         """Reads the platform's list of VMs, which may be out of date."""
 
         def on_result(result: HttpResult) -> None:
-            reply(_decode(result, decode_vm_list))
+            if isinstance(result, Failure):
+                reply(result)
+            else:
+                reply(decode_vm_list(result))
 
         self._request(StoreCall("list_vms", "GET", "/v1/vms"), on_result)
 
--- a/packages/platform/mulberrybay_platform/dialect.py
+++ b/packages/platform/mulberrybay_platform/dialect.py
@@ -56,6 +56,12 @@
     def delete(self, kind: str, name: str, expected_version: int) -> StoreCall:
         """Returns the call that deletes an object."""
 
+    def read_era(self, reply: HttpReply) -> int | None:
+        """Returns how often the store has returned from an older copy.
+
+        None if the reply doesn't say it, or not readably.
+        """
+
     def decode_object(self, reply: HttpReply) -> StoredObject | Failure | None:
         """Decodes the reply to a read; None if there is no such object."""
 
--- a/packages/platform/mulberrybay_platform/object_codec.py
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -161,6 +161,11 @@
             (("If-Match", f'"{expected_version}"'),),
         )
 
+    def read_era(self, reply: HttpReply) -> int | None:
+        """Returns 0, because this store never returns from an older copy."""
+        del reply
+        return 0
+
     def decode_object(self, reply: HttpReply) -> StoredObject | Failure | None:
         """Decodes the reply to a read; None if there is no such object."""
         return decode_object(reply)
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -9,7 +9,13 @@
 import sys
 from typing import Any, Final, NamedTuple, Self
 
-from standins import BackendStandIn, LoopThread, StoreStandIn, serve
+from standins import (
+    BackendStandIn,
+    LoopThread,
+    StoreCopy,
+    StoreStandIn,
+    serve,
+)
 
 from mulberrybay_testing.http_server import HttpServer
 from mulberrybay_testing.ports import HOST, free_port
@@ -239,6 +245,14 @@
         """Makes the store discard its change history."""
         self._loop.run(self.store.forget_history())
 
+    def take_store_copy(self) -> StoreCopy:
+        """Returns a copy to which the store can return later."""
+        return self._loop.run(self.store.take_copy())
+
+    def return_store_from(self, copy: StoreCopy) -> None:
+        """Makes the store lose all that was written since a copy."""
+        self._loop.run(self.store.return_from(copy))
+
     def _add_link(self, name: str, port: int) -> int:
         """Returns the port through which nodes connect to a stand-in.
 
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -57,6 +57,14 @@
     is_deleted: bool
 
 
+class StoreCopy(NamedTuple):
+    """The store's content at a moment."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    changes: list[_Change]
+
+
 class StoreStandIn(AcceptAllHandler):
     """The platform's metadata store, with faults that tests can enable.
 
@@ -66,9 +74,12 @@
         lost_answer_count: The number of next answers to drop. Their calls
             are still executed.
         call_count: The number of calls received.
+        era: How often it returned from an older copy, as its replies say;
+            None if they don't.
     """
 
     def __init__(self) -> None:
+        self.era: int | str | None = 0
         self.status = 0
         self.is_unresponsive = False
         self.lost_answer_count = 0
@@ -102,6 +113,22 @@
         self._first_revision = self._revision
         self._notify()
 
+    async def take_copy(self) -> StoreCopy:
+        """Returns a copy to which the store can return later."""
+        objects = {kind: {**named} for kind, named in self._objects.items()}
+        return StoreCopy(self._revision, objects, [*self._changes])
+
+    async def return_from(self, copy: StoreCopy) -> None:
+        """Loses all that was written since a copy, and enters a new era."""
+        self._revision = copy.revision
+        self._objects = {
+            kind: {**named} for kind, named in copy.objects.items()
+        }
+        self._changes = [*copy.changes]
+        if isinstance(self.era, int):
+            self.era += 1
+        self._notify()
+
     # Changes to objects.
 
     def _notify(self) -> None:
@@ -132,6 +159,13 @@
 
     async def handle(self, request: Request) -> Response:
         """Answers one API call."""
+        response = await self._answer_or_fail(request)
+        if self.era is None:
+            return response
+        header = ("Store-Era", str(self.era))
+        return response._replace(headers=(*response.headers, header))
+
+    async def _answer_or_fail(self, request: Request) -> Response:
         self.call_count += 1
         if self.is_unresponsive:
             return Response(0, delivery=Delivery.LOST)
@@ -173,7 +207,7 @@
         since = int(query["watch"])
         ends_at_s = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
-            if since < self._first_revision:
+            if not self._first_revision <= since <= self._revision:
                 return Response(410)
             events = [
                 {"object": change.body, "deleted": change.is_deleted}
