Let the first list at a start be a stale one

Change: the first list may be stale; the watch call after it brings what it lacks. Nodes that don't watch compare their position with peers; watchers confirm their list at once by a watch that doesn't wait, and announce its position, since a removal before it is in no later change. Pages of one list take the lowest position.

Ruled out: lists from peers only (slower at a start of all nodes at once).

--- a/packages/core/mulberrybay_core/object_cache.py
+++ b/packages/core/mulberrybay_core/object_cache.py
@@ -44,11 +44,14 @@
         store_version: The position up to which the sender's copy is complete.
         names: The names of all objects that exist.
         items: The objects that changed after the requested version.
+        has_kept_objects: Whether some of the objects were kept when the store
+            returned from an older copy, which may lack them.
     """
 
     store_version: int
     names: tuple[str, ...]
     items: tuple[StoredObject, ...]
+    has_kept_objects: bool = False
 
 
 class ObjectCache:
@@ -64,6 +67,8 @@
     def __init__(self) -> None:
         self._objects: dict[str, StoredObject] = {}
         self._removed: dict[str, StoredObject] = {}
+        # Objects that were kept when the store returned from an older copy.
+        self._kept_names: set[str] = set()
         self.version: int | None = None
         self.changed_version = 0
 
@@ -114,7 +119,7 @@
         changed = max((stored.version for stored in items), default=0)
         if removed_names:
             changed = update.store_version
-        return self._update(
+        changes = self._update(
             ObjectList(
                 items,
                 update.store_version,
@@ -122,6 +127,9 @@
                 changed_version=changed,
             )
         )
+        if update.has_kept_objects:
+            self._kept_names.update(stored.name for stored in items)
+        return changes
 
     def restore(self, objects: ObjectList, rule: RestoreRule) -> int:
         """Replaces all objects after the store returned from an older copy.
@@ -137,6 +145,7 @@
         is_same_era = era_of(position) == era_of(objects.store_version)
         differing_count = 0
         restored = {}
+        self._kept_names.clear()
         for name in {**self._objects, **copied}:
             known, copy = self._objects.get(name), copied.get(name)
             if is_same_era and copy is not None and copy.version > position:
@@ -152,6 +161,7 @@
                 continue
             if choice is not copy:
                 choice = choice._replace(version=objects.store_version)
+                self._kept_names.add(name)
             self._removed.pop(name, None)
             restored[name] = choice
         self._objects = restored
@@ -180,6 +190,7 @@
                 self._remember_removed(stored)
         for name in self._objects:
             self._removed.pop(name, None)
+        self._kept_names.clear()
         self.version = position
 
     def merge_kept(self, update: CacheUpdate, rule: RestoreRule) -> ObjectList:
@@ -199,7 +210,9 @@
             if rule(RestoredObject(stored, None, cached)) is stored:
                 items.append(stored)
         version = self.version or update.store_version
-        return self._update(ObjectList(tuple(items), version))
+        changes = self._update(ObjectList(tuple(items), version))
+        self._kept_names.update(stored.name for stored in items)
+        return changes
 
     def update_since(self, version: int) -> CacheUpdate | None:
         """Returns an update for a peer whose cache is complete up to a version.
@@ -214,7 +227,12 @@
             for stored in self._objects.values()
             if stored.version > version
         )
-        return CacheUpdate(self.version, tuple(self._objects), items)
+        has_kept_objects = any(
+            stored.name in self._kept_names for stored in items
+        )
+        return CacheUpdate(
+            self.version, tuple(self._objects), items, has_kept_objects
+        )
 
     def all_objects(self) -> ObjectList:
         """Returns all objects."""
@@ -231,8 +249,10 @@
     def _update(self, changes: ObjectList) -> ObjectList:
         for stored in changes.items:
             self._objects[stored.name] = stored
+            self._kept_names.discard(stored.name)
             self._removed.pop(stored.name, None)
         for name in changes.removed_names:
+            self._kept_names.discard(name)
             removed = self._objects.pop(name, None)
             if removed is not None:
                 self._remember_removed(removed)
--- a/packages/core/mulberrybay_core/store_messages.py
+++ b/packages/core/mulberrybay_core/store_messages.py
@@ -83,8 +83,17 @@
 
     era: int
 
-    def list_kind(self, kind: str, reply: ListHandler) -> None:
-        """Reads all objects of a kind."""
+    def list_kind(
+        self, kind: str, reply: ListHandler, *, may_be_stale: bool = False
+    ) -> None:
+        """Reads all objects of a kind.
+
+        Args:
+            kind: The kind.
+            reply: Called with the objects.
+            may_be_stale: Whether the list may lack the changes of the last
+                seconds, which costs the store less.
+        """
 
     def write(
         self,
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -74,7 +74,9 @@
             len(self._directory.server_ids()),
             len({node.failure_domain for node in nodes}),
         )
-        return choose_advertised(nodes, min(count, MAX_ADVERTISED_COUNT))
+        count = min(count, MAX_ADVERTISED_COUNT)
+        self._nodes.set_advertised_count(count)
+        return choose_advertised(nodes, count)
 
     def update(self) -> None:
         """Adjusts limits and watches to the nodes that are now known."""
@@ -107,5 +109,6 @@
         else:
             timeout_s = WATCH_TIMEOUT_S
         for watch in self._watches:
+            watch.serves_others = should_watch and self._nodes.is_shared(now_s)
             watch.timeout_s = timeout_s
             watch.set_paused(not should_watch)
--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -91,6 +91,7 @@
         kindIndex=kind_index,
         storeVersion=update.store_version,
         names=list(update.names),
+        hasKeptObjects=update.has_kept_objects,
         items=[
             {
                 "name": stored.name,
@@ -128,7 +129,10 @@
                 )
             items.append(StoredObject("", item.name, item.version, value))
         return message.kindIndex, CacheUpdate(
-            message.storeVersion, tuple(message.names), tuple(items)
+            message.storeVersion,
+            tuple(message.names),
+            tuple(items),
+            message.hasKeptObjects,
         )
 
 
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -62,6 +62,8 @@
         cache: The objects as they were read last.
         is_failing: Whether the last call to the store failed.
         timeout_s: How long the store may hold a watch call without changes.
+        serves_others: Whether nodes that don't call the store themselves learn
+            changes from this one.
         restore_count: How often the store has returned from an older copy.
     """
 
@@ -95,6 +97,8 @@
         self.is_failing = False
         self._cancel_watch: Callable[[], None] = lambda: None
         self.timeout_s = SMALL_FLEET_WATCH_TIMEOUT_S
+        self.serves_others = False
+        self._has_stale_list = False
 
     def start(self) -> None:
         """Lists the objects; watch calls follow after the reply."""
@@ -105,7 +109,11 @@
             if generation == self._generation:
                 self._on_list_result(result)
 
-        self._store.list_kind(self.kind, on_result)
+        # The first watch call, or a peer, adds what a stale list lacks.
+        self._has_stale_list = self.version is None
+        self._store.list_kind(
+            self.kind, on_result, may_be_stale=self._has_stale_list
+        )
 
     @property
     def version(self) -> int | None:
@@ -221,6 +229,8 @@
             self._restore(ObjectList(objects, update.store_version))
             return
         changes = self.cache.merge(update)
+        if changes.items and update.has_kept_objects and not self.is_restoring:
+            self._prefer_own_knowledge()
         if is_first:
             self._listener.on_list(self.cache.all_objects())
         elif changes.items or changes.removed_names:
@@ -322,8 +332,12 @@
         # An earlier call whose reply was lost would otherwise stay open and use
         # the network link at the same time as this one.
         self._cancel_watch()
+        confirms_list = self._has_stale_list and self.serves_others
         self._cancel_watch = self._store.watch(
-            self.kind, self.version, self.timeout_s, on_result
+            self.kind,
+            self.version,
+            0.0 if confirms_list else self.timeout_s,
+            on_result,
         )
 
     def _on_watch_result(self, result: ObjectList | Failure) -> None:
@@ -338,6 +352,11 @@
             self.start()
             return
         new_changes = self.cache.apply(result)
+        if self._has_stale_list and self.serves_others:
+            # Other nodes may have older lists, and removals since then are in
+            # no later change.
+            self.cache.changed_version = result.store_version
+        self._has_stale_list = False
         if new_changes.items or new_changes.removed_names:
             self._listener.on_changes(new_changes)
         self._schedule_watch()
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -216,9 +216,11 @@
 
         self._request(self._dialect.read(kind, name), on_result)
 
-    def list_kind(self, kind: str, reply: ListHandler) -> None:
-        """Reads all objects of a kind."""
-        self._list_page(kind, "", None, reply)
+    def list_kind(
+        self, kind: str, reply: ListHandler, *, may_be_stale: bool = False
+    ) -> None:
+        """Reads all objects of a kind; see `ObjectStore`."""
+        self._list_page(kind, "", None, reply, may_be_stale=may_be_stale)
 
     def _list_page(
         self,
@@ -226,11 +228,13 @@
         after_name: str,
         previous_pages: ObjectList | None,
         reply: ListHandler,
+        *,
+        may_be_stale: bool,
     ) -> None:
         """Reads the remaining pages and passes the complete list to `reply`.
 
-        It has the store version of the first page, so a watch from that version
-        reports objects that changed while pages were read.
+        It has the lowest store version of all pages, so a watch from that
+        version reports objects that changed while pages were read.
         """
 
         def on_page(page: ObjectList) -> None:
@@ -243,12 +247,21 @@
                     return
                 complete_list = previous_pages._replace(
                     items=previous_pages.items + page.items,
+                    store_version=min(
+                        previous_pages.store_version, page.store_version
+                    ),
                     changed_version=max(
                         previous_pages.changed_version, page.changed_version
                     ),
                 )
             if page.next_name:
-                self._list_page(kind, page.next_name, complete_list, reply)
+                self._list_page(
+                    kind,
+                    page.next_name,
+                    complete_list,
+                    reply,
+                    may_be_stale=may_be_stale,
+                )
             else:
                 reply(complete_list)
 
@@ -259,7 +272,10 @@
             else:
                 on_page(page)
 
-        self._request(self._dialect.list_kind(kind, after_name), on_result)
+        call = self._dialect.list_kind(
+            kind, after_name, may_be_stale=may_be_stale
+        )
+        self._request(call, on_result)
 
     def write(
         self,
--- a/packages/platform/mulberrybay_platform/dialect.py
+++ b/packages/platform/mulberrybay_platform/dialect.py
@@ -40,8 +40,13 @@
     def read(self, kind: str, name: str) -> StoreCall:
         """Returns the call that reads an object."""
 
-    def list_kind(self, kind: str, after_name: str) -> StoreCall:
-        """Returns the call that lists a kind, starting after a name."""
+    def list_kind(
+        self, kind: str, after_name: str, *, may_be_stale: bool
+    ) -> StoreCall:
+        """Returns the call that lists a kind, starting after a name.
+
+        The list may lack the changes of the last seconds if `may_be_stale`.
+        """
 
     def watch(
         self, kind: str, after_version: int, timeout_s: float
--- a/packages/platform/mulberrybay_platform/object_codec.py
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -122,9 +122,11 @@
         """Returns the call that reads an object."""
         return StoreCall("read", "GET", object_path(kind, name))
 
-    def list_kind(self, kind: str, after_name: str) -> StoreCall:
+    def list_kind(
+        self, kind: str, after_name: str, *, may_be_stale: bool
+    ) -> StoreCall:
         """Returns the call that lists a kind; this API has no paging."""
-        del after_name
+        del after_name, may_be_stale
         return StoreCall("list", "GET", kind_path(kind))
 
     def watch(
