Tell the nodes of one log file apart in explain

Cause: a file with the lines of several nodes counted as one source, so lines of nodes that did not have the request were shown with it. Change: the last word before a line's JSON names the node, as log collectors write it; else the file's name does. The new test failed first.

--- a/packages/operators/mulberrybay_operators/explain_command.py
+++ b/packages/operators/mulberrybay_operators/explain_command.py
@@ -29,7 +29,8 @@
 
     Attributes:
         at: The time of the line by the node's clock.
-        source: The name of the log file, without its extension.
+        source: The node that a log collector's prefix names, else the name of
+            the log file without its extension.
         document: All fields of the line.
     """
 
@@ -51,7 +52,8 @@
 def read_lines(path: pathlib.Path) -> list[LogLine]:
     """Returns the log lines of a file; skips lines of any other form.
 
-    Text before the JSON object, such as a log collector's prefix, is ignored.
+    The last word before the JSON object, as in a log collector's prefix, names
+    the node.
 
     Raises:
         OSError: The file can't be read.
@@ -67,10 +69,20 @@
                 at = datetime.fromisoformat(document["at"])
             except (KeyError, TypeError, ValueError):
                 continue
-            lines.append(LogLine(at, path.stem, document))
+            prefix = text[:start].split()
+            source = prefix[-1].strip("[]:|") if prefix else ""
+            lines.append(LogLine(at, source or path.stem, document))
     return lines
 
 
+def group_by_source(lines: Iterable[LogLine]) -> list[list[LogLine]]:
+    """Returns the lines of each node, in the order of the input."""
+    groups: dict[str, list[LogLine]] = {}
+    for line in lines:
+        groups.setdefault(line.source, []).append(line)
+    return [*groups.values()]
+
+
 def find_related_lines(
     request_id: str, logs: Iterable[list[LogLine]]
 ) -> list[LogLine]:
@@ -127,12 +139,13 @@
 
 def explain(command: Explain) -> CommandResult:
     """Shows the log lines that concern a request, without contacting a node."""
-    logs = []
+    lines: list[LogLine] = []
     for path in command.files:
         try:
-            logs.append(read_lines(path))
+            lines += read_lines(path)
         except OSError as error:
             return Error(CommandFailure(ExitCode.USAGE, f"{path}: {error}"))
+    logs = group_by_source(lines)
     related_lines = find_related_lines(command.request_id, logs)
     if not related_lines:
         detail = (
--- a/packages/operators/tests/test_explain_command.py
+++ b/packages/operators/tests/test_explain_command.py
@@ -82,3 +82,27 @@
 
 def test_missing_log_file_is_an_error(tmp_path: pathlib.Path) -> None:
     assert explain(Explain("id-7", [tmp_path / "none.log"])).is_error()
+
+
+def test_lines_of_several_nodes_in_one_file_are_told_apart(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A log collector writes the name of the node before each line."""
+    path = tmp_path / "all.log"
+    path.write_text(
+        " 29.0 node-1 "
+        + make_line(29.0, "store", "the store fails", kind="servers")
+        + " 29.5 node-2 "
+        + make_line(29.5, "node", "started")
+        + f" 30.0 node-1 {FAILED_REQUEST_LINE}",
+        encoding="utf-8",
+    )
+
+    match explain(Explain("id-7", [path])):
+        case Result(tag="ok", ok=output):
+            sources = [entry["source"] for entry in output.document]
+            messages = [entry["message"] for entry in output.document]
+            assert sources == ["node-1", "node-1"]
+            assert messages == ["the store fails", "failed"]
+        case Result(error=failure):
+            pytest.fail(failure.detail)
