Queue one error answer for bytes that can't be parsed

Cause: while a request was in progress, each further chunk that could not be parsed queued another error answer. Change: after the first one, nothing more is read from that caller.

--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -63,6 +63,8 @@
         self._cancel: CancelRequest | None = None
         self._request_count = 0
         self._is_ending = False
+        # Whether an error answer is queued behind earlier requests.
+        self._has_failed = False
         self._has_request = False
         self._round_trip_s = stream.round_trip_s()
         self.last_active_at_s = read_clock_s()
@@ -98,7 +100,7 @@
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         """Parses received bytes and enforces the size limits."""
-        if self._is_ending:
+        if self._is_ending or self._has_failed:
             return
         limits = self._server.limits
         if not self._is_head_read:
@@ -280,7 +282,7 @@
             # Earlier requests are answered first, then the error is sent and
             # the connection ends.
             self._pending.append((answer, False))
-            self._is_head_read = True
+            self._has_failed = True
             self.message_started_at_s = None
             return
         self._answer(answer, keeps_alive=False)
--- /dev/null
+++ b/packages/edge/tests/test_caller_server.py
@@ -0,0 +1,74 @@
+"""Connections of callers whose bytes can't be parsed."""
+
+from typing import Any
+
+from request_fakes import NAMES
+
+from mulberrybay_core.caller_messages import CallerAnswer
+from mulberrybay_edge.caller_server import CallerServer
+
+REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n\r\n"
+
+
+class _Stream:
+    """Records what is sent to the caller."""
+
+    def __init__(self) -> None:
+        self.sent = b""
+        self.is_half_closed = False
+
+    def round_trip_s(self) -> float:
+        return 0.0
+
+    def send(self, data: bytes) -> bool:
+        self.sent += data
+        return True
+
+    def half_close_when_sent(self) -> None:
+        self.is_half_closed = True
+
+
+class _Timers:
+    def call_every(self, period_s: float, callback: object) -> None:
+        pass
+
+
+class _Service:
+    """Keeps the reply functions of requests that were submitted."""
+
+    def __init__(self) -> None:
+        self.replies: list[Any] = []
+
+    def submit(self, request: object, reply: Any) -> object:  # noqa: ANN401
+        self.replies.append(reply)
+        return lambda: None
+
+
+def test_bytes_that_can_not_be_parsed_get_one_error_answer() -> None:
+    """They may arrive in many pieces while a request is in progress."""
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    connection.on_data(stream, REQUEST)
+    for _ in range(40):
+        connection.on_data(stream, b"\x00nonsense\r\n\r\n")
+
+    service.replies[0](CallerAnswer(200, (), b"own"))
+
+    assert stream.sent.count(b"HTTP/1.1 200 ") == 1
+    assert stream.sent.count(b"HTTP/1.1 400 ") == 1
+    assert len(connection._pending) == 0
+    assert stream.is_half_closed
+    assert len(service.replies) == 1
+
+
+def test_queue_does_not_grow_with_pieces_that_can_not_be_parsed() -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    connection.on_data(stream, REQUEST)
+
+    for _ in range(40):
+        connection.on_data(stream, b"\x00nonsense\r\n\r\n")
+
+    assert len(connection._pending) == 1
