Refuse what was never sent, and keep no idle connections without a share

Each of 195 nodes kept a connection to each server it had ever used, above 0.9 x 120; a request whose connections never opened was answered as one that may have run.

Change: a node that isn't advertised and whose share of a server's connections is under one closes a connection after its reply.

Ruled out: a cap of zero for such nodes, since callers with old addresses use them.

Seen to fail first: the new tests of test_dispatcher.py and of the handlers fail without the changes.

--- a/packages/core/mulberrybay_core/shared_limits.py
+++ b/packages/core/mulberrybay_core/shared_limits.py
@@ -45,6 +45,14 @@
             self._buckets.append((now_s, 1))
         self._total += 1
 
+    def remove(self) -> None:
+        """Takes back the last count, unless its bucket is gone."""
+        if self._buckets:
+            started_at_s, count = self._buckets[-1]
+            if count > 0:
+                self._buckets[-1] = (started_at_s, count - 1)
+                self._total -= 1
+
     def total(self, since_s: float) -> int:
         while self._buckets and self._buckets[0][0] < since_s:
             self._total -= self._buckets.popleft()[1]
@@ -103,6 +111,12 @@
         count.add(now_s, self._bucket_s)
         return True
 
+    def give_back(self, service: str) -> None:
+        """Takes back a retry that reached no server."""
+        count = self._retries.get(service)
+        if count is not None:
+            count.remove()
+
 
 class ColdServerRateLimit:
     """Limits the rate of requests from this node to each cold backend server.
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -55,6 +55,7 @@
         "history",
         "key",
         "on_result",
+        "retried_service",
         "server",
         "started_at_s",
         "state",
@@ -77,6 +78,8 @@
         self.on_result = on_result
         self.started_at_s = read_clock_s()
         self.exchange: Exchange | None = None
+        # The service whose retry budget it was charged to; empty if to none.
+        self.retried_service = ""
 
     @property
     def server_id(self) -> str:
@@ -88,6 +91,11 @@
         """Whether its result is known or it was cancelled."""
         return self.exchange is None
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether any byte of the request may have been sent."""
+        return self.exchange is None or self.exchange.sent_at_s is not None
+
     def cancel(self) -> None:
         """Cancels the attempt; closing its connection tells the server."""
         if self.exchange is not None:
@@ -136,6 +144,8 @@
         self.table: RouteTable | None = None
         # A server's connection cap is divided by this to get this node's share.
         self.share_divisor = 1.0
+        # Whether callers are told to use this node, as far as it knows.
+        self.is_advertised = True
         self.outcome_counts: Counter[str] = Counter()
         self.refusal_counts: Counter[str] = Counter()
         self.retry_count = 0
@@ -196,13 +206,16 @@
                 server.entry.server_id, rate_per_s, now_s
             )
 
+    def _connection_share(self, service: str) -> float:
+        """Returns this node's share of each server's connection cap."""
+        if self.table is None:
+            return 1.0
+        settings = self.table.service_settings(service)
+        usable_count = settings.connection_cap * USABLE_CONNECTION_RATIO
+        return usable_count / max(1.0, self.share_divisor)
+
     def _connection_cap(self, service: str) -> int:
-        cap_count = 1
-        if self.table is not None:
-            settings = self.table.service_settings(service)
-            usable_count = settings.connection_cap * USABLE_CONNECTION_RATIO
-            cap_count = int(usable_count / max(1.0, self.share_divisor))
-        return max(1, cap_count)
+        return max(1, int(self._connection_share(service)))
 
     def _choose(
         self, spec: AttemptSpec, now_s: float
@@ -256,6 +269,8 @@
         state = self._state(entry.server_id)
         key = next(self._keys)
         attempt = _Attempt(self, server, state, spec.history, key, on_result)
+        if spec.is_retry:
+            attempt.retried_service = spec.service
 
         def encode(now_s: float) -> bytes | None:
             # The process may have been paused, or the connection may have
@@ -282,18 +297,34 @@
         state.in_flight[key] = attempt.started_at_s
         max_idle_s = ANY_IDLE_S if spec.is_retryable else FRESH_IDLE_S
         is_started = self._context.connections.start(
-            entry.server_id, entry.address, exchange, max_idle_s
+            entry.server_id,
+            entry.address,
+            exchange,
+            max_idle_s,
+            # Callers hardly use a node that isn't advertised. With less than
+            # one connection for each node, idle ones would use up the cap.
+            keeps_idle=self.is_advertised
+            or self._connection_share(spec.service) >= 1,
         )
         if not is_started:
+            attempt.exchange = None
             state.in_flight.pop(key, None)
-            return self._refuse(SendRefusal.NO_SERVER)
+            self._give_back(attempt)
+            return self._refuse(SendRefusal.NOT_ALLOWED)
         return attempt
 
+    def _give_back(self, attempt: _Attempt) -> None:
+        """Gives back the retry of an attempt that reached no server."""
+        if attempt.retried_service:
+            self._context.retry_budget.give_back(attempt.retried_service)
+
     def cancel(self, attempt: _Attempt) -> None:
         """Cancels an attempt; see `AttemptHandle`."""
         exchange = attempt.exchange
         if exchange is None:
             return
+        if not attempt.is_sent:
+            self._give_back(attempt)
         attempt.exchange = None
         attempt.state.in_flight.pop(attempt.key, None)
         now_s = read_clock_s()
@@ -311,6 +342,8 @@
         attempt.exchange = None
         attempt.state.in_flight.pop(attempt.key, None)
         attempt_result = self._read_result(attempt, result)
+        if not attempt_result.has_arrived:
+            self._give_back(attempt)
         self.outcome_counts[attempt_result.outcome.value] += 1
         attempt.on_result(attempt_result)
 
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -90,8 +90,10 @@
         share_divisor: float = sharing_count
         if now_s - self._started_at_s >= EQUAL_SHARE_PERIOD_S:
             advertised = self.choose_advertised()
+            is_advertised = self._nodes.own_info in advertised
+            self._dispatcher.is_advertised = is_advertised
             share_divisor = self._nodes.share_divisor(
-                self._nodes.own_info in advertised, len(advertised), now_s
+                is_advertised, len(advertised), now_s
             )
         self._retry_budget.share_divisor = share_divisor
         self._dispatcher.share_divisor = share_divisor
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -169,8 +169,10 @@
             return
         now_s = self._context.clock()
         if now_s >= self._last_answer_at_s:
-            if self._attempts:
+            if any(attempt.is_sent for attempt in self._attempts):
                 self._may_have_run = True
+            else:
+                self._cancel_attempts()
             self._answer_failure("the time is over", is_late=True)
             return
         if self._may_send():
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -68,6 +68,8 @@
         )
         self._hedge_count = 0
         self._has_paused_shard = False
+        # Whether any backend server may have received the query.
+        self._may_have_run = False
 
     def start(self) -> None:
         """Sends the query to all shards.
@@ -138,6 +140,8 @@
             attempt for attempt in shard.attempts if not attempt.is_finished
         ]
         shard.tried.record_end(result.server_id, has_arrived=result.has_arrived)
+        if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
+            self._may_have_run = True
         if self._has_ended or shard.reply is not None:
             return
         if result.outcome is AttemptOutcome.OK and self._accept_reply(
@@ -297,7 +301,11 @@
         self._finish(answer)
 
     def _fail(self, answer: CallerAnswer, reason: str) -> None:
-        if not any(shard.tried.sent_to for shard in self._shards):
+        if not self._may_have_run and not any(
+            attempt.is_sent
+            for shard in self._shards
+            for attempt in shard.attempts
+        ):
             self._refuse(reason)
             return
         self._record_end("failed", reason=reason, **self._describe())
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -43,6 +43,7 @@
     NO_SERVER = "no server"
     FULL = "all servers are full"
     PAUSED = "all servers have asked for a pause"
+    NOT_ALLOWED = "the server may not be used any more"
     NO_ALLOWANCE = "the limit on repeats is reached"
     OUT_OF_TIME = "no time is left"
 
@@ -160,6 +161,10 @@
     def is_finished(self) -> bool:
         """Whether its result is known or it was cancelled."""
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether any byte of the request may have been sent."""
+
     def cancel(self) -> None:
         """Cancels the attempt; the result handler is not called."""
 
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -189,6 +189,7 @@
         "_owner",
         "_used",
         "address",
+        "keeps_idle",
     )
 
     def __init__(self, owner: "ServerConnections", address: Address) -> None:
@@ -199,6 +200,7 @@
         self._is_closed = False
         self._backoff = Backoff(FIRST_DIAL_DELAY_S, MAX_DIAL_DELAY_S)
         self._next_dial_at_s = 0.0
+        self.keeps_idle = True
 
     @property
     def connection_count(self) -> int:
@@ -252,7 +254,7 @@
 
     def add_idle(self, connection: _Connection) -> None:
         """Keeps a connection for the next request."""
-        if self._is_closed:
+        if self._is_closed or not self.keeps_idle:
             self.discard(connection)
             return
         self._used.discard(connection)
@@ -322,6 +324,8 @@
         address: Address,
         exchange: Exchange,
         max_idle_s: float = DEFAULT_IDLE_TIMEOUT_S,
+        *,
+        keeps_idle: bool = True,
     ) -> bool:
         """Sends a request.
 
@@ -330,6 +334,7 @@
             address: The address it listens on.
             exchange: The request and the handler of its result.
             max_idle_s: Connections that were idle for longer are not used.
+            keeps_idle: Whether to keep the connection after the reply.
 
         Returns:
             False if the request must no longer be sent.
@@ -339,6 +344,7 @@
             if pool is not None:
                 pool.close()
             pool = self._pools[server_id] = _Pool(self, address)
+        pool.keeps_idle = keeps_idle
         return pool.start(exchange, max_idle_s)
 
     def forget(self, server_id: str) -> None:
--- a/packages/edge/tests/played_servers.py
+++ b/packages/edge/tests/played_servers.py
@@ -122,6 +122,8 @@
         address: Address,
         exchange: Exchange,
         max_idle_s: float,
+        *,
+        keeps_idle: bool,
     ) -> bool:
         """Hands a request to the server."""
         if exchange.encode(self._timers.now_s) is None:
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -81,6 +81,7 @@
         self.server_id = server_id
         self._on_result = on_result
         self.is_finished = False
+        self.is_sent = True
         self.is_cancelled = False
 
     def cancel(self) -> None:
@@ -116,6 +117,7 @@
         full_services: Services whose servers are all full.
         paused_until_s: When the pause of all servers of a service ends.
         used_ids: Servers that were used before; others are preferred.
+        is_connecting: Whether attempts wait for their connection.
         has_retry_budget: Whether retries are sent.
         replica_names: One character for each replica of a service.
     """
@@ -127,6 +129,7 @@
         self.empty_services: set[str] = set()
         self.full_services: set[str] = set()
         self.used_ids: set[str] = set()
+        self.is_connecting = False
         self.has_retry_budget = True
         self.replica_names = "ab"
 
@@ -157,6 +160,7 @@
         if spec.is_retry and not self.has_retry_budget:
             return SendRefusal.NO_ALLOWANCE
         attempt = FakeAttempt(spec, allowed[0], on_result)
+        attempt.is_sent = not self.is_connecting
         self.used_ids.add(allowed[0])
         self.attempts.append(attempt)
         return attempt
--- /dev/null
+++ b/packages/edge/tests/test_dispatcher.py
@@ -0,0 +1,179 @@
+"""What a dispatcher charges, keeps and gives back for each attempt."""
+
+from typing import Any
+
+import pytest
+from played_servers import PlayedNode, PlayedServer
+from request_fakes import NAMES, FakeTimers
+
+from mulberrybay_core.caller_messages import CallerRequest
+from mulberrybay_core.route_history import RouteHistory
+from mulberrybay_core.routing import Route, RouteKind, WeightedService
+from mulberrybay_edge import dispatcher, exchange
+from mulberrybay_edge.dispatcher import Dispatcher
+from mulberrybay_edge.exchange import (
+    Exchange,
+    ExchangeOutcome,
+    ExchangeResult,
+)
+from mulberrybay_edge.sending import (
+    AttemptResult,
+    AttemptSpec,
+    RequestTemplate,
+    SendRefusal,
+    TriedServers,
+)
+
+ROUTE = Route(
+    "record",
+    "a.example",
+    "/",
+    RouteKind.IDEMPOTENT,
+    timeout_s=2.0,
+    target_latency_s=0.2,
+    max_server_count=2,
+    split=(WeightedService("records", 1.0),),
+)
+
+
+class _Connections:
+    """Keeps the exchanges that were started; the test ends them.
+
+    Attributes:
+        started: The exchanges and whether their connection is kept.
+        is_open: Whether connections are open already.
+    """
+
+    def __init__(self) -> None:
+        self.started: list[tuple[Exchange, bool]] = []
+        self.is_open = False
+
+    def can_start(self, server_id: str, cap_count: int) -> bool:
+        return True
+
+    def start(
+        self,
+        server_id: str,
+        address: object,
+        exchange: Exchange,
+        max_idle_s: float,
+        *,
+        keeps_idle: bool,
+    ) -> bool:
+        if self.is_open and exchange.encode(0.0) is None:
+            return False
+        self.started.append((exchange, keeps_idle))
+        return True
+
+
+class _Setup:
+    """A dispatcher of one service with two servers."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.timers = FakeTimers()
+        for module in (dispatcher, exchange):
+            monkeypatch.setattr(module, "read_clock_s", self.timers.clock)
+        servers = [
+            PlayedServer(self.timers, "records", number, lambda: 0.1)
+            for number in range(2)
+        ]
+        node = PlayedNode(self.timers, servers, [ROUTE], 1)
+        self.dispatcher: Dispatcher = node.dispatcher
+        self.connections = _Connections()
+        context: Any = self.dispatcher._context
+        self.dispatcher._context = context._replace(
+            connections=self.connections
+        )
+        self.budget = context.retry_budget
+        self.directory = context.directory
+        self.results: list[AttemptResult] = []
+
+    def send(self, *, is_retry: bool = False) -> object:
+        request = CallerRequest(
+            "GET", "/x", "/x", "a.example", (), b"", "id", 0.0, None
+        )
+        spec = AttemptSpec(
+            RequestTemplate(request, NAMES),
+            "records",
+            RouteHistory(0.2),
+            self.timers.now_s + 2.0,
+            TriedServers(2),
+            is_retry,
+            is_retryable=True,
+        )
+        return self.dispatcher.send(spec, self.results.append)
+
+    def available_count(self) -> float:
+        return float(self.budget.available_count("records", self.timers.now_s))
+
+
+def test_retry_that_reaches_no_server_is_given_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    count = setup.available_count()
+    setup.send(is_retry=True)
+    assert setup.available_count() == count - 1
+
+    started, _ = setup.connections.started[0]
+    started.finish(ExchangeResult(ExchangeOutcome.NOT_CONNECTED))
+
+    assert not setup.results[0].has_arrived
+    assert setup.available_count() == count
+
+
+def test_retry_that_reached_a_server_stays_charged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    count = setup.available_count()
+    setup.send(is_retry=True)
+
+    started, _ = setup.connections.started[0]
+    started.finish(ExchangeResult(ExchangeOutcome.LOST))
+
+    assert setup.available_count() == count - 1
+
+
+def test_server_that_may_not_be_used_any_more_costs_no_retry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The conditions are checked again at the moment of sending."""
+    setup = _Setup(monkeypatch)
+    setup.connections.is_open = True
+    count = setup.available_count()
+    monkeypatch.setattr(setup.directory, "may_use", lambda *_: False)
+
+    assert setup.send(is_retry=True) is SendRefusal.NOT_ALLOWED
+    assert setup.available_count() == count
+
+
+def test_attempt_whose_connection_is_not_open_has_not_been_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    attempt: Any = setup.send()
+    assert not attempt.is_sent
+
+    started, _ = setup.connections.started[0]
+    started.sent_at_s = setup.timers.now_s
+    assert attempt.is_sent
+
+
+@pytest.mark.parametrize(
+    ("is_advertised", "share_divisor", "keeps_idle"),
+    [(True, 975.0, True), (False, 975.0, False), (False, 5.0, True)],
+)
+def test_node_without_a_share_of_connections_keeps_none_idle(
+    monkeypatch: pytest.MonkeyPatch,
+    is_advertised: bool,
+    share_divisor: float,
+    keeps_idle: bool,
+) -> None:
+    """The idle connections of many nodes would use up a server's cap."""
+    setup = _Setup(monkeypatch)
+    setup.dispatcher.is_advertised = is_advertised
+    setup.dispatcher.share_divisor = share_divisor
+    setup.send()
+
+    assert setup.connections.started[0][1] is keeps_idle
--- a/packages/edge/tests/test_forward_handler.py
+++ b/packages/edge/tests/test_forward_handler.py
@@ -247,3 +247,18 @@
 
     assert harness.answer.status == 502
     assert len(harness.sender.attempts) == 1
+
+
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT])
+def test_request_that_no_server_got_in_time_is_refused_as_not_run(
+    kind: RouteKind,
+) -> None:
+    """Connections that are still being opened have carried nothing."""
+    harness = RequestHarness(kind=kind, deadline_s=0.3)
+    harness.sender.is_connecting = True
+    start_handler(harness)
+
+    harness.timers.advance(0.3)
+
+    assert harness.answer.status == 503
+    assert all(attempt.is_cancelled for attempt in harness.sender.attempts)
--- a/packages/edge/tests/test_gather_handler.py
+++ b/packages/edge/tests/test_gather_handler.py
@@ -308,3 +308,14 @@
 
     assert harness.answer.status == 503
     assert harness.sender.attempts == []
+
+
+def test_query_that_no_server_got_in_time_is_refused_as_not_run() -> None:
+    harness = RequestHarness(shards=SHARDS, min_coverage=0.9, deadline_s=0.1)
+    harness.sender.is_connecting = True
+    start_handler(harness)
+
+    harness.timers.advance(0.1)
+
+    assert harness.answer.status == 503
+    assert all(attempt.is_cancelled for attempt in harness.sender.attempts)
