--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -146,6 +146,12 @@
         if server.entry.is_leaving:
             self._drop(server)
 
+    def drop(self, server_id: str) -> None:
+        """Drops a server that has left before this node knew of it."""
+        server = self._servers.get(server_id)
+        if server is not None:
+            self._drop(server)
+
     def replace_all(self, entries: Iterable[ServerEntry], now_s: float) -> None:
         """Updates all servers from a complete list of entries.
 
--- a/packages/core/mulberrybay_core/store_messages.py
+++ b/packages/core/mulberrybay_core/store_messages.py
@@ -43,6 +43,8 @@
         next_name: The name after which the next page of a list starts; empty on
             the last page.
         changed_version: The position of the last change that the list includes.
+        corrects_stale_list: Whether the changes add what a stale list lacked.
+            What they remove was gone before the list was asked for.
     """
 
     items: tuple[StoredObject, ...]
@@ -50,6 +52,7 @@
     removed_names: tuple[str, ...] = ()
     next_name: str = ""
     changed_version: int = 0
+    corrects_stale_list: bool = False
 
 
 class WriteOutcome(enum.Enum):
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -291,6 +291,7 @@
             check,
             lambda result: self._on_result(attempt, result),
             expects_body=spec.template.expects_body,
+            request_id=spec.template.request_id,
         )
         attempt.exchange = exchange
         self.sent_count += 1
--- a/packages/edge/mulberrybay_edge/exchange.py
+++ b/packages/edge/mulberrybay_edge/exchange.py
@@ -58,6 +58,7 @@
         "connection",
         "encode",
         "expects_body",
+        "request_id",
         "sent_at_s",
         "started_at_s",
     )
@@ -69,9 +70,11 @@
         on_result: ResultHandler,
         *,
         expects_body: bool = True,
+        request_id: str = "",
     ) -> None:
         self.encode = encode
         self.expects_body = expects_body
+        self.request_id = request_id
         self.check = check
         self._on_result: ResultHandler | None = on_result
         self.connection: ExchangeConnection | None = None
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -67,7 +67,10 @@
                 version=stored.version,
             )
         for name in changes.removed_names:
-            view.directory.remove(name, now_s)
+            if changes.corrects_stale_list:
+                view.directory.drop(name)
+            else:
+                view.directory.remove(name, now_s)
             view.log.log_view_change(
                 "backend server removed",
                 server=name,
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -5,6 +5,8 @@
 """
 
 import re
+from collections import deque
+from collections.abc import Mapping
 from typing import Final, Self
 
 import httptools
@@ -37,6 +39,8 @@
 # The used fraction of an announced idle timeout; the rest is a margin for the
 # network time to the server.
 USABLE_IDLE_RATIO: Final = 0.7
+# A late copy of a reply is recognized among this many replies on a connection.
+EARLIER_REPLY_COUNT: Final = 16
 CLOSED_BY_PEER: Final = "the peer closed the connection"
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 
@@ -45,6 +49,7 @@
     """A connection to one server."""
 
     __slots__ = (
+        "_earlier_replies",
         "_exchange",
         "_parser",
         "_pool",
@@ -59,6 +64,9 @@
         self._pool = pool
         self._parser: SingleReplyParser | None = None
         self._exchange: Exchange | None = None
+        self._earlier_replies: deque[tuple[str, Mapping[str, str]]] = deque(
+            maxlen=EARLIER_REPLY_COUNT
+        )
         self.stream: Stream | None = None
         self.started_at_s = self.idle_since_s = read_clock_s()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -117,7 +125,9 @@
         if exchange is None or parser is None or stream is None:
             return
         self._exchange = self._parser = exchange.connection = None
-        is_matching = exchange.check(reply)
+        is_matching = exchange.check(reply) and not self._is_late_copy(
+            exchange, reply
+        )
         if (
             is_matching
             and reply.keeps_alive
@@ -137,6 +147,21 @@
                 ExchangeResult(ExchangeOutcome.MALFORMED, detail=detail)
             )
 
+    def _is_late_copy(self, exchange: Exchange, reply: HttpReply) -> bool:
+        """Whether the server sent the reply to another request once more.
+
+        Successful replies to two requests differ in their headers: these hold
+        a signature and mostly the identity of the request.
+        """
+        if not 200 <= reply.status < 300:
+            return False
+        is_copy = any(
+            request_id != exchange.request_id and headers == reply.headers
+            for request_id, headers in self._earlier_replies
+        )
+        self._earlier_replies.append((exchange.request_id, reply.headers))
+        return is_copy
+
     def _read_idle_timeout(self, reply: HttpReply) -> None:
         match = _KEEP_ALIVE_TIMEOUT.search(reply.headers.get("keep-alive", ""))
         if match is not None:
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -233,8 +233,17 @@
             self._prefer_own_knowledge()
         if is_first:
             self._listener.on_list(self.cache.all_objects())
-        elif changes.items or changes.removed_names:
-            self._listener.on_changes(changes)
+        else:
+            self._pass_on(changes)
+
+    def _pass_on(self, changes: ObjectList) -> None:
+        """Passes changes on; the first ones correct a stale list."""
+        corrects_stale_list = self._has_stale_list
+        self._has_stale_list = False
+        if changes.items or changes.removed_names:
+            self._listener.on_changes(
+                changes._replace(corrects_stale_list=corrects_stale_list)
+            )
 
     def apply_kept_objects(self, update: CacheUpdate) -> None:
         """Applies objects that a peer kept when the store returned."""
@@ -356,9 +365,7 @@
             # Other nodes may have older lists, and removals since then are in
             # no later change.
             self.cache.changed_version = result.store_version
-        self._has_stale_list = False
-        if new_changes.items or new_changes.removed_names:
-            self._listener.on_changes(new_changes)
+        self._pass_on(new_changes)
         self._schedule_watch()
 
     def _schedule_watch(self) -> None:
--- a/packages/testing/mulberrybay_testing/http_server.py
+++ b/packages/testing/mulberrybay_testing/http_server.py
@@ -32,12 +32,16 @@
     503: "Service Unavailable",
 }
 
+LATE_COPY_S = 0.03
+
 
 class Delivery(enum.Enum):
     """How a response is sent on its connection."""
 
     WHOLE = "whole"
     TWICE = "twice"
+    # The second copy comes while the next request on the connection waits.
+    TWICE_LATE = "twice_late"
     CUT_SHORT = "cut_short"
     CLOSED = "closed"
     # Without Content-Length: the body ends when the connection is closed.
@@ -212,8 +216,15 @@
             return
         if response.delivery is Delivery.TWICE:
             encoded += encoded
+        if response.delivery is Delivery.TWICE_LATE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_COPY_S, self._write_if_open, encoded)
         self._transport.write(encoded)
 
+    def _write_if_open(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
 
 @functools.lru_cache(maxsize=256)
 def _header_name(name: bytes) -> str:
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -76,10 +76,12 @@
         call_count: The number of calls received.
         era: How often it returned from an older copy, as its replies say;
             None if they don't.
+        stale_copy: What lists that may be stale show; None for the present.
     """
 
     def __init__(self) -> None:
         self.era: int | str | None = 0
+        self.stale_copy: StoreCopy | None = None
         self.status = 0
         self.is_unresponsive = False
         self.lost_answer_count = 0
@@ -183,7 +185,7 @@
             case "GET" if "watch" in request.query:
                 return await self._watch(kind, request.query)
             case "GET":
-                return self._list(kind, request.query.get("after", ""))
+                return self._list(kind, request.query)
             case "POST":
                 return self._create(kind, json.loads(request.body))
             case "PUT":
@@ -191,15 +193,19 @@
             case _:
                 return self._delete(kind, name, request.query)
 
-    def _list(self, kind: str, after: str) -> Response:
-        objects = self._objects.get(kind, {})
+    def _list(self, kind: str, query: dict[str, str]) -> Response:
+        after = query.get("after", "")
+        revision, objects = self._revision, self._objects.get(kind, {})
+        if query.get("stale_ok") == "1" and self.stale_copy is not None:
+            revision = self.stale_copy.revision
+            objects = self.stale_copy.objects.get(kind, {})
         names = [name for name in sorted(objects) if name > after]
         return json_response(
             200,
             {
                 "items": [objects[name] for name in names[:PAGE_COUNT]],
                 "has_more": len(names) > PAGE_COUNT,
-                "as_of": self._revision,
+                "as_of": revision,
             },
         )
 
