Use a share of the limits as soon as hubs are heard

For its first 3 s a node used an equal share of each limit, 168 / 195 retries, so nothing was hedged while each query over 87 shards meets some that pause for 250 ms.

Change: the share follows the ratio of hubs that a node has heard, which is safe in any state, so the fixed time goes.

--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -25,9 +25,6 @@
 
 # The most nodes that a reply of the directory lists.
 MAX_ADVERTISED_COUNT: Final = 64
-# For this time after its start, a node uses an equal share of each limit, since
-# it may not yet have received heartbeats from all running peers.
-EQUAL_SHARE_PERIOD_S: Final = 3.0
 
 
 class FleetSharing:
@@ -53,7 +50,6 @@
         self._cold_limit = cold_limit
         self._watches = watches
         self._is_ready = is_ready
-        self._started_at_s = read_clock_s()
         self._attempt_rate = SmoothedRate()
         # Whether this node watches the store on behalf of others.
         self.watches_for_others = False
@@ -86,18 +82,17 @@
         self._update_watching(now_s)
 
     def _update_limit_shares(self, now_s: float) -> None:
-        sharing_count = self._nodes.sharing_count(now_s)
-        share_divisor: float = sharing_count
-        if now_s - self._started_at_s >= EQUAL_SHARE_PERIOD_S:
-            advertised = self.choose_advertised()
-            is_advertised = self._nodes.own_info in advertised
-            self._dispatcher.is_advertised = is_advertised
-            share_divisor = self._nodes.share_divisor(
-                is_advertised, len(advertised), now_s
-            )
+        advertised = self.choose_advertised()
+        is_advertised = self._nodes.own_info in advertised
+        # A node that has just started has heard few hubs and uses little of the
+        # part for advertised nodes.
+        share_divisor = self._nodes.share_divisor(
+            is_advertised, len(advertised), now_s
+        )
+        self._dispatcher.is_advertised = is_advertised
         self._retry_budget.share_divisor = share_divisor
         self._dispatcher.share_divisor = share_divisor
-        self._cold_limit.node_count = sharing_count
+        self._cold_limit.node_count = self._nodes.sharing_count(now_s)
 
     def _update_watching(self, now_s: float) -> None:
         alive_count = len(self._nodes.alive_names(now_s))
--- /dev/null
+++ b/packages/edge/tests/test_fleet_sharing.py
@@ -0,0 +1,112 @@
+"""Shares of limits in the first moments of a node."""
+
+from typing import Any
+
+import pytest
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.edge_nodes import (
+    EdgeHeartbeat,
+    EdgeNodeInfo,
+    EdgeNodes,
+    choose_advertised,
+)
+from mulberrybay_core.server_directory import ServerDirectory
+from mulberrybay_core.shared_limits import (
+    ColdServerRateLimit,
+    RetryBudget,
+    RetryBudgetSettings,
+)
+from mulberrybay_edge import fleet_sharing
+from mulberrybay_edge.fleet_sharing import FleetSharing
+
+NODE_COUNT = 195
+DOMAIN_COUNT = 5
+SLACK_COUNT = 168.0
+
+
+def make_info(number: int) -> EdgeNodeInfo:
+    # The nodes with more CPU time are hubs and are advertised.
+    return EdgeNodeInfo(
+        f"node-{number}",
+        1,
+        f"domain-{number % DOMAIN_COUNT}",
+        Address(f"10.0.{number // 250}.{number % 250}", 80),
+        Address(f"10.0.{number // 250}.{number % 250}", 90),
+        2.0 if number < 20 else 0.5,
+    )
+
+
+class _Dispatcher:
+    """The counters and shares that the sharing sets."""
+
+    def __init__(self) -> None:
+        self.sent_count = 0
+        self.share_divisor = 1.0
+        self.is_advertised = True
+
+
+class _StartedNode:
+    """A node 0.5 s after its start, in a fleet that starts together."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, number: int) -> None:
+        self.now_s = 100.0
+        monkeypatch.setattr(fleet_sharing, "read_clock_s", lambda: self.now_s)
+        infos = [make_info(n) for n in range(NODE_COUNT)]
+        self.nodes = EdgeNodes(infos[number], self.now_s)
+        self.nodes.replace_registered([(info, 7) for info in infos])
+        self.budget = RetryBudget(RetryBudgetSettings(0.2, 10.0, SLACK_COUNT))
+        dispatcher: Any = _Dispatcher()
+        self.dispatcher = dispatcher
+        self.sharing = FleetSharing(
+            self.nodes,
+            ServerDirectory(),
+            dispatcher,
+            self.budget,
+            ColdServerRateLimit(),
+            [],
+            lambda: True,
+        )
+        self.now_s += 0.5
+        self.sharing.update()
+
+    def hear(self, numbers: range) -> None:
+        for number in numbers:
+            beat = EdgeHeartbeat(make_info(number), True, 1, is_hub=True)
+            self.nodes.record_heartbeat(beat, self.now_s)
+        self.sharing.update()
+
+    def retry_count(self) -> float:
+        return self.budget.available_count("shard-1", self.now_s)
+
+
+def test_advertised_node_may_hedge_as_soon_as_it_has_heard_the_hubs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a loss of all power, each query meets shards that pause.
+
+    The window of its requests is still empty, so only the slack counts.
+    """
+    infos = [make_info(number) for number in range(NODE_COUNT)]
+    first = choose_advertised(infos, 2 * DOMAIN_COUNT)[0]
+    node = _StartedNode(monkeypatch, infos.index(first))
+    # An equal share of the slack would be less than one retry.
+    assert node.retry_count() >= 1
+
+    node.hear(range(20))
+
+    assert node.dispatcher.is_advertised
+    assert node.retry_count() >= 10
+
+
+def test_node_that_has_heard_nobody_uses_little(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """All hubs that hear nobody together stay within the slack."""
+    hubs = [_StartedNode(monkeypatch, number) for number in range(20)]
+    member = _StartedNode(monkeypatch, 50)
+
+    total = sum(hub.retry_count() for hub in hubs)
+    total += (NODE_COUNT - 20) * member.retry_count()
+
+    assert total <= SLACK_COUNT
