Let the soak's store return from older copies

Change: the store is away for up to a second, returns from a copy of the last four seconds, and what it lost is written again within 2 s, beside all other faults.

--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -214,6 +214,8 @@
         self._servers: dict[str, HttpServer] = {}
         self.nodes: list[RunningNode] = []
         self._start_count = 0
+        # What was written last under each kind and name; None for a removal.
+        self._written: dict[tuple[str, str], object] = {}
 
     def __enter__(self) -> Self:
         self._loop = self._exit_stack.enter_context(LoopThread())
@@ -235,11 +237,14 @@
 
     def put(self, kind: str, name: str, spec: object) -> None:
         """Writes an object to the store."""
+        self._written[kind, name] = spec
         self._loop.run(self.store.put(kind, name, spec))
 
     def remove(self, kind: str, name: str) -> None:
         """Removes an object from the store."""
-        self._loop.run(self.store.remove(kind, name))
+        self._written[kind, name] = None
+        if name in self.store.names(kind):
+            self._loop.run(self.store.remove(kind, name))
 
     def forget_history(self) -> None:
         """Makes the store discard its change history."""
@@ -253,6 +258,16 @@
         """Makes the store lose all that was written since a copy."""
         self._loop.run(self.store.return_from(copy))
 
+    def write_again(self) -> None:
+        """Writes what operators and servers wrote and the store has lost."""
+        for (kind, name), spec in self._written.items():
+            if self.store.spec(kind, name) == spec:
+                continue
+            if spec is None:
+                self._loop.run(self.store.remove(kind, name))
+            else:
+                self._loop.run(self.store.put(kind, name, spec))
+
     def _add_link(self, name: str, port: int) -> int:
         """Returns the port through which nodes connect to a stand-in.
 
--- a/tests/on_platform/fleet_faults.py
+++ b/tests/on_platform/fleet_faults.py
@@ -11,7 +11,7 @@
 from deployment import RunningNode, configuration, route
 from faulty_deployment import STORE, ZONES, FaultyDeployment
 from fleet_history import FleetHistory, Withdrawal
-from standins import BackendStandIn
+from standins import BackendStandIn, StoreCopy
 
 from mulberrybay_testing.http_server import Delivery
 from mulberrybay_testing.proxy_link import ProxySettings
@@ -24,6 +24,11 @@
 MAX_SLOW_S: Final = 1.5
 # Longer than the time in which nodes must react, so that violations show.
 WITHDRAWAL_S: Final = 7.0
+# The store returns from one of the last copies, each a second apart.
+COPY_PERIOD_S: Final = 1.0
+MAX_COPY_COUNT: Final = 4
+MAX_AWAY_S: Final = 1.0
+MAX_WRITE_AGAIN_S: Final = 2.0
 NO_LINK_FAULTS: Final[ProxySettings] = {
     "cut": False,
     "delay_ms": 0,
@@ -66,6 +71,8 @@
         self._scheduled: list[_ScheduledUndo] = []
         self._numbers = itertools.count()
         self._disrupted: set[str] = set()
+        self._copies: list[StoreCopy] = []
+        self._copied_at_s = 0.0
         self._revision = 1
         self._sequence = 1
         self.problems: list[str] = []
@@ -78,6 +85,7 @@
             self._degrade_store,
             self._disturb_store_link,
             self._forget_store_history,
+            self._return_store,
             self._disturb_server_link,
             self._disturb_server_link,
             self._degrade_server,
@@ -94,6 +102,12 @@
 
     def tick(self) -> None:
         """Ends faults that are due, and restarts nodes that have exited."""
+        if STORE not in self._disrupted and (
+            time.monotonic() - self._copied_at_s >= COPY_PERIOD_S
+        ):
+            self._copied_at_s = time.monotonic()
+            copy = self._deployment.take_store_copy()
+            self._copies = [*self._copies[1 - MAX_COPY_COUNT :], copy]
         while self._scheduled and self._scheduled[0].at_s <= time.monotonic():
             heapq.heappop(self._scheduled).undo()
         for node in self._deployment.nodes:
@@ -238,6 +252,31 @@
 
         self._schedule(undo, self._duration_s())
 
+    def _return_store(self) -> None:
+        """Lets the store return from a copy that is some seconds old.
+
+        What it lost is written again within the time that the users state.
+        """
+        if STORE in self._disrupted or not self._copies:
+            return
+        copy = self._random.choice(self._copies)
+        self._copies.clear()
+        store = self._deployment.store
+        self._begin(STORE, "return")
+        store.status = 503
+
+        def come_back() -> None:
+            self._deployment.return_store_from(copy)
+            store.status = 0
+            again_s = self._random.uniform(0, MAX_WRITE_AGAIN_S)
+            self._schedule(write_again, again_s)
+
+        def write_again() -> None:
+            self._deployment.write_again()
+            self._end(STORE, "return")
+
+        self._schedule(come_back, self._duration_s(MAX_AWAY_S))
+
     def _forget_store_history(self) -> None:
         if STORE not in self._disrupted:
             self.fault_log.append(f"{time.monotonic():.2f} forget history")
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -98,6 +98,11 @@
         """Returns the sorted names of all objects of a kind."""
         return sorted(self._objects.get(kind, {}))
 
+    def spec(self, kind: str, name: str) -> object:
+        """Returns an object's content; None if there is no such object."""
+        body = self._objects.get(kind, {}).get(name)
+        return None if body is None else body["spec"]
+
     async def put(self, kind: str, name: str, spec: object) -> None:
         """Writes an object, as the operator or a backend server would."""
         self._write(kind, name, spec)
