--- a/packages/core/mulberrybay_core/object_cache.py
+++ b/packages/core/mulberrybay_core/object_cache.py
@@ -53,6 +53,12 @@
     items: tuple[StoredObject, ...]
     has_kept_objects: bool = False
 
+    def to_list(self) -> ObjectList:
+        """Returns the objects as a list, for an update that has them all."""
+        present = set(self.names)
+        items = tuple(item for item in self.items if item.name in present)
+        return ObjectList(items, self.store_version)
+
 
 class ObjectCache:
     """The objects of one kind.
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -197,12 +197,10 @@
 
     def apply_complete_update(self, update: CacheUpdate) -> None:
         """Takes all objects of a peer that has read the store's list."""
-        items = {stored.name: stored for stored in update.items}
         if self.version is None or update.store_version < self.version:
             return
         self._trust_store_at_s = None
-        objects = tuple(items[name] for name in update.names if name in items)
-        self.cache.reset(ObjectList(objects, update.store_version))
+        self.cache.reset(update.to_list())
         self._listener.on_list(self.cache.all_objects())
 
     def needs_kept_objects(self, peer_version: int) -> bool:
@@ -222,11 +220,8 @@
         """Applies a peer's update if it is newer than the cache."""
         is_first = self.version is None
         if self._is_later_era(update.store_version):
-            items = {stored.name: stored for stored in update.items}
-            objects = tuple(
-                items[name] for name in update.names if name in items
-            )
-            self._restore(ObjectList(objects, update.store_version))
+            # All objects have a later position than any of the earlier era.
+            self._restore(update.to_list())
             return
         changes = self.cache.merge(update)
         if changes.items and update.has_kept_objects and not self.is_restoring:
