Notice the return of a store that is silent at a start sooner

Change: calls before any has ended time out after 0.8 s, long enough for the lists of a start on a link of 10 Mbit/s.

Ruled out: a shorter time for all calls (a slow store would get more of them); a hold of queries until all servers are known (a node can't know that it has all).

Seen to fail first: the new test has 1.5 s for the first calls.

--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -56,6 +56,8 @@
 # A stopping process exits this long before it would be killed.
 STOP_MARGIN_S: Final = 0.4
 STORE_TIMEOUT_S: Final = 1.5
+# Long enough for the lists of a start on a slow link.
+FIRST_STORE_TIMEOUT_S: Final = 0.8
 # The link to the peers is opened this long after the start, because that takes
 # longer than the rest of the start. Requests of callers that could not connect
 # while the node was down are served first.
@@ -130,7 +132,10 @@
         self._nodes = EdgeNodes(own_info, read_clock_s())
         self._store = PlatformClient(
             PlatformSettings(
-                settings.store_address, STORE_TIMEOUT_S, detects_silence=True
+                settings.store_address,
+                STORE_TIMEOUT_S,
+                detects_silence=True,
+                first_timeout_s=FIRST_STORE_TIMEOUT_S,
             ),
             self._streams,
             self._timers,
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -62,11 +62,15 @@
             watch has the timeout of its caller instead.
         detects_silence: Whether the kernel probes connections (TCP keepalive)
             and closes those whose peer is unresponsive.
+        first_timeout_s: The timeout of calls before any has ended; None for the
+            usual one. A process that starts while the store is unresponsive
+            then notices its return sooner.
     """
 
     address: Address
     timeout_s: float = 1.0
     detects_silence: bool = False
+    first_timeout_s: float | None = None
 
 
 class _Call:
@@ -180,6 +184,7 @@
         self._watching: set[_Connection] = set()
         self._queued_calls: deque[_Call] = deque()
         self._consecutive_failure_count = 0
+        self._has_ended_call = False
         self.era = 0
         self.unreadable_era_count = 0
         self.call_counts: Counter[str] = Counter()
@@ -405,7 +410,10 @@
     def _request(
         self, spec: StoreCall, reply: Callable[[HttpResult], None]
     ) -> None:
-        call = self._make_call(spec, self._settings.timeout_s, reply)
+        timeout_s = self._settings.timeout_s
+        if not self._has_ended_call:
+            timeout_s = self._settings.first_timeout_s or timeout_s
+        call = self._make_call(spec, timeout_s, reply)
         if len(self._queued_calls) >= MAX_QUEUED_COUNT:
             self._fail(call, "the queue of calls to the platform is full")
             return
@@ -487,6 +495,7 @@
         """Passes a complete reply to its call and reuses the connection."""
         call = connection.call
         connection.call = None
+        self._has_ended_call = True
         connection.last_used_at_s = read_clock_s()
         self._consecutive_failure_count = (
             self._consecutive_failure_count + 1 if reply.status >= 500 else 0
@@ -513,6 +522,7 @@
         self._send_queued()
 
     def _fail(self, call: _Call, detail: str) -> None:
+        self._has_ended_call = True
         self.failure_counts[call.operation] += 1
         self._consecutive_failure_count += 1
         call.finish(
--- a/packages/platform/tests/test_client.py
+++ b/packages/platform/tests/test_client.py
@@ -4,6 +4,8 @@
 ordinary calls would wait behind them.
 """
 
+from collections.abc import Callable
+
 import pytest
 
 from mulberrybay_core.addresses import Address
@@ -14,7 +16,8 @@
     PlatformClient,
     PlatformSettings,
 )
-from mulberrybay_runtime.timers import Timers
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timer, Timers
 
 WATCH_TIMEOUT_S = 8.0
 EMPTY_LIST = (
@@ -153,3 +156,39 @@
     observer.on_data(stream, EMPTY_LIST)
     assert stream.is_closed
     assert store.results == []
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_only_the_first_calls_have_the_first_timeout(is_answered: bool) -> None:
+    """A store that is silent at the start must be asked again soon.
+
+    Later, a slow store must not get calls that give up early.
+    """
+    streams, timers, results = _FakeStreams(), _RecordingTimers(), []
+    settings = PlatformSettings(
+        Address("127.0.0.1", 1), timeout_s=1.5, first_timeout_s=0.8
+    )
+    client = PlatformClient(settings, streams, timers)
+    client.list_kind("kind-0", results.append)
+    client.list_kind("kind-1", results.append)
+    streams.open_all()
+    if is_answered:
+        streams.reply(0, EMPTY_LIST)
+    else:
+        timers.callbacks[0]()
+    client.list_kind("kind-2", results.append)
+
+    assert [round(delay_s, 1) for delay_s in timers.delays_s] == [0.8, 0.8, 1.5]
+
+
+class _RecordingTimers:
+    """Records the delays of timers and their callbacks."""
+
+    def __init__(self) -> None:
+        self.delays_s: list[float] = []
+        self.callbacks: list[Callable[[], None]] = []
+
+    def call_at(self, due_s: float, callback: Callable[[], None]) -> Timer:
+        self.delays_s.append(due_s - read_clock_s())
+        self.callbacks.append(callback)
+        return Timer(callback)
