Ignore a restoring peer's heartbeat that names too few positions

Cause, found by reading: `request_restored_objects` indexed the positions of a heartbeat by kind. A malformed one that says its node is restoring would have ended each round of a node's maintenance with an error, and so its stop. Change: kinds without a position are left out.

--- a/packages/edge/mulberrybay_edge/peer_link.py
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -128,8 +128,10 @@
         restoring = self._nodes.find_peer(now_s, is_restoring=True)
         settled = self._nodes.find_peer(now_s, is_restoring=False)
         for index, watch in enumerate(self._watches):
-            if restoring is not None and watch.needs_kept_objects(
-                restoring.changed_versions[index]
+            if (
+                restoring is not None
+                and index < len(restoring.changed_versions)
+                and watch.needs_kept_objects(restoring.changed_versions[index])
             ):
                 self._exchange.request_update(
                     restoring.sender.peer_address,
