Log the limits that backend servers name and what was sent meanwhile

What callers saw: nothing; a backend server got more than the rate it had named (LIMIT). Which of three hypotheses holds could not be told from logs: no line mentioned a limit, and nothing counted requests by server.

Values that are no decimal number or too large are counted and logged. Sending is unchanged.

Ruled out: nodes that learn late, and shares that are computed wrongly (nothing uses the value).

--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.server_limit import ServerLimit
 
 # How long a server stays in use after its entry was removed from the store.
 # While the store is unavailable, entries expire; they are written again within
@@ -52,6 +53,7 @@
         announced_leaving_at_s: When a reply first said that the server leaves;
             None if none has.
         paused_until_s: Until when the server has asked for no requests.
+        limit: The request rate that it has named; None if it names none.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "cold_until_s",
         "entry",
         "has_wrong_address",
+        "limit",
         "paused_until_s",
         "removed_at_s",
     )
@@ -70,12 +73,14 @@
         self.has_wrong_address = False
         self.announced_leaving_at_s: float | None = None
         self.paused_until_s = 0.0
+        self.limit: ServerLimit | None = None
 
     def update(self, entry: ServerEntry, now_s: float) -> None:
         """Takes a newer entry; a later incarnation starts without a past."""
         if entry.started_at_ms > self.entry.started_at_ms:
             self.announced_leaving_at_s = None
             self.paused_until_s = 0.0
+            self.limit = None
         self.entry = entry
         self.removed_at_s = None
         self.has_wrong_address = False
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -16,6 +16,7 @@
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_directory import KnownServer, ServerDirectory
+from mulberrybay_core.server_limit import ServerLimit, read_server_limit
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.exchange import (
@@ -141,6 +142,7 @@
         self._not_run_header = context.names.not_run.lower()
         self._id_header = context.names.request_id.lower()
         self._leaving_header = context.names.leaving.lower()
+        self._limit_header = context.names.rate_limit.lower()
         self.table: RouteTable | None = None
         # A server's connection cap is divided by this to get this node's share.
         self.share_divisor = 1.0
@@ -152,6 +154,7 @@
         self.sent_count = 0
         self.leaving_count = 0
         self.pause_count = 0
+        self.limit_count = 0
         self.unreadable_counts: Counter[str] = Counter()
 
     def record_request(self, service: str) -> None:
@@ -295,6 +298,8 @@
         )
         attempt.exchange = exchange
         self.sent_count += 1
+        if server.limit is not None:
+            server.limit.sent_count += 1
         state.in_flight[key] = attempt.started_at_s
         max_idle_s = ANY_IDLE_S if spec.is_retryable else FRESH_IDLE_S
         is_started = self._context.connections.start(
@@ -370,6 +375,7 @@
         if reply.status != 421:
             # Otherwise another server answered at the address.
             self._record_announcements(attempt.server, reply, now_s)
+            self._record_limit(attempt, reply, now_s)
         if self._not_run_header in reply.headers or reply.status == 421:
             state.record_failure(now_s)
             if reply.status == 421:
@@ -439,6 +445,40 @@
                 "backend server paused", server=server_id, for_s=pause_s
             )
 
+    def _record_limit(
+        self, attempt: _Attempt, reply: HttpReply, now_s: float
+    ) -> None:
+        """Records the rate limit that a server names, or its end."""
+        server, text = attempt.server, reply.headers.get(self._limit_header)
+        server_id, limit = server.entry.server_id, server.limit
+        if text is None:
+            # The server may have sent this reply before it named the limit.
+            if limit is None or attempt.started_at_s < limit.named_at_s:
+                return
+            server.limit = None
+            self._context.log.log_view_change(
+                "backend server limit ended",
+                server=server_id,
+                for_s=round(now_s - limit.since_s, 3),
+                sent=limit.sent_count,
+            )
+            return
+        per_s, is_malformed = read_server_limit(text)
+        if is_malformed:
+            self._count_unreadable(server_id, "rate_limit", text)
+        if per_s is None:
+            return
+        self.limit_count += 1
+        if limit is None:
+            limit = server.limit = ServerLimit(per_s, now_s)
+        elif limit.per_s == per_s:
+            limit.named_at_s = now_s
+            return
+        limit.per_s, limit.named_at_s = per_s, now_s
+        self._context.log.log_view_change(
+            "backend server limited", server=server_id, per_s=per_s
+        )
+
     def _count_unreadable(self, server_id: str, source: str, text: str) -> None:
         self.unreadable_counts[source] += 1
         self._context.log.log_view_change(
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -74,6 +74,11 @@
         "counter",
         "Replies of backend servers that asked for a pause.",
     ),
+    MetricSpec(
+        "edge_server_limits",
+        "counter",
+        "Replies of backend servers that named a limit of their rate.",
+    ),
     MetricSpec(
         "edge_dials", "counter", "Connections opened to backend servers."
     ),
@@ -205,6 +210,7 @@
         yield Sample("edge_hedge_wins", counts.hedge_win_count)
         yield Sample("edge_leaving_servers", dispatcher.leaving_count)
         yield Sample("edge_server_pauses", dispatcher.pause_count)
+        yield Sample("edge_server_limits", dispatcher.limit_count)
         yield from count_samples(
             "edge_unreadable", dispatcher.unreadable_counts
         )
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -40,6 +40,7 @@
     not_run="Not-Run",
     load="Load",
     leaving="Leaving",
+    rate_limit="Limit",
 )
 
 
