Keep to the rates that backend servers name, all nodes together

What callers saw: nothing.

Ruled out: nodes that learn it late (all six knew it 1.3 s after the first), wrong shares (nothing used the value).

Change: a token bucket for each server that names a limit, filled with this node's share; attempts are charged when placed, or at the moment of sending if the limit was named since; requests beyond it go to other replicas or are refused at once.

Why it works: shares of all nodes add up to the limit at most, in a partition and while nodes start too, and a bucket saves up a second's share at most.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -112,11 +112,13 @@
     Attributes:
         own_info: The description of this node.
         hubs_per_domain_count: The number of hubs in each failure domain.
+        has_registrations: Whether the registered nodes are known.
     """
 
     def __init__(self, own_info: EdgeNodeInfo, now_s: float) -> None:
         self.own_info = own_info
         self.hubs_per_domain_count = MIN_HUBS_PER_DOMAIN_COUNT
+        self.has_registrations = False
         self._hub_since_s: float | None = None
         self._peers: dict[str, _Peer] = {}
         self._started_at_s = now_s
@@ -149,6 +151,7 @@
         self, registrations: Iterable[tuple[EdgeNodeInfo, int]]
     ) -> None:
         """Replaces all registrations with the complete list from the store."""
+        self.has_registrations = True
         present = set()
         for info, version in registrations:
             present.add(info.name)
--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -12,8 +12,8 @@
 # 2 s after it is available again. A server that shuts down still serves for
 # longer than this after its entry was removed.
 REMOVED_ENTRY_GRACE_S: Final = 2.1
-# The most servers without an entry of which the directory remembers that they
-# announced to leave. An entry that returns may be an older one.
+# The most servers without an entry of which the directory remembers what they
+# said of themselves. An entry that returns may be an older one.
 MAX_DEPARTED_COUNT: Final = 4096
 
 
@@ -53,7 +53,7 @@
         announced_leaving_at_s: When a reply first said that the server leaves;
             None if none has.
         paused_until_s: Until when the server has asked for no requests.
-        limit: The request rate that it has named; None if it names none.
+        limit: The request rate that it has named; None if it never did.
     """
 
     __slots__ = (
@@ -88,14 +88,20 @@
 
 
 class _Departure(NamedTuple):
-    """An announcement of a server that has no entry any more."""
+    """What a server that has no entry any more has said of itself."""
 
     started_at_ms: int
-    announced_at_s: float
+    announced_at_s: float | None
+    limit: ServerLimit | None
 
 
 class ServerDirectory:
-    """All known backend servers, by service."""
+    """All known backend servers, by service.
+
+    Attributes:
+        limit_share_ratio: This node's share of the rates that servers name for
+            all nodes together, 0 to 1.
+    """
 
     def __init__(self, leaving_service_s: float = 0.0) -> None:
         """Creates an empty directory.
@@ -105,6 +111,7 @@
                 still accepts requests.
         """
         self._leaving_service_s = leaving_service_s
+        self.limit_share_ratio = 1.0
         self._departures: dict[str, _Departure] = {}
         self._paused: dict[str, KnownServer] = {}
         self._servers: dict[str, KnownServer] = {}
@@ -136,6 +143,7 @@
             and entry.started_at_ms <= departure.started_at_ms
         ):
             server.announced_leaving_at_s = departure.announced_at_s
+            server.limit = departure.limit
         self._servers[entry.server_id] = server
         self._by_service.setdefault(entry.service, []).append(server)
 
@@ -215,6 +223,18 @@
         server.paused_until_s = max(server.paused_until_s, until_s)
         self._paused[server.entry.server_id] = server
 
+    def accepts_at_s(self, server: KnownServer, now_s: float) -> float:
+        """Returns from when on a server accepts a request of this node.
+
+        It may have asked for a pause, or named a limit of its rate.
+        """
+        accepts_at_s = max(now_s, server.paused_until_s)
+        if server.limit is None:
+            return accepts_at_s
+        return max(
+            accepts_at_s, server.limit.next_at_s(self.limit_share_ratio, now_s)
+        )
+
     def pop_resumed_ids(self, now_s: float) -> list[str]:
         """Returns the servers whose pause has ended since the last call."""
         resumed_ids = [
@@ -269,15 +289,25 @@
     def available_at_s(self, service: str, now_s: float) -> float:
         """Returns from when on a server of a service accepts requests.
 
-        It is the current time, or the end of the first pause if all servers
-        are paused; infinity if the service has no server.
+        It is the current time, or later if all servers are paused or their
+        limits are used up; infinity if the service has no server.
         """
         servers = self.usable(service) or self.last_resort(service, now_s)
-        return max(
-            now_s,
-            min(
-                (server.paused_until_s for server in servers), default=math.inf
-            ),
+        return min(
+            (self.accepts_at_s(server, now_s) for server in servers),
+            default=math.inf,
+        )
+
+    def is_limited(self, service: str, now_s: float) -> bool:
+        """Returns whether only limits keep requests from a service.
+
+        That is so if a server is not paused, and this node's share of the limit
+        of each such server is used up.
+        """
+        servers = self.usable(service) or self.last_resort(service, now_s)
+        awake = [s for s in servers if s.paused_until_s <= now_s]
+        return bool(awake) and all(
+            self.accepts_at_s(server, now_s) > now_s for server in awake
         )
 
     def may_use(self, server: KnownServer, now_s: float) -> bool:
@@ -316,12 +346,13 @@
 
     def _remember_departure(self, server: KnownServer) -> None:
         entry, announced_at_s = server.entry, server.announced_leaving_at_s
+        has_spoken = announced_at_s is not None or server.limit is not None
         # Without the start time, an entry of a later incarnation that has the
         # same identifier could not be told from an older entry.
-        if announced_at_s is None or not entry.started_at_ms:
+        if not has_spoken or not entry.started_at_ms:
             return
         if len(self._departures) >= MAX_DEPARTED_COUNT:
             del self._departures[next(iter(self._departures))]
         self._departures[entry.server_id] = _Departure(
-            entry.started_at_ms, announced_at_s
+            entry.started_at_ms, announced_at_s, server.limit
         )
--- a/packages/core/tests/test_server_directory.py
+++ b/packages/core/tests/test_server_directory.py
@@ -14,6 +14,7 @@
     ServerDirectory,
     ServerEntry,
 )
+from mulberrybay_core.server_limit import ServerLimit
 
 ENTRY = ServerEntry(
     "i-1", "search", Address("10.0.0.1", 80), "domain-a", 2, False, 0.0, 0
@@ -243,3 +244,50 @@
     directory.replace_all([cold], 2.0)
 
     assert server.cold_until_s == 3.0
+
+
+def limited_directory(started_at_ms: int = 7) -> ServerDirectory:
+    directory = ServerDirectory()
+    directory.put(ENTRY._replace(started_at_ms=started_at_ms), 0.0)
+    (server,) = directory.usable("search")
+    server.limit = ServerLimit(0.0, 0.0)
+    server.limit.name(0.5, 0.0)
+    return directory
+
+
+def test_server_whose_entry_comes_back_keeps_its_limit() -> None:
+    directory = limited_directory()
+    directory.remove("i-1", 1.0)
+    directory.expire(1.0 + REMOVED_ENTRY_GRACE_S)
+    assert usable_ids(directory) == []
+
+    directory.put(ENTRY._replace(started_at_ms=7), 4.0)
+
+    (server,) = directory.usable("search")
+    assert server.limit is not None
+    assert server.limit.is_in_force
+
+
+def test_server_that_started_again_has_no_limit() -> None:
+    directory = limited_directory()
+
+    directory.put(ENTRY._replace(started_at_ms=8), 0.1)
+
+    assert directory.available_at_s("search", 0.1) == 0.1
+
+
+def test_limit_that_is_used_up_keeps_requests_from_a_service() -> None:
+    directory = limited_directory()
+    assert directory.is_limited("search", 0.1)
+    assert directory.available_at_s("search", 0.1) == pytest.approx(2.0)
+
+    assert not directory.is_limited("search", 2.0)
+
+
+def test_paused_server_is_no_sign_of_a_used_up_limit() -> None:
+    directory = limited_directory()
+    (server,) = directory.usable("search")
+    directory.pause(server, 5.0)
+
+    assert not directory.is_limited("search", 0.1)
+    assert directory.available_at_s("search", 0.1) == 5.0
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -52,6 +52,7 @@
 
     __slots__ = (
         "_dispatcher",
+        "charged_limit",
         "exchange",
         "history",
         "key",
@@ -81,6 +82,8 @@
         self.exchange: Exchange | None = None
         # The service whose retry budget it was charged to; empty if to none.
         self.retried_service = ""
+        # The limit of its server that it was charged to; None if to none.
+        self.charged_limit: ServerLimit | None = None
 
     @property
     def server_id(self) -> str:
@@ -165,6 +168,10 @@
         """Returns from when on a service accepts requests; see `Sender`."""
         return self._context.directory.available_at_s(service, read_clock_s())
 
+    def is_limited(self, service: str) -> bool:
+        """Returns whether the limits of servers are used up; see `Sender`."""
+        return self._context.directory.is_limited(service, read_clock_s())
+
     def forget(self, server_id: str) -> None:
         """Removes the state of a server that no longer exists."""
         self._states.pop(server_id, None)
@@ -235,10 +242,13 @@
         if not allowed:
             return SendRefusal.NO_SERVER
         usable = [
-            server for server in allowed if now_s >= server.paused_until_s
+            server
+            for server in allowed
+            if context.directory.accepts_at_s(server, now_s) <= now_s
         ]
         if not usable:
-            return SendRefusal.PAUSED
+            is_paused = all(now_s < s.paused_until_s for s in allowed)
+            return SendRefusal.PAUSED if is_paused else SendRefusal.LIMITED
         cap_count = self._connection_cap(spec.service)
         cold_rate_per_s = self._cold_rate_per_s(spec.service)
         candidates = []
@@ -283,6 +293,8 @@
                 return None
             if not self._context.directory.may_use(server, now_s):
                 return None
+            if not self._charge(attempt, now_s):
+                return None
             return spec.template.encode(entry.server_id, time_left_s)
 
         def check(reply: HttpReply) -> bool:
@@ -298,8 +310,7 @@
         )
         attempt.exchange = exchange
         self.sent_count += 1
-        if server.limit is not None:
-            server.limit.sent_count += 1
+        self._charge(attempt, attempt.started_at_s)
         state.in_flight[key] = attempt.started_at_s
         max_idle_s = ANY_IDLE_S if spec.is_retryable else FRESH_IDLE_S
         is_started = self._context.connections.start(
@@ -319,10 +330,30 @@
             return self._refuse(SendRefusal.NOT_ALLOWED)
         return attempt
 
+    def _charge(self, attempt: _Attempt, now_s: float) -> bool:
+        """Charges an attempt once to the limit that its server has named.
+
+        The server may name it while the attempt waits for a connection.
+
+        Returns:
+            False if the attempt must not be sent.
+        """
+        limit = attempt.server.limit
+        if limit is None or not limit.is_in_force:
+            return True
+        if attempt.charged_limit is None:
+            if not limit.take(self._context.directory.limit_share_ratio, now_s):
+                return False
+            attempt.charged_limit = limit
+        return True
+
     def _give_back(self, attempt: _Attempt) -> None:
-        """Gives back the retry of an attempt that reached no server."""
+        """Gives back what was charged for an attempt that reached no server."""
         if attempt.retried_service:
             self._context.retry_budget.give_back(attempt.retried_service)
+        if attempt.charged_limit is not None:
+            attempt.charged_limit.give_back()
+            attempt.charged_limit = None
 
     def cancel(self, attempt: _Attempt) -> None:
         """Cancels an attempt; see `AttemptHandle`."""
@@ -452,10 +483,8 @@
         server, text = attempt.server, reply.headers.get(self._limit_header)
         server_id, limit = server.entry.server_id, server.limit
         if text is None:
-            # The server may have sent this reply before it named the limit.
-            if limit is None or attempt.started_at_s < limit.named_at_s:
+            if limit is None or not limit.end(attempt.started_at_s):
                 return
-            server.limit = None
             self._context.log.log_view_change(
                 "backend server limit ended",
                 server=server_id,
@@ -470,14 +499,12 @@
             return
         self.limit_count += 1
         if limit is None:
-            limit = server.limit = ServerLimit(per_s, now_s)
-        elif limit.per_s == per_s:
-            limit.named_at_s = now_s
-            return
-        limit.per_s, limit.named_at_s = per_s, now_s
-        self._context.log.log_view_change(
-            "backend server limited", server=server_id, per_s=per_s
-        )
+            token_count = self._random.uniform(-0.5, 0.5)
+            limit = server.limit = ServerLimit(token_count, now_s)
+        if limit.name(per_s, now_s):
+            self._context.log.log_view_change(
+                "backend server limited", server=server_id, per_s=per_s
+            )
 
     def _count_unreadable(self, server_id: str, source: str, text: str) -> None:
         self.unreadable_counts[source] += 1
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -92,6 +92,9 @@
         self._dispatcher.is_advertised = is_advertised
         self._retry_budget.share_divisor = share_divisor
         self._dispatcher.share_divisor = share_divisor
+        self._directory.limit_share_ratio = (
+            1 / share_divisor if self._nodes.has_registrations else 0.0
+        )
         self._cold_limit.node_count = self._nodes.sharing_count(now_s)
 
     def _update_watching(self, now_s: float) -> None:
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -86,8 +86,22 @@
             self._answer_failure("the service has no backend server to use")
         elif attempt is SendRefusal.PAUSED:
             self._wait_or_refuse()
+        elif attempt is SendRefusal.LIMITED:
+            self._queue_or_refuse()
         return False
 
+    def _queue_or_refuse(self) -> None:
+        """Waits for a rate limit no longer than for a server with room.
+
+        Other requests wait for the same share of the limit.
+        """
+        available_at_s = self._context.sender.available_at_s(self._service)
+        if available_at_s > self._queue_until_s:
+            self._answer_failure(
+                "the rate limits of all backend servers are used up",
+                min_delay_s=available_at_s - self._context.clock(),
+            )
+
     def _wait_or_refuse(self) -> None:
         """Waits for the end of a pause, if the answer can then be in time."""
         available_at_s = self._context.sender.available_at_s(self._service)
@@ -157,7 +171,7 @@
     def _next_check_at_s(self, now_s: float) -> float:
         """Returns when to look again for a server with room."""
         check_at_s = now_s + CAPACITY_CHECK_PERIOD_S
-        if self._refusal is not SendRefusal.PAUSED:
+        if self._refusal not in (SendRefusal.PAUSED, SendRefusal.LIMITED):
             return check_at_s
         available_at_s = self._context.sender.available_at_s(self._service)
         return min(
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -67,7 +67,8 @@
             self._last_answer_at_s,
         )
         self._hedge_count = 0
-        self._has_paused_shard = False
+        # Whether a shard was paused, or the limits of its servers used up.
+        self._has_waiting_shard = False
         # Whether any backend server may have received the query.
         self._may_have_run = False
 
@@ -87,6 +88,16 @@
         if math.isinf(available_at_s):
             self._refuse("too few shards have a backend server")
             return
+        limited_count = sum(
+            sender.is_limited(shard.service) for shard in self._shards
+        )
+        if not self._is_enough(len(self._shards) - limited_count):
+            # Sent to the other shards, the query would only use up their limits.
+            self._refuse(
+                "the rate limits of too many shards are used up",
+                available_at_s - self._context.clock(),
+            )
+            return
         if not self._is_in_time(available_at_s, self._last_answer_at_s):
             self._refuse(
                 "too many shards have asked for a pause",
@@ -117,8 +128,8 @@
         attempt = self._context.sender.send(spec, on_result)
         if isinstance(attempt, SendRefusal):
             shard.refusal = attempt
-            if attempt is SendRefusal.PAUSED:
-                self._has_paused_shard = True
+            if attempt in (SendRefusal.PAUSED, SendRefusal.LIMITED):
+                self._has_waiting_shard = True
             return False
         shard.refusal = None
         if not attempt.is_finished:
@@ -180,7 +191,7 @@
             self._answer()
         elif self._context.clock() >= self._answer_at_s:
             self._answer_if_enough()
-        elif self._has_paused_shard:
+        elif self._has_waiting_shard:
             self._check_completion()
         return True
 
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -43,6 +43,7 @@
     NO_SERVER = "no server"
     FULL = "all servers are full"
     PAUSED = "all servers have asked for a pause"
+    LIMITED = "the rate limits of all servers are used up"
     NOT_ALLOWED = "the server may not be used any more"
     NO_ALLOWANCE = "the limit on repeats is reached"
     OUT_OF_TIME = "no time is left"
@@ -186,6 +187,10 @@
     def available_at_s(self, service: str) -> float:
         """Returns from when on a server of a service accepts requests.
 
-        It is the current time, or later if all servers have asked for a pause;
-        infinity if the service has no server.
+        It is the current time, or later if all servers have asked for a pause
+        or this node's share of their rate limits is used up; infinity if the
+        service has no server.
         """
+
+    def is_limited(self, service: str) -> bool:
+        """Returns whether only rate limits keep requests from a service."""
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -117,6 +117,8 @@
         empty_services: Services without a backend server.
         full_services: Services whose servers are all full.
         paused_until_s: When the pause of all servers of a service ends.
+        limited_until_s: When the limits of all servers of a service allow the
+            next request.
         used_ids: Servers that were used before; others are preferred.
         is_connecting: Whether attempts wait for their connection.
         has_retry_budget: Whether retries are sent.
@@ -126,6 +128,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self.paused_until_s: dict[str, float] = {}
+        self.limited_until_s: dict[str, float] = {}
         self.attempts: list[FakeAttempt] = []
         self.empty_services: set[str] = set()
         self.full_services: set[str] = set()
@@ -141,7 +144,15 @@
         """Returns from when on a service has a server to use."""
         if service in self.empty_services:
             return math.inf
-        return max(self._clock(), self.paused_until_s.get(service, 0.0))
+        return max(
+            self._clock(),
+            self.paused_until_s.get(service, 0.0),
+            self.limited_until_s.get(service, 0.0),
+        )
+
+    def is_limited(self, service: str) -> bool:
+        """Returns whether limits keep requests from a service."""
+        return self.limited_until_s.get(service, 0.0) > self._clock()
 
     def send(
         self, spec: AttemptSpec, on_result: ResultHandler
@@ -154,6 +165,8 @@
         allowed.sort(key=lambda name: name in self.used_ids)
         if service in self.empty_services or not allowed:
             return SendRefusal.NO_SERVER
+        if self.is_limited(service):
+            return SendRefusal.LIMITED
         if self.available_at_s(service) > self._clock():
             return SendRefusal.PAUSED
         if service in self.full_services:
--- a/packages/edge/tests/test_dispatcher.py
+++ b/packages/edge/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from mulberrybay_core.caller_messages import CallerRequest
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route, RouteKind, WeightedService
+from mulberrybay_core.server_limit import ServerLimit
 from mulberrybay_edge import dispatcher, exchange
 from mulberrybay_edge.dispatcher import Dispatcher
 from mulberrybay_edge.exchange import (
@@ -23,6 +24,7 @@
     SendRefusal,
     TriedServers,
 )
+from mulberrybay_runtime.http_exchange import HttpReply
 
 ROUTE = Route(
     "record",
@@ -177,3 +179,74 @@
     setup.send()
 
     assert setup.connections.started[0][1] is keeps_idle
+
+
+def name_limits(setup: _Setup, per_s: float) -> None:
+    for server in setup.directory.usable("records"):
+        server.limit = ServerLimit(0.0, setup.timers.now_s)
+        server.limit.name(per_s, setup.timers.now_s)
+
+
+def test_attempt_that_waits_for_a_connection_keeps_to_a_limit_named_meanwhile(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    setup.send()
+    started, _ = setup.connections.started[0]
+
+    name_limits(setup, 1.0)
+
+    assert started.encode(setup.timers.now_s) is None
+    assert started.encode(setup.timers.now_s + 1.5) is not None
+
+
+def test_hedges_and_retries_are_charged_to_the_limit_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    name_limits(setup, 1.0)
+    setup.timers.advance(1.1)
+
+    assert not isinstance(setup.send(), SendRefusal)
+    assert not isinstance(setup.send(is_retry=True), SendRefusal)
+    assert setup.send(is_retry=True) is SendRefusal.LIMITED
+
+
+def test_attempt_that_is_cancelled_before_it_is_sent_uses_up_no_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    name_limits(setup, 1.0)
+    setup.timers.advance(1.1)
+    attempts: list[Any] = [setup.send(), setup.send()]
+    assert setup.send() is SendRefusal.LIMITED
+
+    attempts[0].cancel()
+
+    assert not isinstance(setup.send(), SendRefusal)
+
+
+def finish(started: Exchange, headers: dict[str, str]) -> None:
+    reply = HttpReply(200, headers, b"", True)
+    started.finish(ExchangeResult(ExchangeOutcome.REPLY, reply))
+
+
+def test_limit_holds_until_a_reply_to_a_later_request_names_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setup = _Setup(monkeypatch)
+    server, other = setup.directory.usable("records")
+    setup.directory.drop(other.entry.server_id)
+    for _ in range(2):
+        setup.send()
+    setup.timers.advance(0.01)
+
+    finish(setup.connections.started[0][0], {"limit": "2"})
+    finish(setup.connections.started[1][0], {})
+    assert server.limit.is_in_force
+
+    setup.timers.advance(1.0)
+    setup.send()
+    finish(setup.connections.started[2][0], {})
+
+    assert not server.limit.is_in_force
--- a/packages/edge/tests/test_fleet_sharing.py
+++ b/packages/edge/tests/test_fleet_sharing.py
@@ -58,9 +58,10 @@
         self.budget = RetryBudget(RetryBudgetSettings(0.2, 10.0, SLACK_COUNT))
         dispatcher: Any = _Dispatcher()
         self.dispatcher = dispatcher
+        self.directory = ServerDirectory()
         self.sharing = FleetSharing(
             self.nodes,
-            ServerDirectory(),
+            self.directory,
             dispatcher,
             self.budget,
             ColdServerRateLimit(),
@@ -110,3 +111,16 @@
     total += (NODE_COUNT - 20) * member.retry_count()
 
     assert total <= SLACK_COUNT
+
+
+def test_node_that_does_not_know_the_others_has_no_share_of_a_server_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    node = _StartedNode(monkeypatch, 3)
+    node.nodes.has_registrations = False
+    node.sharing.update()
+    assert node.directory.limit_share_ratio == 0.0
+
+    node.nodes.has_registrations = True
+    node.hear(range(20))
+    assert 0.0 < node.directory.limit_share_ratio < 0.2
--- a/packages/edge/tests/test_forward_handler.py
+++ b/packages/edge/tests/test_forward_handler.py
@@ -262,3 +262,23 @@
 
     assert harness.answer.status == 503
     assert all(attempt.is_cancelled for attempt in harness.sender.attempts)
+
+
+def test_request_beyond_the_limits_of_all_servers_is_refused_at_once() -> None:
+    harness = RequestHarness()
+    harness.sender.limited_until_s = {"one": harness.timers.now_s + 0.5}
+    start_handler(harness)
+
+    assert harness.answer.status == 503
+    assert float(harness.header("Retry-After") or 0) >= 0.5
+
+
+def test_request_waits_for_a_limit_as_long_as_for_a_full_server() -> None:
+    harness = RequestHarness()
+    harness.sender.limited_until_s = {"one": harness.timers.now_s + 0.03}
+    start_handler(harness)
+    assert harness.answers == []
+
+    harness.timers.advance(0.035)
+
+    assert len(harness.sender.attempts) == 1
--- a/packages/edge/tests/test_gather_handler.py
+++ b/packages/edge/tests/test_gather_handler.py
@@ -319,3 +319,27 @@
 
     assert harness.answer.status == 503
     assert all(attempt.is_cancelled for attempt in harness.sender.attempts)
+
+
+def test_query_beyond_the_limits_of_too_many_shards_uses_up_no_other() -> None:
+    harness = RequestHarness(shards=SHARDS, min_coverage=0.75)
+    until_s = harness.timers.now_s + 0.2
+    harness.sender.limited_until_s = {"s1": until_s, "s2": until_s}
+    start_handler(harness)
+
+    assert harness.answer.status == 503
+    assert harness.sender.attempts == []
+
+
+def test_answer_does_not_wait_for_a_shard_whose_limits_are_used_up() -> None:
+    harness = RequestHarness(shards=SHARDS, min_coverage=0.75)
+    harness.sender.limited_until_s = {"s1": harness.timers.now_s + 5}
+    start_handler(harness)
+
+    for number, shard in enumerate(("s0", "s2", "s3")):
+        harness.sender.attempts_at(shard)[0].succeed(
+            make_record(number), f"sig-{number}"
+        )
+
+    assert harness.answer.status == 200
+    assert harness.header("Missing") == "1"
