Notice the loss of all backend servers, and hand requests to other nodes

What callers saw: at nodes cut off from all backend servers nothing was served for the whole cut, mostly after a wait until the deadline, while other nodes served all.

Ruled out: overload of the remaining nodes (they refused nothing).

Change: core/server_reach decides from dials, replies and probes; heartbeats carry lacks_servers; the directory leaves such nodes out unless all are; RelayHandler hands on what still comes; handlers end what hangs on dead links.

Why it works: the loss is known in under a second, callers with cached addresses are served through another node from then on, and an outage of all servers changes nothing in the directory, because then every node says the same.

--- a/packages/core/mulberrybay_core/caller_messages.py
+++ b/packages/core/mulberrybay_core/caller_messages.py
@@ -70,6 +70,7 @@
         deadline_s: How long the caller waits; None if not specified.
         network_time_s: The part of the caller's latency spent on the network:
             opening the connection, sending the request and the answer.
+        is_relayed: Whether another node has handed it to this one.
     """
 
     method: str
@@ -82,6 +83,7 @@
     received_at_s: float
     deadline_s: float | None
     network_time_s: float = 0.0
+    is_relayed: bool = False
 
 
 class CallerAnswer(NamedTuple):
--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -77,6 +77,7 @@
         is_restoring: Whether the node holds objects that are newer than those
             of the store, which has returned from an older copy.
         is_hub: Whether the node sends heartbeats to all nodes.
+        lacks_servers: Whether the node reaches no backend server.
     """
 
     sender: EdgeNodeInfo
@@ -87,6 +88,7 @@
     store_age_s: float = math.inf
     is_restoring: bool = False
     is_hub: bool = False
+    lacks_servers: bool = False
 
 
 class _Peer:
@@ -290,6 +292,11 @@
             math.ceil(count / len(domains)) + SPARE_HUBS_PER_DOMAIN_COUNT,
         )
 
+    @property
+    def was_hub(self) -> bool:
+        """Whether this node was a hub when that was last checked."""
+        return self._hub_since_s is not None
+
     def is_hub(self, now_s: float) -> bool:
         """Whether this node sends heartbeats to all nodes."""
         is_hub = self._is_small() or self.own_info in self._expected_hubs(now_s)
@@ -330,6 +337,50 @@
             and peer.heartbeat.is_serving
         ]
 
+    def with_servers(self, now_s: float) -> list[EdgeNodeInfo]:
+        """Returns the other nodes that serve and reach backend servers."""
+        return [
+            info
+            for info in self.serving(now_s)
+            if not self._lacks_servers(info.name)
+        ]
+
+    def _lacks_servers(self, name: str) -> bool:
+        heartbeat = self._peers[name].heartbeat
+        return heartbeat is not None and heartbeat.lacks_servers
+
+    def choose_relay(
+        self,
+        configuration_revision: int,
+        excluded_names: set[str],
+        now_s: float,
+    ) -> EdgeNodeInfo | None:
+        """Returns a node to which requests can be handed; None without one.
+
+        Nodes in the failure domain of this node are preferred. Nodes with an
+        older configuration than this node's are left out: its callers may rely
+        on the newer one already.
+        """
+        candidates = [
+            info
+            for info in self.with_servers(now_s)
+            if info.name not in excluded_names
+            and self._revision(info.name) >= configuration_revision
+        ]
+        own_domain = self.own_info.failure_domain
+        in_own_domain = [
+            info for info in candidates if info.failure_domain == own_domain
+        ]
+        candidates = in_own_domain or candidates
+        if not candidates:
+            return None
+        self._peer_choice_count += 1
+        return candidates[self._peer_choice_count % len(candidates)]
+
+    def _revision(self, name: str) -> int:
+        heartbeat = self._peers[name].heartbeat
+        return heartbeat.configuration_revision if heartbeat else 0
+
     def newest_changed_versions(self, now_s: float) -> tuple[int, ...]:
         """Returns the newest version that running peers have, for each kind."""
         peer_versions = [
--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -275,6 +275,15 @@
             and self._is_in_service(server)
         ]
 
+    def awake(self, now_s: float) -> list[KnownServer]:
+        """Returns the usable servers of all services that are not paused."""
+        return [
+            server
+            for service in self._by_service
+            for server in self.usable(service)
+            if now_s >= server.paused_until_s
+        ]
+
     def last_resort(self, service: str, now_s: float) -> list[KnownServer]:
         """Returns servers to use for a service that has no usable one.
 
--- a/packages/core/tests/test_edge_nodes.py
+++ b/packages/core/tests/test_edge_nodes.py
@@ -427,3 +427,25 @@
     ]
 
     assert {node.cpu_cores for node in choose_advertised(nodes, 3)} == {2.0}
+
+
+def relay_names(nodes: EdgeNodes, excluded: set[str]) -> set[str]:
+    chosen = [nodes.choose_relay(1, excluded, 0.1) for _ in range(12)]
+    return {info.name for info in chosen if info is not None}
+
+
+def test_requests_are_handed_only_to_nodes_that_reach_servers() -> None:
+    nodes = EdgeNodes(info("node-1"), 0.0)
+    for beat in (
+        heartbeat("node-2")._replace(lacks_servers=True),
+        heartbeat("node-3", is_serving=False),
+        heartbeat("node-4")._replace(configuration_revision=0),
+        heartbeat("node-5"),
+        heartbeat("node-6"),
+    ):
+        nodes.record_heartbeat(beat, 0.0)
+
+    assert relay_names(nodes, set()) == {"node-5", "node-6"}
+    assert relay_names(nodes, {"node-5"}) == {"node-6"}
+    assert relay_names(nodes, {"node-5", "node-6"}) == set()
+    assert [node.name for node in nodes.with_servers(100.0)] == []
--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -187,6 +187,7 @@
         host = request_id = ""
         deadline_s: float | None = None
         host_count = 0
+        is_relayed = False
         headers = []
         for name, value in self._headers:
             lower = name.lower()
@@ -197,6 +198,9 @@
                 request_id = value
             elif lower == names.deadline_ms.lower():
                 deadline_s = _read_deadline_s(value)
+            elif lower == names.expected_server.lower():
+                # Callers don't name a server; a node that relays does.
+                is_relayed = True
             elif (
                 lower not in HOP_BY_HOP_HEADERS
                 and lower not in internal_names
@@ -219,6 +223,7 @@
             received_at_s=read_clock_s(),
             deadline_s=deadline_s,
             network_time_s=self._network_time_s(),
+            is_relayed=is_relayed,
         )
 
     def _network_time_s(self) -> float:
@@ -334,9 +339,7 @@
         timers: Timers,
     ) -> None:
         self.names = names
-        self.internal_header_names = frozenset(
-            {"content-length", names.expected_server.lower()}
-        )
+        self.internal_header_names = frozenset({"content-length"})
         self.service = service
         self.limits = CallerLimits()
         self.is_stopping = False
--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -16,6 +16,7 @@
 from mulberrybay_core.routing import Route, RouteTable, WeightedRoundRobin
 from mulberrybay_edge.forward_handler import ForwardHandler
 from mulberrybay_edge.gather_handler import GatherHandler
+from mulberrybay_edge.relay_handler import RelayHandler, RelayTargets
 from mulberrybay_edge.request_context import HandlerContext, RequestJob
 from mulberrybay_edge.sending import RequestTemplate
 
@@ -44,9 +45,21 @@
         context: HandlerContext,
         names: HeaderNames,
         find_table: Callable[[], RouteTable | None],
+        find_relay_targets: Callable[[], RelayTargets | None],
         clock: Callable[[], float],
     ) -> None:
+        """Creates the service.
+
+        Args:
+            context: Objects and settings that all handlers share.
+            names: The names of headers.
+            find_table: Returns the routes in force; None before the first.
+            find_relay_targets: Returns the other nodes if only these reach
+                backend servers; else None.
+            clock: Returns the time in seconds.
+        """
         self._context = context
+        self._find_relay_targets = find_relay_targets
         self._names = names
         self._find_table = find_table
         self._clock = clock
@@ -88,8 +101,11 @@
             RequestTemplate(request, self._names),
             count_and_reply,
         )
-        handler: GatherHandler | ForwardHandler
-        if route.shards:
+        handler: GatherHandler | ForwardHandler | RelayHandler
+        targets = self._find_relay_targets()
+        if targets is not None and not request.is_relayed:
+            handler = RelayHandler(self._context, job, targets)
+        elif route.shards:
             handler = GatherHandler(self._context, job)
         else:
             handler = ForwardHandler(
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -17,6 +17,7 @@
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_directory import KnownServer, ServerDirectory
 from mulberrybay_core.server_limit import ServerLimit, read_server_limit
+from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.exchange import (
@@ -119,6 +120,7 @@
         cold_factor: The rate that a cold server can handle, as a multiple of
             its service's `cold_requests_per_s`.
         log: The log of changes of this node's view.
+        reach: Whether any backend server can be reached.
     """
 
     directory: ServerDirectory
@@ -129,6 +131,7 @@
     failure_domain: str
     cold_factor: float
     log: DecisionLog
+    reach: ServerReach
 
 
 class Dispatcher:
@@ -151,6 +154,8 @@
         self.share_divisor = 1.0
         # Whether callers are told to use this node, as far as it knows.
         self.is_advertised = True
+        # Whether another node is known to reach backend servers.
+        self.has_relay_target = False
         self.outcome_counts: Counter[str] = Counter()
         self.refusal_counts: Counter[str] = Counter()
         self.retry_count = 0
@@ -168,6 +173,24 @@
         """Returns from when on a service accepts requests; see `Sender`."""
         return self._context.directory.available_at_s(service, read_clock_s())
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether only another node reaches servers; see `Sender`."""
+        return self.has_relay_target and self._context.reach.is_silent(
+            read_clock_s()
+        )
+
+    def oldest_sent_at_s(self) -> float | None:
+        """Returns when the oldest request in flight was started."""
+        return min(
+            (
+                next(iter(state.in_flight.values()))
+                for state in self._states.values()
+                if state.in_flight
+            ),
+            default=None,
+        )
+
     def is_limited(self, service: str) -> bool:
         """Returns whether the limits of servers are used up; see `Sender`."""
         return self._context.directory.is_limited(service, read_clock_s())
@@ -175,6 +198,7 @@
     def forget(self, server_id: str) -> None:
         """Removes the state of a server that no longer exists."""
         self._states.pop(server_id, None)
+        self._context.reach.forget(server_id)
         self._context.cold.forget(server_id)
         self._context.connections.forget(server_id)
 
@@ -402,6 +426,7 @@
             return AttemptResult(
                 outcome, server_id, None, result.detail, is_sent
             )
+        self._context.reach.record_reply(server_id, now_s)
         self._record_load(state, reply, now_s)
         if reply.status != 421:
             # Otherwise another server answered at the address.
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -20,6 +20,7 @@
   cpuCores @13 :Float32;
   isRestoring @14 :Bool;
   isHub @15 :Bool;
+  lacksServers @16 :Bool;
 }
 
 # Requests the objects of one kind that changed after a version. Kinds are
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -11,6 +11,7 @@
     count_advertised,
 )
 from mulberrybay_core.server_directory import ServerDirectory
+from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
 from mulberrybay_core.smoothed_rate import SmoothedRate
 from mulberrybay_edge.dispatcher import Dispatcher
@@ -42,6 +43,7 @@
         cold_limit: ColdServerRateLimit,
         watches: Sequence[StoreWatch],
         is_ready: Callable[[], bool],
+        reach: ServerReach,
     ) -> None:
         self._nodes = nodes
         self._directory = directory
@@ -50,6 +52,7 @@
         self._cold_limit = cold_limit
         self._watches = watches
         self._is_ready = is_ready
+        self._reach = reach
         self._attempt_rate = SmoothedRate()
         # Whether this node watches the store on behalf of others.
         self.watches_for_others = False
@@ -60,11 +63,17 @@
         return self._attempt_rate.per_s
 
     def choose_advertised(self) -> list[EdgeNodeInfo]:
-        """Returns the nodes to advertise to callers."""
+        """Returns the nodes to advertise to callers.
+
+        Those that reach no backend server are left out, unless none does: then
+        the servers are at fault, or all nodes are cut off from them.
+        """
         now_s = read_clock_s()
-        nodes = self._nodes.serving(now_s)
-        if self._is_ready():
-            nodes.append(self._nodes.own_info)
+        own = [self._nodes.own_info] if self._is_ready() else []
+        nodes = self._nodes.with_servers(now_s)
+        if not self._reach.is_lost:
+            nodes += own
+        nodes = nodes or self._nodes.serving(now_s) + own
         count = count_advertised(
             self._nodes.attempts_per_s(now_s) + self.attempts_per_s,
             len(self._directory.server_ids()),
@@ -90,6 +99,9 @@
             is_advertised, len(advertised), now_s
         )
         self._dispatcher.is_advertised = is_advertised
+        self._dispatcher.has_relay_target = bool(
+            self._reach.is_lost and self._nodes.with_servers(now_s)
+        )
         self._retry_budget.share_divisor = share_divisor
         self._dispatcher.share_divisor = share_divisor
         self._directory.limit_share_ratio = (
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -1,10 +1,7 @@
 """Forwards a request to one backend server, with retries where allowed."""
 
 from mulberrybay_core import caller_errors
-from mulberrybay_core.caller_messages import (
-    HOP_BY_HOP_HEADERS,
-    CallerAnswer,
-)
+from mulberrybay_core.caller_messages import CallerAnswer
 from mulberrybay_core.pause_wait import can_wait
 from mulberrybay_core.routing import RouteKind
 from mulberrybay_edge.request_context import (
@@ -14,6 +11,7 @@
     HandlerContext,
     RequestHandler,
     RequestJob,
+    to_caller_answer,
 )
 from mulberrybay_edge.sending import (
     AttemptHandle,
@@ -183,12 +181,13 @@
             return
         now_s = self._context.clock()
         if now_s >= self._last_answer_at_s:
-            if any(attempt.is_sent for attempt in self._attempts):
-                self._may_have_run = True
-            else:
-                self._cancel_attempts()
             self._answer_failure("the time is over", is_late=True)
             return
+        if self._context.sender.is_cut_off and (
+            self._is_retryable or not self._attempts
+        ):
+            self._answer_failure("no backend server can be reached")
+            return
         if self._may_send():
             if not self._attempts:
                 is_sent = self._send()
@@ -201,23 +200,11 @@
     # Answers.
 
     def _to_caller_answer(self, reply: HttpReply) -> CallerAnswer:
-        """Converts a server's reply to the answer for the caller."""
-        names = self._context.names
-        dropped = {
-            "content-length",
-            names.load.lower(),
-            names.request_id.lower(),
-        }
-        headers = tuple(
-            (name, value)
-            for name, value in reply.headers.items()
-            if name not in HOP_BY_HOP_HEADERS and name not in dropped
+        return to_caller_answer(
+            reply,
+            self._context.names,
+            expects_body=self._job.template.expects_body,
         )
-        body_bytes = None
-        if not self._job.template.expects_body:
-            length = reply.headers.get("content-length", "")
-            body_bytes = int(length) if length.isdecimal() else None
-        return CallerAnswer(reply.status, headers, reply.body, body_bytes)
 
     def _answer_failure(
         self, reason: str, *, is_late: bool = False, min_delay_s: float = 0.0
@@ -230,7 +217,9 @@
         """
         if self._has_ended:
             return
-        if not self._may_have_run and not self._attempts:
+        if any(attempt.is_sent for attempt in self._attempts):
+            self._may_have_run = True
+        if not self._may_have_run:
             self._refuse(reason, min_delay_s, **self._describe())
             return
         self._record_end("failed", reason=reason, **self._describe())
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -273,6 +273,11 @@
             return
         if now_s >= self._answer_at_s and self._answer_if_enough():
             return
+        if self._context.sender.is_cut_off:
+            self._fail(
+                caller_errors.TOO_FEW_SHARDS, "no backend server can be reached"
+            )
+            return
         for shard in self._shards:
             if not self._may_send(shard):
                 continue
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -45,6 +45,7 @@
         cpuCores=sender.cpu_cores,
         isRestoring=heartbeat.is_restoring,
         isHub=heartbeat.is_hub,
+        lacksServers=heartbeat.lacks_servers,
     )
     return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
@@ -81,6 +82,7 @@
                 message.storeAgeS,
                 message.isRestoring,
                 message.isHub,
+                message.lacksServers,
             )
     except (
         capnp.KjException,
--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -4,11 +4,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from mulberrybay_core.edge_nodes import EdgeNodes
+from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import RoutedService
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import Dispatcher
 from mulberrybay_edge.platform_view import PlatformView
+from mulberrybay_edge.reach_monitor import ReachMonitor
 from mulberrybay_edge.request_context import RequestCounts
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.store_watch import StoreWatch
@@ -30,6 +32,8 @@
     service: RoutedService
     counts: RequestCounts
     dispatcher: Dispatcher
+    reach: ServerReach
+    reach_monitor: ReachMonitor
     connections: ServerConnections
     callers: CallerServer
     store: PlatformClient
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -18,6 +18,7 @@
 )
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.routing import RouteTable
+from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import (
@@ -32,6 +33,8 @@
 from mulberrybay_edge.metric_sources import MetricSources
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
 from mulberrybay_edge.platform_view import PlatformView
+from mulberrybay_edge.reach_monitor import ReachMonitor
+from mulberrybay_edge.relay_handler import RelayTargets
 from mulberrybay_edge.request_context import HandlerContext, RequestCounts
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
@@ -158,6 +161,8 @@
     def _build_dispatch(self) -> None:
         settings = self._settings
         self._connections = ServerConnections(self._streams, self._timers)
+        self._peer_connections = ServerConnections(self._streams, self._timers)
+        self._reach = ServerReach(read_clock_s())
         self._retry_budget = RetryBudget(settings.retry_terms)
         self._cold_limit = ColdServerRateLimit()
         self._request_dispatcher = Dispatcher(
@@ -170,9 +175,21 @@
                 settings.failure_domain,
                 settings.cold_factor,
                 self._decisions,
+                self._reach,
             ),
             self._random,
         )
+        self._reach_monitor = ReachMonitor(
+            self._reach,
+            self._view.directory,
+            self._request_dispatcher,
+            self._connections,
+            self._timers,
+            self._decisions,
+            self._random,
+            lambda: self._nodes.was_hub,
+            self._on_reach_changed,
+        )
         self._sharing = FleetSharing(
             self._nodes,
             self._view.directory,
@@ -181,6 +198,7 @@
             self._cold_limit,
             self._watches,
             self._is_ready,
+            self._reach,
         )
         handler_context = HandlerContext(
             self._request_dispatcher,
@@ -195,6 +213,7 @@
             handler_context,
             settings.names,
             lambda: self._view.route_table,
+            self._find_relay_targets,
             read_clock_s,
         )
 
@@ -234,6 +253,7 @@
         enter(self._datagrams)
         enter(self._store)
         enter(self._connections)
+        enter(self._peer_connections)
         for server, address in (
             (self._callers, addresses.callers),
             (self._readiness, addresses.readiness),
@@ -311,6 +331,25 @@
         self._random.shuffle(addresses)
         return addresses
 
+    # Backend servers out of reach.
+
+    def _on_reach_changed(self) -> None:
+        """Tells the other nodes, and changes what callers are told."""
+        self._sharing.update()
+        if self._peer_link is not None:
+            self._peer_link.send_heartbeats()
+
+    def _find_relay_targets(self) -> RelayTargets | None:
+        if not self._reach.is_lost or self._choose_relay(set()) is None:
+            return None
+        return RelayTargets(self._peer_connections, self._choose_relay)
+
+    def _choose_relay(self, excluded_names: set[str]) -> EdgeNodeInfo | None:
+        table = self._view.route_table
+        return self._nodes.choose_relay(
+            table.revision if table else 0, excluded_names, read_clock_s()
+        )
+
     # Peers.
 
     def _open_peer_link(self) -> None:
@@ -339,6 +378,7 @@
             max(watch.age_s(read_clock_s()) for watch in self._watches),
             any(watch.is_restoring for watch in self._watches),
             self._nodes.is_hub(read_clock_s()),
+            self._reach.is_lost,
         )
 
     # Periodic maintenance.
@@ -428,6 +468,8 @@
                 service=self._service,
                 counts=self._counts,
                 dispatcher=self._request_dispatcher,
+                reach=self._reach,
+                reach_monitor=self._reach_monitor,
                 connections=self._connections,
                 callers=self._callers,
                 store=self._store,
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -79,6 +79,14 @@
         "counter",
         "Replies of backend servers that named a limit of their rate.",
     ),
+    MetricSpec(
+        "edge_lacks_servers", "gauge", "1 while no backend server is reached."
+    ),
+    MetricSpec(
+        "edge_probes",
+        "counter",
+        "Connections opened to see whether backend servers are reached.",
+    ),
     MetricSpec(
         "edge_dials", "counter", "Connections opened to backend servers."
     ),
@@ -211,6 +219,8 @@
         yield Sample("edge_leaving_servers", dispatcher.leaving_count)
         yield Sample("edge_server_pauses", dispatcher.pause_count)
         yield Sample("edge_server_limits", dispatcher.limit_count)
+        yield Sample("edge_lacks_servers", int(self._sources.reach.is_lost))
+        yield Sample("edge_probes", self._sources.reach_monitor.probe_count)
         yield from count_samples(
             "edge_unreadable", dispatcher.unreadable_counts
         )
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -6,6 +6,7 @@
 
 from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import (
+    HOP_BY_HOP_HEADERS,
     AnswerHandler,
     CallerAnswer,
     CallerRequest,
@@ -15,6 +16,7 @@
 from mulberrybay_core.routing import Route
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.sending import RequestTemplate, Sender
+from mulberrybay_runtime.http_exchange import HttpReply
 from mulberrybay_runtime.timers import Timer
 
 # How often a handler checks again for a server with free capacity.
@@ -142,6 +144,23 @@
     return min(0.3 * time_left_s, delay_s)
 
 
+def to_caller_answer(
+    reply: HttpReply, names: HeaderNames, *, expects_body: bool
+) -> CallerAnswer:
+    """Converts a reply of a backend server or another node to an answer."""
+    dropped = {"content-length", names.load.lower(), names.request_id.lower()}
+    headers = tuple(
+        (name, value)
+        for name, value in reply.headers.items()
+        if name not in HOP_BY_HOP_HEADERS and name not in dropped
+    )
+    body_bytes = None
+    if not expects_body:
+        length = reply.headers.get("content-length", "")
+        body_bytes = int(length) if length.isdecimal() else None
+    return CallerAnswer(reply.status, headers, reply.body, body_bytes)
+
+
 def with_request_id(
     answer: CallerAnswer, job: RequestJob, names: HeaderNames
 ) -> CallerAnswer:
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -192,5 +192,9 @@
         service has no server.
         """
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether only another node can reach backend servers."""
+
     def is_limited(self, service: str) -> bool:
         """Returns whether only rate limits keep requests from a service."""
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -7,7 +7,7 @@
 import re
 from collections import deque
 from collections.abc import Mapping
-from typing import Final, Self
+from typing import Final, Protocol, Self
 
 import httptools
 
@@ -45,6 +45,33 @@
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 
 
+class DialHandler(Protocol):
+    """Handles the end of a dial."""
+
+    def __call__(self, server_id: str, *, is_accepted: bool) -> None:
+        """Handles whether a server has accepted a connection."""
+
+
+class _Probe:
+    """A connection that is closed once the server has accepted it."""
+
+    def __init__(self, owner: "ServerConnections", server_id: str) -> None:
+        self._owner = owner
+        self._server_id = server_id
+        self.started_at_s = read_clock_s()
+
+    def on_connected(self, stream: Stream) -> None:
+        """Reports that the server accepted the connection."""
+        self._owner.end_probe(self._server_id, is_accepted=True)
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Ignores bytes; the connection is being closed."""
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """Reports that the server refused the connection."""
+        self._owner.end_probe(self._server_id, is_accepted=False)
+
+
 class _Connection:
     """A connection to one server."""
 
@@ -212,13 +239,17 @@
         "_is_closed",
         "_next_dial_at_s",
         "_owner",
+        "_server_id",
         "_used",
         "address",
         "keeps_idle",
     )
 
-    def __init__(self, owner: "ServerConnections", address: Address) -> None:
+    def __init__(
+        self, owner: "ServerConnections", server_id: str, address: Address
+    ) -> None:
         self._owner = owner
+        self._server_id = server_id
         self.address = address
         self._idle: list[_Connection] = []
         self._used: set[_Connection] = set()
@@ -243,6 +274,7 @@
 
     def record_dial(self, *, is_accepted: bool) -> None:
         """Records the result of a dial; a failure delays the next dial."""
+        self._owner.on_dial(self._server_id, is_accepted=is_accepted)
         if is_accepted:
             self._backoff.reset()
             self._next_dial_at_s = 0.0
@@ -318,12 +350,23 @@
                 connection.time_out()
 
 
+def _ignore_dial(server_id: str, *, is_accepted: bool) -> None:
+    """Does nothing; see `ServerConnections.on_dial`."""
+
+
 class ServerConnections:
-    """The connection pools of all backend servers; see the module docstring."""
+    """The connection pools of all backend servers; see the module docstring.
+
+    Attributes:
+        on_dial: Called at the end of each dial.
+        dial_count: The connections opened.
+    """
 
     def __init__(self, streams: Streams, timers: Timers) -> None:
         self.streams = streams
+        self.on_dial: DialHandler = _ignore_dial
         self._pools: dict[str, _Pool] = {}
+        self._probes: dict[str, tuple[_Probe, Stream]] = {}
         self.dial_count = 0
         timers.call_every(CONNECT_TIMEOUT_S / 2, self._sweep)
 
@@ -368,10 +411,25 @@
         if pool is None or pool.address != address:
             if pool is not None:
                 pool.close()
-            pool = self._pools[server_id] = _Pool(self, address)
+            pool = self._pools[server_id] = _Pool(self, server_id, address)
         pool.keeps_idle = keeps_idle
         return pool.start(exchange, max_idle_s)
 
+    def probe(self, server_id: str, address: Address) -> None:
+        """Opens a connection and closes it once it is accepted."""
+        if server_id not in self._probes:
+            probe = _Probe(self, server_id)
+            stream = self.streams.dial(address, probe)
+            self._probes[server_id] = probe, stream
+            self.dial_count += 1
+
+    def end_probe(self, server_id: str, *, is_accepted: bool) -> None:
+        """Closes the connection of a probe and reports its result."""
+        probe = self._probes.pop(server_id, None)
+        if probe is not None:
+            probe[1].close()
+            self.on_dial(server_id, is_accepted=is_accepted)
+
     def forget(self, server_id: str) -> None:
         """Removes a server and closes its idle connections."""
         pool = self._pools.pop(server_id, None)
@@ -382,6 +440,9 @@
         now_s = read_clock_s()
         for pool in [*self._pools.values()]:
             pool.sweep(now_s)
+        for server_id, (probe, _) in [*self._probes.items()]:
+            if now_s - probe.started_at_s > CONNECT_TIMEOUT_S:
+                self.end_probe(server_id, is_accepted=False)
 
     @property
     def connection_count(self) -> int:
--- a/packages/edge/tests/played_servers.py
+++ b/packages/edge/tests/played_servers.py
@@ -22,6 +22,7 @@
     ServiceSettings,
 )
 from mulberrybay_core.server_directory import ServerDirectory, ServerEntry
+from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import (
     ColdServerRateLimit,
     RetryBudget,
@@ -174,6 +175,7 @@
                 "domain",
                 1.5,
                 log,
+                ServerReach(timers.now_s),
             ),
             random.Random(seed),
         )
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -123,6 +123,7 @@
         is_connecting: Whether attempts wait for their connection.
         has_retry_budget: Whether retries are sent.
         replica_names: One character for each replica of a service.
+        is_cut_off: Whether only other nodes reach backend servers.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -136,6 +137,7 @@
         self.is_connecting = False
         self.has_retry_budget = True
         self.replica_names = "ab"
+        self.is_cut_off = False
 
     def record_request(self, service: str) -> None:
         """Ignores the count."""
--- a/packages/edge/tests/test_fleet_sharing.py
+++ b/packages/edge/tests/test_fleet_sharing.py
@@ -12,6 +12,7 @@
     choose_advertised,
 )
 from mulberrybay_core.server_directory import ServerDirectory
+from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import (
     ColdServerRateLimit,
     RetryBudget,
@@ -59,6 +60,7 @@
         dispatcher: Any = _Dispatcher()
         self.dispatcher = dispatcher
         self.directory = ServerDirectory()
+        self.reach = ServerReach(self.now_s)
         self.sharing = FleetSharing(
             self.nodes,
             self.directory,
@@ -67,6 +69,7 @@
             ColdServerRateLimit(),
             [],
             lambda: True,
+            self.reach,
         )
         self.now_s += 0.5
         self.sharing.update()
@@ -124,3 +127,27 @@
     node.nodes.has_registrations = True
     node.hear(range(20))
     assert 0.0 < node.directory.limit_share_ratio < 0.2
+
+
+def lose_servers(reach: ServerReach) -> None:
+    for server_id in reach.start_round(["i-1"], 100.0):
+        reach.record_failed(server_id)
+
+
+def test_nodes_without_servers_are_named_only_if_all_lack_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    node = _StartedNode(monkeypatch, 3)
+    for number in range(20):
+        beat = EdgeHeartbeat(
+            make_info(number), True, 1, is_hub=True, lacks_servers=number != 7
+        )
+        node.nodes.record_heartbeat(beat, node.now_s)
+    lose_servers(node.reach)
+    named = [info.name for info in node.sharing.choose_advertised()]
+    assert named == ["node-7"]
+
+    beat = EdgeHeartbeat(make_info(7), True, 1, is_hub=True, lacks_servers=True)
+    node.nodes.record_heartbeat(beat, node.now_s)
+
+    assert len(node.sharing.choose_advertised()) == 10
--- a/packages/edge/tests/test_forward_handler.py
+++ b/packages/edge/tests/test_forward_handler.py
@@ -282,3 +282,26 @@
     harness.timers.advance(0.035)
 
     assert len(harness.sender.attempts) == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_connecting", "status"),
+    [
+        (IDEMPOTENT, False, 502),
+        (IDEMPOTENT, True, 503),
+        (NON_IDEMPOTENT, False, None),
+    ],
+)
+def test_request_of_a_node_that_lost_all_servers_ends_if_that_is_safe(
+    kind: RouteKind, is_connecting: bool, status: int | None
+) -> None:
+    harness = RequestHarness(kind=kind)
+    harness.sender.is_connecting = is_connecting
+    start_handler(harness)
+
+    harness.sender.is_cut_off = True
+    harness.timers.advance(0.3)
+
+    assert [answer.status for answer in harness.answers] == (
+        [] if status is None else [status]
+    )
--- a/packages/edge/tests/test_gather_handler.py
+++ b/packages/edge/tests/test_gather_handler.py
@@ -343,3 +343,15 @@
 
     assert harness.answer.status == 200
     assert harness.header("Missing") == "1"
+
+
+def test_query_of_a_node_that_lost_all_servers_ends_before_its_deadline() -> (
+    None
+):
+    harness = RequestHarness(shards=SHARDS)
+    start_handler(harness)
+
+    harness.sender.is_cut_off = True
+    harness.timers.advance(0.3)
+
+    assert harness.answer.status == 502
--- a/packages/edge/tests/test_heartbeat_codec.py
+++ b/packages/edge/tests/test_heartbeat_codec.py
@@ -31,8 +31,10 @@
 )
 
 
-def test_decoded_heartbeat_equals_encoded_one() -> None:
-    assert decode_heartbeat(encode_heartbeat(HEARTBEAT)) == HEARTBEAT
+@pytest.mark.parametrize("lacks_servers", [False, True])
+def test_decoded_heartbeat_equals_encoded_one(lacks_servers: bool) -> None:
+    heartbeat = HEARTBEAT._replace(lacks_servers=lacks_servers)
+    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
 
 
 @pytest.mark.parametrize(
