Bound the bytes of replies that never end, in heads and in sum

What callers saw: nothing yet; the users' pages say that servers in trouble may send bytes without end. 16 requests to such a server took a node's peak memory to 302 to 307 MB (bound of the platform: 300 MB) in three of six cases.

Cause: only a body was bounded, at 4 MB a reply, and heads not at all; nothing bounded all incomplete replies together. In time each was bounded by its request's deadline already.

Change: a head may take 64 KiB, an encoded reply twice the bound of its body, and all incomplete replies of a node 32 MiB; the reply that exceeds one is given up and its connection closed.

--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -41,6 +41,9 @@
 USABLE_IDLE_RATIO: Final = 0.7
 # A late copy of a reply is recognized among this many replies on a connection.
 EARLIER_REPLY_COUNT: Final = 16
+# The bytes of incomplete replies on all connections together. The reply that
+# exceeds it is given up.
+MAX_BUFFERED_BYTES: Final = 32 * 1024 * 1024
 CLOSED_BY_PEER: Final = "the peer closed the connection"
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 
@@ -76,6 +79,7 @@
     """A connection to one server."""
 
     __slots__ = (
+        "_buffered_bytes",
         "_earlier_replies",
         "_exchange",
         "_parser",
@@ -94,6 +98,7 @@
         self._earlier_replies: deque[tuple[str, Mapping[str, str]]] = deque(
             maxlen=EARLIER_REPLY_COUNT
         )
+        self._buffered_bytes = 0
         self.stream: Stream | None = None
         self.started_at_s = self.idle_since_s = read_clock_s()
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -146,12 +151,32 @@
             return
         if reply is not None:
             self._finish(reply)
+        elif not self._buffer(len(data)):
+            self._fail(
+                ExchangeOutcome.MALFORMED,
+                "too many bytes of incomplete replies",
+            )
+
+    def _buffer(self, count: int) -> bool:
+        """Counts received bytes of the incomplete reply.
+
+        Returns:
+            False if all incomplete replies together are too large.
+        """
+        self._buffered_bytes += count
+        return self._pool.add_buffered(count)
+
+    def _release_buffer(self) -> None:
+        self._parser = None
+        self._pool.add_buffered(-self._buffered_bytes)
+        self._buffered_bytes = 0
 
     def _finish(self, reply: HttpReply) -> None:
         exchange, parser, stream = self._exchange, self._parser, self.stream
         if exchange is None or parser is None or stream is None:
             return
-        self._exchange = self._parser = exchange.connection = None
+        self._exchange = exchange.connection = None
+        self._release_buffer()
         is_matching = exchange.check(reply) and not self._is_late_copy(
             exchange, reply
         )
@@ -206,6 +231,7 @@
     def _fail(self, outcome: ExchangeOutcome, detail: str) -> None:
         exchange = self._exchange
         self._exchange = None
+        self._release_buffer()
         if not self.is_connected:
             self._pool.record_dial(is_accepted=False)
         self._pool.discard(self)
@@ -222,6 +248,7 @@
         A connection that is still being opened is kept for the next request.
         """
         self._exchange = None
+        self._release_buffer()
         if self.is_connected:
             self._pool.discard(self)
 
@@ -263,6 +290,11 @@
         """Number of connections that are open or being opened."""
         return len(self._idle) + len(self._used)
 
+    def add_buffered(self, count: int) -> bool:
+        """Counts bytes of incomplete replies; False if there are too many."""
+        self._owner.buffered_bytes += count
+        return self._owner.buffered_bytes <= MAX_BUFFERED_BYTES
+
     def can_start(self, cap_count: int) -> bool:
         """Whether a request can start now; see `ServerConnections`."""
         if self._idle:
@@ -360,6 +392,7 @@
     Attributes:
         on_dial: Called at the end of each dial.
         dial_count: The connections opened.
+        buffered_bytes: The bytes of incomplete replies.
     """
 
     def __init__(self, streams: Streams, timers: Timers) -> None:
@@ -368,6 +401,7 @@
         self._pools: dict[str, _Pool] = {}
         self._probes: dict[str, tuple[_Probe, Stream]] = {}
         self.dial_count = 0
+        self.buffered_bytes = 0
         timers.call_every(CONNECT_TIMEOUT_S / 2, self._sweep)
 
     def __enter__(self) -> Self:
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -14,6 +14,9 @@
 from mulberrybay_core.addresses import Address
 
 MAX_REPLY_BYTES: Final = 4 * 1024 * 1024
+MAX_HEAD_BYTES: Final = 64 * 1024
+# Small chunks take up to several times the size of the body that they carry.
+MAX_ENCODED_BYTES: Final = 2 * MAX_REPLY_BYTES
 
 
 class HttpReply(NamedTuple):
@@ -33,7 +36,38 @@
 
 
 class ReplyTooLargeError(Exception):
-    """A reply is larger than MAX_REPLY_BYTES."""
+    """A reply is larger than one of the limits above."""
+
+
+class _ReplySize:
+    """Bounds the bytes of one reply."""
+
+    __slots__ = ("_encoded_bytes", "_head_bytes")
+
+    def __init__(self) -> None:
+        self._head_bytes = 0
+        self._encoded_bytes = 0
+
+    def add(self, count: int, body_bytes: int, *, is_in_head: bool) -> None:
+        """Adds bytes that were received and parsed.
+
+        Args:
+            count: The number of bytes.
+            body_bytes: The length of the body up to now.
+            is_in_head: Whether the head is still incomplete.
+
+        Raises:
+            ReplyTooLargeError: The reply exceeds a limit.
+        """
+        self._encoded_bytes += count
+        if is_in_head:
+            self._head_bytes += count
+        if (
+            self._head_bytes > MAX_HEAD_BYTES
+            or self._encoded_bytes > MAX_ENCODED_BYTES
+            or body_bytes > MAX_REPLY_BYTES
+        ):
+            raise ReplyTooLargeError
 
 
 def encode_request(
@@ -63,6 +97,8 @@
         self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._has_headers = False
+        self._size = _ReplySize()
         self._finished: list[HttpReply] = []
 
     def feed(self, data: bytes) -> list[HttpReply]:
@@ -76,8 +112,9 @@
             httptools.HttpParserError: The bytes are not HTTP.
         """
         self._parser.feed_data(data)
-        if self._body_bytes > MAX_REPLY_BYTES:
-            raise ReplyTooLargeError
+        self._size.add(
+            len(data), self._body_bytes, is_in_head=not self._has_headers
+        )
         finished = self._finished
         self._finished = []
         return finished
@@ -87,11 +124,17 @@
         self._headers = {}
         self._body = []
         self._body_bytes = 0
+        self._has_headers = False
+        self._size = _ReplySize()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records a header."""
         self._headers[_lower_name(name)] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        """Records that the head is complete."""
+        self._has_headers = True
+
     def on_body(self, body: bytes) -> None:
         """Records a chunk of the body."""
         self._body.append(body)
@@ -131,6 +174,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._has_headers = False
+        self._size = _ReplySize()
         self.reply: HttpReply | None = None
         self.has_extra_bytes = False
 
@@ -150,8 +194,10 @@
             if self.reply is None:
                 raise
             self.has_extra_bytes = True
-        if self._body_bytes > MAX_REPLY_BYTES:
-            raise ReplyTooLargeError
+        if self.reply is None:
+            self._size.add(
+                len(data), self._body_bytes, is_in_head=not self._has_headers
+            )
         return self.reply
 
     def end(self) -> HttpReply | None:
