Keep a server's pause when its entry is gone for a while

What callers saw: nothing measured. A server that asked for a pause, whose entry then expired and came back, got requests within the pause again.

Cause: the same as for limits: what a server says of itself was kept with its entry. Announcements to leave already outlived it. Found by looking for that cause elsewhere.

Change: the directory remembers the pause of a server that has no entry, for entries of the same start.

Evidence: the new test fails without the change (available at once) and passes.

--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -92,6 +92,7 @@
 
     started_at_ms: int
     announced_at_s: float | None
+    paused_until_s: float
     limit: ServerLimit | None
 
 
@@ -144,6 +145,8 @@
         ):
             server.announced_leaving_at_s = departure.announced_at_s
             server.limit = departure.limit
+            if departure.paused_until_s > now_s:
+                self.pause(server, departure.paused_until_s)
         self._servers[entry.server_id] = server
         self._by_service.setdefault(entry.service, []).append(server)
 
@@ -355,7 +358,11 @@
 
     def _remember_departure(self, server: KnownServer) -> None:
         entry, announced_at_s = server.entry, server.announced_leaving_at_s
-        has_spoken = announced_at_s is not None or server.limit is not None
+        has_spoken = (
+            announced_at_s is not None
+            or server.paused_until_s > 0
+            or server.limit is not None
+        )
         # Without the start time, an entry of a later incarnation that has the
         # same identifier could not be told from an older entry.
         if not has_spoken or not entry.started_at_ms:
@@ -363,5 +370,8 @@
         if len(self._departures) >= MAX_DEPARTED_COUNT:
             del self._departures[next(iter(self._departures))]
         self._departures[entry.server_id] = _Departure(
-            entry.started_at_ms, announced_at_s, server.limit
+            entry.started_at_ms,
+            announced_at_s,
+            server.paused_until_s,
+            server.limit,
         )
--- a/packages/core/tests/test_server_directory.py
+++ b/packages/core/tests/test_server_directory.py
@@ -291,3 +291,17 @@
 
     assert not directory.is_limited("search", 0.1)
     assert directory.available_at_s("search", 0.1) == 5.0
+
+
+def test_server_whose_entry_comes_back_stays_paused() -> None:
+    directory = ServerDirectory()
+    directory.put(ENTRY._replace(started_at_ms=7), 0.0)
+    (server,) = directory.usable("search")
+    directory.pause(server, 9.0)
+    directory.remove("i-1", 1.0)
+    directory.expire(1.0 + REMOVED_ENTRY_GRACE_S)
+
+    directory.put(ENTRY._replace(started_at_ms=7), 4.0)
+
+    assert directory.available_at_s("search", 4.0) == 9.0
+    assert directory.pop_resumed_ids(9.1) == ["i-1"]
