--- a/tests/on_platform/faulty_deployment.py
+++ b/tests/on_platform/faulty_deployment.py
@@ -3,18 +3,22 @@
 import pathlib
 from typing import Final
 
-from deployment import START_TIMEOUT_S, Deployment, RunningNode
+from deployment import START_TIMEOUT_S, RunningNode
+from linked_deployment import LinkedDeployment
 
-from mulberrybay_testing.ports import HOST, free_port
 from mulberrybay_testing.proxy_link import ProxySettings
-from mulberrybay_testing.tcp_proxy import Proxy, ProxySpec
+from mulberrybay_testing.tcp_proxy import Proxy
 from mulberrybay_testing.waiting import wait_until
 
 ZONES: Final = ("zone-a", "zone-b", "zone-c")
 STORE: Final = "store"
 
 
-class FaultyDeployment(Deployment):
+# With more nodes, most follow only some of the others.
+MAX_MESH_NODE_COUNT: Final = 12
+
+
+class FaultyDeployment(LinkedDeployment):
     """A deployment with one replica of each service in each of three zones.
 
     Nodes reach the store and the backend servers through proxies.
@@ -27,23 +31,22 @@
         self._proxies: dict[str, Proxy] = {}
 
     def _add_link(self, name: str, port: int) -> int:
-        proxy = Proxy(ProxySpec(name, free_port(), HOST, port))
+        proxy = self._start_proxy(name, port)
         self._proxies[name] = proxy
-        self._loop.run(proxy.__aenter__())
-        self._exit_stack.callback(
-            lambda: self._loop.run(proxy.__aexit__(None, None, None))
-        )
         return proxy.spec.listen_port
 
     def set_link_faults(self, name: str, settings: ProxySettings) -> None:
-        """Sets the faults of the link to the store or to a backend server."""
-        self._loop.run(self._proxies[name].apply(settings))
-
-    def start_node_in_each_zone(self) -> None:
-        """Starts one node in each zone and waits until all are ready."""
-        for number, zone in enumerate(self.zones, 1):
-            self.start_node(f"node-{number}", zone)
-        self.wait_ready(START_TIMEOUT_S)
+        """Sets the faults of the links to the store or to a backend server."""
+        for proxy_name, proxy in self._proxies.items():
+            if name in (proxy_name, proxy_name.partition(" ")[0]):
+                self._loop.run(proxy.apply(settings))
+
+    def start_nodes_in_each_zone(self, count: int) -> None:
+        """Starts nodes in each zone and waits until all are ready."""
+        for number in range(len(self.zones) * count):
+            zone = self.zones[number % len(self.zones)]
+            self.start_node(f"node-{number + 1}", zone)
+        self.wait_ready(START_TIMEOUT_S * (1 + count / 8))
 
     def wait_ready(self, timeout_s: float) -> None:
         """Waits until every node is ready and has heard of all others."""
@@ -51,7 +54,11 @@
         def are_ready() -> bool:
             count = len(self.nodes)
             return all(
-                node.is_ready() and node.known_node_count() == count
+                node.is_ready()
+                and (
+                    count > MAX_MESH_NODE_COUNT
+                    or node.known_node_count() == count
+                )
                 for node in self.nodes
             )
 
--- a/tests/on_platform/fleet_checks.py
+++ b/tests/on_platform/fleet_checks.py
@@ -26,6 +26,15 @@
 RETRY_RATIO: Final = 0.2
 RETRY_WINDOW_S: Final = 10.0
 RETRY_SLACK_COUNT: Final = 56
+# From when on the rules on limits and on nodes without servers apply.
+NOTICE_S: Final = 4.0
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_RATIO: Final = 1.5
+LIMIT_SLACK_COUNT: Final = 5
+TOLD_S: Final = 0.5
+MIN_SERVED_RATIO: Final = 2 / 3
+FAILED_SLACK_COUNT: Final = 10
+FAILED_RATIO: Final = 1 / 50
 
 Backends = dict[str, list[BackendStandIn]]
 
@@ -39,6 +48,8 @@
         *_withdrawal_problems(history, index, backends),
         *_revision_problems(history),
         *_retry_problems(history, backends),
+        *_limit_problems(history, backends),
+        *_cut_off_problems(history),
     ]
 
 
@@ -252,3 +263,76 @@
                     f" {first_attempt_count}"
                 )
                 break
+
+
+def _limit_problems(history: FleetHistory, backends: Backends) -> Iterator[str]:
+    node_names = {item.request_id: item.node_name for item in history.requests}
+    servers = {one.server_id: one for some in backends.values() for one in some}
+    for limit in history.limits:
+        told_at_s: dict[str, float] = {}
+        counted_at_s = []
+        for arrival in servers[limit.server_id].arrivals:
+            node_name = node_names.get(arrival.request_id, "")
+            if not limit.began_at_s <= arrival.at_s < limit.ended_at_s:
+                continue
+            if not history.is_undisturbed(
+                node_name, limit.began_at_s, arrival.at_s
+            ) or not history.is_undisturbed(
+                f"{node_name} links", limit.began_at_s, arrival.at_s
+            ):
+                continue
+            told = told_at_s.setdefault(node_name, arrival.at_s) + TOLD_S
+            if arrival.at_s >= max(told, limit.began_at_s + NOTICE_S):
+                counted_at_s.append(arrival.at_s)
+        allowed_count = (
+            LIMIT_RATIO * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK_COUNT
+        )
+        for start_s in counted_at_s:
+            count = sum(
+                start_s <= at_s < start_s + LIMIT_WINDOW_S
+                for at_s in counted_at_s
+            )
+            if count > allowed_count:
+                yield (
+                    f"{limit.server_id} got {count} requests in"
+                    f" {LIMIT_WINDOW_S} s with a limit of {limit.per_s}"
+                )
+                break
+
+
+def _cut_off_problems(history: FleetHistory) -> Iterator[str]:
+    cuts = [item for item in history.disruptions if item.kind == "cut off"]
+    for cut in cuts:
+        since_s = cut.began_at_s + NOTICE_S
+        requests = [
+            item
+            for item in history.requests
+            if since_s < item.sent_at_s
+            and item.ended_at_s < cut.ended_at_s
+            and item.kind != "revision"
+            and history.is_undisturbed(
+                item.node_name, cut.began_at_s, item.ended_at_s
+            )
+        ]
+        name = cut.component.partition(" ")[0]
+        here = [
+            item.status == 200 for item in requests if item.node_name == name
+        ]
+        elsewhere = [
+            item.status == 200
+            for item in requests
+            if history.is_undisturbed(
+                f"{item.node_name} links", cut.began_at_s, item.ended_at_s
+            )
+        ]
+        if not here or not elsewhere:
+            continue
+        served_ratio = sum(here) / len(here)
+        failed_count = len(here) - sum(here)
+        if served_ratio < MIN_SERVED_RATIO * sum(elsewhere) / len(
+            elsewhere
+        ) and failed_count > FAILED_SLACK_COUNT + FAILED_RATIO * len(requests):
+            yield (
+                f"{name}, cut off from servers, served {sum(here)} of"
+                f" {len(here)}, others {sum(elsewhere)} of {len(elsewhere)}"
+            )
--- a/tests/on_platform/fleet_faults.py
+++ b/tests/on_platform/fleet_faults.py
@@ -10,7 +10,7 @@
 
 from deployment import RunningNode, configuration, route
 from faulty_deployment import STORE, ZONES, FaultyDeployment
-from fleet_history import FleetHistory, Withdrawal
+from fleet_history import FleetHistory, NamedLimit, Withdrawal
 from standins import BackendStandIn, StoreCopy
 
 from mulberrybay_testing.http_server import Delivery
@@ -22,6 +22,11 @@
 MAX_FAULT_S: Final = 4.0
 MAX_PAUSE_S: Final = 2.5
 MAX_SLOW_S: Final = 1.5
+LIMITS_PER_S: Final = (0.0, 2.0, 10.0)
+UNREADABLE_LIMITS: Final = ("", "-1", "ten", "9" * 400)
+# Series of signals and changes, each soon after the one before.
+SERIES_COUNTS: Final = (4, 8)
+MAX_SERIES_GAP_S: Final = 0.4
 # Longer than the time in which nodes must react, so that violations show.
 WITHDRAWAL_S: Final = 7.0
 # The store returns from one of the last copies, each a second apart.
@@ -94,6 +99,9 @@
             self._remove,
             self._evacuate,
             self._change_configuration,
+            self._limit_server,
+            self._cut_off,
+            self._start_series,
         )
 
     def inject(self) -> None:
@@ -208,6 +216,44 @@
             self.fault_log.append(f"{time.monotonic():.2f} reload {node.name}")
             node.process.signal(signal.SIGHUP)
 
+    def _cut_off(self) -> None:
+        """Cuts one to all nodes off from all backend servers."""
+        deployment = self._deployment
+        if not deployment.has_node_links:
+            return
+        names = [node.name for node in deployment.nodes]
+        for name in self._random.sample(
+            names, self._random.randint(1, len(names))
+        ):
+            component = f"{name} links"
+            if component in self._disrupted:
+                continue
+            self._begin(component, "cut off")
+            deployment.set_cut(name, is_cut=True)
+
+            def undo(name: str = name, component: str = component) -> None:
+                deployment.set_cut(name, is_cut=False)
+                self._end(component, "cut off")
+
+            self._schedule(undo, WITHDRAWAL_S)
+
+    def _start_series(self) -> None:
+        """Sends signals and makes changes in quick succession."""
+        at_s = 0.0
+        for _ in range(self._random.randint(*SERIES_COUNTS)):
+            step = self._random.choice(
+                (
+                    self._reload,
+                    self._reload,
+                    self._stop,
+                    self._kill,
+                    self._change_configuration,
+                    self._drain,
+                )
+            )
+            self._schedule(step, at_s)
+            at_s += self._random.uniform(0.0, MAX_SERIES_GAP_S)
+
     # The store.
 
     def _degrade_store(self) -> None:
@@ -323,6 +369,32 @@
 
         self._schedule(undo, self._duration_s())
 
+    def _limit_server(self) -> None:
+        """Lets a server name a limit of its rate, or bytes that are none."""
+        server = self._pick_server()
+        if server is None:
+            return
+        per_s = self._random.choice((*LIMITS_PER_S, None))
+        value = (
+            self._random.choice(UNREADABLE_LIMITS) if per_s is None else per_s
+        )
+        kind = f"limit of {value}"
+        self._begin(server.server_id, kind)
+        server.headers = (("Server-Limit", str(value)),)
+        began_at_s = time.monotonic()
+
+        def undo() -> None:
+            server.headers = ()
+            if per_s is not None:
+                self._history.limits.append(
+                    NamedLimit(
+                        server.server_id, per_s, began_at_s, time.monotonic()
+                    )
+                )
+            self._end(server.server_id, kind)
+
+        self._schedule(undo, WITHDRAWAL_S)
+
     def _withdraw(
         self,
         component: str,
--- a/tests/on_platform/fleet_history.py
+++ b/tests/on_platform/fleet_history.py
@@ -72,6 +72,22 @@
     ended_at_s: float
 
 
+class NamedLimit(NamedTuple):
+    """A period during which a server names a limit of its rate.
+
+    Attributes:
+        server_id: The server.
+        per_s: The limit.
+        began_at_s: When its replies began to name it.
+        ended_at_s: When they ended to do so.
+    """
+
+    server_id: str
+    per_s: float
+    began_at_s: float
+    ended_at_s: float
+
+
 class FleetHistory:
     """Collects requests and faults; safe to use from several threads.
 
@@ -79,6 +95,7 @@
         requests: The requests that have ended.
         disruptions: The faults that have ended.
         withdrawals: The withdrawals that have ended.
+        limits: The limits that have ended.
         configured_at_s: When each configuration revision was written.
     """
 
@@ -88,6 +105,7 @@
         self.disruptions: list[Disruption] = []
         self._active: dict[tuple[str, str], float] = {}
         self.withdrawals: list[Withdrawal] = []
+        self.limits: list[NamedLimit] = []
         self.configured_at_s: dict[int, float] = {}
 
     def add(self, request: CallerRequest) -> None:
--- a/tests/on_platform/fleet_load.py
+++ b/tests/on_platform/fleet_load.py
@@ -18,12 +18,17 @@
 TIMEOUT_S: Final = 6.0
 DEADLINE_MS: Final = 2000
 ADDRESS_TTL_S: Final = 0.3
+# The share of callers that use a node until its process is gone.
+STAYING_RATIO: Final = 0.5
 KIND_NAMES: Final = ("search", "record", "booking", "revision")
 KIND_WEIGHTS: Final = (4, 3, 3, 1)
 
 
 class FleetCaller(threading.Thread):
-    """Resolves node addresses through the directory and sends requests."""
+    """Resolves node addresses through the directory and sends requests.
+
+    Some callers stay at a node until its process is gone.
+    """
 
     _numbers = itertools.count(1)
 
@@ -34,6 +39,8 @@
         self._deployment = deployment
         self._history = history
         self._random = random.Random(seed)
+        self._stays = self._random.random() < STAYING_RATIO
+        self._stayed_at: RunningNode | None = None
         self._connection: http.client.HTTPConnection | None = None
         self._connected_node: RunningNode | None = None
         self._ports: list[int] = []
@@ -56,6 +63,14 @@
         self.join()
 
     def _choose_node(self) -> RunningNode | None:
+        stayed_at = self._stayed_at
+        if stayed_at is not None and stayed_at.process.returncode is None:
+            return stayed_at
+        node = self._choose_any_node()
+        self._stayed_at = node if self._stays else None
+        return node
+
+    def _choose_any_node(self) -> RunningNode | None:
         if self._connected_node is not None and self._random.random() < 0.9:
             return self._connected_node
         self._disconnect()
--- a/tests/on_platform/fleet_soak.py
+++ b/tests/on_platform/fleet_soak.py
@@ -26,6 +26,8 @@
 FAULTS_S: Final = 12.0
 MEAN_GAP_S: Final = 0.5
 TICK_S: Final = 0.05
+# Links of each node's own are proxies in this process.
+MAX_LINKED_NODES_PER_ZONE: Final = 4
 # The users' rules allow a deployment 15 s after the last fault.
 RECOVERY_S: Final = 15.0
 
@@ -45,12 +47,16 @@
 
 
 def run_seed(
-    folder: pathlib.Path, seed: int, faults_s: float = FAULTS_S
+    folder: pathlib.Path,
+    seed: int,
+    faults_s: float = FAULTS_S,
+    nodes_per_zone: int = 1,
 ) -> SoakResult:
     """Runs one deployment under the random faults of a seed."""
     history = FleetHistory()
     with FaultyDeployment(folder) as deployment:
-        deployment.start_node_in_each_zone()
+        deployment.has_node_links = nodes_per_zone <= MAX_LINKED_NODES_PER_ZONE
+        deployment.start_nodes_in_each_zone(nodes_per_zone)
         faults = FleetFaults(deployment, history, seed)
         with FleetLoad(deployment, history, seed):
             ends_at_s = time.monotonic() + faults_s
@@ -102,12 +108,17 @@
     parser.add_argument(
         "--keep", type=pathlib.Path, help="folder in which logs are kept"
     )
+    parser.add_argument("--nodes-per-zone", type=int, default=1)
     settings = parser.parse_args(arguments)
     broken_count = 0
     with tempfile.TemporaryDirectory() as scratch:
         folder = settings.keep or pathlib.Path(scratch)
         for seed in range(settings.seed, settings.seed + settings.count):
-            result = run_seed(folder / f"seed-{seed}", seed)
+            result = run_seed(
+                folder / f"seed-{seed}",
+                seed,
+                nodes_per_zone=settings.nodes_per_zone,
+            )
             broken_count += bool(result.problems)
             verdict = "broken" if result.problems else "held"
             counts = dict(sorted(result.statuses.items()))
--- a/tests/on_platform/test_fleet_checks.py
+++ b/tests/on_platform/test_fleet_checks.py
@@ -4,7 +4,13 @@
 from deployment import SHARDS
 from faulty_deployment import STORE
 from fleet_checks import find_problems
-from fleet_history import CallerRequest, Disruption, FleetHistory, Withdrawal
+from fleet_history import (
+    CallerRequest,
+    Disruption,
+    FleetHistory,
+    NamedLimit,
+    Withdrawal,
+)
 from standins import Arrival, BackendStandIn
 
 NODE = "node-1"
@@ -242,3 +248,47 @@
             answered_request(backends["records"][0], "record", ended_at_s=end_s)
         )
     assert bool(find_problems(history, backends)) is is_problem
+
+
+@pytest.mark.parametrize(("per_s", "count"), [(2.0, 1), (20.0, 0)])
+def test_more_requests_than_a_server_has_named_are_reported(
+    per_s: float, count: int
+) -> None:
+    history, backends = FleetHistory(), make_backends()
+    (server,) = backends["records"]
+    history.limits = [NamedLimit(server.server_id, per_s, 100.0, 110.0)]
+    for number in range(100):
+        at_s = 100.0 + number / 10
+        request = make_request("record", request_id=f"r-{number}", status=503)
+        history.requests.append(request)
+        server.arrivals.append(
+            Arrival(at_s, f"r-{number}", "/x", 2000.0, False)
+        )
+
+    problems = find_problems(history, backends)
+
+    assert len([line for line in problems if "limit" in line]) == count
+
+
+@pytest.mark.parametrize(("status", "count"), [(503, 1), (200, 0)])
+def test_node_without_servers_whose_callers_fare_worse_is_reported(
+    status: int, count: int
+) -> None:
+    history = FleetHistory()
+    history.disruptions = [Disruption(f"{NODE} links", "cut off", 100.0, 110.0)]
+    for number in range(40):
+        sent_at_s = 105.0 + number / 10
+        for name, answer in ((NODE, status), ("node-2", 200)):
+            history.requests.append(
+                make_request(
+                    "booking",
+                    node_name=name,
+                    status=answer,
+                    sent_at_s=sent_at_s,
+                    ended_at_s=sent_at_s + 0.1,
+                )
+            )
+
+    problems = find_problems(history, make_backends())
+
+    assert len([line for line in problems if "cut off" in line]) == count
--- a/tests/on_platform/test_nodes_without_servers.py
+++ b/tests/on_platform/test_nodes_without_servers.py
@@ -8,15 +8,8 @@
 
 import pytest
 from deployment import START_TIMEOUT_S, Deployment, RunningNode
-from standins import StoreStandIn, serve
+from linked_deployment import LinkedDeployment
 
-from mulberrybay_testing.http_server import (
-    AcceptAllHandler,
-    Request,
-    Response,
-)
-from mulberrybay_testing.ports import HOST, free_port
-from mulberrybay_testing.tcp_proxy import Proxy, ProxySpec
 from mulberrybay_testing.waiting import wait_until
 
 # The users allow more, 4 s, before nodes must have noticed.
@@ -28,74 +21,19 @@
 )
 
 
-class _NodeStore(AcceptAllHandler):
-    """The store as one node sees it: servers are behind links of its own."""
-
-    def __init__(self, store: StoreStandIn, ports: dict[int, int]) -> None:
-        self._store = store
-        self._ports = ports
-
-    async def handle(self, request: Request) -> Response:
-        """Answers one call, with the ports of the node's links."""
-        response = await self._store.handle(request)
-        body = response.body
-        for port, link_port in self._ports.items():
-            body = body.replace(
-                f"{HOST}:{port}".encode(), f"{HOST}:{link_port}".encode()
-            )
-        return response._replace(body=body)
-
-
-class LinkedDeployment(Deployment):
-    """A deployment in which each node has its own links to backend servers."""
-
-    def __init__(self, folder: pathlib.Path) -> None:
-        super().__init__(folder)
-        self._links: dict[str, list[Proxy]] = {}
-
-    def start_node(self, name: str, zone: str = "zone-a") -> RunningNode:
-        """Starts a node behind links of its own."""
-        backends = [
-            one for several in self.backends.values() for one in several
-        ]
-        proxies = [
-            Proxy(ProxySpec(name, free_port(), HOST, backend.port))
-            for backend in backends
-        ]
-        for proxy in proxies:
-            self._loop.run(proxy.__aenter__())
-            self._exit_stack.callback(
-                lambda proxy=proxy: self._loop.run(
-                    proxy.__aexit__(None, None, None)
-                )
+def start_nodes(deployment: LinkedDeployment, count: int) -> list[RunningNode]:
+    """Starts nodes, and waits until all have links to the servers."""
+    nodes = deployment.start_nodes(count)
+    for node in nodes:
+        for path, method in REQUESTS:
+            wait_until(
+                lambda node=node, path=path, method=method: (  # type: ignore[misc]
+                    node.send_request(path, method=method).status == 200
+                ),
+                START_TIMEOUT_S,
+                "the node serves",
             )
-        self._links[name] = proxies
-        ports = {
-            proxy.spec.target_port: proxy.spec.listen_port for proxy in proxies
-        }
-        port = free_port()
-        self._loop.run(serve(_NodeStore(self.store, ports), port))  # type: ignore[arg-type]
-        self._store_connect_port = port
-        return super().start_node(name, zone)
-
-    def set_cut(self, node: RunningNode, *, is_cut: bool) -> None:
-        """Cuts a node off from all backend servers, or ends that."""
-        for proxy in self._links[node.name]:
-            self._loop.run(proxy.apply({"cut": is_cut}))
-
-    def ready_nodes(self, count: int) -> list[RunningNode]:
-        """Starts nodes, and waits until all have links to the servers."""
-        nodes = self.start_nodes(count)
-        for node in nodes:
-            for path, method in REQUESTS:
-                wait_until(
-                    lambda node=node, path=path, method=method: (  # type: ignore[misc]
-                        node.send_request(path, method=method).status == 200
-                    ),
-                    START_TIMEOUT_S,
-                    "the node serves",
-                )
-        return nodes
+    return nodes
 
 
 @pytest.fixture
@@ -119,11 +57,11 @@
 def test_callers_of_a_node_without_servers_are_served_by_the_others(
     linked: LinkedDeployment,
 ) -> None:
-    nodes = linked.ready_nodes(3)
+    nodes = start_nodes(linked, 3)
     cut = next(node for node in nodes if advertises(nodes[0], node))
     others = [node for node in nodes if node is not cut]
 
-    linked.set_cut(cut, is_cut=True)
+    linked.set_cut(cut.name, is_cut=True)
 
     for asked in nodes:
         wait_until(
@@ -142,7 +80,7 @@
         assert arrival_count(linked, "bookings", f"/bookings/1-{number}") == 1
     assert "no backend server can be reached" in linked.messages(cut)
 
-    linked.set_cut(cut, is_cut=False)
+    linked.set_cut(cut.name, is_cut=False)
 
     wait_until(
         lambda: advertises(others[0], cut),
@@ -155,11 +93,11 @@
 def test_nodes_that_all_lack_servers_stay_named_and_return_by_themselves(
     linked: LinkedDeployment,
 ) -> None:
-    nodes = linked.ready_nodes(3)
+    nodes = start_nodes(linked, 3)
     named_count = len(nodes[0].advertised_addresses())
 
     for node in nodes:
-        linked.set_cut(node, is_cut=True)
+        linked.set_cut(node.name, is_cut=True)
     for node in nodes:
         wait_until(
             lambda node=node: (  # type: ignore[misc]
@@ -174,7 +112,7 @@
         assert node.send_request("/records/1").status in (502, 503, 504)
 
     for node in nodes:
-        linked.set_cut(node, is_cut=False)
+        linked.set_cut(node.name, is_cut=False)
 
     for node in nodes:
         wait_until(
@@ -187,7 +125,7 @@
 def test_servers_that_are_down_take_no_node_out_of_the_directory(
     linked: LinkedDeployment,
 ) -> None:
-    nodes = linked.ready_nodes(2)
+    nodes = start_nodes(linked, 2)
 
     for service in ("records", "bookings"):
         for backend in linked.backends[service]:
