Compare nodes without servers with others only while one reaches servers

The users' rule compares with machines that are not cut off, and there was none. The check now counts only requests sent while another node runs and reaches servers; a history like that is a case of its test, and the case that must be reported is unchanged.

--- a/tests/on_platform/fleet_checks.py
+++ b/tests/on_platform/fleet_checks.py
@@ -300,7 +300,15 @@
                 break
 
 
+def _is_sound(history: FleetHistory, name: str, at_s: float) -> bool:
+    """Whether a node runs and reaches the backend servers at a time."""
+    return history.is_undisturbed(name, at_s, at_s) and history.is_undisturbed(
+        f"{name} links", at_s, at_s
+    )
+
+
 def _cut_off_problems(history: FleetHistory) -> Iterator[str]:
+    names = {item.node_name for item in history.requests}
     cuts = [item for item in history.disruptions if item.kind == "cut off"]
     for cut in cuts:
         since_s = cut.began_at_s + NOTICE_S
@@ -310,6 +318,8 @@
             if since_s < item.sent_at_s
             and item.ended_at_s < cut.ended_at_s
             and item.kind != "revision"
+            # No node serves better while all have lost their servers.
+            and any(_is_sound(history, name, item.sent_at_s) for name in names)
             and history.is_undisturbed(
                 item.node_name, cut.began_at_s, item.ended_at_s
             )
