Free the bytes of replies that are given up at once

What callers saw: nothing.

Cause: the library's parser and ours refer to each other, so a reply that was given up, and the chunks of a complete one, stayed until the cycle collector ran, which few large objects hardly trigger. Ruled out: load; it only made the collector run later.

Change: the parser drops its chunks when a reply is complete or given up. A test that runs without the collector fails before.

--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -167,7 +167,9 @@
         return self._pool.add_buffered(count)
 
     def _release_buffer(self) -> None:
-        self._parser = None
+        if self._parser is not None:
+            self._parser.discard()
+            self._parser = None
         self._pool.add_buffered(-self._buffered_bytes)
         self._buffered_bytes = 0
 
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -150,6 +150,7 @@
                 keeps_alive=self._parser.should_keep_alive(),
             )
         )
+        self._body = []
 
 
 class SingleReplyParser:
@@ -200,6 +201,15 @@
             )
         return self.reply
 
+    def discard(self) -> None:
+        """Frees the bytes of a reply that is given up.
+
+        The parser of the library refers back to this object, so that only the
+        cycle collector would free them.
+        """
+        self._body = []
+        self._headers = {}
+
     def end(self) -> HttpReply | None:
         """Handles the orderly end of the connection.
 
@@ -256,3 +266,4 @@
             body=b"".join(self._body),
             keeps_alive=keeps_alive,
         )
+        self._body = []
--- a/packages/runtime/tests/test_endless_replies.py
+++ b/packages/runtime/tests/test_endless_replies.py
@@ -1,6 +1,8 @@
 """Guards against servers whose bytes never end, in a head or in a body."""
 
+import gc
 import itertools
+import tracemalloc
 from collections.abc import Callable, Iterator
 
 import httptools
@@ -111,3 +113,19 @@
         parser.feed(b"20\r\n" + BLOCK[:32] + b"\r\n")
 
     assert parser.feed(b"0\r\n\r\n")
+
+
+def test_reply_that_is_given_up_is_freed_at_once() -> None:
+    gc.disable()
+    tracemalloc.start()
+    try:
+        for _ in range(8):
+            parser = SingleReplyParser()
+            bytes_until_refused(parser, body_until_close())
+            parser.discard()
+        size, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+    assert size < MAX_REPLY_BYTES
