Choose a near peer in one place, and reword what limits are

Two methods of EdgeNodes chose a peer of this node's failure domain in turn; both now ask one. Behaviour is the same: the tests of edge_nodes and of the exchange between peers pass unchanged.

--- a/packages/core/mulberrybay_core/caller_messages.py
+++ b/packages/core/mulberrybay_core/caller_messages.py
@@ -38,8 +38,8 @@
         load: The counts of running requests, waiting requests and slots of a
             backend server.
         leaving: LEAVING_VALUE in the replies of a backend server that leaves.
-        rate_limit: The requests per second that a backend server in need takes
-            from all nodes together.
+        rate_limit: The requests per second that a backend server takes from
+            all nodes together.
     """
 
     request_id: str
--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -367,6 +367,15 @@
             if info.name not in excluded_names
             and self._revision(info.name) >= configuration_revision
         ]
+        return self._choose_in_turn(candidates)
+
+    def _choose_in_turn(
+        self, candidates: list[EdgeNodeInfo]
+    ) -> EdgeNodeInfo | None:
+        """Returns the next of the nodes, of this node's domain if possible.
+
+        Traffic between failure domains costs more.
+        """
         own_domain = self.own_info.failure_domain
         in_own_domain = [
             info for info in candidates if info.failure_domain == own_domain
@@ -399,8 +408,7 @@
 
         All such peers are chosen in turn, not only those with the newest
         change: these are few, and answering all other nodes at once would fill
-        their links. Peers in the failure domain of this node are preferred,
-        since traffic between domains costs more.
+        their links. Peers in the failure domain of this node are preferred.
 
         Args:
             kind_index: The position of the kind in `changed_versions`.
@@ -418,17 +426,8 @@
             and kind_index < len(peer.heartbeat.changed_versions)
             and peer.heartbeat.changed_versions[kind_index] > version
         ]
-        own_domain = self.own_info.failure_domain
-        in_own_domain = [
-            info for info in newer_peers if info.failure_domain == own_domain
-        ]
-        candidates = in_own_domain or newer_peers
-        if not candidates:
-            return None
-        self._peer_choice_count += 1
-        return candidates[
-            self._peer_choice_count % len(candidates)
-        ].peer_address
+        chosen = self._choose_in_turn(newer_peers)
+        return None if chosen is None else chosen.peer_address
 
     def attempts_per_s(self, now_s: float) -> float:
         """Returns the rate of attempts by the running peers together."""
