--- a/packages/core/mulberrybay_core/server_limit.py
+++ b/packages/core/mulberrybay_core/server_limit.py
@@ -1,8 +1,9 @@
 """The request rate to which a backend server limits all nodes together.
 
-A server names it in its replies, for as long as it needs it. Each node takes its share of the rate from a token bucket. The bucket
-starts without a whole token and holds little, so that the nodes together keep to
-the limit in any few seconds, also when all of them were idle before.
+A server names it in its replies, for as long as it needs it. Each node takes its
+share of the rate from a token bucket. The bucket starts without a whole token and
+holds little, so that the nodes together keep to the limit in any few seconds, also
+when all of them were idle before.
 """
 
 import math
