Let the short soak run until it has begun the faults that its test asks for

Cause: faults are begun by the clock, each takes longer on a busy machine, and the soak ended after a fixed time. Not a fault of nodes: its exit code was 0.

Change: the soak takes a number of faults that it begins at least, and goes on until then. The test asks for the same 30 faults, now also on a busy machine; none of its checks changes.

--- a/packages/testing/mulberrybay_testing/soak.py
+++ b/packages/testing/mulberrybay_testing/soak.py
@@ -45,10 +45,13 @@
     Attributes:
         minutes: Duration of the soak.
         seed: Seed for the faults and the load.
+        min_fault_count: Faults that are begun at least. On a busy machine each
+            takes longer, and so does the soak.
     """
 
     minutes: float
     seed: int
+    min_fault_count: int = 0
 
 
 class RoundResult(NamedTuple):
@@ -88,6 +91,7 @@
 
     def __init__(self, settings: SoakSettings) -> None:
         self._random = random.Random(settings.seed)
+        self._missing_fault_count = settings.min_fault_count
         self._started_at_s = time.monotonic()
         self._ends_at_s = self._started_at_s + settings.minutes * 60
         self.results: list[RoundResult] = []
@@ -97,7 +101,7 @@
         while True:
             with tempfile.TemporaryDirectory() as folder:
                 self._run_deployment(Path(folder))
-            if time.monotonic() >= self._ends_at_s:
+            if self._is_over():
                 return
 
     def _run_deployment(self, folder: Path) -> None:
@@ -106,9 +110,15 @@
                 result = self._run_round(deployment)
                 self.results.append(result)
                 self._print_result(result)
-                if time.monotonic() >= self._ends_at_s:
+                if self._is_over():
                     return
 
+    def _is_over(self) -> bool:
+        return (
+            time.monotonic() >= self._ends_at_s
+            and self._missing_fault_count <= 0
+        )
+
     def _run_round(self, deployment: ProxiedDeployment) -> RoundResult:
         keys = [make_key(self._random) for _ in range(KEY_COUNT)]
         seed = self._random.getrandbits(32)
@@ -139,9 +149,10 @@
 
     def _inject_faults(self, deployment: ProxiedDeployment) -> None:
         injector = FaultInjector(deployment, self._random)
-        ends_at_s = min(time.monotonic() + ROUND_S, self._ends_at_s)
-        while time.monotonic() < ends_at_s:
+        round_ends_at_s = time.monotonic() + ROUND_S
+        while time.monotonic() < round_ends_at_s and not self._is_over():
             self._print("; ".join(injector.inject()))
+            self._missing_fault_count -= 1
             time.sleep(FAULT_PERIOD_S)
 
     def _print_result(self, result: RoundResult) -> None:
@@ -182,6 +193,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--minutes", type=float, default=10.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--min-faults", type=int, default=0, dest="min_fault_count"
+    )
     settings = SoakSettings(**vars(parser.parse_args(arguments)))
     print(f"soak of {settings.minutes:g} minutes, seed {settings.seed}")
     soak = Soak(settings)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,11 @@
 
 def test_short_soak_injects_faults_and_finds_no_problem() -> None:
     completed = subprocess.run(
-        [ROOT / "scripts" / "soak", "--minutes", "0.45", "--seed", "7"],
+        [
+            ROOT / "scripts" / "soak",
+            *("--minutes", "0.45", "--seed", "7"),
+            *("--min-faults", "30"),
+        ],
         capture_output=True,
         text=True,
         timeout=SOAK_TIMEOUT_S,
