Wait out queues that a pause has left at nodes with holders

Admission took queues that a pause of a server or node had left for an overload; such queues drain by themselves. And a holder cut each attempt after the usual time for a reply although the server had become slow, so no attempt could end.

Change: queues that are long for less than 0.2 s may use 0.8 of the time left instead of 0.4, unless queries were refused within the last 2 s. The time for a reply is at least twice what the last attempt took, up to the lateness.

--- a/packages/core/mulberrybay_core/admission.py
+++ b/packages/core/mulberrybay_core/admission.py
@@ -20,6 +20,8 @@
 # Fraction of the remaining time that the expected wait may use. The rest is
 # reserve, because other nodes send to the same queues.
 MAX_WAIT_RATIO: Final = 0.4
+# The same while queues are long only for a moment, so that less is added to them.
+MAX_BURST_WAIT_RATIO: Final = 0.8
 
 
 class AdmissionSettings(NamedTuple):
@@ -103,6 +105,7 @@
     needed_count: int,
     lateness_left_s: float,
     deadline_left_s: float,
+    max_wait_ratio: float = MAX_WAIT_RATIO,
 ) -> float:
     """Returns by how much queues exceed the wait that a query can afford.
 
@@ -111,6 +114,7 @@
         needed_count: Number of shards that the coverage target requires.
         lateness_left_s: Time until the query counts as late.
         deadline_left_s: Time until the query's deadline.
+        max_wait_ratio: Fraction of the time left that the wait may use.
 
     Returns:
         The delay before a retry is worthwhile, in seconds; 0 if the query is
@@ -127,7 +131,7 @@
     if worst.is_known and 2 * worst.service_s <= lateness_left_s:
         left_s = min(left_s, lateness_left_s)
     has_queue = worst.total_s >= MIN_QUEUE_RATIO * worst.service_s
-    allowed_s = MAX_WAIT_RATIO * left_s
+    allowed_s = max_wait_ratio * left_s
     if not has_queue or worst.total_s <= allowed_s:
         return 0.0
     return max(MIN_RETRY_AFTER_S, worst.total_s - allowed_s)
--- a/packages/core/mulberrybay_core/held_server.py
+++ b/packages/core/mulberrybay_core/held_server.py
@@ -17,6 +17,8 @@
 MAX_QUEUED_COUNT: Final = 64
 # Relative to the baseline latency.
 REPLY_TIMEOUT_RATIO: Final = 20.0
+# Relative to the duration of the last attempt, up to the lateness.
+SLOW_REPLY_TIMEOUT_RATIO: Final = 2.0
 # A reply proves that the server is warm for this multiple of the baseline
 # latency, counted from the dispatch of its request.
 WARM_PROOF_RATIO: Final = 2.5
@@ -46,6 +48,8 @@
         self.limit = ConcurrencyLimit(server.slot_count)
         self.outstanding: dict[str, QueuedAttempt] = {}
         self._dispatched_at_s: dict[str, float] = {}
+        # How long the last attempt took that was replied to or timed out.
+        self._last_duration_s = 0.0
         self._proven_warm_at_s = -math.inf
         self._queue: list[tuple[float, int, QueuedAttempt]] = []
         self._sequence = itertools.count()
@@ -99,7 +103,9 @@
         """Returns how long to wait for the reply to a search.
 
         An unresponsive connection must leave enough time for another replica
-        to answer. The timeout is still well above the server's usual latency.
+        to answer. The timeout is still well above the server's usual latency,
+        and above that of the last attempt: a server that has become slow would
+        otherwise never reply.
 
         Args:
             lateness_ms: The latency from which a caller's answer counts as
@@ -108,7 +114,18 @@
         baseline_s = self.limit.baseline_s
         if baseline_s is None:
             return math.inf
-        return max(REPLY_TIMEOUT_RATIO * baseline_s, lateness_ms / 2000)
+        return max(
+            REPLY_TIMEOUT_RATIO * baseline_s,
+            lateness_ms / 2000,
+            min(
+                SLOW_REPLY_TIMEOUT_RATIO * self._last_duration_s,
+                lateness_ms / 1000,
+            ),
+        )
+
+    def record_duration(self, duration_s: float) -> None:
+        """Records how long an attempt took that was replied to or timed out."""
+        self._last_duration_s = duration_s
 
     def may_be_cold(self, now_s: float) -> bool:
         """Returns whether the server may be cold, which is not yet confirmed.
--- a/packages/core/mulberrybay_core/query_execution.py
+++ b/packages/core/mulberrybay_core/query_execution.py
@@ -6,11 +6,12 @@
 attempt, such as a late one, is dropped.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 from expression import Error, Ok
 
+from mulberrybay_core.admission import MAX_BURST_WAIT_RATIO, MAX_WAIT_RATIO
 from mulberrybay_core.attempts import Attempt, AttemptOutcome, AttemptReply
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.queries import QueryRequest
@@ -91,15 +92,15 @@
         ]
         self._covered_count = 0
         usable = [self._find_usable(shard, now_s) for shard in self._shards]
-        queue_delay_s = self._current_replicas().required_delay_s(usable, now_s)
+        overload = self._context.policies.overload
+        queue_delay_s = self._required_delay_s(usable, now_s)
         if queue_delay_s > 0 and self._restart_count == 0:
-            overload = self._context.policies.overload
             retry_after_s = overload.on_refused(now_s, queue_delay_s)
             detail = "the backend servers have too much queued"
             return self._fail(FailureKind.OVERLOADED, detail, retry_after_s)
         attempts = self._plan_attempts(usable, now_s, is_extra=False)
         if self._restart_count == 0:
-            self._context.policies.overload.on_admitted()
+            overload.on_admitted()
             self._context.policies.budget.on_first_attempts(
                 len(attempts), self._context.targets.extra_load_percent
             )
@@ -108,6 +109,19 @@
             return self._finish((), now_s)
         return QueryStep(snapshot.index_version, tuple(attempts))
 
+    def _required_delay_s(
+        self, usable: Sequence[ShardReplicas], now_s: float
+    ) -> float:
+        """Returns the delay before a retry; 0 if the query may be sent now."""
+        replicas = self._current_replicas()
+        delay_s = replicas.required_delay_s(usable, now_s, MAX_WAIT_RATIO)
+        overload = self._context.policies.overload
+        if overload.is_burst(is_long=delay_s > 0, now_s=now_s):
+            return replicas.required_delay_s(
+                usable, now_s, MAX_BURST_WAIT_RATIO
+            )
+        return delay_s
+
     def _cannot_progress(self, now_s: float) -> bool:
         """Returns whether no further shard can be covered.
 
--- a/packages/core/mulberrybay_core/query_replicas.py
+++ b/packages/core/mulberrybay_core/query_replicas.py
@@ -97,7 +97,10 @@
         )
 
     def required_delay_s(
-        self, replicas: Sequence[ShardReplicas], now_s: float
+        self,
+        replicas: Sequence[ShardReplicas],
+        now_s: float,
+        max_wait_ratio: float,
     ) -> float:
         """Returns the delay before a retry; 0 if the query may be sent now."""
         estimate = self._context.policies.waits.estimate
@@ -112,4 +115,5 @@
             math.ceil(len(replicas) * targets.coverage_percent / 100),
             self._request.received_at_s + targets.lateness_ms / 1000 - now_s,
             self._request.deadline_at_s - now_s,
+            max_wait_ratio,
         )
--- a/packages/core/tests/test_decisions.py
+++ b/packages/core/tests/test_decisions.py
@@ -181,6 +181,22 @@
         held.begin(item, 1.011)
 
 
+def test_server_that_has_become_slow_is_given_time_to_reply() -> None:
+    held = HeldServer(_server("a"))
+    held.limit = _warm_limit()
+    lateness_ms = 250.0
+    usual_s = held.reply_timeout_s(lateness_ms)
+    assert usual_s < lateness_ms / 1000
+
+    held.record_duration(usual_s)
+
+    assert held.reply_timeout_s(lateness_ms) == lateness_ms / 1000
+    held.record_duration(lateness_ms / 1000)
+    assert held.reply_timeout_s(lateness_ms) == lateness_ms / 1000
+    held.record_duration(usual_s / 10)
+    assert held.reply_timeout_s(lateness_ms) == usual_s
+
+
 def test_second_request_goes_to_an_idle_replica() -> None:
     """An idle replica is chosen even if it is slightly slower."""
     waits = ServerWaits()
--- a/packages/daemon/mulberrybay_daemon/holder.py
+++ b/packages/daemon/mulberrybay_daemon/holder.py
@@ -195,6 +195,8 @@
         server_id = held.server.server_id
         has_replied = result.outcome is BackendOutcome.OK
         held.end(item.request_id, has_replied=has_replied)
+        if has_replied or result.outcome is BackendOutcome.DEADLINE:
+            held.record_duration(result.latency_s)
         self._server_by_request.pop(item.request_id, None)
         self._update_limit(held, item.batch.class_name, result)
         if result.run_state is RunState.RAN or result.is_leaving:
