Show that a request that crashes servers reaches them again and again

Four real nodes and servers that crash under one caller's request, which comes again at any node.

The stand-ins of backend servers can crash now: they end their connections and refuse new ones until they are back. The links of nodes to them refuse meanwhile.

--- a/packages/testing/mulberrybay_testing/http_server.py
+++ b/packages/testing/mulberrybay_testing/http_server.py
@@ -277,6 +277,11 @@
             reuse_address=True,
         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the server accepts connections."""
+        return self._server is not None
+
     def stop_listening(self) -> None:
         """Closes the listening socket; open connections stay open."""
         if self._server is not None:
--- a/packages/testing/mulberrybay_testing/proxy_link.py
+++ b/packages/testing/mulberrybay_testing/proxy_link.py
@@ -17,11 +17,14 @@
 class ProxySettings(TypedDict, total=False):
     """Settings of a proxy in a control document; absent keys are unchanged.
 
+    `target_down` refuses connections as `cut` does; either of them suffices.
+
     `cut_after_bytes` counts the bytes from the target over all connections.
     Once they are sent, every further answer is cut until it is set to null.
     """
 
     cut: bool | None
+    target_down: bool | None
     delay_ms: float | None
     silent: bool | None
     silent_all: bool | None
@@ -35,6 +38,7 @@
 
     def __init__(self) -> None:
         self.cut = False
+        self.target_down = False
         self.delay_s = 0.0
         self.silent_all = False
         self.one_way: Direction | None = None
@@ -44,6 +48,8 @@
         """Applies the keys that are present."""
         if "cut" in settings:
             self.cut = bool(settings["cut"])
+        if "target_down" in settings:
+            self.target_down = bool(settings["target_down"])
         if "delay_ms" in settings:
             self.delay_s = (settings["delay_ms"] or 0.0) / 1000
         if "silent_all" in settings:
--- a/packages/testing/mulberrybay_testing/tcp_proxy.py
+++ b/packages/testing/mulberrybay_testing/tcp_proxy.py
@@ -68,7 +68,7 @@
                 link.silent = bool(settings["silent"])
         if settings.get("drop_existing"):
             self._drop_links()
-        if self._faults.cut:
+        if self._faults.cut or self._faults.target_down:
             self._stop_listening()
             self._drop_links()
         else:
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -59,6 +59,7 @@
         deadline_ms: int = 2000,
         host: str = "a.example",
         body: bytes | None = None,
+        caller: str = "",
     ) -> Answer:
         """Sends one request on a new connection and returns the answer."""
         headers = {
@@ -66,6 +67,8 @@
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(deadline_ms),
         }
+        if caller:
+            headers["Authorization"] = caller
         return fetch(self.callers_port, path, method, headers, body)
 
     def is_ready(self) -> bool:
@@ -282,6 +285,11 @@
         """Starts a backend server and registers it in the store."""
         backend = BackendStandIn(service, is_shard=service in SHARDS, zone=zone)
         backend.connect_port = self._add_link(backend.server_id, backend.port)
+
+        async def on_running(is_running: bool) -> None:
+            await self._set_running(backend, is_running)
+
+        backend.on_running = on_running
         self._servers[backend.server_id] = self._loop.run(
             serve(backend, backend.port)
         )
@@ -289,6 +297,11 @@
         self.put("servers", backend.server_id, backend.entry())
         return backend
 
+    async def _set_running(
+        self, backend: BackendStandIn, is_running: bool
+    ) -> None:
+        """Handles that a server crashed or is back; see `_add_link`."""
+
     def stop_listening(self, backend: BackendStandIn) -> None:
         """Makes a backend server refuse new connections."""
 
@@ -297,6 +310,10 @@
 
         self._loop.run(stop())
 
+    def crash(self, backend: BackendStandIn) -> None:
+        """Ends a backend server, which starts again by itself."""
+        self._loop.run(backend.crash())
+
     # Nodes.
 
     def start_node(self, name: str, zone: str = "zone-a") -> RunningNode:
--- a/tests/on_platform/faulty_deployment.py
+++ b/tests/on_platform/faulty_deployment.py
@@ -5,6 +5,7 @@
 
 from deployment import START_TIMEOUT_S, RunningNode
 from linked_deployment import LinkedDeployment
+from standins import BackendStandIn
 
 from mulberrybay_testing.proxy_link import ProxySettings
 from mulberrybay_testing.tcp_proxy import Proxy
@@ -35,6 +36,13 @@
         self._proxies[name] = proxy
         return proxy.spec.listen_port
 
+    async def _set_running(
+        self, backend: BackendStandIn, is_running: bool
+    ) -> None:
+        proxy = self._proxies[backend.server_id]
+        await proxy.apply({"target_down": not is_running})
+        await super()._set_running(backend, is_running)
+
     def set_link_faults(self, name: str, settings: ProxySettings) -> None:
         """Sets the faults of the links to the store or to a backend server."""
         for proxy_name, proxy in self._proxies.items():
--- a/tests/on_platform/linked_deployment.py
+++ b/tests/on_platform/linked_deployment.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from deployment import Deployment, RunningNode
-from standins import StoreStandIn
+from standins import BackendStandIn, StoreStandIn
 
 from mulberrybay_testing.http_server import (
     AcceptAllHandler,
@@ -77,7 +77,30 @@
         self._loop.run(server.listen())
         self._store_ports[name] = self._add_link(f"store of {name}", port)
 
-    def set_cut(self, node_name: str, *, is_cut: bool) -> None:
-        """Cuts a node off from all backend servers, or ends that."""
+    async def _set_running(
+        self, backend: BackendStandIn, is_running: bool
+    ) -> None:
+        """Lets the links to a server that is down refuse connections."""
+        for proxies in self._node_links.values():
+            for proxy in proxies:
+                if proxy.spec.target_port == backend.connect_port:
+                    await proxy.apply({"target_down": not is_running})
+
+    def set_cut(
+        self,
+        node_name: str,
+        *,
+        is_cut: bool,
+        drops_connections: bool = False,
+    ) -> None:
+        """Cuts a node off from all backend servers, or ends that.
+
+        Args:
+            node_name: The node.
+            is_cut: Whether new connections and bytes hang.
+            drops_connections: Whether open connections are reset.
+        """
         for proxy in self._node_links[node_name]:
-            self._loop.run(proxy.apply({"cut": is_cut}))
+            self._loop.run(
+                proxy.apply({"cut": is_cut, "drop_existing": drops_connections})
+            )
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -8,7 +8,7 @@
 import json
 import threading
 import time
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, Final, NamedTuple, Self, TypeVar
 
 from mulberrybay_testing.http_server import (
@@ -270,6 +270,10 @@
     was_executed: bool
 
 
+async def _ignore(is_running: bool) -> None:
+    """Does nothing; see `BackendStandIn.on_running`."""
+
+
 class BackendStandIn(AcceptAllHandler):
     """One backend server of a service.
 
@@ -284,6 +288,11 @@
         echoed_id: The request id that replies echo; empty for the request's
             own id.
         headers: Additional headers of all replies.
+        is_fatal: Whether the server crashes under a request.
+        crash_after_s: How long such a request runs before.
+        restart_after_s: When the server is back after a crash.
+        crashed_at_s: When it crashed.
+        on_running: Called with whether it runs, as that changes.
     """
 
     _numbers = itertools.count(1)
@@ -303,6 +312,13 @@
         self.status = 200
         self.arrivals: list[Arrival] = []
         self.open_connection_count = 0
+        self.is_fatal: Callable[[Request], bool] = lambda _: False
+        self.crash_after_s = 0.02
+        self.restart_after_s = 1.5
+        self.crashed_at_s: list[float] = []
+        self.server: HttpServer | None = None
+        self.on_running: Callable[[bool], Awaitable[None]] = _ignore
+        self._connections: set[Connection] = set()
         self._is_shard = is_shard
 
     def entry(self, **changes: object) -> dict[str, object]:
@@ -326,11 +342,32 @@
     def connection_opened(self, connection: Connection) -> bool:
         """Accepts the connection."""
         self.open_connection_count += 1
+        self._connections.add(connection)
         return True
 
     def connection_closed(self, connection: Connection) -> None:
         """Counts the connection as closed."""
         self.open_connection_count -= 1
+        self._connections.discard(connection)
+
+    async def crash(self) -> None:
+        """Ends all connections and refuses new ones until it is back."""
+        if self.server is None or not self.server.is_listening:
+            return
+        self.crashed_at_s.append(time.monotonic())
+        await self.on_running(False)
+        self.server.stop_listening()
+        for connection in [*self._connections]:
+            connection.close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.restart_after_s, lambda: loop.create_task(self._start_again())
+        )
+
+    async def _start_again(self) -> None:
+        if self.server is not None:
+            await self.server.listen()
+            await self.on_running(True)
 
     async def handle(self, request: Request) -> Response:
         """Records and answers one request."""
@@ -353,6 +390,10 @@
         if is_shed:
             headers = NOT_EXECUTED_503.headers + self.headers
             return NOT_EXECUTED_503._replace(headers=headers)
+        if self.is_fatal(request):
+            await asyncio.sleep(self.crash_after_s)
+            await asyncio.shield(self.crash())
+            return Response(0, delivery=Delivery.CLOSED)
         await asyncio.sleep(self.delay_s)
         body = f"{self.service} {request.path}".encode()
         if self._is_shard:
@@ -373,4 +414,6 @@
     """Starts serving a stand-in on a port."""
     server = HttpServer(HOST, port, handler)
     await server.listen()
+    if isinstance(handler, BackendStandIn):
+        handler.server = server
     return server
