--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -17,6 +17,7 @@
 from typing import Final, NamedTuple
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.fatal_requests import SuspectReport
 
 HEARTBEAT_PERIOD_S: Final = 0.4
 # A node counts as unresponsive after this many periods without a heartbeat.
@@ -78,6 +79,7 @@
             of the store, which has returned from an older copy.
         is_hub: Whether the node sends heartbeats to all nodes.
         lacks_servers: Whether the node reaches no backend server.
+        suspects: Requests under which backend servers have crashed.
     """
 
     sender: EdgeNodeInfo
@@ -89,6 +91,7 @@
     is_restoring: bool = False
     is_hub: bool = False
     lacks_servers: bool = False
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 class _Peer:
@@ -365,10 +368,14 @@
             info
             for info in self.with_servers(now_s)
             if info.name not in excluded_names
-            and self._revision(info.name) >= configuration_revision
+            and self.has_configuration(info.name, configuration_revision)
         ]
         return self._choose_in_turn(candidates)
 
+    def has_configuration(self, name: str, revision: int) -> bool:
+        """Whether another node has a configuration or a newer one."""
+        return name in self._peers and self._revision(name) >= revision
+
     def _choose_in_turn(
         self, candidates: list[EdgeNodeInfo]
     ) -> EdgeNodeInfo | None:
--- /dev/null
+++ b/packages/core/tests/test_request_identity.py
@@ -0,0 +1,52 @@
+"""Which requests have the same identity."""
+
+import pytest
+
+from mulberrybay_core.caller_messages import CallerRequest
+from mulberrybay_core.request_identity import identify_request
+
+REQUEST = CallerRequest(
+    method="POST",
+    target="/records/1?page=2",
+    path="/records/1",
+    host="a.example",
+    headers=(("Host", "a.example"), ("Authorization", "alice")),
+    body=b"body",
+    request_id="id-1",
+    received_at_s=1.0,
+    deadline_s=2.0,
+)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"request_id": "id-2"},
+        {"received_at_s": 9.0, "deadline_s": 0.1, "network_time_s": 0.1},
+        {"is_relayed": True},
+        {"headers": (("authorization", "alice"), ("host", "a.example"))},
+        {"headers": (*REQUEST.headers, ("X-B3-TraceId", "1"))},
+        {"headers": (*REQUEST.headers, ("Traceparent", "1"))},
+        {"headers": (*REQUEST.headers, ("X-Trace-Id", "1"))},
+        {"headers": (("Host", "A.example:80"), ("Authorization", "alice"))},
+    ],
+)
+def test_repeat_of_a_request_has_its_identity(changes: dict) -> None:
+    repeat = REQUEST._replace(**changes)
+    assert identify_request(repeat) == identify_request(REQUEST)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"method": "PUT"},
+        {"target": "/records/1?page=3"},
+        {"host": "b.example"},
+        {"body": b"bod"},
+        {"headers": (("Host", "a.example"), ("Authorization", "bob"))},
+        {"headers": (("Host", "a.example"),)},
+    ],
+)
+def test_another_request_has_another_identity(changes: dict) -> None:
+    other = REQUEST._replace(**changes)
+    assert identify_request(other) != identify_request(REQUEST)
--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -17,7 +17,11 @@
 from mulberrybay_edge.forward_handler import ForwardHandler
 from mulberrybay_edge.gather_handler import GatherHandler
 from mulberrybay_edge.relay_handler import RelayHandler, RelayTargets
-from mulberrybay_edge.request_context import HandlerContext, RequestJob
+from mulberrybay_edge.request_context import (
+    HandlerContext,
+    RequestHandler,
+    RequestJob,
+)
 from mulberrybay_edge.sending import RequestTemplate
 
 # A starting node reads its configuration within a few round trips.
@@ -45,7 +49,7 @@
         context: HandlerContext,
         names: HeaderNames,
         find_table: Callable[[], RouteTable | None],
-        find_relay_targets: Callable[[], RelayTargets | None],
+        find_relay_targets: Callable[[bytes], RelayTargets | None],
         clock: Callable[[], float],
     ) -> None:
         """Creates the service.
@@ -54,8 +58,8 @@
             context: Objects and settings that all handlers share.
             names: The names of headers.
             find_table: Returns the routes in force; None before the first.
-            find_relay_targets: Returns the other nodes if only these reach
-                backend servers; else None.
+            find_relay_targets: Returns the other nodes if only these may send
+                a request of an identity; else None.
             clock: Returns the time in seconds.
         """
         self._context = context
@@ -101,8 +105,8 @@
             RequestTemplate(request, self._names),
             count_and_reply,
         )
-        handler: GatherHandler | ForwardHandler | RelayHandler
-        targets = self._find_relay_targets()
+        handler: RequestHandler
+        targets = self._find_relay_targets(job.template.identity)
         if targets is not None and not request.is_relayed:
             handler = RelayHandler(self._context, job, targets)
         elif route.shards:
@@ -111,7 +115,7 @@
             handler = ForwardHandler(
                 self._context, job, self._choose_service(route)
             )
-        handler.start()
+        handler.begin()
         return handler.cancel
 
     def _choose_service(self, route: Route) -> str:
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/crash_watch.py
@@ -0,0 +1,393 @@
+"""Notices servers that crash under requests, and keeps such requests from others.
+
+A connection that ends without a reply doesn't show a crash: servers that run also
+break off replies, and links are cut. After each such end the node opens a
+connection to the server. If it is refused, the server has ended.
+
+`FatalRequests` judges what this node and the others have seen.
+"""
+
+from collections import Counter
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
+from typing import Final, NamedTuple, Protocol
+
+from mulberrybay_core.addresses import Address
+from mulberrybay_core.fatal_requests import (
+    FORGET_AFTER_S,
+    MAX_STORED_COUNT,
+    MIN_CRASH_GAP_S,
+    TRIAL_DELAYS_S,
+    Crash,
+    FatalRequests,
+    SuspectReport,
+    server_key,
+)
+from mulberrybay_core.server_directory import ServerEntry
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.sending import RequestTemplate
+from mulberrybay_edge.server_connections import ProbeHandler, ProbeOutcome
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.timers import Timer
+
+# A request to which a server has replied in this time is sent as before, though
+# servers may have crashed under it since.
+RECENT_REPLY_S: Final = 10.0
+# Changes within this time are told to the other nodes together.
+TELL_DELAY_S: Final = 0.02
+# While many servers crash, heartbeats of changes are this far apart.
+TELL_PERIOD_S: Final = 0.1
+# A request that needs care is sent to a second server if the first one is silent
+# for this time: a crash would have ended its connection.
+MAX_SILENCE_S: Final = 0.5
+
+
+class CrashTimers(Protocol):
+    """The timers that a crash watch uses."""
+
+    def call_at(self, due_s: float, callback: Callable[[], None]) -> Timer:
+        """Schedules a callback at a time of `read_clock_s`."""
+
+
+class ServerProber(Protocol):
+    """Opens connections to servers; see `ServerConnections`."""
+
+    def probe(
+        self, server_id: str, address: Address, on_end: ProbeHandler
+    ) -> None:
+        """Opens a connection, closes it and reports the outcome."""
+
+
+class RequestInProgress(Protocol):
+    """A request that is being handled."""
+
+    def on_crash(self) -> None:
+        """Handles that a server crashed under a request of its identity."""
+
+    def on_condemned(self) -> None:
+        """Ends the request: no server may get it any more."""
+
+
+class _Turn(NamedTuple):
+    """A request that was sent to one server, which may crash under it.
+
+    Attributes:
+        handler: Handles the request.
+        ends_at_s: Until when others of the same identity wait for its result.
+    """
+
+    handler: RequestInProgress
+    ends_at_s: float
+
+
+def _tell_nobody() -> None:
+    """Does nothing; see `CrashWatch.tell`."""
+
+
+def _own_nothing(identity: bytes) -> bool:
+    """Leaves requests to other nodes; see `CrashWatch.owns_request`."""
+    del identity
+    return False
+
+
+class CrashWatch:
+    """Watches requests and the servers that they are sent to.
+
+    Attributes:
+        requests: The requests under which servers have crashed.
+        tell: Sends heartbeats, as what this node knows has changed.
+        owns_request: Whether this node is the one that sends a suspected request
+            and may try a condemned one again.
+        crash_count: Requests under which a server crashed.
+    """
+
+    def __init__(
+        self,
+        prober: ServerProber,
+        timers: CrashTimers,
+        log: DecisionLog,
+    ) -> None:
+        self._prober = prober
+        self._timers = timers
+        self._log = log
+        self.requests = FatalRequests()
+        self.tell: Callable[[], None] = _tell_nobody
+        self.owns_request: Callable[[bytes], bool] = _own_nothing
+        self.crash_count = 0
+        self._in_progress: dict[bytes, list[RequestInProgress]] = {}
+        self._check_counts: Counter[bytes] = Counter()
+        self._turns: dict[bytes, _Turn] = {}
+        self._will_tell = False
+        self._told_at_s = 0.0
+        # When this node last tried a condemned request.
+        self._tried_at_s: dict[bytes, float] = {}
+
+    # Requests in progress.
+
+    def admit(self, identity: bytes, handler: RequestInProgress) -> bool:
+        """Begins to follow a request, unless no server may get it.
+
+        Args:
+            identity: The request.
+            handler: Handles it; told of crashes until `release`.
+
+        Returns:
+            False if the request is condemned and this isn't a trial.
+        """
+        now_s = read_clock_s()
+        self.requests.record_request(identity, now_s)
+        if self.requests.is_condemned(identity):
+            if not self._may_try(identity, now_s):
+                return False
+            self._tried_at_s[identity] = now_s
+        self._in_progress.setdefault(identity, []).append(handler)
+        return True
+
+    def _may_try(self, identity: bytes, now_s: float) -> bool:
+        trial_at_s = self.requests.next_trial_at_s(identity)
+        return (
+            trial_at_s is not None
+            and now_s >= trial_at_s
+            # A trial may end without a crash or a reply.
+            and now_s >= self._tried_at_s.get(identity, 0.0) + TRIAL_DELAYS_S[0]
+            and self.owns_request(identity)
+        )
+
+    def release(self, identity: bytes, handler: RequestInProgress) -> None:
+        """Stops following a request that has ended."""
+        self.end_turn(identity, handler)
+        handlers = self._in_progress.get(identity, [])
+        if handler in handlers:
+            handlers.remove(handler)
+        if not handlers:
+            self._in_progress.pop(identity, None)
+
+    def retry_after_s(self, identity: bytes) -> float:
+        """Returns after which time a condemned request may be served."""
+        trial_at_s = self.requests.next_trial_at_s(identity)
+        if trial_at_s is None:
+            return FORGET_AFTER_S
+        return max(1.0, trial_at_s - read_clock_s())
+
+    def needs_care(self, identity: bytes) -> bool:
+        """Whether to send a request to one server at a time.
+
+        A server has crashed under it, or is being checked, and none has
+        replied to it lately.
+        """
+        return (
+            identity in self._check_counts
+            or self.requests.is_suspected(identity)
+        ) and not self._has_replied(identity)
+
+    def needs_one_sender(self, identity: bytes) -> bool:
+        """Whether only one of all nodes should send a request.
+
+        Nodes that each send it once would crash as many servers before they
+        learn of each other's crashes.
+        """
+        return (
+            self.requests.is_suspected(identity)
+            and not self.requests.is_condemned(identity)
+            and not self._has_replied(identity)
+        )
+
+    def must_wait(self, identity: bytes) -> bool:
+        """Whether a request that needs care can't be sent yet.
+
+        It will soon be known if one more server has crashed, or what ended the
+        last one may still end others.
+        """
+        if not self.requests.is_suspected(identity) or self._has_replied(
+            identity
+        ):
+            return False
+        now_s = read_clock_s()
+        last_at_s = self.requests.last_crash_at_s(identity) or 0.0
+        turn = self._turns.get(identity)
+        return (
+            identity in self._check_counts
+            or now_s < last_at_s + MIN_CRASH_GAP_S
+            or (turn is not None and now_s < turn.ends_at_s)
+        )
+
+    def begin_turn(self, identity: bytes, handler: RequestInProgress) -> None:
+        """Lets others of the same identity wait, if that needs care.
+
+        Args:
+            identity: The request.
+            handler: Has just sent it to a server.
+        """
+        if self.needs_care(identity):
+            ends_at_s = read_clock_s() + MAX_SILENCE_S
+            self._turns[identity] = _Turn(handler, ends_at_s)
+
+    def end_turn(self, identity: bytes, handler: RequestInProgress) -> None:
+        """Lets others of the same identity be sent; see `begin_turn`."""
+        turn = self._turns.get(identity)
+        if turn is not None and turn.handler is handler:
+            del self._turns[identity]
+
+    def _has_replied(self, identity: bytes) -> bool:
+        since_s = read_clock_s() - RECENT_REPLY_S
+        return self.requests.has_replied_since(identity, since_s)
+
+    # Observations.
+
+    def record_reply(self, identity: bytes) -> None:
+        """Records that a server has run a request and replied to it."""
+        condemned = self.requests.condemned
+        if self.requests.record_reply(identity, read_clock_s()):
+            self._tell_soon()
+            self._apply_changes([identity], condemned)
+
+    def check(
+        self, entry: ServerEntry, template: RequestTemplate, sent_at_s: float
+    ) -> None:
+        """Finds out whether a server crashed under a request.
+
+        Args:
+            entry: The server.
+            template: The request, to which it gave no reply.
+            sent_at_s: When the request was sent to it.
+        """
+        ended_at_s = read_clock_s()
+        identity = template.identity
+        if self.requests.has_replied_since(identity, sent_at_s):
+            return
+        self._check_counts[identity] += 1
+
+        def on_end(outcome: ProbeOutcome) -> None:
+            self._check_counts[identity] -= 1
+            if not self._check_counts[identity]:
+                del self._check_counts[identity]
+            if outcome is not ProbeOutcome.REFUSED:
+                return
+            self.crash_count += 1
+            self._log.log_view_change(
+                "backend server crashed",
+                server=entry.server_id,
+                service=entry.service,
+                request_id=template.request_id,
+                identity=identity.hex(),
+                target=template.target,
+                ran_ms=round((ended_at_s - sent_at_s) * 1000, 1),
+            )
+            self._record_crash(
+                identity,
+                Crash(
+                    server_key(entry.server_id, entry.started_at_ms),
+                    entry.started_at_ms > 0,
+                    sent_at_s,
+                    ended_at_s,
+                ),
+            )
+
+        self._prober.probe(entry.server_id, entry.address, on_end)
+
+    def _record_crash(self, identity: bytes, crash: Crash) -> None:
+        condemned = self.requests.condemned
+        if self.requests.record_crash(identity, crash, read_clock_s()):
+            self._tell_soon()
+            self._apply_changes([identity], condemned)
+        for handler in [*self._in_progress.get(identity, ())]:
+            handler.on_crash()
+
+    def _apply_changes(
+        self, changed: Iterable[bytes], condemned_before: frozenset[bytes]
+    ) -> None:
+        """Logs changes and ends the requests that are condemned by them.
+
+        A change of one request may condemn another; see `FatalRequests`.
+        """
+        affected = {*changed, *(self.requests.condemned ^ condemned_before)}
+        for identity in affected:
+            self._log_change(identity)
+            if self.requests.is_condemned(identity):
+                for handler in [*self._in_progress.get(identity, ())]:
+                    handler.on_condemned()
+
+    def _log_change(self, identity: bytes) -> None:
+        if self.requests.is_condemned(identity):
+            message = "request condemned"
+        elif self.requests.is_suspected(identity):
+            message = "request suspected"
+        else:
+            message = "request cleared"
+        self._log.log_view_change(
+            message,
+            identity=identity.hex(),
+            crashes=self.requests.crash_count(identity),
+        )
+
+    # Other nodes.
+
+    def _tell_soon(self) -> None:
+        if not self._will_tell:
+            self._will_tell = True
+            due_s = max(
+                read_clock_s() + TELL_DELAY_S, self._told_at_s + TELL_PERIOD_S
+            )
+            self._timers.call_at(due_s, self._tell)
+
+    def _tell(self) -> None:
+        self._will_tell = False
+        self._told_at_s = read_clock_s()
+        self.tell()
+
+    def reports(self) -> tuple[SuspectReport, ...]:
+        """Returns what to tell other nodes."""
+        return tuple(self.requests.reports(read_clock_s()))
+
+    def merge(self, reports: Iterable[SuspectReport]) -> None:
+        """Takes over what another node has told."""
+        condemned = self.requests.condemned
+        changed = self.requests.merge(reports, read_clock_s())
+        if changed:
+            self._apply_changes(changed, condemned)
+
+    # The store.
+
+    def stored(self, kept: Collection[str]) -> Mapping[str, Sequence[int]]:
+        """Returns the condemned requests that this node must store.
+
+        They are hexadecimal, with the servers that crashed under each.
+
+        Args:
+            kept: Those that it must store though another node owns them.
+        """
+        stored = sorted(
+            identity
+            for identity in self.requests.condemned
+            if identity.hex() in kept or self.owns_request(identity)
+        )
+        return {
+            identity.hex(): self.requests.server_keys(identity)
+            for identity in stored[:MAX_STORED_COUNT]
+        }
+
+    def restore(self, stored: Mapping[str, Sequence[int]]) -> None:
+        """Takes over condemned requests that some node has stored."""
+        condemned = self.requests.condemned
+        now_s = read_clock_s()
+        changed = [
+            identity
+            for identity, server_keys in (
+                (bytes.fromhex(text), keys) for text, keys in stored.items()
+            )
+            if self.requests.restore(identity, server_keys, now_s)
+        ]
+        if changed:
+            self._apply_changes(changed, condemned)
+
+    def expire(self) -> None:
+        """Forgets requests that callers have stopped to send."""
+        self.requests.expire(read_clock_s())
+        for identity in [*self._tried_at_s]:
+            if not self.requests.is_condemned(identity):
+                del self._tried_at_s[identity]
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple
 
 from mulberrybay_core.caller_messages import LEAVING_VALUE, HeaderNames
+from mulberrybay_core.fatal_requests import is_proof_of_life
 from mulberrybay_core.placement import (
     LoadReport,
     PlacementQuery,
@@ -19,6 +20,7 @@
 from mulberrybay_core.server_limit import ServerLimit, read_server_limit
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
+from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.exchange import (
     Exchange,
@@ -29,6 +31,7 @@
     AttemptOutcome,
     AttemptResult,
     AttemptSpec,
+    RequestTemplate,
     ResultHandler,
     SendRefusal,
 )
@@ -62,6 +65,7 @@
         "server",
         "started_at_s",
         "state",
+        "template",
     )
 
     def __init__(
@@ -71,6 +75,7 @@
         state: ServerState,
         history: RouteHistory,
         key: int,
+        template: RequestTemplate,
         on_result: ResultHandler,
     ) -> None:
         self._dispatcher = dispatcher
@@ -78,6 +83,7 @@
         self.state = state
         self.history = history
         self.key = key
+        self.template = template
         self.on_result = on_result
         self.started_at_s = read_clock_s()
         self.exchange: Exchange | None = None
@@ -121,6 +127,7 @@
             its service's `cold_requests_per_s`.
         log: The log of changes of this node's view.
         reach: Whether any backend server can be reached.
+        crash_watch: Notices servers that crash under requests.
     """
 
     directory: ServerDirectory
@@ -132,6 +139,7 @@
     cold_factor: float
     log: DecisionLog
     reach: ServerReach
+    crash_watch: CrashWatch
 
 
 class Dispatcher:
@@ -305,7 +313,9 @@
         entry = server.entry
         state = self._state(entry.server_id)
         key = next(self._keys)
-        attempt = _Attempt(self, server, state, spec.history, key, on_result)
+        attempt = _Attempt(
+            self, server, state, spec.history, key, spec.template, on_result
+        )
         if spec.is_retry:
             attempt.retried_service = spec.service
 
@@ -400,8 +410,13 @@
     def _on_result(self, attempt: _Attempt, result: ExchangeResult) -> None:
         if attempt.exchange is None:
             return
+        sent_at_s = attempt.exchange.sent_at_s
         attempt.exchange = None
         attempt.state.in_flight.pop(attempt.key, None)
+        if result.outcome is ExchangeOutcome.LOST and sent_at_s is not None:
+            self._context.crash_watch.check(
+                attempt.server.entry, attempt.template, sent_at_s
+            )
         attempt_result = self._read_result(attempt, result)
         if not attempt_result.has_arrived:
             self._give_back(attempt)
@@ -448,6 +463,8 @@
             return AttemptResult(
                 AttemptOutcome.LOST, server_id, None, detail, True
             )
+        if is_proof_of_life(reply.status):
+            self._context.crash_watch.record_reply(attempt.template.identity)
         if 200 <= reply.status < 300:
             latency_s = now_s - attempt.started_at_s
             attempt.history.record_latency(latency_s)
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -21,6 +21,24 @@
   isRestoring @14 :Bool;
   isHub @15 :Bool;
   lacksServers @16 :Bool;
+  suspects @17 :List(SuspectReport);
+}
+
+# A request under which backend servers have crashed. Times are seconds before
+# the heartbeat was sent.
+struct SuspectReport {
+  identity @0 :Data;
+  crashes @1 :List(Crash);
+  hasReplied @2 :Bool;
+  repliedAgoS @3 :Float32;
+  seenAgoS @4 :Float32;
+}
+
+struct Crash {
+  serverKey @0 :UInt64;
+  hasStartTime @1 :Bool;
+  sentAgoS @2 :Float32;
+  crashedAgoS @3 :Float32;
 }
 
 # Requests the objects of one kind that changed after a version. Kinds are
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -10,6 +10,7 @@
     choose_advertised,
     count_advertised,
 )
+from mulberrybay_core.request_owner import OwnerCandidates
 from mulberrybay_core.server_directory import ServerDirectory
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
@@ -54,6 +55,7 @@
         self._is_ready = is_ready
         self._reach = reach
         self._attempt_rate = SmoothedRate()
+        self._owner_candidates = OwnerCandidates()
         # Whether this node watches the store on behalf of others.
         self.watches_for_others = False
 
@@ -69,11 +71,7 @@
         the servers are at fault, or all nodes are cut off from them.
         """
         now_s = read_clock_s()
-        own = [self._nodes.own_info] if self._is_ready() else []
-        nodes = self._nodes.with_servers(now_s)
-        if not self._reach.is_lost:
-            nodes += own
-        nodes = nodes or self._nodes.serving(now_s) + own
+        nodes = self._reaching(now_s) or self._serving(now_s)
         count = count_advertised(
             self._nodes.attempts_per_s(now_s) + self.attempts_per_s,
             len(self._directory.server_ids()),
@@ -83,9 +81,29 @@
         self._nodes.set_advertised_count(count)
         return choose_advertised(nodes, count)
 
+    def _serving(self, now_s: float) -> list[EdgeNodeInfo]:
+        own = [self._nodes.own_info] if self._is_ready() else []
+        return self._nodes.serving(now_s) + own
+
+    def _reaching(self, now_s: float) -> list[EdgeNodeInfo]:
+        """Returns those of the serving nodes that reach backend servers."""
+        reaches_any = self._is_ready() and not self._reach.is_lost
+        own = [self._nodes.own_info] if reaches_any else []
+        return self._nodes.with_servers(now_s) + own
+
+    def choose_owner_candidates(self) -> list[EdgeNodeInfo]:
+        """Returns the nodes of which one sends a suspected request for all."""
+        now_s = read_clock_s()
+        return self._owner_candidates.choose(self._serving(now_s), now_s)
+
     def update(self) -> None:
         """Adjusts limits and watches to the nodes that are now known."""
         now_s = read_clock_s()
+        self._owner_candidates.record_reach(
+            [info.name for info in self._serving(now_s)],
+            [info.name for info in self._reaching(now_s)],
+            now_s,
+        )
         self._attempt_rate.update(self._dispatcher.sent_count, now_s)
         self._update_limit_shares(now_s)
         self._update_watching(now_s)
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -4,8 +4,10 @@
 from mulberrybay_core.caller_messages import CallerAnswer
 from mulberrybay_core.pause_wait import can_wait
 from mulberrybay_core.routing import RouteKind
+from mulberrybay_edge.crash_watch import MAX_SILENCE_S
 from mulberrybay_edge.request_context import (
     CAPACITY_CHECK_PERIOD_S,
+    CONDEMNED,
     MAX_QUEUE_RATIO,
     PAUSE_CHECK_PERIOD_S,
     HandlerContext,
@@ -48,7 +50,8 @@
     def start(self) -> None:
         """Sends the request, or refuses it if the service has no server."""
         self._context.sender.record_request(self._service)
-        self._send()
+        if not self._must_wait():
+            self._send()
         self._schedule_timer()
 
     # Sending.
@@ -76,6 +79,7 @@
             if not attempt.is_finished:
                 self._tried.record_sent(attempt.server_id)
                 self._attempts.append(attempt)
+                self._context.crash_watch.begin_turn(self._identity, self)
             return True
         self._refusal = attempt
         if self._attempts:
@@ -122,11 +126,22 @@
             and (self._is_retryable or not self._attempts)
         )
 
+    def _must_wait(self) -> bool:
+        return self._context.crash_watch.must_wait(self._identity)
+
+    def _may_hedge(self) -> bool:
+        """Whether a second server may get the request beside the first."""
+        return (
+            self._context.clock() >= self._hedge_at_s + MAX_SILENCE_S
+            or not self._context.crash_watch.needs_care(self._identity)
+        )
+
     def _on_result(self, result: AttemptResult) -> None:
         self._attempts = [
             attempt for attempt in self._attempts if not attempt.is_finished
         ]
         self._tried.record_end(result.server_id, has_arrived=result.has_arrived)
+        self._context.crash_watch.end_turn(self._identity, self)
         if self._has_ended:
             return
         if result.outcome is AttemptOutcome.OK and result.reply is not None:
@@ -141,7 +156,7 @@
             if result.outcome is AttemptOutcome.FAILED:
                 self._failure = result.reply
         may_retry = self._is_retryable or not self._may_have_run
-        if may_retry and self._may_send():
+        if may_retry and self._may_send() and not self._must_wait():
             self._send()
         if self._has_ended or self._attempts:
             return
@@ -190,15 +205,26 @@
             return
         if self._may_send():
             if not self._attempts:
-                is_sent = self._send()
-                if not is_sent and now_s >= self._queue_until_s:
-                    self._answer_failure("no backend server has room")
-            elif now_s >= self._hedge_at_s:
+                if not self._must_wait():
+                    self._send_or_give_up(now_s)
+            elif now_s >= self._hedge_at_s and self._may_hedge():
                 self._send()
         self._schedule_timer()
 
+    def _send_or_give_up(self, now_s: float) -> None:
+        if not self._send() and now_s >= self._queue_until_s:
+            self._answer_failure("no backend server has room")
+
     # Answers.
 
+    def _end_condemned(self) -> None:
+        for attempt in self._attempts:
+            self._may_have_run = self._may_have_run or attempt.is_sent
+        if self._may_have_run:
+            self._answer_failure(CONDEMNED)
+        else:
+            self._refuse_condemned()
+
     def _to_caller_answer(self, reply: HttpReply) -> CallerAnswer:
         return to_caller_answer(
             reply,
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -9,10 +9,13 @@
 
 from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import CallerAnswer
+from mulberrybay_core.fatal_requests import CONDEMNED_COUNT
 from mulberrybay_core.pause_wait import can_wait, enough_available_at_s
 from mulberrybay_core.shard_merge import ShardReply, merge_shard_replies
+from mulberrybay_edge.crash_watch import MAX_SILENCE_S
 from mulberrybay_edge.request_context import (
     CAPACITY_CHECK_PERIOD_S,
+    CONDEMNED,
     MAX_LOGGED_COUNT,
     HandlerContext,
     RequestHandler,
@@ -71,6 +74,10 @@
         self._has_waiting_shard = False
         # Whether any backend server may have received the query.
         self._may_have_run = False
+        # Whether shards were left out because servers crashed.
+        self._was_careful = False
+        self._crash_count = 0
+        self._last_sent_at_s = job.request.received_at_s
 
     def start(self) -> None:
         """Sends the query to all shards.
@@ -104,12 +111,61 @@
                 available_at_s - self._context.clock(),
             )
             return
-        for shard in self._shards:
-            self._send(shard)
+        self._send_first_attempts()
         self._schedule_timer()
 
     # Sending.
 
+    def _is_careful(self) -> bool:
+        """Whether to send the query to one server at a time.
+
+        That is so from the first crash under it until a shard has replied.
+        """
+        return self._missing_count == len(
+            self._shards
+        ) and self._context.crash_watch.needs_care(self._identity)
+
+    def _send_first_attempts(self) -> None:
+        """Sends the query to each shard that it was not sent to yet."""
+        if self._is_careful():
+            self._send_to_one()
+            return
+        self._was_careful = False
+        for shard in self._shards:
+            if not shard.attempts and self._may_send(shard):
+                self._send(shard)
+
+    def _send_to_one(self) -> None:
+        """Sends the query to one server, unless one may still reply."""
+        self._was_careful = True
+        now_s = self._context.clock()
+        may_reply = any(shard.attempts for shard in self._shards) and (
+            now_s < self._last_sent_at_s + MAX_SILENCE_S
+        )
+        if may_reply or self._context.crash_watch.must_wait(self._identity):
+            return
+        for shard in self._shards:
+            if self._may_send(shard) and self._send(shard):
+                self._last_sent_at_s = now_s
+                return
+
+    def on_crash(self) -> None:
+        """Takes the query back from the other servers after several crashes."""
+        self._crash_count += 1
+        in_flight_count = sum(len(shard.attempts) for shard in self._shards)
+        if (
+            self._crash_count < CONDEMNED_COUNT
+            or in_flight_count < 2
+            or not self._is_careful()
+        ):
+            return
+        for shard in self._shards:
+            for attempt in shard.attempts:
+                attempt.cancel()
+                shard.tried.record_end(attempt.server_id, has_arrived=True)
+                self._may_have_run = self._may_have_run or attempt.is_sent
+            shard.attempts.clear()
+
     def _send(self, shard: _Shard, *, is_hedge: bool = False) -> bool:
         job = self._job
         spec = AttemptSpec(
@@ -135,6 +191,7 @@
         if not attempt.is_finished:
             shard.tried.record_sent(attempt.server_id)
             shard.attempts.append(attempt)
+            self._context.crash_watch.begin_turn(self._identity, self)
         if is_hedge:
             shard.hedge = attempt
             self._hedge_count += 1
@@ -151,6 +208,7 @@
             attempt for attempt in shard.attempts if not attempt.is_finished
         ]
         shard.tried.record_end(result.server_id, has_arrived=result.has_arrived)
+        self._context.crash_watch.end_turn(self._identity, self)
         if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
         if self._has_ended or shard.reply is not None:
@@ -162,7 +220,10 @@
         self._failures.append(
             f"{shard.service}/{result.server_id}: {result.detail}"
         )
-        if self._may_send(shard) and not self._send(shard):
+        if self._is_careful():
+            self._send_to_one()
+            self._schedule_timer()
+        elif self._may_send(shard) and not self._send(shard):
             self._schedule_timer()
         self._check_completion()
 
@@ -193,6 +254,9 @@
             self._answer_if_enough()
         elif self._has_waiting_shard:
             self._check_completion()
+        if self._was_careful and not self._has_ended:
+            self._send_first_attempts()
+            self._schedule_timer()
         return True
 
     def _needed_count(self) -> int:
@@ -278,6 +342,13 @@
                 caller_errors.TOO_FEW_SHARDS, "no backend server can be reached"
             )
             return
+        self._send_due(now_s)
+        self._schedule_timer()
+
+    def _send_due(self, now_s: float) -> None:
+        if self._is_careful():
+            self._send_to_one()
+            return
         for shard in self._shards:
             if not self._may_send(shard):
                 continue
@@ -285,7 +356,6 @@
                 self._send(shard)
             elif now_s >= self._hedge_at_s:
                 self._send(shard, is_hedge=True)
-        self._schedule_timer()
 
     # Answers.
 
@@ -316,6 +386,16 @@
         self._record_end(outcome, **self._describe())
         self._finish(answer)
 
+    def _end_condemned(self) -> None:
+        if self._may_have_run or any(
+            attempt.is_sent
+            for shard in self._shards
+            for attempt in shard.attempts
+        ):
+            self._fail(caller_errors.TOO_FEW_SHARDS, CONDEMNED)
+        else:
+            self._refuse_condemned()
+
     def _fail(self, answer: CallerAnswer, reason: str) -> None:
         if not self._may_have_run and not any(
             attempt.is_sent
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -2,18 +2,20 @@
 
 import pathlib
 import zlib
-from typing import Final
+from typing import Any, Final
 
 import capnp
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
+from mulberrybay_core.fatal_requests import Crash, SuspectReport
 
 PROTOCOL_VERSION: Final = 2
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name("edge.capnp")))
 COMPRESSION_LEVEL: Final = 1
-# Several times the uncompressed size of a heartbeat with long names.
-MAX_HEARTBEAT_BYTES: Final = 4096
+# More than the uncompressed size of a heartbeat with long names and the most
+# reports.
+MAX_HEARTBEAT_BYTES: Final = 8192
 
 
 class HeartbeatError(Exception):
@@ -46,10 +48,46 @@
         isRestoring=heartbeat.is_restoring,
         isHub=heartbeat.is_hub,
         lacksServers=heartbeat.lacks_servers,
+        suspects=[_encode_report(report) for report in heartbeat.suspects],
     )
     return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
+def _encode_report(report: SuspectReport) -> dict[str, Any]:
+    return {
+        "identity": report.identity,
+        "crashes": [
+            {
+                "serverKey": crash.server_key,
+                "hasStartTime": crash.has_start_time,
+                "sentAgoS": -crash.sent_at_s,
+                "crashedAgoS": -crash.crashed_at_s,
+            }
+            for crash in report.crashes
+        ],
+        "hasReplied": report.replied_ago_s is not None,
+        "repliedAgoS": report.replied_ago_s or 0.0,
+        "seenAgoS": report.seen_ago_s,
+    }
+
+
+def _decode_report(report: Any) -> SuspectReport:  # noqa: ANN401
+    return SuspectReport(
+        bytes(report.identity),
+        tuple(
+            Crash(
+                crash.serverKey,
+                crash.hasStartTime,
+                -crash.sentAgoS,
+                -crash.crashedAgoS,
+            )
+            for crash in report.crashes
+        ),
+        report.repliedAgoS if report.hasReplied else None,
+        report.seenAgoS,
+    )
+
+
 def decode_heartbeat(data: bytes) -> EdgeHeartbeat:
     """Returns the heartbeat in a datagram.
 
@@ -83,6 +121,7 @@
                 message.isRestoring,
                 message.isHub,
                 message.lacksServers,
+                tuple(_decode_report(report) for report in message.suspects),
             )
     except (
         capnp.KjException,
--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -7,6 +7,7 @@
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import RoutedService
+from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import Dispatcher
 from mulberrybay_edge.platform_view import PlatformView
@@ -35,6 +36,7 @@
     reach: ServerReach
     reach_monitor: ReachMonitor
     connections: ServerConnections
+    crash_watch: CrashWatch
     callers: CallerServer
     store: PlatformClient
     view: PlatformView
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -17,6 +17,7 @@
     EdgeNodes,
 )
 from mulberrybay_core.platform_documents import PlatformDocuments
+from mulberrybay_core.request_owner import choose_owner, rank_owners
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
@@ -27,6 +28,7 @@
     ReadinessService,
     RoutedService,
 )
+from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import DispatchContext, Dispatcher
 from mulberrybay_edge.fleet_sharing import FleetSharing
@@ -34,7 +36,11 @@
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.reach_monitor import ReachMonitor
-from mulberrybay_edge.relay_handler import RelayTargets
+from mulberrybay_edge.relay_handler import (
+    CUT_OFF,
+    OWNER_UNREACHED,
+    RelayTargets,
+)
 from mulberrybay_edge.request_context import HandlerContext, RequestCounts
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
@@ -121,6 +127,12 @@
         self._streams = Streams(self._poller).register(self)
         self._datagrams = Datagrams(self._poller).register(self)
         self._peer_link: PeerLink | None = None
+        self._connections = ServerConnections(self._streams, self._timers)
+        self._crash_watch = CrashWatch(
+            self._connections, self._timers, self._decisions
+        )
+        self._crash_watch.tell = self._send_heartbeats
+        self._crash_watch.owns_request = self._owns_request
 
     def _build_platform_view(self) -> None:
         settings = self._settings
@@ -152,7 +164,9 @@
             self._apply_route_table,
             settings.leaving_service_s,
         )
-        self._registry = NodeRegistry(self._store, self._timers, self._nodes)
+        self._registry = NodeRegistry(
+            self._store, self._timers, self._nodes, self._crash_watch
+        )
         node_watch = StoreWatch(
             self._store, self._timers, NODE_KIND, self._registry
         )
@@ -160,7 +174,6 @@
 
     def _build_dispatch(self) -> None:
         settings = self._settings
-        self._connections = ServerConnections(self._streams, self._timers)
         self._peer_connections = ServerConnections(self._streams, self._timers)
         self._reach = ServerReach(read_clock_s())
         self._retry_budget = RetryBudget(settings.retry_terms)
@@ -176,6 +189,7 @@
                 settings.cold_factor,
                 self._decisions,
                 self._reach,
+                self._crash_watch,
             ),
             self._random,
         )
@@ -206,6 +220,7 @@
             settings.names,
             self._decisions,
             self._counts,
+            self._crash_watch,
             settings.retry_terms.ratio,
             read_clock_s,
         )
@@ -336,13 +351,23 @@
     def _on_reach_changed(self) -> None:
         """Tells the other nodes, and changes what callers are told."""
         self._sharing.update()
-        if self._peer_link is not None:
-            self._peer_link.send_heartbeats()
+        self._send_heartbeats()
+
+    def _find_relay_targets(self, identity: bytes) -> RelayTargets | None:
+        """Returns the nodes to hand a request to; None to handle it here."""
+        if self._crash_watch.needs_one_sender(identity):
 
-    def _find_relay_targets(self) -> RelayTargets | None:
-        if not self._reach.is_lost or self._choose_relay(set()) is None:
-            return None
-        return RelayTargets(self._peer_connections, self._choose_relay)
+            def choose(unreached_names: set[str]) -> EdgeNodeInfo | None:
+                return self._choose_owner(identity, unreached_names)
+
+            if choose(set()) is None:
+                return None
+            return RelayTargets(self._peer_connections, choose, OWNER_UNREACHED)
+        if self._reach.is_lost and self._choose_relay(set()) is not None:
+            return RelayTargets(
+                self._peer_connections, self._choose_relay, CUT_OFF
+            )
+        return None
 
     def _choose_relay(self, excluded_names: set[str]) -> EdgeNodeInfo | None:
         table = self._view.route_table
@@ -365,6 +390,7 @@
                 self._timers,
                 self._decisions,
                 self._make_heartbeat,
+                self._crash_watch.merge,
             )
         )
 
@@ -379,8 +405,31 @@
             any(watch.is_restoring for watch in self._watches),
             self._nodes.is_hub(read_clock_s()),
             self._reach.is_lost,
+            self._crash_watch.reports(),
         )
 
+    def _send_heartbeats(self) -> None:
+        if self._peer_link is not None:
+            self._peer_link.send_heartbeats()
+
+    def _owns_request(self, identity: bytes) -> bool:
+        owners = self._rank_owners(identity)
+        return bool(owners) and owners[0].name == self._settings.node_name
+
+    def _choose_owner(
+        self, identity: bytes, unreached_names: set[str]
+    ) -> EdgeNodeInfo | None:
+        table = self._view.route_table
+        return choose_owner(
+            self._rank_owners(identity),
+            self._nodes,
+            table.revision if table else 0,
+            unreached_names,
+        )
+
+    def _rank_owners(self, identity: bytes) -> list[EdgeNodeInfo]:
+        return rank_owners(identity, self._sharing.choose_owner_candidates())
+
     # Periodic maintenance.
 
     def _run_maintenance(self) -> None:
@@ -396,6 +445,7 @@
                 "backend server resumed", server=server_id
             )
         self._nodes.drop_unresponsive(now_s)
+        self._crash_watch.expire()
         self._sharing.update()
         if self._peer_link is not None:
             self._peer_link.request_missing_changes()
@@ -404,6 +454,7 @@
                 self._peer_link.send_changes()
         if self._stopping_since_s is None:
             self._registry.remove_unresponsive(now_s)
+            self._registry.update()
         else:
             self._stop_when_idle(now_s - self._stopping_since_s)
 
@@ -433,8 +484,7 @@
         self._stopping_since_s = read_clock_s()
         self._log.info("stopping", signal=signal_number)
         self._callers.is_stopping = True
-        if self._peer_link is not None:
-            self._peer_link.send_heartbeats()
+        self._send_heartbeats()
         self._registry.unregister()
 
     def _stop_when_idle(self, stopping_for_s: float) -> None:
@@ -471,6 +521,7 @@
                 reach=self._reach,
                 reach_monitor=self._reach_monitor,
                 connections=self._connections,
+                crash_watch=self._crash_watch,
                 callers=self._callers,
                 store=self._store,
                 view=self._view,
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -79,6 +79,16 @@
         "counter",
         "Replies of backend servers that named a limit of their rate.",
     ),
+    MetricSpec(
+        "edge_server_crashes",
+        "counter",
+        "Requests under which a backend server crashed.",
+    ),
+    MetricSpec(
+        "edge_condemned_requests",
+        "gauge",
+        "Requests that no server gets, since several crashed under them.",
+    ),
     MetricSpec(
         "edge_lacks_servers", "gauge", "1 while no backend server is reached."
     ),
@@ -219,6 +229,11 @@
         yield Sample("edge_leaving_servers", dispatcher.leaving_count)
         yield Sample("edge_server_pauses", dispatcher.pause_count)
         yield Sample("edge_server_limits", dispatcher.limit_count)
+        yield Sample(
+            "edge_server_crashes", self._sources.crash_watch.crash_count
+        )
+        condemned_count = len(self._sources.crash_watch.requests.condemned)
+        yield Sample("edge_condemned_requests", condemned_count)
         yield Sample("edge_lacks_servers", int(self._sources.reach.is_lost))
         yield Sample("edge_probes", self._sources.reach_monitor.probe_count)
         yield from count_samples(
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -4,8 +4,8 @@
 have been unresponsive for too long.
 """
 
-from collections.abc import Callable
-from typing import Final, NamedTuple
+from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import Final, NamedTuple, Protocol
 
 from mulberrybay_core.addresses import parse_address
 from mulberrybay_core.edge_nodes import EdgeNodeInfo, EdgeNodes
@@ -35,7 +35,29 @@
     version: int
 
 
-def encode_registration(info: EdgeNodeInfo, era: int) -> JsonObject:
+class LastingKnowledge(Protocol):
+    """What a node stores in its entry for nodes that start later.
+
+    See `CrashWatch`.
+    """
+
+    def stored(self, kept: Collection[str]) -> Mapping[str, Sequence[int]]:
+        """Returns what this node must store now.
+
+        Args:
+            kept: What it must store as long as it is valid, for no other
+                node has stored it yet.
+        """
+
+    def restore(self, stored: Mapping[str, Sequence[int]]) -> None:
+        """Takes over what some node has stored."""
+
+
+def encode_registration(
+    info: EdgeNodeInfo,
+    era: int,
+    fatal_requests: Mapping[str, Sequence[int]] | None = None,
+) -> JsonObject:
     """Returns the value that is stored for a node.
 
     Args:
@@ -43,8 +65,9 @@
         era: The era of the store in which it registers. A node that starts
             later sees by it that the store has returned from an older copy
             while the other node ran.
+        fatal_requests: What it keeps for others; see `LastingKnowledge`.
     """
-    return {
+    value: JsonObject = {
         "era": era,
         "incarnation": info.incarnation,
         "failure_domain": info.failure_domain,
@@ -52,6 +75,26 @@
         "peer_address": str(info.peer_address),
         "cpu_cores": info.cpu_cores,
     }
+    if fatal_requests:
+        # As text: not every JSON parser keeps integers of 64 bits.
+        value["fatal_requests"] = {
+            identity: [f"{key:x}" for key in server_keys]
+            for identity, server_keys in fatal_requests.items()
+        }
+    return value
+
+
+def decode_fatal_requests(stored: StoredObject) -> dict[str, list[int]]:
+    """Returns what a node stored for others; nothing if it is malformed."""
+    try:
+        return {
+            bytes.fromhex(identity).hex(): [int(key, 16) for key in server_keys]
+            for identity, server_keys in stored.value.get(
+                "fatal_requests", {}
+            ).items()
+        }
+    except (AttributeError, TypeError, ValueError):
+        return {}
 
 
 def decode_registration(stored: StoredObject) -> EdgeNodeInfo | None:
@@ -77,9 +120,18 @@
     """
 
     def __init__(
-        self, store: ObjectStore, timers: Timers, nodes: EdgeNodes
+        self,
+        store: ObjectStore,
+        timers: Timers,
+        nodes: EdgeNodes,
+        knowledge: LastingKnowledge,
     ) -> None:
         self._store = store
+        self._knowledge = knowledge
+        # What entries hold for nodes that start later: this node's, and those of
+        # the others by name.
+        self._written: Collection[str] = ()
+        self._stored_by_others: dict[str, Collection[str]] = {}
         # Whether other nodes registered before the store returned from a copy.
         self.has_peers_of_older_era = False
         self._timers = timers
@@ -101,6 +153,8 @@
 
     def on_list(self, objects: ObjectList) -> None:
         """Replaces the known entries; registers this node if it is missing."""
+        self._stored_by_others.clear()
+        self._restore(objects)
         registrations = self._decode_registrations(objects)
         self._nodes.replace_registered(registrations)
         own_name = self._nodes.own_info.name
@@ -129,6 +183,7 @@
 
     def on_changes(self, changes: ObjectList) -> None:
         """Applies entries that were written or removed."""
+        self._restore(changes)
         for info, version in self._decode_registrations(changes):
             self._nodes.put_registered(info, version)
         for name in changes.removed_names:
@@ -137,8 +192,39 @@
                 self._version = 0
                 self.register()
             else:
+                self._stored_by_others.pop(name, None)
                 self._nodes.remove_registered(name)
 
+    def _restore(self, objects: ObjectList) -> None:
+        for stored in objects.items:
+            fatal_requests = decode_fatal_requests(stored)
+            if stored.name != self._nodes.own_info.name:
+                self._stored_by_others[stored.name] = fatal_requests.keys()
+            elif not self._version:
+                # The entry of an earlier incarnation, which this one replaces.
+                self._written = fatal_requests.keys()
+            if fatal_requests:
+                self._knowledge.restore(fatal_requests)
+
+    def _stored(self) -> Mapping[str, Sequence[int]]:
+        """Returns what this node's entry must hold for nodes that start later.
+
+        What it holds stays until another entry has it: all nodes may end before
+        one that must store it from now on has done so. Of nodes that all hold it,
+        the first by name keeps it.
+        """
+        own_name = self._nodes.own_info.name
+        kept = {
+            text
+            for text in self._written
+            if not any(
+                text in held
+                for name, held in self._stored_by_others.items()
+                if name < own_name
+            )
+        }
+        return self._knowledge.stored(kept)
+
     def _decode_registrations(self, objects: ObjectList) -> list[_Registration]:
         entries = []
         for stored in objects.items:
@@ -163,14 +249,21 @@
             self._is_writing = True
             self._write(expected_version)
 
+    def update(self) -> None:
+        """Writes this node's entry again if what it must store has changed."""
+        if self._version and self._stored().keys() != set(self._written):
+            self.register(self._version)
+
     def _write(self, expected_version: int) -> None:
         if self._is_unregistering:
             return
         own_info = self._nodes.own_info
+        stored = self._stored()
+        self._written = stored.keys()
         self._store.write(
             NODE_KIND,
             own_info.name,
-            encode_registration(own_info, self._store.era),
+            encode_registration(own_info, self._store.era, stored),
             expected_version,
             self._on_written,
         )
--- a/packages/edge/mulberrybay_edge/peer_link.py
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -11,6 +11,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodes
+from mulberrybay_core.fatal_requests import SuspectReport
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.heartbeat_codec import (
     HeartbeatError,
@@ -37,6 +38,7 @@
         timers: Timers,
         log: DecisionLog,
         make_heartbeat: Callable[[], EdgeHeartbeat],
+        on_suspects: Callable[[Sequence[SuspectReport]], None],
     ) -> None:
         self._nodes = nodes
         self._watches = watches
@@ -44,6 +46,7 @@
         self._timers = timers
         self._log = log
         self._make_heartbeat = make_heartbeat
+        self._on_suspects = on_suspects
         self._exchange = PeerExchange(streams, timers, watches)
         self._sent_versions: tuple[int, ...] = ()
         self.unreadable_count = 0
@@ -96,6 +99,8 @@
             )
             return
         is_first = self._nodes.record_heartbeat(heartbeat, read_clock_s())
+        if heartbeat.suspects:
+            self._on_suspects(heartbeat.suspects)
         if is_first and self._is_restoring():
             # The peer has started since the store returned from an older copy.
             data = encode_heartbeat(self._make_heartbeat())
@@ -160,7 +165,8 @@
 
     def send_changes(self) -> None:
         """Sends heartbeats if an object changed since the last ones."""
-        if self._make_heartbeat().changed_versions != self._sent_versions:
+        versions = tuple(watch.changed_version for watch in self._watches)
+        if versions != self._sent_versions:
             self.send_heartbeats()
 
     def _request_update(self, index: int, now_s: float) -> None:
--- a/packages/edge/mulberrybay_edge/relay_handler.py
+++ b/packages/edge/mulberrybay_edge/relay_handler.py
@@ -1,8 +1,10 @@
-"""Hands a request to another node while this one reaches no backend server.
+"""Hands a request to another node.
 
-Callers keep addresses of the directory for seconds, and use open connections until
-they get new ones. A request is handed on once: the node that gets it handles it by
-itself.
+That is so while this node reaches no backend server: callers keep addresses of the
+directory for seconds, and use open connections until they get new ones. It is also
+so if servers have crashed under the request: then one node sends it for all.
+
+A request is handed on once: the node that gets it handles it by itself.
 """
 
 from collections.abc import Callable
@@ -30,6 +32,9 @@
 RELAY_MARGIN_S: Final = 0.01
 # A node closes connections of callers that are idle, so only fresh ones are used.
 MAX_IDLE_S: Final = 1.0
+# Why a request is refused that no other node gets.
+CUT_OFF: Final = "no backend server can be reached"
+OWNER_UNREACHED: Final = "the node that sends this request can't be reached"
 
 
 class RelayTargets(NamedTuple):
@@ -37,12 +42,14 @@
 
     Attributes:
         connections: Connections to the other nodes.
-        choose: Returns a node that reaches backend servers and whose name is not
+        choose: Returns a node that handles the request and whose name is not
             among those given; None if there is none.
+        refusal_reason: Why a request is refused that no such node gets.
     """
 
     connections: ServerConnections
     choose: Callable[[set[str]], EdgeNodeInfo | None]
+    refusal_reason: str
 
 
 class RelayHandler(RequestHandler):
@@ -69,7 +76,7 @@
         if len(self._tried) < MAX_NODE_COUNT:
             node = self._targets.choose(self._tried)
         if node is None:
-            self._refuse("no backend server can be reached")
+            self._refuse(self._targets.refusal_reason)
             return
         self._tried.add(node.name)
         self._node_name = node.name
@@ -123,6 +130,9 @@
             # A backend server may have run it.
             self._fail()
 
+    def _end_condemned(self) -> None:
+        """Leaves the answer to the other node, which knows if it has run."""
+
     def _fail(self) -> None:
         self._record_end("failed", reason="the other node gave no answer")
         self._finish(caller_errors.INCOMPLETE_REPLY)
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -14,6 +14,7 @@
 )
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
+from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.sending import RequestTemplate, Sender
 from mulberrybay_runtime.http_exchange import HttpReply
@@ -33,6 +34,8 @@
 MIN_LATENCY_BUDGET_RATIO: Final = 0.3
 # The most failures and the most shards listed in the log line of a request.
 MAX_LOGGED_COUNT: Final = 8
+# The reason for refusing a request that is known to crash servers.
+CONDEMNED: Final = "backend servers crashed under this request"
 # The last answer is sent this long before the timeout.
 TIMEOUT_MARGIN_S: Final = 0.01
 
@@ -74,6 +77,7 @@
         names: The names of headers.
         log: The log of request outcomes.
         counts: Counts of the requests handled.
+        crash_watch: Knows the requests under which servers crash.
         retry_ratio: Retries allowed per request, over all nodes.
         clock: Returns the time in seconds.
     """
@@ -83,6 +87,7 @@
     names: HeaderNames
     log: DecisionLog
     counts: RequestCounts
+    crash_watch: CrashWatch
     retry_ratio: float
     clock: Callable[[], float]
 
@@ -190,6 +195,46 @@
             )
         )
 
+    @property
+    def _identity(self) -> bytes:
+        return self._job.template.identity
+
+    def begin(self) -> None:
+        """Starts the request, or refuses it if servers crash under it."""
+        watch = self._context.crash_watch
+        if watch.admit(self._identity, self):
+            self.start()
+            return
+        self._refuse_condemned()
+
+    def start(self) -> None:
+        """Sends the request, or refuses it."""
+
+    def _refuse_condemned(self) -> None:
+        """Refuses a request, and tells when a server may get it again.
+
+        Unlike other refusals, that may be after the caller's deadline: a
+        repeat within it is refused too.
+        """
+        self._context.counts.refusals[CONDEMNED] += 1
+        self._record_end(
+            "refused", reason=CONDEMNED, identity=self._identity.hex()
+        )
+        delay_s = self._context.crash_watch.retry_after_s(self._identity)
+        self._finish(caller_errors.not_run(CONDEMNED, delay_s))
+
+    def on_crash(self) -> None:
+        """Handles that a server crashed; see `RequestInProgress`."""
+
+    def on_condemned(self) -> None:
+        """Ends the request; see `RequestInProgress`."""
+        if not self._has_ended:
+            self._end_condemned()
+
+    def _end_condemned(self) -> None:
+        """Answers a condemned request, which may have run."""
+        raise NotImplementedError
+
     def cancel(self) -> None:
         """Cancels all attempts of a disconnected caller."""
         self._context.counts.disconnected_caller_count += 1
@@ -236,6 +281,7 @@
 
     def _close(self) -> None:
         self._has_ended = True
+        self._context.crash_watch.release(self._identity, self)
         if self._timer is not None:
             self._timer.cancel()
         self._cancel_attempts()
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple, Protocol
 
 from mulberrybay_core.caller_messages import CallerRequest, HeaderNames
+from mulberrybay_core.request_identity import identify_request
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_runtime.http_exchange import HttpReply
 
@@ -124,12 +125,29 @@
 
 
 class RequestTemplate:
-    """A caller's request as it is sent to backend servers."""
+    """A caller's request as it is sent to backend servers.
 
-    __slots__ = ("_body", "_head", "_names", "expects_body", "request_id")
+    Attributes:
+        request_id: The identifier that the caller gave it.
+        identity: What it asks for; the same if the caller sends it again.
+        target: The path and query string.
+        expects_body: Whether a reply has a body.
+    """
+
+    __slots__ = (
+        "_body",
+        "_head",
+        "_names",
+        "expects_body",
+        "identity",
+        "request_id",
+        "target",
+    )
 
     def __init__(self, request: CallerRequest, names: HeaderNames) -> None:
         self.request_id = request.request_id
+        self.target = request.target
+        self.identity = identify_request(request)
         self.expects_body = request.method != "HEAD"
         self._names = names
         self._body = request.body
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -4,9 +4,10 @@
 Cancelling a request closes its connection, which tells the server to stop.
 """
 
+import enum
 import re
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final, Protocol, Self
 
 import httptools
@@ -24,7 +25,11 @@
     ReplyTooLargeError,
     SingleReplyParser,
 )
-from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_runtime.streams import (
+    CONNECTION_REFUSED,
+    Stream,
+    Streams,
+)
 from mulberrybay_runtime.timers import Timers
 
 # Longer than the handshake with any server that accepts connections, shorter
@@ -55,6 +60,20 @@
         """Handles whether a server has accepted a connection."""
 
 
+class ProbeOutcome(enum.Enum):
+    """How a server's address reacts to a connection attempt.
+
+    REFUSED: the VM runs and nothing listens there.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+ProbeHandler = Callable[[ProbeOutcome], None]
+
+
 class _Probe:
     """A connection that is closed once the server has accepted it."""
 
@@ -62,17 +81,22 @@
         self._owner = owner
         self._server_id = server_id
         self.started_at_s = read_clock_s()
+        self.handlers: list[ProbeHandler] = []
 
     def on_connected(self, stream: Stream) -> None:
         """Reports that the server accepted the connection."""
-        self._owner.end_probe(self._server_id, is_accepted=True)
+        self._owner.end_probe(self._server_id, ProbeOutcome.ACCEPTED)
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         """Ignores bytes; the connection is being closed."""
 
     def on_closed(self, stream: Stream, reason: str) -> None:
-        """Reports that the server refused the connection."""
-        self._owner.end_probe(self._server_id, is_accepted=False)
+        """Reports that the connection failed."""
+        is_refused = reason == CONNECTION_REFUSED
+        self._owner.end_probe(
+            self._server_id,
+            ProbeOutcome.REFUSED if is_refused else ProbeOutcome.UNKNOWN,
+        )
 
 
 class _Connection:
@@ -451,20 +475,37 @@
         pool.keeps_idle = keeps_idle
         return pool.start(exchange, max_idle_s)
 
-    def probe(self, server_id: str, address: Address) -> None:
-        """Opens a connection and closes it once it is accepted."""
+    def probe(
+        self,
+        server_id: str,
+        address: Address,
+        on_end: ProbeHandler | None = None,
+    ) -> None:
+        """Opens a connection and closes it once it is accepted.
+
+        Args:
+            server_id: The server's identity.
+            address: The address it listens on.
+            on_end: Called with the outcome.
+        """
         if server_id not in self._probes:
             probe = _Probe(self, server_id)
             stream = self.streams.dial(address, probe)
             self._probes[server_id] = probe, stream
             self.dial_count += 1
+        if on_end is not None:
+            self._probes[server_id][0].handlers.append(on_end)
 
-    def end_probe(self, server_id: str, *, is_accepted: bool) -> None:
-        """Closes the connection of a probe and reports its result."""
-        probe = self._probes.pop(server_id, None)
-        if probe is not None:
-            probe[1].close()
-            self.on_dial(server_id, is_accepted=is_accepted)
+    def end_probe(self, server_id: str, outcome: ProbeOutcome) -> None:
+        """Closes the connection of a probe and reports its outcome."""
+        probe, stream = self._probes.pop(server_id, (None, None))
+        if probe is None or stream is None:
+            return
+        stream.close()
+        is_accepted = outcome is ProbeOutcome.ACCEPTED
+        self.on_dial(server_id, is_accepted=is_accepted)
+        for on_end in probe.handlers:
+            on_end(outcome)
 
     def forget(self, server_id: str) -> None:
         """Removes a server and closes its idle connections."""
@@ -478,7 +519,7 @@
             pool.sweep(now_s)
         for server_id, (probe, _) in [*self._probes.items()]:
             if now_s - probe.started_at_s > CONNECT_TIMEOUT_S:
-                self.end_probe(server_id, is_accepted=False)
+                self.end_probe(server_id, ProbeOutcome.UNKNOWN)
 
     @property
     def connection_count(self) -> int:
--- a/packages/edge/tests/played_servers.py
+++ b/packages/edge/tests/played_servers.py
@@ -28,6 +28,7 @@
     RetryBudget,
     RetryBudgetSettings,
 )
+from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.dispatcher import DispatchContext, Dispatcher
 from mulberrybay_edge.exchange import (
@@ -165,10 +166,12 @@
         )
         terms = RetryBudgetSettings(0.2, 10.0, 56.0)
         log = DecisionLog(timers.clock)
+        connections = _PlayedConnections(by_id, timers)
+        crash_watch = CrashWatch(connections, timers, log)
         self.dispatcher = Dispatcher(
             DispatchContext(
                 directory,
-                _PlayedConnections(by_id, timers),
+                connections,
                 RetryBudget(terms),
                 ColdServerRateLimit(),
                 NAMES,
@@ -176,6 +179,7 @@
                 1.5,
                 log,
                 ServerReach(timers.now_s),
+                crash_watch,
             ),
             random.Random(seed),
         )
@@ -197,6 +201,7 @@
             NAMES,
             log,
             RequestCounts(),
+            crash_watch,
             terms.ratio,
             timers.clock,
         )
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import (
     CallerAnswer,
     CallerRequest,
@@ -13,6 +14,7 @@
 )
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route, RouteKind, WeightedService
+from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.request_context import (
     HandlerContext,
@@ -27,6 +29,7 @@
     ResultHandler,
     SendRefusal,
 )
+from mulberrybay_edge.server_connections import ProbeHandler, ProbeOutcome
 from mulberrybay_runtime.http_exchange import HttpReply
 from mulberrybay_runtime.timers import Timer
 
@@ -72,13 +75,38 @@
         self.now_s = end_s
 
 
+class FakeProbes:
+    """Probes of servers, whose outcomes the test sets."""
+
+    def __init__(self) -> None:
+        self.handlers: list[ProbeHandler] = []
+
+    def probe(
+        self, server_id: str, address: Address, on_end: ProbeHandler
+    ) -> None:
+        """Keeps the probe until the test ends it."""
+        del server_id, address
+        self.handlers.append(on_end)
+
+    def end_all(self, outcome: ProbeOutcome) -> None:
+        """Ends all probes with an outcome."""
+        handlers, self.handlers = self.handlers, []
+        for on_end in handlers:
+            on_end(outcome)
+
+
 class FakeAttempt:
     """An attempt whose result the test sets."""
 
     def __init__(
-        self, spec: AttemptSpec, server_id: str, on_result: ResultHandler
+        self,
+        spec: AttemptSpec,
+        server_id: str,
+        on_result: ResultHandler,
+        sent_at_s: float,
     ) -> None:
         self.spec = spec
+        self.sent_at_s = sent_at_s
         self.server_id = server_id
         self._on_result = on_result
         self.is_finished = False
@@ -175,7 +203,7 @@
             return SendRefusal.FULL
         if spec.is_retry and not self.has_retry_budget:
             return SendRefusal.NO_ALLOWANCE
-        attempt = FakeAttempt(spec, allowed[0], on_result)
+        attempt = FakeAttempt(spec, allowed[0], on_result, self._clock())
         attempt.is_sent = not self.is_connecting
         self.used_ids.add(allowed[0])
         self.attempts.append(attempt)
@@ -217,12 +245,15 @@
             top_hit_count=2,
             min_coverage=min_coverage,
         )
+        log = DecisionLog(self.timers.clock)
+        self.connections = FakeProbes()
         self.context = HandlerContext(
             self.sender,
             self.timers,
             NAMES,
-            DecisionLog(self.timers.clock),
+            log,
             RequestCounts(),
+            CrashWatch(self.connections, self.timers, log),
             0.2,
             self.timers.clock,
         )
--- a/packages/edge/tests/test_heartbeat_codec.py
+++ b/packages/edge/tests/test_heartbeat_codec.py
@@ -7,6 +7,13 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
+from mulberrybay_core.fatal_requests import (
+    MAX_CRASH_COUNT,
+    MAX_TOLD_COUNT,
+    Crash,
+    SuspectReport,
+)
+from mulberrybay_core.request_identity import IDENTITY_BYTES
 from mulberrybay_edge.heartbeat_codec import (
     MAX_HEARTBEAT_BYTES,
     HeartbeatError,
@@ -31,9 +38,29 @@
 )
 
 
+# Times are exact in 32 bits.
+REPORTS = tuple(
+    SuspectReport(
+        bytes([number] * IDENTITY_BYTES),
+        tuple(
+            Crash(2**64 - 1 - index, bool(index % 2), -2.5 - index, -2.25)
+            for index in range(MAX_CRASH_COUNT)
+        ),
+        None if number % 2 else 0.5,
+        0.25,
+    )
+    for number in range(MAX_TOLD_COUNT)
+)
+
+
 @pytest.mark.parametrize("lacks_servers", [False, True])
-def test_decoded_heartbeat_equals_encoded_one(lacks_servers: bool) -> None:
-    heartbeat = HEARTBEAT._replace(lacks_servers=lacks_servers)
+@pytest.mark.parametrize("suspects", [(), REPORTS])
+def test_decoded_heartbeat_equals_encoded_one(
+    lacks_servers: bool, suspects: tuple[SuspectReport, ...]
+) -> None:
+    heartbeat = HEARTBEAT._replace(
+        lacks_servers=lacks_servers, suspects=suspects
+    )
     assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
 
 
--- a/packages/edge/tests/test_peer_link.py
+++ b/packages/edge/tests/test_peer_link.py
@@ -59,6 +59,7 @@
         Timers(),
         DecisionLog(lambda: NOW_S),
         lambda: heartbeat,
+        lambda _: None,
     )
     return link, streams
 
--- a/packages/edge/tests/test_relay_handler.py
+++ b/packages/edge/tests/test_relay_handler.py
@@ -14,6 +14,7 @@
     ExchangeResult,
 )
 from mulberrybay_edge.relay_handler import (
+    CUT_OFF,
     MAX_NODE_COUNT,
     RelayHandler,
     RelayTargets,
@@ -58,7 +59,7 @@
         self.handler = RelayHandler(
             self.harness.context,
             self.harness.job,
-            RelayTargets(self.connections, choose),
+            RelayTargets(self.connections, choose, CUT_OFF),
         )
         self.handler.start()
 
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -22,6 +22,8 @@
 READ_SIZE_BYTES: Final = 262_144
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 LISTEN_BACKLOG_COUNT: Final = 512
+# Why a dial ends if nothing listens at the address.
+CONNECTION_REFUSED: Final = "the connection was refused"
 # The kernel detects an unresponsive peer within about
 # PROBE_PERIOD_S * (PROBE_COUNT + 1) seconds.
 PROBE_PERIOD_S: Final = 1
@@ -64,6 +66,10 @@
         return bool(self.getTarget(connection) == Streams.channel)
 
 
+def _socket_error(connection: socket.socket) -> int:
+    return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
 def _enable_keepalive_probes(connection: socket.socket) -> None:
     """Lets the kernel close a connection after seconds without a reply."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -365,10 +371,9 @@
             self._send_now(stream, stream.unsent)
 
     def _finish_dial(self, stream: Stream) -> None:
-        code = stream.connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        code = _socket_error(stream.connection)
         if code:
-            name = errno.errorcode.get(code, str(code))
-            self.close_stream(stream, f"connect failed: {name}")
+            self._fail_dial(stream, code)
             return
         stream.is_connecting = False
         self._poller.removeWriter(stream.connection)
@@ -376,8 +381,20 @@
         if stream.observer is not None:
             stream.observer.on_connected(stream)
 
+    def _fail_dial(self, stream: Stream, code: int) -> None:
+        if code == errno.ECONNREFUSED:
+            reason = CONNECTION_REFUSED
+        else:
+            name = errno.errorcode.get(code, str(code))
+            reason = f"connect failed: {name}"
+        self.close_stream(stream, reason)
+
     @handler("_disconnect", "_error", priority=1)
     def _on_disconnect(self, connection: socket.socket, *_: object) -> None:
         stream = self._streams.get(connection)
-        if stream is not None:
-            self.close_stream(stream, "the connection was reset or refused")
+        if stream is None:
+            return
+        if stream.is_connecting:
+            self._fail_dial(stream, _socket_error(connection))
+        else:
+            self.close_stream(stream, "the connection was reset")
