Tell a new configuration at once while some node lacks servers

Cause: such a node hands requests to none that may have an older configuration than its own. It learned from a heartbeat up to a second later that the others had the new one. Evidence: with logs, refusals only from 48.21 to 48.56 s and 49.06 to 49.76 s after changes of the configuration at 48.20, 49.04 and 49.34 s.

Change: while some serving node lacks servers, a node that applies a configuration sends a heartbeat at once. test_new_configurations_do_not_keep_requests_at_a_node_without_servers failed before. In other times nothing more is sent.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -348,6 +348,12 @@
             if not self._lacks_servers(info.name)
         ]
 
+    def some_lack_servers(self, now_s: float) -> bool:
+        """Whether a serving node hands its requests to others."""
+        return any(
+            self._lacks_servers(info.name) for info in self.serving(now_s)
+        )
+
     def _lacks_servers(self, name: str) -> bool:
         heartbeat = self._peers[name].heartbeat
         return heartbeat is not None and heartbeat.lacks_servers
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -313,6 +313,9 @@
     def _apply_route_table(self, table: RouteTable) -> None:
         self._request_dispatcher.table = table
         self._callers.limits = table.limits
+        if self._nodes.some_lack_servers(read_clock_s()):
+            # They hand no request to nodes that may have an older configuration.
+            self._send_heartbeats()
 
     def _is_ready(self) -> bool:
         return (
--- a/tests/on_platform/test_nodes_without_servers.py
+++ b/tests/on_platform/test_nodes_without_servers.py
@@ -7,7 +7,12 @@
 from typing import Final
 
 import pytest
-from deployment import START_TIMEOUT_S, Deployment, RunningNode
+from deployment import (
+    START_TIMEOUT_S,
+    Deployment,
+    RunningNode,
+    configuration,
+)
 from linked_deployment import LinkedDeployment
 
 from mulberrybay_testing.waiting import wait_until
@@ -90,6 +95,32 @@
     assert cut.send_request("/records/9").status == 200
 
 
+def test_new_configurations_do_not_keep_requests_at_a_node_without_servers(
+    linked: LinkedDeployment,
+) -> None:
+    cut, *others = nodes = start_nodes(linked, 3)
+    linked.set_cut(cut.name, is_cut=True)
+    wait_until(
+        lambda: cut.advertised_addresses() == [one.address for one in others],
+        NOTICE_TIMEOUT_S,
+        "the node without servers is not named any more",
+    )
+    for revision in range(2, 7):
+        linked.put("config", "main", configuration(revision))
+        for node in nodes:
+            wait_until(
+                lambda node=node, revision=revision: any(  # type: ignore[misc]
+                    line.get("revision") == revision
+                    for line in linked.log_lines(node)
+                ),
+                NOTICE_TIMEOUT_S,
+                "the configuration is in force",
+            )
+        time.sleep(0.1)
+        for path, method in REQUESTS:
+            assert cut.send_request(path, method=method).status == 200
+
+
 def test_nodes_that_all_lack_servers_stay_named_and_return_by_themselves(
     linked: LinkedDeployment,
 ) -> None:
