Let the soak send requests that crash servers

Callers of the soak now repeat one request under which each server crashes, one to three copies at a time by the seed, at any node; servers are away for 1.5 or 4 s. A new check reports more than three repeats that reach servers later than the notice time after the third crash, from nodes that are undisturbed. Its unit tests play both sides of the bound.

--- a/tests/on_platform/fleet_checks.py
+++ b/tests/on_platform/fleet_checks.py
@@ -10,6 +10,7 @@
 from deployment import SHARDS
 from faulty_deployment import STORE
 from fleet_history import ArrivalIndex, CallerRequest, FleetHistory
+from fleet_load import FATAL
 from standins import Arrival, BackendStandIn
 
 NOT_EXECUTED_STATUSES: Final = (408, 421, 429, 503)
@@ -35,6 +36,8 @@
 MIN_SERVED_RATIO: Final = 2 / 3
 FAILED_SLACK_COUNT: Final = 10
 FAILED_RATIO: Final = 1 / 50
+FATAL_CRASH_COUNT: Final = 3
+MAX_LATE_FATAL_COUNT: Final = 3
 
 Backends = dict[str, list[BackendStandIn]]
 
@@ -50,6 +53,7 @@
         *_retry_problems(history, backends),
         *_limit_problems(history, backends),
         *_cut_off_problems(history),
+        *_fatal_problems(history, index, backends),
     ]
 
 
@@ -83,7 +87,7 @@
     if (
         request.status in NOT_EXECUTED_STATUSES
         and execution_count
-        and request.kind == "booking"
+        and request.kind in ("booking", FATAL)
     ):
         return "executed, though the answer says that it was not"
     if request.status == 0:
@@ -346,3 +350,35 @@
                 f"{name}, cut off from servers, served {sum(here)} of"
                 f" {len(here)}, others {sum(elsewhere)} of {len(elsewhere)}"
             )
+
+
+def _fatal_problems(
+    history: FleetHistory, index: ArrivalIndex, backends: Backends
+) -> Iterator[str]:
+    crashed_at_s = sorted(
+        at_s
+        for servers in backends.values()
+        for server in servers
+        for at_s in server.crashed_at_s
+    )
+    if len(crashed_at_s) < FATAL_CRASH_COUNT:
+        return
+    due_at_s = crashed_at_s[FATAL_CRASH_COUNT - 1] + NOTICE_S
+    late = [
+        request
+        for request in history.requests
+        if request.kind == FATAL
+        and any(
+            arrival.at_s > due_at_s
+            and history.is_undisturbed(
+                request.node_name, arrival.at_s, arrival.at_s
+            )
+            for _, arrival in index.by_request[request.request_id]
+        )
+    ]
+    if len(late) > MAX_LATE_FATAL_COUNT:
+        names = sorted({request.node_name for request in late})
+        yield (
+            f"{len(late)} repeats reached servers after"
+            f" {FATAL_CRASH_COUNT} had crashed, from {names}"
+        )
--- a/tests/on_platform/fleet_load.py
+++ b/tests/on_platform/fleet_load.py
@@ -11,6 +11,7 @@
 from faulty_deployment import FaultyDeployment
 from fleet_history import CallerRequest, FleetHistory
 
+from mulberrybay_testing.http_server import Request
 from mulberrybay_testing.ports import HOST
 
 CALLER_COUNT: Final = 6
@@ -22,6 +23,16 @@
 STAYING_RATIO: Final = 0.5
 KIND_NAMES: Final = ("search", "record", "booking", "revision")
 KIND_WEIGHTS: Final = (4, 3, 3, 1)
+# Servers crash under the requests of one caller, which repeats the same one.
+FATAL: Final = "fatal"
+FATAL_PATHS: Final = ("/search/1", "/records/1", "/bookings/1")
+FATAL_PAUSE_S: Final = 0.3
+MAX_FATAL_CALLER_COUNT: Final = 3
+
+
+def is_fatal(request: Request) -> bool:
+    """Whether a server crashes under a request."""
+    return request.headers.get("authorization") == FATAL
 
 
 class FleetCaller(threading.Thread):
@@ -150,7 +161,10 @@
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(DEADLINE_MS),
         }
-        method, body = ("POST", b"van") if kind == "booking" else ("GET", None)
+        if kind == FATAL:
+            headers["Authorization"] = FATAL
+        is_booking = path.startswith("/bookings")
+        method, body = ("POST", b"van") if is_booking else ("GET", None)
         connection.request(method, path, body, headers)
         reply = connection.getresponse()
         content = reply.read()
@@ -162,6 +176,33 @@
         return reply.status, lower_case_headers, content
 
 
+class FatalCaller(FleetCaller):
+    """Repeats one request under which servers crash, at any node."""
+
+    def __init__(
+        self,
+        deployment: FaultyDeployment,
+        history: FleetHistory,
+        seed: int,
+        path: str,
+    ) -> None:
+        super().__init__(deployment, history, seed)
+        self._path = path
+
+    def run(self) -> None:
+        """Sends the request until `stop` is called."""
+        while not self._stop_requested.is_set():
+            self.send_request(
+                FATAL, self._random.choice(self._deployment.nodes)
+            )
+            self._disconnect()
+            time.sleep(FATAL_PAUSE_S)
+
+    def _choose_path(self, kind: str) -> tuple[str, int]:
+        del kind
+        return self._path, 0
+
+
 class FleetLoad:
     """Runs the callers of a deployment; a context manager."""
 
@@ -172,6 +213,12 @@
             FleetCaller(deployment, history, seed * CALLER_COUNT + number)
             for number in range(CALLER_COUNT)
         ]
+        # Some seeds have copies of the request on their way at the same time.
+        for number in range(1 + seed % MAX_FATAL_CALLER_COUNT):
+            path = FATAL_PATHS[seed // 2 % len(FATAL_PATHS)]
+            self._callers.append(
+                FatalCaller(deployment, history, seed + number, path)
+            )
 
     def __enter__(self) -> Self:
         for caller in self._callers:
--- a/tests/on_platform/fleet_soak.py
+++ b/tests/on_platform/fleet_soak.py
@@ -21,13 +21,15 @@
 from fleet_checks import find_problems
 from fleet_faults import FleetFaults
 from fleet_history import FleetHistory
-from fleet_load import FleetLoad, request_each_kind
+from fleet_load import FleetLoad, is_fatal, request_each_kind
 
 FAULTS_S: Final = 12.0
 MEAN_GAP_S: Final = 0.5
 TICK_S: Final = 0.05
 # Links of each node's own are proxies in this process.
 MAX_LINKED_NODES_PER_ZONE: Final = 4
+# By the parity of the seed, how long a server that crashed is away.
+RESTART_AFTER_S: Final = (4.0, 1.5)
 # The users' rules allow a deployment 15 s after the last fault.
 RECOVERY_S: Final = 15.0
 
@@ -57,6 +59,10 @@
     with FaultyDeployment(folder) as deployment:
         deployment.has_node_links = nodes_per_zone <= MAX_LINKED_NODES_PER_ZONE
         deployment.start_nodes_in_each_zone(nodes_per_zone)
+        for servers in deployment.backends.values():
+            for server in servers:
+                server.is_fatal = is_fatal
+                server.restart_after_s = RESTART_AFTER_S[seed % 2]
         faults = FleetFaults(deployment, history, seed)
         with FleetLoad(deployment, history, seed):
             ends_at_s = time.monotonic() + faults_s
--- a/tests/on_platform/test_fleet_checks.py
+++ b/tests/on_platform/test_fleet_checks.py
@@ -11,6 +11,7 @@
     NamedLimit,
     Withdrawal,
 )
+from fleet_load import FATAL
 from standins import Arrival, BackendStandIn
 
 NODE = "node-1"
@@ -299,3 +300,30 @@
     problems = find_problems(history, make_backends())
 
     assert len([line for line in problems if "cut off" in line]) == count
+
+
+@pytest.mark.parametrize(
+    ("count", "gap_s", "is_reported"),
+    [(4, 4.1, True), (3, 4.1, False), (9, 3.9, False)],
+)
+def test_repeats_of_a_request_that_crashed_servers_are_reported(
+    count: int, gap_s: float, is_reported: bool
+) -> None:
+    backends = make_backends()
+    server = backends["records"][0]
+    server.crashed_at_s = [97.0, 98.0, 99.0, 120.0]
+    history = FleetHistory()
+    for number in range(count):
+        at_s = 99.0 + gap_s
+        history.add(
+            make_request(
+                FATAL,
+                request_id=f"f-{number}",
+                sent_at_s=at_s,
+                ended_at_s=at_s,
+                status=502,
+            )
+        )
+        server.arrivals.append(Arrival(at_s, f"f-{number}", "/x", 2000.0, True))
+    problems = find_problems(history, backends)
+    assert bool(problems) is is_reported
--- a/tests/on_platform/test_fleet_soak.py
+++ b/tests/on_platform/test_fleet_soak.py
@@ -26,6 +26,8 @@
         # SIGTERM 0.15 s after a node's start killed it instead of stopping it
         # gracefully.
         7,
+        # A request that crashed servers reached them at all nodes again.
+        102,
     ],
 )
 def test_seed_that_found_a_violation(tmp_path: pathlib.Path, seed: int) -> None:
