Let a node claim its servers at the moment it says that it serves

Cause: a node decides every 0.2 s whether it serves and claims servers every 0.05 s. In between, its status says that it serves, claims nothing and holds nothing, while the others still hold its servers; so all looks settled and is about to move. For callers of the status this is untrue for up to 0.05 s, and servers change hands that much later.

Change: saying that it serves and claiming is one step.

--- a/packages/daemon/mulberrybay_daemon/member_task.py
+++ b/packages/daemon/mulberrybay_daemon/member_task.py
@@ -85,9 +85,11 @@
     def announce(self) -> None:
         """Informs peers at once that this node starts or stops serving.
 
-        Until they know, its servers have no holder, or two nodes claim them.
+        Until they know, its servers have no holder, or two nodes claim them. A
+        node that says that it serves has claimed its servers.
         """
         self._send_heartbeats()
+        self._tick()
 
     def _dial_members(self) -> None:
         self._get_links().set_peers(
@@ -193,7 +195,7 @@
         """Handles the end of a node that no longer holds any server."""
         self._membership.on_goodbye(goodbye.node_id, goodbye.epoch)
         # Claims wait until a majority has reported the end of the node.
-        self.announce()
+        self._send_heartbeats()
 
     def on_claim(self, claim: Claim, link: Link) -> None:
         """Answers a peer's claim.
--- a/packages/daemon/tests/test_member_task.py
+++ b/packages/daemon/tests/test_member_task.py
@@ -8,9 +8,11 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.configuration import EMPTY_CONFIGURATION
-from mulberrybay_core.fleet import EntryVm, Fleet
+from mulberrybay_core.fleet import BackendServer, EntryVm, Fleet
+from mulberrybay_core.holdings import Holdings
 from mulberrybay_core.member_messages import NodeInfo
 from mulberrybay_core.membership import Membership, MembershipSettings
+from mulberrybay_daemon.attempt_router import HolderMap
 from mulberrybay_daemon.member_task import MemberTask
 
 ADDRESS = Address("127.0.0.1", 1)
@@ -39,6 +41,19 @@
         del now_s
 
 
+class FakeHolder:
+    """Records the servers that the node may dispatch to."""
+
+    def __init__(self) -> None:
+        self.acquired_ids: list[str] = []
+
+    def acquire(self, server_ids: list[str]) -> None:
+        self.acquired_ids += server_ids
+
+    def release(self, server_ids: list[str]) -> None:
+        assert not server_ids
+
+
 class FakeRevisionListener:
     """Ignores the revisions that peers report."""
 
@@ -46,14 +61,19 @@
         del peer_id, revision
 
 
-def make_task(links: FakeLinks) -> tuple[MemberTask, Membership]:
+def make_task(
+    links: FakeLinks, holder: FakeHolder | None = None
+) -> tuple[MemberTask, Membership]:
     info = NodeInfo("node-1", "d1", ADDRESS, ADDRESS)
     membership = Membership(MembershipSettings(), info, 5)
     unused: Any = None
     task = MemberTask(
         MembershipSettings(),
         membership,
-        *[unused] * 4,
+        Holdings("node-1", 0.0),
+        HolderMap(),
+        holder,  # type: ignore[arg-type]
+        unused,
         lambda: links,  # type: ignore[arg-type, return-value]
         FakeRevisionListener(),
     )
@@ -82,3 +102,15 @@
     task.set_fleet(Fleet(VMS, ()))
     task.set_configuration(EMPTY_CONFIGURATION._replace(revision=4))
     assert [peer_id for peer_id, _ in links.sent] == ["node-2", "seed"]
+
+
+def test_node_that_says_that_it_serves_has_claimed_its_servers() -> None:
+    holder = FakeHolder()
+    task, membership = make_task(FakeLinks(), holder)
+    server = BackendServer("a", "d1", ADDRESS, "search/0", 1, 1, "live")
+    task.set_fleet(Fleet(VMS[:1], (server,)))
+    membership.info = membership.info._replace(is_serving=True)
+
+    task.announce()
+
+    assert holder.acquired_ids == ["a"]
