Judge crashes by server, and only when they have changed

What callers would see: with many different requests that crash servers (512 are kept), a node spends all its time on judging them, and answers late or not at all.

Cause: each request's crashes were compared with those of all others, anew every 0.2 s though nothing had changed.

Change: crashes are looked up by the start of a server that crashed, and requests are judged when a crash, a reply or the end of a belief changes them. What is judged is the same: the tests of the judgement and of nodes that tell each other are unchanged and pass.

--- a/packages/core/mulberrybay_core/fatal_requests.py
+++ b/packages/core/mulberrybay_core/fatal_requests.py
@@ -16,7 +16,7 @@
 import itertools
 import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
 # A request is condemned after this many crashes in a row.
@@ -160,22 +160,40 @@
     return tuple(chosen[:MAX_CRASH_COUNT])
 
 
-def _is_guilty(
-    crashes: tuple[Crash, ...], rivals: list[tuple[Crash, ...]]
-) -> bool:
-    """Whether crashes are due to a request.
-
-    Args:
-        crashes: Its crashes in a row.
-        rivals: Those of the other requests that have as many.
-    """
-    if len(crashes) >= MAX_CRASH_COUNT:
-        return True
-    unexplained_count = sum(
-        not any(crash.is_same(other) for others in rivals for other in others)
-        for crash in crashes
-    )
-    return unexplained_count >= CONDEMNED_COUNT
+class _Candidates:
+    """Requests with enough crashes in a row to be condemned."""
+
+    def __init__(self, crashes: Mapping[bytes, tuple[Crash, ...]]) -> None:
+        self._crashes = crashes
+        self._by_server: dict[int, list[tuple[bytes, Crash]]] = {}
+        for identity, in_a_row in crashes.items():
+            for crash in in_a_row:
+                self._by_server.setdefault(crash.server_key, []).append(
+                    (identity, crash)
+                )
+
+    def guilty(self) -> frozenset[bytes]:
+        """Returns the requests to which their crashes are due."""
+        return frozenset(filter(self._is_guilty, self._crashes))
+
+    def _is_guilty(self, identity: bytes) -> bool:
+        crashes = self._crashes[identity]
+        if len(crashes) >= MAX_CRASH_COUNT:
+            return True
+        unexplained_count = sum(
+            not self._has_rival(identity, crash) for crash in crashes
+        )
+        return unexplained_count >= CONDEMNED_COUNT
+
+    def _has_rival(self, identity: bytes, crash: Crash) -> bool:
+        """Whether another request that ran there has as many crashes."""
+        count = len(self._crashes[identity])
+        return any(
+            name != identity
+            and len(self._crashes[name]) >= count
+            and crash.is_same(other)
+            for name, other in self._by_server[crash.server_key]
+        )
 
 
 class FatalRequests:
@@ -303,18 +321,7 @@
                 >= suspect.replied_at_s + MIN_SILENCE_S
             )
         }
-        self._condemned = frozenset(
-            identity
-            for identity, crashes in candidates.items()
-            if _is_guilty(
-                crashes,
-                [
-                    others
-                    for name, others in candidates.items()
-                    if name != identity and len(others) >= len(crashes)
-                ],
-            )
-        )
+        self._condemned = _Candidates(candidates).guilty()
 
     def last_crash_at_s(self, identity: bytes) -> float | None:
         """Returns when the last crash in a row was; None without any."""
@@ -446,9 +453,13 @@
 
     def expire(self, now_s: float) -> None:
         """Forgets requests that callers have stopped to send."""
-        for identity, suspect in [*self._suspects.items()]:
-            last_at_s = max(suspect.seen_at_s, suspect.changed_at_s)
-            limit_s = FORGET_AFTER_S if suspect.crashes else TELL_S
-            if now_s - last_at_s > limit_s:
-                del self._suspects[identity]
-        self._judge()
+        expired = [
+            identity
+            for identity, suspect in self._suspects.items()
+            if now_s - max(suspect.seen_at_s, suspect.changed_at_s)
+            > (FORGET_AFTER_S if suspect.crashes else TELL_S)
+        ]
+        for identity in expired:
+            del self._suspects[identity]
+        if expired:
+            self._judge()
--- a/packages/core/tests/test_fatal_requests.py
+++ b/packages/core/tests/test_fatal_requests.py
@@ -197,6 +197,33 @@
     assert reports[0].identity == FATAL
 
 
+def test_work_of_one_crash_does_not_grow_with_the_square_of_the_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    requests = FatalRequests()
+    for number in range(MAX_SUSPECT_COUNT):
+        for count in range(CONDEMNED_COUNT):
+            at_s = 1.0 + count
+            requests.record_crash(
+                bytes(divmod(number, 256)),
+                crash(CONDEMNED_COUNT * number + count, at_s, at_s),
+                at_s,
+            )
+    compared: list[Crash] = []
+    is_same = Crash.is_same
+    monkeypatch.setattr(
+        Crash,
+        "is_same",
+        lambda one, other: bool(compared.append(one)) or is_same(one, other),
+    )
+
+    requests.record_crash(bytes(2), crash(-1, 9.0, 9.0), 9.0)
+    requests.expire(9.0)
+
+    assert len(requests.condemned) == MAX_SUSPECT_COUNT
+    assert len(compared) <= 2 * CONDEMNED_COUNT * MAX_SUSPECT_COUNT
+
+
 @pytest.mark.parametrize("condemned_count", [1, 3 * MAX_TOLD_COUNT])
 def test_many_condemned_requests_keep_no_change_from_other_nodes(
     condemned_count: int,
