Decide turns and trials of suspected requests in the core

The turns of copies of a suspected request and the trials of condemned ones were decided in edge/crash_watch.py with the clock of the process. They are decisions, so they are in mulberrybay_core.suspect_turns now, which is given the time. The crash watch keeps what talks to servers, timers and other nodes. No change of behaviour: the tests are unchanged.

--- a/packages/edge/mulberrybay_edge/crash_watch.py
+++ b/packages/edge/mulberrybay_edge/crash_watch.py
@@ -7,7 +7,6 @@
 `FatalRequests` judges what this node and the others have seen.
 """
 
-from collections import Counter
 from collections.abc import (
     Callable,
     Collection,
@@ -15,36 +14,28 @@
     Mapping,
     Sequence,
 )
-from typing import Final, NamedTuple, Protocol
+from typing import Final, Protocol
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import (
-    FORGET_AFTER_S,
     MAX_STORED_COUNT,
-    MIN_CRASH_GAP_S,
-    TRIAL_DELAYS_S,
     Crash,
     FatalRequests,
     SuspectReport,
     server_key,
 )
 from mulberrybay_core.server_directory import ServerEntry
+from mulberrybay_core.suspect_turns import SuspectTurns
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.sending import RequestTemplate
 from mulberrybay_edge.server_connections import ProbeHandler, ProbeOutcome
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timer
 
-# A request to which a server has replied in this time is sent as before, though
-# servers may have crashed under it since.
-RECENT_REPLY_S: Final = 10.0
 # Changes within this time are told to the other nodes together.
 TELL_DELAY_S: Final = 0.02
 # While many servers crash, heartbeats of changes are this far apart.
 TELL_PERIOD_S: Final = 0.1
-# A request that needs care is sent to a second server if the first one is silent
-# for this time: a crash would have ended its connection.
-MAX_SILENCE_S: Final = 0.5
 
 
 class CrashTimers(Protocol):
@@ -73,18 +64,6 @@
         """Ends the request: no server may get it any more."""
 
 
-class _Turn(NamedTuple):
-    """A request that was sent to one server, which may crash under it.
-
-    Attributes:
-        handler: Handles the request.
-        ends_at_s: Until when others of the same identity wait for its result.
-    """
-
-    handler: RequestInProgress
-    ends_at_s: float
-
-
 def _tell_nobody() -> None:
     """Does nothing; see `CrashWatch.tell`."""
 
@@ -100,6 +79,7 @@
 
     Attributes:
         requests: The requests under which servers have crashed.
+        turns: When this node sends suspected and condemned requests.
         tell: Sends heartbeats, as what this node knows has changed.
         owns_request: Whether this node is the one that sends a suspected request
             and may try a condemned one again.
@@ -116,16 +96,13 @@
         self._timers = timers
         self._log = log
         self.requests = FatalRequests()
+        self.turns = SuspectTurns(self.requests)
         self.tell: Callable[[], None] = _tell_nobody
         self.owns_request: Callable[[bytes], bool] = _own_nothing
         self.crash_count = 0
         self._in_progress: dict[bytes, list[RequestInProgress]] = {}
-        self._check_counts: Counter[bytes] = Counter()
-        self._turns: dict[bytes, _Turn] = {}
         self._will_tell = False
         self._told_at_s = 0.0
-        # When this node last tried a condemned request.
-        self._tried_at_s: dict[bytes, float] = {}
 
     # Requests in progress.
 
@@ -142,101 +119,24 @@
         now_s = read_clock_s()
         self.requests.record_request(identity, now_s)
         if self.requests.is_condemned(identity):
-            if not self._may_try(identity, now_s):
+            if not (
+                self.turns.is_trial_due(identity, now_s)
+                and self.owns_request(identity)
+            ):
                 return False
-            self._tried_at_s[identity] = now_s
+            self.turns.record_trial(identity, now_s)
         self._in_progress.setdefault(identity, []).append(handler)
         return True
 
-    def _may_try(self, identity: bytes, now_s: float) -> bool:
-        trial_at_s = self.requests.next_trial_at_s(identity)
-        return (
-            trial_at_s is not None
-            and now_s >= trial_at_s
-            # A trial may end without a crash or a reply.
-            and now_s >= self._tried_at_s.get(identity, 0.0) + TRIAL_DELAYS_S[0]
-            and self.owns_request(identity)
-        )
-
     def release(self, identity: bytes, handler: RequestInProgress) -> None:
         """Stops following a request that has ended."""
-        self.end_turn(identity, handler)
+        self.turns.end_turn(identity, handler)
         handlers = self._in_progress.get(identity, [])
         if handler in handlers:
             handlers.remove(handler)
         if not handlers:
             self._in_progress.pop(identity, None)
 
-    def retry_after_s(self, identity: bytes) -> float:
-        """Returns after which time a condemned request may be served."""
-        trial_at_s = self.requests.next_trial_at_s(identity)
-        if trial_at_s is None:
-            return FORGET_AFTER_S
-        return max(1.0, trial_at_s - read_clock_s())
-
-    def needs_care(self, identity: bytes) -> bool:
-        """Whether to send a request to one server at a time.
-
-        A server has crashed under it, or is being checked, and none has
-        replied to it lately.
-        """
-        return (
-            identity in self._check_counts
-            or self.requests.is_suspected(identity)
-        ) and not self._has_replied(identity)
-
-    def needs_one_sender(self, identity: bytes) -> bool:
-        """Whether only one of all nodes should send a request.
-
-        Nodes that each send it once would crash as many servers before they
-        learn of each other's crashes.
-        """
-        return (
-            self.requests.is_suspected(identity)
-            and not self.requests.is_condemned(identity)
-            and not self._has_replied(identity)
-        )
-
-    def must_wait(self, identity: bytes) -> bool:
-        """Whether a request that needs care can't be sent yet.
-
-        It will soon be known if one more server has crashed, or what ended the
-        last one may still end others.
-        """
-        if not self.requests.is_suspected(identity) or self._has_replied(
-            identity
-        ):
-            return False
-        now_s = read_clock_s()
-        last_at_s = self.requests.last_crash_at_s(identity) or 0.0
-        turn = self._turns.get(identity)
-        return (
-            identity in self._check_counts
-            or now_s < last_at_s + MIN_CRASH_GAP_S
-            or (turn is not None and now_s < turn.ends_at_s)
-        )
-
-    def begin_turn(self, identity: bytes, handler: RequestInProgress) -> None:
-        """Lets others of the same identity wait, if that needs care.
-
-        Args:
-            identity: The request.
-            handler: Has just sent it to a server.
-        """
-        if self.needs_care(identity):
-            ends_at_s = read_clock_s() + MAX_SILENCE_S
-            self._turns[identity] = _Turn(handler, ends_at_s)
-
-    def end_turn(self, identity: bytes, handler: RequestInProgress) -> None:
-        """Lets others of the same identity be sent; see `begin_turn`."""
-        turn = self._turns.get(identity)
-        if turn is not None and turn.handler is handler:
-            del self._turns[identity]
-
-    def _has_replied(self, identity: bytes) -> bool:
-        since_s = read_clock_s() - RECENT_REPLY_S
-        return self.requests.has_replied_since(identity, since_s)
-
     # Observations.
 
     def record_reply(self, identity: bytes) -> None:
@@ -260,12 +160,10 @@
         identity = template.identity
         if self.requests.has_replied_since(identity, sent_at_s):
             return
-        self._check_counts[identity] += 1
+        self.turns.begin_check(identity)
 
         def on_end(outcome: ProbeOutcome) -> None:
-            self._check_counts[identity] -= 1
-            if not self._check_counts[identity]:
-                del self._check_counts[identity]
+            self.turns.end_check(identity)
             if outcome is not ProbeOutcome.REFUSED:
                 return
             self.crash_count += 1
@@ -388,6 +286,4 @@
     def expire(self) -> None:
         """Forgets requests that callers have stopped to send."""
         self.requests.expire(read_clock_s())
-        for identity in [*self._tried_at_s]:
-            if not self.requests.is_condemned(identity):
-                del self._tried_at_s[identity]
+        self.turns.expire()
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -4,7 +4,7 @@
 from mulberrybay_core.caller_messages import CallerAnswer
 from mulberrybay_core.pause_wait import can_wait
 from mulberrybay_core.routing import RouteKind
-from mulberrybay_edge.crash_watch import MAX_SILENCE_S
+from mulberrybay_core.suspect_turns import MAX_SILENCE_S
 from mulberrybay_edge.request_context import (
     CAPACITY_CHECK_PERIOD_S,
     CONDEMNED,
@@ -80,7 +80,7 @@
             if not attempt.is_finished:
                 self._tried.record_sent(attempt.server_id)
                 self._attempts.append(attempt)
-                self._context.crash_watch.begin_turn(self._identity, self)
+                self._begin_turn()
             return True
         self._refusal = attempt
         if self._attempts:
@@ -127,14 +127,11 @@
             and (self._is_retryable or not self._attempts)
         )
 
-    def _must_wait(self) -> bool:
-        return self._context.crash_watch.must_wait(self._identity)
-
     def _may_hedge(self) -> bool:
         """Whether a second server may get the request beside the first."""
         return (
             self._context.clock() >= self._hedge_at_s + MAX_SILENCE_S
-            or not self._context.crash_watch.needs_care(self._identity)
+            or not self._needs_care()
         )
 
     def _on_result(self, result: AttemptResult) -> None:
@@ -142,7 +139,7 @@
             attempt for attempt in self._attempts if not attempt.is_finished
         ]
         self._tried.record_end(result.server_id, has_arrived=result.has_arrived)
-        self._context.crash_watch.end_turn(self._identity, self)
+        self._end_turn()
         if self._has_ended:
             return
         if result.outcome is AttemptOutcome.OK and result.reply is not None:
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -12,7 +12,7 @@
 from mulberrybay_core.fatal_requests import CONDEMNED_COUNT
 from mulberrybay_core.pause_wait import can_wait, enough_available_at_s
 from mulberrybay_core.shard_merge import ShardReply, merge_shard_replies
-from mulberrybay_edge.crash_watch import MAX_SILENCE_S
+from mulberrybay_core.suspect_turns import MAX_SILENCE_S
 from mulberrybay_edge.request_context import (
     CAPACITY_CHECK_PERIOD_S,
     CONDEMNED,
@@ -122,9 +122,7 @@
 
         That is so from the first crash under it until a shard has replied.
         """
-        return self._missing_count == len(
-            self._shards
-        ) and self._context.crash_watch.needs_care(self._identity)
+        return self._missing_count == len(self._shards) and self._needs_care()
 
     def _send_first_attempts(self) -> None:
         """Sends the query to each shard that it was not sent to yet."""
@@ -143,7 +141,7 @@
         may_reply = any(shard.attempts for shard in self._shards) and (
             now_s < self._last_sent_at_s + MAX_SILENCE_S
         )
-        if may_reply or self._context.crash_watch.must_wait(self._identity):
+        if may_reply or self._must_wait():
             return
         for shard in self._shards:
             if self._may_send(shard) and self._send(shard):
@@ -192,7 +190,7 @@
         if not attempt.is_finished:
             shard.tried.record_sent(attempt.server_id)
             shard.attempts.append(attempt)
-            self._context.crash_watch.begin_turn(self._identity, self)
+            self._begin_turn()
         if is_hedge:
             shard.hedge = attempt
             self._hedge_count += 1
@@ -209,7 +207,7 @@
             attempt for attempt in shard.attempts if not attempt.is_finished
         ]
         shard.tried.record_end(result.server_id, has_arrived=result.has_arrived)
-        self._context.crash_watch.end_turn(self._identity, self)
+        self._end_turn()
         if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
         if self._has_ended or shard.reply is not None:
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -364,7 +364,7 @@
 
     def _find_relay_targets(self, identity: bytes) -> RelayTargets | None:
         """Returns the nodes to hand a request to; None to handle it here."""
-        if self._crash_watch.needs_one_sender(identity):
+        if self._crash_watch.turns.needs_one_sender(identity, read_clock_s()):
 
             def choose(unreached_names: set[str]) -> EdgeNodeInfo | None:
                 return self._choose_owner(identity, unreached_names)
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -14,6 +14,7 @@
 )
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
+from mulberrybay_core.suspect_turns import SuspectTurns
 from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.sending import RequestTemplate, Sender
@@ -201,6 +202,22 @@
     def _identity(self) -> bytes:
         return self._job.template.identity
 
+    @property
+    def _turns(self) -> SuspectTurns:
+        return self._context.crash_watch.turns
+
+    def _needs_care(self) -> bool:
+        return self._turns.needs_care(self._identity, self._context.clock())
+
+    def _must_wait(self) -> bool:
+        return self._turns.must_wait(self._identity, self._context.clock())
+
+    def _begin_turn(self) -> None:
+        self._turns.begin_turn(self._identity, self, self._context.clock())
+
+    def _end_turn(self) -> None:
+        self._turns.end_turn(self._identity, self)
+
     def begin(self) -> None:
         """Starts the request, or refuses it if servers crash under it."""
         watch = self._context.crash_watch
@@ -222,7 +239,9 @@
         self._record_end(
             "refused", reason=CONDEMNED, identity=self._identity.hex()
         )
-        delay_s = self._context.crash_watch.retry_after_s(self._identity)
+        delay_s = self._turns.retry_after_s(
+            self._identity, self._context.clock()
+        )
         self._finish(caller_errors.not_run(CONDEMNED, delay_s))
 
     def on_crash(self) -> None:
