Store the failed trial of a condemned request too

What callers would see: after a trial that crashed a server and a start of all nodes, a condemned request is tried once more a minute later, and crashes one more server.

Cause: a node wrote its entry in the store again when the condemned requests in it changed, not when the crashes under them did. Found by reading: a node that starts takes three crashes for a request that has not been tried yet.

Change: what is written is compared whole. test_failed_trial_of_a_stored_request_is_stored_too failed before.

Decoded keys are tuples now, as the stored ones, so the test of the entry names a tuple.

--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -84,11 +84,15 @@
     return value
 
 
-def decode_fatal_requests(stored: StoredObject) -> dict[str, list[int]]:
+def decode_fatal_requests(
+    stored: StoredObject,
+) -> dict[str, tuple[int, ...]]:
     """Returns what a node stored for others; nothing if it is malformed."""
     try:
         return {
-            bytes.fromhex(identity).hex(): [int(key, 16) for key in server_keys]
+            bytes.fromhex(identity).hex(): tuple(
+                int(key, 16) for key in server_keys
+            )
             for identity, server_keys in stored.value.get(
                 "fatal_requests", {}
             ).items()
@@ -130,7 +134,7 @@
         self._knowledge = knowledge
         # What entries hold for nodes that start later: this node's, and those of
         # the others by name.
-        self._written: Collection[str] = ()
+        self._written: Mapping[str, Sequence[int]] = {}
         self._stored_by_others: dict[str, Collection[str]] = {}
         # Whether other nodes registered before the store returned from a copy.
         self.has_peers_of_older_era = False
@@ -202,7 +206,7 @@
                 self._stored_by_others[stored.name] = fatal_requests.keys()
             elif not self._version:
                 # The entry of an earlier incarnation, which this one replaces.
-                self._written = fatal_requests.keys()
+                self._written = fatal_requests
             if fatal_requests:
                 self._knowledge.restore(fatal_requests)
 
@@ -251,7 +255,7 @@
 
     def update(self) -> None:
         """Writes this node's entry again if what it must store has changed."""
-        if self._version and self._stored().keys() != set(self._written):
+        if self._version and self._stored() != self._written:
             self.register(self._version)
 
     def _write(self, expected_version: int) -> None:
@@ -259,7 +263,7 @@
             return
         own_info = self._nodes.own_info
         stored = self._stored()
-        self._written = stored.keys()
+        self._written = stored
         self._store.write(
             NODE_KIND,
             own_info.name,
