--- a/packages/core/tests/test_request_identity.py
+++ b/packages/core/tests/test_request_identity.py
@@ -28,6 +28,8 @@
         {"headers": (*REQUEST.headers, ("X-B3-TraceId", "1"))},
         {"headers": (*REQUEST.headers, ("Traceparent", "1"))},
         {"headers": (*REQUEST.headers, ("X-Trace-Id", "1"))},
+        {"headers": (*REQUEST.headers, ("X-Client-Request-Id", "1"))},
+        {"headers": (*REQUEST.headers, ("X-Forwarded-Proto", "https"))},
         {"headers": (("Host", "A.example:80"), ("Authorization", "alice"))},
     ],
 )
@@ -36,6 +38,21 @@
     assert identify_request(repeat) == identify_request(REQUEST)
 
 
+@pytest.mark.parametrize(
+    ("header", "repeated"),
+    [("10.0.0.1", "10.0.0.1, 10.9.0.7"), ("10.0.0.1:4001", "10.0.0.1:4002")],
+)
+def test_repeat_by_another_way_has_the_identity_of_its_caller(
+    header: str, repeated: str
+) -> None:
+    first, second, other = (
+        REQUEST._replace(headers=(*REQUEST.headers, ("X-Forwarded-For", value)))
+        for value in (header, repeated, "10.0.0.2")
+    )
+    assert identify_request(first) == identify_request(second)
+    assert identify_request(first) != identify_request(other)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
