Show the crashes that condemned a request in explain

What operators saw: `explain` of a request that was refused as "backend servers crashed under this request" showed the refusal, but no line of the crashes: these name the requests before it, are often of other nodes and may be minutes older. And it showed what nodes learned of other suspected requests, as if that concerned this one.

Change: lines of crashes, suspicion and condemnation with the same identity are shown from all nodes and whatever their time; those with another identity are not. test_crashes_that_condemned_a_request_are_shown_from_all_nodes failed before (it had no line of the other node, and one of the other request).

--- a/packages/operators/mulberrybay_operators/explain_command.py
+++ b/packages/operators/mulberrybay_operators/explain_command.py
@@ -19,6 +19,8 @@
 CONTEXT_AFTER: Final = timedelta(seconds=1)
 # Lines of these loggers concern every request of their node.
 NODE_LOGGERS: Final = frozenset({"node", "store", "peers", "faults"})
+# Changes of what a node knows of servers, nodes and requests.
+VIEW_LOGGER: Final = "beliefs"
 # Keys that have their own column or are of no use to the operator.
 SEPARATE_KEYS: Final = frozenset({"at", "level", "logger", "message"})
 NAME_PATTERN: Final = re.compile(r"[A-Za-z0-9_-]{3,}")
@@ -88,14 +90,25 @@
 ) -> list[LogLine]:
     """Returns a request's log lines and those on the state of its nodes.
 
-    The result is sorted by time.
+    Crashes of servers under the same request are included at whatever time and
+    node they were seen: they decide what all nodes do with it. The result is
+    sorted by time.
 
     Args:
-        request_id: The identity of the request.
+        request_id: The identifier of the request.
         logs: The log lines of each node.
     """
     related_lines = []
+    logs = [*logs]
+    identities = _find_identities(request_id, logs)
     for lines in logs:
+        related_lines += [
+            line
+            for line in lines
+            if line.document.get("identity") in identities
+            and line.document.get("request_id") != request_id
+            and line.document.get("logger") == VIEW_LOGGER
+        ]
         request_lines = [
             line
             for line in lines
@@ -111,12 +124,25 @@
             line
             for line in lines
             if first_at <= line.at <= last_at
-            and "request_id" not in line.document
+            and not line.document.keys() & {"request_id", "identity"}
             and _is_related(line, names)
         ]
     return sorted(related_lines, key=lambda line: line.at)
 
 
+def _find_identities(
+    request_id: str, logs: Iterable[list[LogLine]]
+) -> set[str]:
+    """Returns what nodes know a request by when it comes again."""
+    return {
+        line.document["identity"]
+        for lines in logs
+        for line in lines
+        if line.document.get("request_id") == request_id
+        and "identity" in line.document
+    }
+
+
 def _find_names(lines: list[LogLine]) -> set[str]:
     """Returns the names of servers and services in a request's lines."""
     names: set[str] = set()
@@ -133,7 +159,7 @@
     if document.get("logger") in NODE_LOGGERS:
         return True
     if "server" not in document and "service" not in document:
-        return document.get("logger") == "beliefs"
+        return document.get("logger") == VIEW_LOGGER
     return document.get("server") in names or document.get("service") in names
 
 
--- a/packages/operators/tests/test_explain_command.py
+++ b/packages/operators/tests/test_explain_command.py
@@ -106,3 +106,43 @@
             assert messages == ["the store fails", "failed"]
         case Result(error=failure):
             pytest.fail(failure.detail)
+
+
+def test_crashes_that_condemned_a_request_are_shown_from_all_nodes(
+    tmp_path: pathlib.Path,
+) -> None:
+    first, second = tmp_path / "node-1.log", tmp_path / "node-2.log"
+    first.write_text(
+        make_line(44.0, "beliefs", "request suspected", identity="cd")
+        + make_line(
+            45.0, "requests", "refused", request_id="id-9", identity="ab"
+        ),
+        encoding="utf-8",
+    )
+    second.write_text(
+        make_line(
+            3.0,
+            "beliefs",
+            "backend server crashed",
+            server="i-1",
+            request_id="id-2",
+            identity="ab",
+        )
+        + make_line(3.1, "beliefs", "request condemned", identity="ab")
+        + make_line(
+            40.0, "requests", "refused", request_id="id-3", identity="ab"
+        ),
+        encoding="utf-8",
+    )
+
+    match explain(Explain("id-9", [first, second])):
+        case Result(tag="ok", ok=output):
+            assert [
+                (entry["source"], entry["message"]) for entry in output.document
+            ] == [
+                ("node-2", "backend server crashed"),
+                ("node-2", "request condemned"),
+                ("node-1", "refused"),
+            ]
+        case Result(error=failure):
+            pytest.fail(failure.detail)
