Try requests that met at a crashed server apart, and judge them together

What callers saw: four real nodes, a request that crashes servers from two senders, and six callers of slow searches (0.25 s), each of them another request.

Requests that ran on a crashed server together were sent on at the same moment and in the same order of shards, so that they met at the next server too, up to five times in a row, after which both are condemned. And of the requests that one server lost, the first recorded was judged before the crash of the others was recorded; for that moment nothing else explained its crashes.

Ruled out: the replies that clear a request (the servers lost them all) and lost heartbeats (one node saw all of it).

Change: a node tries a request that needs care at no server where it tries another one, and each request begins with a shard of its own. What a server lost is recorded whole, then judged; judging waits until it is asked for.

--- a/packages/core/mulberrybay_core/fatal_requests.py
+++ b/packages/core/mulberrybay_core/fatal_requests.py
@@ -201,7 +201,10 @@
 
     def __init__(self) -> None:
         self._suspects: dict[bytes, _Suspect] = {}
+        # Judged when it is asked for, so that crashes of one server, which are
+        # recorded one after the other, are judged together.
         self._condemned: frozenset[bytes] = frozenset()
+        self._is_judged = True
         # When a server last ran a request and replied, by request; oldest first.
         self._replied_at_s: OrderedDict[bytes, float] = OrderedDict()
 
@@ -279,7 +282,7 @@
         suspect.told_at_s = -math.inf
         self._suspects[identity] = suspect
         self._make_room()
-        self._judge()
+        self._is_judged = False
         return True
 
     def _make_room(self) -> None:
@@ -308,7 +311,7 @@
 
     def is_condemned(self, identity: bytes) -> bool:
         """Whether a request must not be sent to servers, except for trials."""
-        return identity in self._condemned
+        return identity in self.condemned
 
     def _judge(self) -> None:
         candidates = {
@@ -347,6 +350,9 @@
     @property
     def condemned(self) -> frozenset[bytes]:
         """The condemned requests."""
+        if not self._is_judged:
+            self._judge()
+            self._is_judged = True
         return self._condemned
 
     # What nodes tell each other.
@@ -461,5 +467,4 @@
         ]
         for identity in expired:
             del self._suspects[identity]
-        if expired:
-            self._judge()
+            self._is_judged = False
--- a/packages/core/mulberrybay_core/suspect_turns.py
+++ b/packages/core/mulberrybay_core/suspect_turns.py
@@ -28,10 +28,12 @@
     """A request that was sent to one server, which may crash under it.
 
     Attributes:
+        server_id: The server.
         holder: Handles the request.
         ends_at_s: Until when others of the same identity wait for its result.
     """
 
+    server_id: str
     holder: object
     ends_at_s: float
 
@@ -108,16 +110,21 @@
             identity, now_s - RECENT_REPLY_S
         )
 
-    def begin_turn(self, identity: bytes, holder: object, now_s: float) -> None:
+    def begin_turn(
+        self, identity: bytes, server_id: str, holder: object, now_s: float
+    ) -> None:
         """Lets others of the same identity wait, if that needs care.
 
         Args:
             identity: The request.
-            holder: Has just sent it to a server.
+            server_id: The server that it was sent to.
+            holder: Has just sent it.
             now_s: The time.
         """
         if self.needs_care(identity, now_s):
-            self._turns[identity] = _Turn(holder, now_s + MAX_SILENCE_S)
+            self._turns[identity] = _Turn(
+                server_id, holder, now_s + MAX_SILENCE_S
+            )
 
     def end_turn(self, identity: bytes, holder: object) -> None:
         """Lets others of the same identity be sent; see `begin_turn`."""
@@ -125,6 +132,20 @@
         if turn is not None and turn.holder is holder:
             del self._turns[identity]
 
+    def avoided_servers(self, identity: bytes, now_s: float) -> frozenset[str]:
+        """Returns the servers at which a request isn't tried now.
+
+        Requests that needed care met at a server that crashed, and are tried
+        apart: if one crashes the next server too, the others aren't there.
+        """
+        if not self._turns or not self.needs_care(identity, now_s):
+            return frozenset()
+        return frozenset(
+            turn.server_id
+            for other, turn in self._turns.items()
+            if other != identity and now_s < turn.ends_at_s
+        )
+
     # Condemned requests.
 
     def is_trial_due(self, identity: bytes, now_s: float) -> bool:
--- a/packages/edge/mulberrybay_edge/crash_watch.py
+++ b/packages/edge/mulberrybay_edge/crash_watch.py
@@ -15,7 +15,7 @@
     Mapping,
     Sequence,
 )
-from typing import Final, Protocol
+from typing import Final, NamedTuple, Protocol
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import (
@@ -65,6 +65,32 @@
         """Ends the request: no server may get it any more."""
 
 
+class _LostRequest(NamedTuple):
+    """A request to which a server gave no reply.
+
+    Attributes:
+        template: The request.
+        entry: The server.
+        sent_at_s: When the request was sent to it.
+        ended_at_s: When the connection ended.
+    """
+
+    template: RequestTemplate
+    entry: ServerEntry
+    sent_at_s: float
+    ended_at_s: float
+
+    def crash(self) -> Crash:
+        """Returns the crash, if the server crashed."""
+        entry = self.entry
+        return Crash(
+            server_key(entry.server_id, entry.started_at_ms),
+            entry.started_at_ms > 0,
+            self.sent_at_s,
+            self.ended_at_s,
+        )
+
+
 def _tell_nobody() -> None:
     """Does nothing; see `CrashWatch.tell`."""
 
@@ -104,6 +130,8 @@
         )
         self.crash_count = 0
         self._in_progress: dict[bytes, list[RequestInProgress]] = {}
+        # The requests that servers lost which are being checked.
+        self._lost_by_server: dict[str, list[_LostRequest]] = {}
         self._will_tell = False
         self._told_at_s = 0.0
 
@@ -159,45 +187,51 @@
             template: The request, to which it gave no reply.
             sent_at_s: When the request was sent to it.
         """
-        ended_at_s = read_clock_s()
-        identity = template.identity
-        if self.requests.has_replied_since(identity, sent_at_s):
+        if self.requests.has_replied_since(template.identity, sent_at_s):
             return
-        self.turns.begin_check(identity)
+        self.turns.begin_check(template.identity)
+        lost = self._lost_by_server.setdefault(entry.server_id, [])
+        lost.append(_LostRequest(template, entry, sent_at_s, read_clock_s()))
+        if len(lost) == 1:
+            self._prober.probe(
+                entry.server_id,
+                entry.address,
+                lambda outcome: self._end_check(entry.server_id, outcome),
+            )
+
+    def _end_check(self, server_id: str, outcome: ProbeOutcome) -> None:
+        lost_requests = self._lost_by_server.pop(server_id)
+        for lost in lost_requests:
+            self.turns.end_check(lost.template.identity)
+        if outcome is ProbeOutcome.REFUSED:
+            self._record_crashes(lost_requests)
 
-        def on_end(outcome: ProbeOutcome) -> None:
-            self.turns.end_check(identity)
-            if outcome is not ProbeOutcome.REFUSED:
-                return
+    def _record_crashes(self, lost_requests: Sequence[_LostRequest]) -> None:
+        """Records that a server crashed under all requests that it lost."""
+        condemned = self.requests.condemned
+        now_s = read_clock_s()
+        changed = []
+        for lost in lost_requests:
             self.crash_count += 1
+            identity = lost.template.identity
             self._log.log_view_change(
                 "backend server crashed",
-                server=entry.server_id,
-                service=entry.service,
-                request_id=template.request_id,
+                server=lost.entry.server_id,
+                service=lost.entry.service,
+                request_id=lost.template.request_id,
                 identity=identity.hex(),
-                target=template.target,
-                ran_ms=round((ended_at_s - sent_at_s) * 1000, 1),
-            )
-            self._record_crash(
-                identity,
-                Crash(
-                    server_key(entry.server_id, entry.started_at_ms),
-                    entry.started_at_ms > 0,
-                    sent_at_s,
-                    ended_at_s,
-                ),
+                target=lost.template.target,
+                ran_ms=round((lost.ended_at_s - lost.sent_at_s) * 1000, 1),
             )
-
-        self._prober.probe(entry.server_id, entry.address, on_end)
-
-    def _record_crash(self, identity: bytes, crash: Crash) -> None:
-        condemned = self.requests.condemned
-        if self.requests.record_crash(identity, crash, read_clock_s()):
+            if self.requests.record_crash(identity, lost.crash(), now_s):
+                changed.append(identity)
+        if changed:
             self._tell_soon()
-            self._apply_changes([identity], condemned)
-        for handler in [*self._in_progress.get(identity, ())]:
-            handler.on_crash()
+            self._apply_changes(changed, condemned)
+        for lost in lost_requests:
+            identity = lost.template.identity
+            for handler in [*self._in_progress.get(identity, ())]:
+                handler.on_crash()
 
     def _apply_changes(
         self, changed: Iterable[bytes], condemned_before: frozenset[bytes]
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -286,7 +286,9 @@
         candidates = []
         for server in usable:
             server_id = server.entry.server_id
-            if not context.connections.can_start(server_id, cap_count):
+            if server_id in spec.avoided_ids or (
+                not context.connections.can_start(server_id, cap_count)
+            ):
                 continue
             if (
                 cold_rate_per_s > 0
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -73,6 +73,7 @@
             tried=self._tried,
             is_retry=bool(self._tried.sent_to),
             is_retryable=self._is_retryable,
+            avoided_ids=self._avoided_servers(),
         )
         attempt = self._context.sender.send(spec, self._on_result)
         if not isinstance(attempt, SendRefusal):
@@ -80,7 +81,7 @@
             if not attempt.is_finished:
                 self._tried.record_sent(attempt.server_id)
                 self._attempts.append(attempt)
-                self._begin_turn()
+                self._begin_turn(attempt.server_id)
             return True
         self._refusal = attempt
         if self._attempts:
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -143,11 +143,20 @@
         )
         if may_reply or self._must_wait():
             return
-        for shard in self._shards:
+        for shard in self._in_own_order():
             if self._may_send(shard) and self._send(shard):
                 self._last_sent_at_s = now_s
                 return
 
+    def _in_own_order(self) -> list[_Shard]:
+        """Returns the shards, from one on that differs by the request.
+
+        Other nodes may try other requests that met this one at a server that
+        crashed.
+        """
+        first = int.from_bytes(self._identity) % len(self._shards)
+        return self._shards[first:] + self._shards[:first]
+
     def on_crash(self) -> None:
         """Takes the query back from the other servers after several crashes."""
         self._crash_count += 1
@@ -175,6 +184,7 @@
             tried=shard.tried,
             is_retry=bool(shard.tried.sent_to),
             is_retryable=True,
+            avoided_ids=self._avoided_servers(),
         )
 
         def on_result(result: AttemptResult) -> None:
@@ -190,7 +200,7 @@
         if not attempt.is_finished:
             shard.tried.record_sent(attempt.server_id)
             shard.attempts.append(attempt)
-            self._begin_turn()
+            self._begin_turn(attempt.server_id)
         if is_hedge:
             shard.hedge = attempt
             self._hedge_count += 1
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -212,8 +212,15 @@
     def _must_wait(self) -> bool:
         return self._turns.must_wait(self._identity, self._context.clock())
 
-    def _begin_turn(self) -> None:
-        self._turns.begin_turn(self._identity, self, self._context.clock())
+    def _avoided_servers(self) -> frozenset[str]:
+        return self._turns.avoided_servers(
+            self._identity, self._context.clock()
+        )
+
+    def _begin_turn(self, server_id: str) -> None:
+        self._turns.begin_turn(
+            self._identity, server_id, self, self._context.clock()
+        )
 
     def _end_turn(self) -> None:
         self._turns.end_turn(self._identity, self)
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -62,6 +62,7 @@
         tried: The servers already tried for the request.
         is_retry: Whether the request was sent to the service before.
         is_retryable: Whether it may be retried if the reply is lost.
+        avoided_ids: Servers that must not be used now.
     """
 
     template: "RequestTemplate"
@@ -71,6 +72,7 @@
     tried: "TriedServers"
     is_retry: bool
     is_retryable: bool
+    avoided_ids: frozenset[str] = frozenset()
 
 
 ResultHandler = Callable[[AttemptResult], None]
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -190,7 +190,11 @@
         """Records the attempt for the test."""
         service = spec.service
         servers = [f"{service}-{name}" for name in self.replica_names]
-        allowed = [name for name in servers if spec.tried.allows(name)]
+        allowed = [
+            name
+            for name in servers
+            if spec.tried.allows(name) and name not in spec.avoided_ids
+        ]
         # The real sender avoids a server that has just failed.
         allowed.sort(key=lambda name: name in self.used_ids)
         if service in self.empty_services or not allowed:
--- a/packages/edge/tests/test_fatal_handling.py
+++ b/packages/edge/tests/test_fatal_handling.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 import pytest
-from request_fakes import FakeAttempt, RequestHarness
+from request_fakes import NAMES, FakeAttempt, RequestHarness
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import (
@@ -17,8 +17,8 @@
 from mulberrybay_edge import crash_watch
 from mulberrybay_edge.forward_handler import ForwardHandler
 from mulberrybay_edge.gather_handler import GatherHandler
-from mulberrybay_edge.request_context import RequestHandler
-from mulberrybay_edge.sending import AttemptOutcome
+from mulberrybay_edge.request_context import RequestHandler, RequestJob
+from mulberrybay_edge.sending import AttemptOutcome, RequestTemplate
 from mulberrybay_edge.server_connections import ProbeOutcome
 
 SHARDS = tuple(f"shard-{number}" for number in range(10))
@@ -41,6 +41,7 @@
             crash_watch, "read_clock_s", self.harness.timers.clock
         )
         self.watch = self.harness.context.crash_watch
+        self.job = self.harness.job
 
     @property
     def attempts(self) -> list[FakeAttempt]:
@@ -53,8 +54,8 @@
     def begin(self) -> RequestHandler:
         """Begins the request, as if it had come again."""
         harness = self.harness
-        job = harness.job._replace(
-            request=harness.job.request._replace(
+        job = self.job._replace(
+            request=self.job.request._replace(
                 received_at_s=harness.timers.now_s
             )
         )
@@ -351,3 +352,72 @@
     assert [*stored] == [
         identity.hex() for identity in expected[:MAX_STORED_COUNT]
     ]
+
+
+class Followed:
+    """A request in progress that records whether it was condemned."""
+
+    def __init__(self) -> None:
+        self.is_condemned = False
+
+    def on_crash(self) -> None:
+        """Ignores crashes."""
+
+    def on_condemned(self) -> None:
+        """Records it."""
+        self.is_condemned = True
+
+
+def other_job(play: Play) -> RequestJob:
+    """Returns the job of another caller's request."""
+    job = play.harness.job
+    headers = (*job.request.headers, ("Authorization", "other"))
+    request = job.request._replace(headers=headers)
+    return job._replace(
+        request=request, template=RequestTemplate(request, NAMES)
+    )
+
+
+def test_requests_that_one_server_lost_are_judged_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    play = Play(monkeypatch)
+    innocent = other_job(play).template
+    followed = Followed()
+    assert play.watch.admit(innocent.identity, followed)
+    for _ in range(CONDEMNED_COUNT):
+        play.harness.timers.advance(0.1)
+        play.begin()
+        fatal = play.open_attempts[-1]
+        beside = FakeAttempt(
+            fatal.spec._replace(template=innocent),
+            fatal.server_id,
+            lambda _: None,
+            fatal.sent_at_s,
+        )
+        play.harness.timers.advance(0.03)
+        play.lose(beside)
+        play.lose(fatal)
+        play.harness.connections.end_all(ProbeOutcome.REFUSED)
+
+    assert play.watch.requests.crash_count(innocent.identity) == CONDEMNED_COUNT
+    assert not followed.is_condemned
+
+
+@pytest.mark.parametrize("options", [{}, {"shards": SHARDS}])
+def test_requests_that_met_at_a_crash_are_not_tried_at_the_same_server(
+    monkeypatch: pytest.MonkeyPatch, options: dict[str, Any]
+) -> None:
+    play = Play(monkeypatch, **options)
+    play.begin()
+    play.job = other_job(play)
+    play.begin()
+    for attempt in [*play.attempts]:
+        play.lose(attempt)
+    play.harness.sender.replica_names = "ab"
+    play.harness.connections.end_all(ProbeOutcome.REFUSED)
+
+    play.harness.timers.advance(0.04)
+
+    first, second = play.open_attempts
+    assert first.server_id != second.server_id
--- a/tests/on_platform/test_fatal_requests.py
+++ b/tests/on_platform/test_fatal_requests.py
@@ -346,6 +346,43 @@
     assert_refused_everywhere(servers, nodes, RECORD)
 
 
+class ManyCallers(Sender):
+    """Sends the same request of another caller each time."""
+
+    def _send(self, node: RunningNode) -> Sent:
+        self.name = f"caller-{next(self._numbers)}"
+        return super()._send(node)
+
+
+def test_slow_requests_beside_one_that_crashes_servers_are_not_condemned(
+    deployment: Deployment,
+) -> None:
+    nodes = deployment.start_nodes(4)
+    wait_served(nodes, SEARCH)
+    servers = servers_of(deployment, SEARCH)
+    make_fatal(servers)
+    for server in servers:
+        server.crash_after_s = 0.06
+        server.delay_s = 0.25
+    slow = [ManyCallers(nodes[n:] + nodes[:n], SEARCH, "", 0) for n in range(6)]
+    fatal = [Sender([node], SEARCH, FATAL_CALLER, 0.1) for node in nodes[:2]]
+    for sender in (*slow, *fatal):
+        sender.start()
+    time.sleep(2 * CONTACT_S)
+    for sender in fatal:
+        sender.stop()
+    slow_sent = [item for sender in slow for item in sender.stop()]
+
+    assert len(slow_sent) > 2 * len(servers)
+    condemned = {
+        line["identity"]
+        for node in nodes
+        for line in deployment.log_lines(node)
+        if line["message"] == "request condemned"
+    }
+    assert len(condemned) == 1
+
+
 @pytest.mark.parametrize("kind", [RECORD, SEARCH], ids=["record", "search"])
 def test_popular_request_is_served_while_servers_end_in_series(
     tmp_path: pathlib.Path, kind: Kind
