Count runs that the platform didn't record as refused

Operators saw no refusals of the first runs in an outage of the platform: their callers got 503, not run, and mulberrybay_refusals_total stayed the same.

Cause: the counter was raised only where a run is refused at once, as at least three calls to the platform have failed. A run whose record is rejected before that ended without being counted.

Change: a run that ends not run by a failure of the platform counts as platform_lost. The new test rejects one record and found an empty counter before.

--- a/packages/core/mulberrybay_core/run_lifecycle.py
+++ b/packages/core/mulberrybay_core/run_lifecycle.py
@@ -285,6 +285,14 @@
         )
 
 
+def is_refused_by_platform(failure: Failure) -> bool:
+    """Returns whether a run was not begun because it could not be recorded."""
+    return (
+        failure.kind is FailureKind.PLATFORM
+        and failure.run_state is RunState.NOT_RUN
+    )
+
+
 def next_outcome_write(
     outcome: RunRecord, stored: StoredRecord | None
 ) -> WriteRecord | None:
--- a/packages/daemon/mulberrybay_daemon/runs.py
+++ b/packages/daemon/mulberrybay_daemon/runs.py
@@ -34,6 +34,7 @@
     RunLifecycle,
     SaveOutcome,
     WriteRecord,
+    is_refused_by_platform,
 )
 from mulberrybay_core.run_record import (
     StoredRecord,
@@ -290,4 +291,6 @@
                 self.result_counts[RunState.RAN] += 1
             case Result(error=failure):
                 self.result_counts[failure.run_state] += 1
+                if is_refused_by_platform(failure):
+                    self.refusal_counts[RefusalReason.PLATFORM_LOST] += 1
         run.reply(result)
--- a/packages/daemon/tests/test_runs.py
+++ b/packages/daemon/tests/test_runs.py
@@ -7,7 +7,7 @@
 import random
 from typing import Any
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.attempts import (
@@ -16,10 +16,11 @@
     AttemptReply,
     AttemptReplyHandler,
 )
-from mulberrybay_core.errors import Failure, FailureKind, RunState
+from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.fleet import BackendServer, Fleet
 from mulberrybay_core.platform_messages import WriteOutcome, WriteResult
 from mulberrybay_core.queries import RunAnswer, RunRequest
+from mulberrybay_core.refusals import RefusalReason
 from mulberrybay_core.replica_choice import LeastExpectedWait
 from mulberrybay_core.server_waits import ServerWaits
 from mulberrybay_core.write_budget import RunSettings
@@ -52,6 +53,25 @@
         arguments[-1](Ok(WriteResult(WriteOutcome.WRITTEN, 1)))
 
 
+class RejectingStore:
+    """Rejects every write, before it is known to be failing."""
+
+    is_failing = False
+
+    def write(self, *arguments: Any) -> None:  # noqa: ANN401
+        arguments[-1](
+            Error(
+                Failure(
+                    FailureKind.PLATFORM,
+                    Step.RECORD,
+                    "platform",
+                    "unavailable",
+                    run_state=RunState.NOT_RUN,
+                )
+            )
+        )
+
+
 class PermissiveGate:
     """Allows new work at every server."""
 
@@ -86,17 +106,16 @@
 class RunCase:
     """One run and its results."""
 
-    def __init__(self, unheld_count: int) -> None:
+    def __init__(self, unheld_count: int, store: Any = None) -> None:  # noqa: ANN401
         self.timers = Timers()
         self.transport: Any = FakeTransport(unheld_count)
         gate: Any = PermissiveGate()
-        store: Any = FakeStore()
-        runs = RunCoordinator(
+        self.runs = runs = RunCoordinator(
             "process",
             RunSettings(),
             gate,
             self.transport,
-            store,
+            store or FakeStore(),
             self.timers,
             LeastExpectedWait(random.Random(0), ServerWaits()),
         )
@@ -139,3 +158,10 @@
     [result] = case.results
     assert result.error.kind is FailureKind.NO_REPLICA
     assert result.error.run_state is RunState.NOT_RUN
+
+
+def test_run_whose_record_the_platform_rejects_is_counted_as_refused() -> None:
+    case = RunCase(unheld_count=0, store=RejectingStore())
+    [result] = case.results
+    assert result.error.run_state is RunState.NOT_RUN
+    assert case.runs.refusal_counts == {RefusalReason.PLATFORM_LOST: 1}
