Hand a request to another node when the one that has it stands still

What callers saw: a request that servers had crashed under waited for its deadline (504 after 8 s) if the node that sends such requests for all stood still. That holds for innocent requests too, which happened to run on a server that crashed. So did requests of a node without backend servers whose other node stood still.

Cause: a handed-on request was bound to its node until that answered, though heartbeats show after 1.6 s that a node has stopped; new requests were handed to the next one.

Evidence: four real nodes, the sender frozen by a signal, one more copy at another node: 504 at its deadline of 8 s, for records and searches (test_suspected_request_does_not_wait_for_a_sender_that_stands_still). Ruled out: the retry budget and the turns of copies; the request had reached no server.

Change: the handler looks every 0.1 s whether the other node still sends heartbeats. If not, an idempotent request, or one that was not sent yet, goes to the next node; a booking waits on, as its node may only seem to stand still. If the first node may have run it, a refusal by the second is answered 502, not 503.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -240,6 +240,11 @@
         elapsed_s = now_s - peer.last_heartbeat_at_s
         return elapsed_s < MISSED_HEARTBEAT_COUNT * period_s
 
+    def is_running(self, name: str, now_s: float) -> bool:
+        """Whether another node has lately sent heartbeats."""
+        peer = self._peers.get(name)
+        return peer is not None and self._is_alive(peer, now_s)
+
     # Hubs.
 
     def _is_small(self) -> bool:
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -375,13 +375,24 @@
 
             if choose(set()) is None:
                 return None
-            return RelayTargets(self._peer_connections, choose, OWNER_UNREACHED)
+            return RelayTargets(
+                self._peer_connections,
+                choose,
+                self._is_running,
+                OWNER_UNREACHED,
+            )
         if self._reach.is_lost and self._choose_relay(set()) is not None:
             return RelayTargets(
-                self._peer_connections, self._choose_relay, CUT_OFF
+                self._peer_connections,
+                self._choose_relay,
+                self._is_running,
+                CUT_OFF,
             )
         return None
 
+    def _is_running(self, node_name: str) -> bool:
+        return self._nodes.is_running(node_name, read_clock_s())
+
     def _choose_relay(self, excluded_names: set[str]) -> EdgeNodeInfo | None:
         table = self._view.route_table
         return self._nodes.choose_relay(
--- a/packages/edge/tests/test_relay_handler.py
+++ b/packages/edge/tests/test_relay_handler.py
@@ -7,6 +7,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import EdgeNodeInfo
+from mulberrybay_core.routing import RouteKind
 from mulberrybay_edge import exchange as exchange_module
 from mulberrybay_edge.exchange import (
     Exchange,
@@ -14,6 +15,7 @@
     ExchangeResult,
 )
 from mulberrybay_edge.relay_handler import (
+    CHECK_PERIOD_S,
     CUT_OFF,
     MAX_NODE_COUNT,
     RelayHandler,
@@ -44,9 +46,12 @@
     """A started handler among nodes `a`, `b`, and so on."""
 
     def __init__(
-        self, monkeypatch: pytest.MonkeyPatch, node_names: str = "abcde"
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        node_names: str = "abcde",
+        kind: RouteKind = RouteKind.IDEMPOTENT,
     ) -> None:
-        self.harness = RequestHarness()
+        self.harness = RequestHarness(kind=kind)
         monkeypatch.setattr(
             exchange_module, "read_clock_s", self.harness.timers.clock
         )
@@ -56,13 +61,26 @@
             left = [name for name in node_names if name not in tried]
             return make_info(left[0]) if left else None
 
+        self.silent_names: set[str] = set()
         self.handler = RelayHandler(
             self.harness.context,
             self.harness.job,
-            RelayTargets(self.connections, choose, CUT_OFF),
+            RelayTargets(
+                self.connections,
+                choose,
+                lambda name: name not in self.silent_names,
+                CUT_OFF,
+            ),
         )
         self.handler.start()
 
+    def lose_node(self, name: str, *, is_sent: bool) -> None:
+        """Lets a node that has the request stop to send heartbeats."""
+        if is_sent:
+            self.connections.started[-1][1].sent_at_s = 100.0
+        self.silent_names.add(name)
+        self.harness.timers.advance(CHECK_PERIOD_S)
+
     def finish(
         self, outcome: ExchangeOutcome, reply: HttpReply | None = None
     ) -> None:
@@ -156,3 +174,39 @@
     relay.finish(ExchangeOutcome.REPLY, HttpReply(200, {}, b"late", True))
 
     assert relay.harness.answers == []
+
+
+@pytest.mark.parametrize(
+    ("is_sent", "status"),
+    [(True, 200), (False, 200), (True, 503), (False, 503)],
+)
+def test_request_at_a_node_that_stands_still_does_not_wait_for_its_deadline(
+    monkeypatch: pytest.MonkeyPatch, is_sent: bool, status: int
+) -> None:
+    relay = _Relay(monkeypatch)
+    relay.lose_node("a", is_sent=is_sent)
+    relay.finish(ExchangeOutcome.REPLY, HttpReply(status, {}, b"", True))
+
+    assert [name for name, _ in relay.connections.started] == ["a", "b"]
+    may_have_run = is_sent and status == 503
+    assert relay.harness.answer.status == (502 if may_have_run else status)
+
+
+def test_request_at_nodes_that_all_stand_still_is_not_said_not_to_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    relay = _Relay(monkeypatch, "a")
+    relay.lose_node("a", is_sent=True)
+
+    assert relay.harness.answer.status == 502
+
+
+def test_booking_at_a_node_that_stands_still_is_not_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    relay = _Relay(monkeypatch, kind=RouteKind.NON_IDEMPOTENT)
+    relay.lose_node("a", is_sent=True)
+    relay.finish(ExchangeOutcome.REPLY, HttpReply(200, {}, b"", True))
+
+    assert [name for name, _ in relay.connections.started] == ["a"]
+    assert relay.harness.answer.status == 200
--- a/tests/on_platform/test_fatal_requests.py
+++ b/tests/on_platform/test_fatal_requests.py
@@ -256,6 +256,44 @@
         assert relay_targets(deployment, nodes) == {owner_name}
 
 
+@pytest.mark.parametrize("kind", [RECORD, SEARCH], ids=["record", "search"])
+def test_suspected_request_does_not_wait_for_a_sender_that_stands_still(
+    deployment: Deployment, kind: Kind
+) -> None:
+    nodes = deployment.start_nodes(4)
+    wait_served(nodes, kind)
+    servers = servers_of(deployment, kind)
+    make_fatal(servers)
+    for server in servers:
+        server.restart_after_s = CONTACT_S
+    senders = [Sender([node], kind, FATAL_CALLER, 0.05) for node in nodes]
+    for sender in senders:
+        sender.start()
+    wait_until(
+        lambda: bool(relay_targets(deployment, nodes)),
+        CONTACT_S,
+        "one node sends the request",
+    )
+    for sender in senders:
+        sender.stop()
+    (owner_name,) = relay_targets(deployment, nodes)
+    for server in servers:
+        server.is_fatal = lambda _: False
+    wait_served(nodes, kind)
+    (owner,) = (node for node in nodes if node.name == owner_name)
+    owner.process.freeze()
+    other = next(node for node in nodes if node is not owner)
+    sent_at_s = time.monotonic()
+    status = other.send_request(
+        kind.path, caller=FATAL_CALLER, deadline_ms=2000 * int(CONTACT_S)
+    ).status
+    took_s = time.monotonic() - sent_at_s
+    owner.process.thaw()
+
+    assert status == 200
+    assert took_s < CONTACT_S
+
+
 def condemn(
     deployment: Deployment, nodes: list[RunningNode], kind: Kind
 ) -> list[BackendStandIn]:
