Log how the peers stood when a node's epoch ended

The log said only that the lease was lost and a new epoch began. It could not tell a process that stood still from a peer that denied the renewal or an acknowledgement that was lost.

Change: the line of a new epoch says for each peer how long ago it renewed the lease, acknowledged a heartbeat, sent one, and was granted a lease itself. It costs nothing until an epoch ends. No decision changes.

--- a/packages/core/mulberrybay_core/member_peer.py
+++ b/packages/core/mulberrybay_core/member_peer.py
@@ -51,6 +51,18 @@
         """Returns the highest epoch that this node will not grant leases."""
         return ANY_EPOCH if self.denies_first_epoch else self.expired_epoch
 
+    def describe(self, now_s: float) -> str:
+        """Describes how long ago the peer was heard and renewed the lease."""
+        return ", ".join(
+            f"{name} {'never' if at_s is None else f'{now_s - at_s:.2f} s ago'}"
+            for name, at_s in (
+                ("renewed", self.renewed_at_s),
+                ("acked", self.acked_at_s),
+                ("heartbeat", self.last_heartbeat_at_s),
+                ("granted", self.granted_at_s),
+            )
+        )
+
     def sent_heartbeat_since(self, since_s: float) -> bool:
         """Returns whether the peer sent a heartbeat at or after a time."""
         return (
--- a/packages/core/mulberrybay_core/membership.py
+++ b/packages/core/mulberrybay_core/membership.py
@@ -91,6 +91,8 @@
         self._lost_lease = False
         self._denied_epoch = 0
         self.steps_down = False
+        # How the peers stood when the last epoch of this node ended.
+        self.last_epoch_end = ""
 
     def on_vm_list(self, entry_vms: Iterable[EntryVm], now_s: float) -> None:
         """Handles a new list of entry VMs from the platform."""
@@ -285,6 +287,7 @@
         self._lost_lease = False
         if not lost_lease and self._denied_epoch < self.epoch:
             return False
+        self.last_epoch_end = self._describe_peers(now_s)
         self.epoch = max(self._epoch_clock, self._denied_epoch, self.epoch) + 1
         self._had_lease = False
         for peer in self._peers.values():
@@ -293,6 +296,13 @@
             peer.reported_expired.clear()
         return True
 
+    def _describe_peers(self, now_s: float) -> str:
+        """Describes what peers last answered, to explain the end of a lease."""
+        return "; ".join(
+            f"{node_id}: {peer.describe(now_s)}"
+            for node_id, peer in self._peers.items()
+        )
+
     def _expire_if_due(self, peer: MemberPeer, now_s: float) -> None:
         lease_s = self._settings.lease_s
         if now_s - peer.granted_at_s <= lease_s:
--- a/packages/core/mulberrybay_core/state_changes.py
+++ b/packages/core/mulberrybay_core/state_changes.py
@@ -10,6 +10,7 @@
     Attributes:
         has_lease: Whether the node has a lease, without which it must not act.
         epoch: Its epoch.
+        last_epoch_end: How its peers stood when the epoch before ended.
         is_platform_failing: Whether its last calls to the platform failed.
         live_peer_ids: The peers that sent a heartbeat within the length of a
             lease.
@@ -21,6 +22,7 @@
 
     has_lease: bool = False
     epoch: int = 0
+    last_epoch_end: str = ""
     is_platform_failing: bool = False
     live_peer_ids: frozenset[str] = frozenset()
     out_domains: frozenset[str] = frozenset()
@@ -56,7 +58,9 @@
         yield StateChange(message, "membership", is_warning=not after.has_lease)
     if before.epoch and before.epoch != after.epoch:
         yield StateChange(
-            "epoch begun", "membership", detail=f"epoch {after.epoch}"
+            "epoch begun",
+            "membership",
+            detail=f"epoch {after.epoch}; {after.last_epoch_end}",
         )
     if before.is_platform_failing != after.is_platform_failing:
         is_failing = after.is_platform_failing
--- a/packages/core/tests/test_state_changes.py
+++ b/packages/core/tests/test_state_changes.py
@@ -43,3 +43,9 @@
     assert all(x.step for x in find_changes(STABLE_STATE, changed))
     back = list(find_changes(changed, STABLE_STATE))
     assert bool(back) == bool(changes)
+
+
+def test_line_of_a_new_epoch_says_why_the_one_before_ended() -> None:
+    changed = STABLE_STATE._replace(epoch=6, last_epoch_end="node-2: renewed 2")
+    (change,) = find_changes(STABLE_STATE, changed)
+    assert change.detail == "epoch 6; node-2: renewed 2"
--- a/packages/daemon/mulberrybay_daemon/state_watch.py
+++ b/packages/daemon/mulberrybay_daemon/state_watch.py
@@ -46,6 +46,7 @@
         return NodeState(
             has_lease=membership.has_lease(now_s),
             epoch=membership.epoch,
+            last_epoch_end=membership.last_epoch_end,
             is_platform_failing=parts.store.is_failing,
             live_peer_ids=frozenset(info.node_id for info in live[1:]),
             out_domains=configuration.out_domains,
