Show that an innocent request is condemned before other nodes can tell of its crash

It was test_slow_requests_beside_one_that_crashes_servers_are_not_condemned.

Cause: it met the fatal request at the same server three times in a row, sent by two nodes. The node that lost it judged its third crash at once; that the fatal one crashed the same server was told 25 ms later at the earliest, and known there after 77 ms. Only then another request explained the crash. Ruled out: judging within one node, which waits until all that a server lost is recorded; lost heartbeats, as all nodes agreed within 0.1 s.

--- a/packages/core/tests/test_fatal_requests.py
+++ b/packages/core/tests/test_fatal_requests.py
@@ -112,6 +112,16 @@
     assert requests.condemned == {FATAL}
 
 
+def test_request_is_not_condemned_before_others_can_tell_of_the_same_crash() -> (
+    None
+):
+    requests = FatalRequests()
+    condemn(requests, FATAL, count=2)
+    condemn(requests, OTHER, count=2)
+    requests.record_crash(OTHER, crash(3, 2.5, 3.0), 3.0)
+    assert not requests.is_condemned(OTHER)
+
+
 def test_requests_that_always_crash_servers_together_are_condemned() -> None:
     requests = FatalRequests()
     condemn(requests, FATAL, MAX_CRASH_COUNT)
