Show that nodes keep an old config after the store's return from a copy

Disruption: a drill, the store is away for 1 s and comes back from a copy 3 s old; a new version is acknowledged right after. Nodes watch on from a revision that was given out again and miss the version for 8 s.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -149,12 +149,22 @@
     return head + (body or b"")
 
 
+class StoreCopy(NamedTuple):
+    """The store's content at a moment."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    changes: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class Store:
     """The platform's store: objects, conditional writes and watches."""
 
     def __init__(self) -> None:
         self.port = free_port()
         self.writers: set[asyncio.StreamWriter] = set()
+        self.era = 0
+        self._server: asyncio.Server | None = None
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._changes: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -162,7 +172,34 @@
 
     async def listen(self) -> None:
         """Starts to serve."""
-        await asyncio.start_server(self._serve, HOST, self.port)
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
+
+    def go_away(self) -> None:
+        """Ends all connections and refuses new ones until `listen`."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    def take_copy(self) -> StoreCopy:
+        """Returns a copy, from which the store can come back later."""
+        objects = {kind: {**named} for kind, named in self._objects.items()}
+        return StoreCopy(self._revision, objects, [*self._changes])
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Loses what was written since a copy, and begins a new era."""
+        self._revision = copy.revision
+        self._objects = {
+            kind: {**named} for kind, named in copy.objects.items()
+        }
+        self._changes = [*copy.changes]
+        self.era += 1
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
 
     def put(self, kind: str, name: str, spec: object) -> dict[str, Any]:
         """Writes an object."""
@@ -202,7 +239,7 @@
                 status, document = await self._answer(request)
                 headers = (
                     ("Content-Type", "application/json"),
-                    ("Store-Era", "0"),
+                    ("Store-Era", str(self.era)),
                 )
                 body = json.dumps(document).encode()
                 writer.write(encode_reply(status, headers, body))
@@ -260,6 +297,8 @@
         since = int(query["watch"])
         ends_at_s = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
+            if since > self._revision:
+                return 410, {}
             events = [
                 {"object": value, "deleted": is_deleted}
                 for revision, changed_kind, value, is_deleted in self._changes
