Show that a traced request goes on crashing backends

Disruption: a request that crashes each backend that runs it comes again with the same path, caller and body; its b3 header field differs.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -343,12 +343,34 @@
         self.port = free_port()
         self.writers: set[asyncio.StreamWriter] = set()
         self.run = run
+        self.crashed_at_s: list[float] = []
+        self.born_ms = 1_700_000_000_000 + self.number
+        self._server: asyncio.Server | None = None
         self._record = record
         self._stamps = itertools.count(1)
 
     async def listen(self) -> None:
         """Starts to serve."""
-        await asyncio.start_server(self._serve, HOST, self.port)
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
+
+    async def crash(self, away_s: float, store: Store) -> None:
+        """Ends all connections and refuses new ones for a while.
+
+        It starts again under its identifier and registers.
+        """
+        if self._server is None:
+            return
+        self.crashed_at_s.append(time.monotonic())
+        self._record.write("crash", server=self.server_id)
+        self._server.close()
+        self._server = None
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+        await asyncio.sleep(away_s)
+        await self.listen()
+        self.born_ms += int(1000 * away_s)
+        store.put("servers", self.server_id, self.entry())
 
     def entry(self, **changes: object) -> dict[str, object]:
         """Returns its entry in the store; `changes` override fields."""
@@ -361,7 +383,7 @@
             "state": "ready",
             "warmup_left_ms": 0,
             "sequence": 1,
-            "born": 1_700_000_000_000 + self.number,
+            "born": self.born_ms,
             **changes,
         }
 
