--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -29,6 +29,7 @@
 BROKEN: Final = 1
 COULD_NOT_RUN: Final = 2
 START_TIMEOUT_S: Final = 15.0
+PLAY_TIMEOUT_S: Final = 110.0
 STOP_TIMEOUT_S: Final = 10.0
 PAGE_COUNT: Final = 500
 CALLER_HOST: Final = "a.example"
@@ -721,14 +722,15 @@
     """Plays a case; returns the exit code of its script."""
 
     async def play(record: Record) -> int:
-        async with Deployment(record) as deployment:
-            return await case(deployment)
+        async with asyncio.timeout(PLAY_TIMEOUT_S):
+            async with Deployment(record) as deployment:
+                return await case(deployment)
 
     with Record(folder / "record.txt") as record:
         record.write("start", trouble=HAS_TROUBLE)
         try:
             code = asyncio.run(play(record))
-        except (CouldNotRunError, OSError) as error:
+        except (CouldNotRunError, OSError, ExceptionGroup) as error:
             record.write("could not run", cause=str(error))
             print(f"could not run: {error}", file=sys.stderr)
             return COULD_NOT_RUN
