Log how old the store's answer was as a configuration came into force

The logs could not tell a call that nobody answers from a watch into an earlier era or a stream that ended.

Added: `store_age_s` in `configuration in force`, the time between the last two answers for the configuration; `era of the store` at the first answer that names it; the gauge `edge_store_answer_age_seconds`.

--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -137,6 +137,12 @@
         "1 while the store fails for a kind of objects.",
         ("kind",),
     ),
+    MetricSpec(
+        "edge_store_answer_age_seconds",
+        "gauge",
+        "Since the store last answered for a kind of objects; Inf before.",
+        ("kind",),
+    ),
     MetricSpec(
         "edge_store_calls",
         "counter",
@@ -245,6 +251,7 @@
 
     def _read_view(self) -> Iterator[Sample]:
         view, store = self._sources.view, self._sources.store
+        now_s = read_clock_s()
         revision = view.route_table.revision if view.route_table else 0
         yield Sample("edge_configuration_revision", revision)
         yield Sample("edge_known_servers", len(view.directory.server_ids()))
@@ -254,6 +261,9 @@
             yield Sample("edge_store_version", watch.version or 0, labels)
             yield Sample("edge_store_failing", int(watch.is_failing), labels)
             yield Sample("edge_store_returns", watch.restore_count, labels)
+            yield Sample(
+                "edge_store_answer_age_seconds", watch.age_s(now_s), labels
+            )
         yield Sample("edge_store_era", store.era)
         yield Sample(
             "edge_unreadable", store.unreadable_era_count, ("store_era",)
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -4,6 +4,7 @@
 of service.
 """
 
+import math
 from collections.abc import Callable
 
 from mulberrybay_core.platform_documents import PlatformDocuments
@@ -193,6 +194,13 @@
             kind for kind, watch in self._watches.items() if watch.is_failing
         ]
 
+    def _answer_age_s(self) -> float:
+        """Returns how old the configuration was when the store answered."""
+        age_s = self._watches[
+            self.documents.kinds.configurations
+        ].previous_age_s
+        return age_s if math.isfinite(age_s) else 0.0
+
     def record_unreadable(self, kind: str, name: str) -> None:
         """Counts and logs an object that can't be decoded."""
         self.unreadable_count += 1
@@ -216,5 +224,6 @@
             revision=configuration.revision,
             routes=len(configuration.routes),
             version=stored.version,
+            store_age_s=round(self._answer_age_s(), 3),
         )
         self._on_route_table(self.route_table)
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -65,6 +65,8 @@
         serves_others: Whether nodes that don't call the store themselves learn
             changes from this one.
         restore_count: How often the store has returned from an older copy.
+        previous_age_s: The time between the last two answers of the store;
+            infinite before the second.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._behind_since_s: float | None = None
         self._is_paused = False
         self._last_reply_at_s: float | None = None
+        self.previous_age_s = math.inf
         self.cache = ObjectCache()
         self._needs_list = True
         self.is_failing = False
@@ -391,7 +394,9 @@
         self._timers.call_later(self._backoff.next_delay_s(), retry)
 
     def _record_success(self) -> None:
-        self._last_reply_at_s = self._clock()
+        now_s = self._clock()
+        self.previous_age_s = self.age_s(now_s)
+        self._last_reply_at_s = now_s
         if self.is_failing:
             self._log.info("the store answers again", kind=self.kind)
         self.is_failing = False
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -41,6 +41,7 @@
     ReplyTooLargeError,
     encode_request,
 )
+from mulberrybay_runtime.logs import StructuredLog
 from mulberrybay_runtime.streams import Stream, Streams
 from mulberrybay_runtime.timers import Timer, Timers
 
@@ -185,6 +186,7 @@
         self._queued_calls: deque[_Call] = deque()
         self._consecutive_failure_count = 0
         self._has_ended_call = False
+        self._log = StructuredLog("store")
         self.era = 0
         self.unreadable_era_count = 0
         self.call_counts: Counter[str] = Counter()
@@ -327,6 +329,8 @@
         if era is None:
             self.unreadable_era_count += 1
             return self.era
+        if era > self.era:
+            self._log.info("era of the store", era=era, known_era=self.era)
         self.era = max(self.era, era)
         return era
 
