--- a/tests/on_platform/faulty_deployment.py
+++ b/tests/on_platform/faulty_deployment.py
@@ -49,6 +49,10 @@
             if name in (proxy_name, proxy_name.partition(" ")[0]):
                 self._loop.run(proxy.apply(settings))
 
+    def silence_open_connections(self, name: str) -> None:
+        """Makes the open links to the store or a server silent for good."""
+        self.set_link_faults(name, {"silent": True})
+
     def start_nodes_in_each_zone(self, count: int) -> None:
         """Starts nodes in each zone and waits until all are ready."""
         for number in range(len(self.zones) * count):
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -70,7 +70,7 @@
 
     Attributes:
         status: The status with which every call fails; 0 for no failure.
-        is_unresponsive: Whether all calls are left unanswered.
+        is_unresponsive: Whether new calls are left unanswered.
         lost_answer_count: The number of next answers to drop. Their calls
             are still executed.
         call_count: The number of calls received.
@@ -86,6 +86,8 @@
         self.is_unresponsive = False
         self.lost_answer_count = 0
         self.call_count = 0
+        # Calls that are waiting as it changes are never answered.
+        self._silence_count = 0
         self._revision = 1
         self._first_revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -120,6 +122,16 @@
         self._first_revision = self._revision
         self._notify()
 
+    def fall_silent(self) -> None:
+        """Leaves new and waiting calls unanswered for good."""
+        self._silence_count += 1
+        self.is_unresponsive = True
+
+    def answer_again(self) -> None:
+        """Answers the calls that come from now on."""
+        self._silence_count += 1
+        self.is_unresponsive = False
+
     async def take_copy(self) -> StoreCopy:
         """Returns a copy to which the store can return later."""
         objects = {kind: {**named} for kind, named in self._objects.items()}
@@ -178,7 +190,10 @@
             return Response(0, delivery=Delivery.LOST)
         if self.status:
             return Response(self.status)
+        silence_count = self._silence_count
         response = await self._answer(request)
+        if silence_count != self._silence_count:
+            return Response(0, delivery=Delivery.LOST)
         if self.lost_answer_count > 0:
             self.lost_answer_count -= 1
             return Response(0, delivery=Delivery.LOST)
