Bound the time that a node counts on one call to the store

Cause: a watch ended only by its reply or by a timeout of wait + 2 s, 10 s for most fleets, and nothing else sent another call. A silent store acknowledges bytes, so keep-alive shows nothing. A change ends the watches of all nodes together, so all begin the next one, and wait for the silent store, in step: the way out by a peer that knows more fails. Ruled out: keep-alive probes (acknowledged), the queue of the client (watches have connections of their own).

Change: the class is a decision that waits for something that may never come. Each watch is checked every 0.2 s, apart from the maintenance: if the last call's reply is overdue, another one is sent beside it, at most three, and the next reply ends them. The wait and the patience are parts of the operators' bound (`contact_ms`: 0.55 and 0.2 of it), a part of the wait is random, a store that failed is asked with no wait. In large fleets all nodes stand in within 0.6 s, instead of five more each second (36 s for 195 nodes), as the store answers no watcher, by the configuration's watch first. The first list, which may be stale, no longer counts as an answer of the store.

Tests: a store that leaves calls unanswered for 0, 4.5 and 11 s, a slow reply beside a later call, a lost timer, waits in step, a node that hears no peer. A replaced test asked that a second call cancels the first; a reply that was only slow was lost by that. Its successors ask that open calls are bounded and end with the next reply. test_more_nodes_watch_while_the_store_answers_no_watcher asked for five more nodes a second, too slow for the bound; its successor asks for all within 0.6 s.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -18,6 +18,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import SuspectReport
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 
 HEARTBEAT_PERIOD_S: Final = 0.4
 # A node counts as unresponsive after this many periods without a heartbeat.
@@ -118,9 +119,18 @@
         own_info: The description of this node.
         hubs_per_domain_count: The number of hubs in each failure domain.
         has_registrations: Whether the registered nodes are known.
+        is_standing_in: Whether this node watches the store because no node that
+            should has had an answer lately.
     """
 
-    def __init__(self, own_info: EdgeNodeInfo, now_s: float) -> None:
+    def __init__(
+        self,
+        own_info: EdgeNodeInfo,
+        now_s: float,
+        max_store_age_s: float = DEFAULT_FOLLOW_TIMES.max_peer_age_s,
+    ) -> None:
+        self._max_store_age_s = max_store_age_s
+        self.is_standing_in = False
         self.own_info = own_info
         self.hubs_per_domain_count = MIN_HUBS_PER_DOMAIN_COUNT
         self.has_registrations = False
@@ -461,9 +471,11 @@
         """Returns whether this node should watch the store itself.
 
         With few nodes, each of them watches. With many, those hubs do that rank
-        first. The number of watching nodes grows, also beyond the hubs, while
-        no peer has a recent answer from the store.
+        first. The others stand in, one after the other within a short time, while
+        no peer has a recent answer from the store: each node then relies on its
+        own calls, since it may be the only one that reaches the store.
         """
+        self.is_standing_in = False
         if not self.is_shared(now_s):
             return True
         hub_names = {info.name for info in self._expected_hubs(now_s)}
@@ -471,17 +483,17 @@
             {self.own_info.name, *hub_names, *self._known_names(now_s)},
             key=lambda name: (name not in hub_names, rank_key(name)),
         )
+        rank = names.index(self.own_info.name)
         if self._has_recent_store_answer(now_s):
             self._store_stale_since_s = None
-            count = WATCHER_COUNT
-        else:
-            if self._store_stale_since_s is None:
-                self._store_stale_since_s = now_s
-            period_count = (
-                now_s - self._store_stale_since_s
-            ) / WATCHER_INCREASE_PERIOD_S
-            count = WATCHER_COUNT * (1 + math.ceil(period_count))
-        return names.index(self.own_info.name) < count
+            return rank < WATCHER_COUNT
+        if self._store_stale_since_s is None:
+            self._store_stale_since_s = now_s
+        if rank < WATCHER_COUNT:
+            return True
+        delay_s = STAND_IN_SPREAD_S * rank / len(names)
+        self.is_standing_in = now_s - self._store_stale_since_s >= delay_s
+        return self.is_standing_in
 
     def is_shared(self, now_s: float) -> bool:
         """Whether only some of the nodes watch the store, for all."""
@@ -497,7 +509,7 @@
     def _has_recent_store_answer(self, now_s: float) -> bool:
         return any(
             peer.heartbeat.store_age_s + now_s - peer.last_heartbeat_at_s
-            < MAX_STORE_AGE_S
+            < self._max_store_age_s
             for peer in self._peers.values()
             if peer.heartbeat is not None
             and peer.last_heartbeat_at_s is not None
@@ -590,10 +602,9 @@
 # After this time, a node that has started has received heartbeats from all
 # running hubs.
 PEER_DISCOVERY_S: Final = 2.5
-# The store answers a working watcher at least once in this time. While it has
-# answered none, WATCHER_COUNT more nodes watch with each further period.
-MAX_STORE_AGE_S: Final = 4.0
-WATCHER_INCREASE_PERIOD_S: Final = 1.0
+# While the store answers none of the watchers, all other nodes begin to watch
+# within this time.
+STAND_IN_SPREAD_S: Final = 0.6
 # An advertised node should send at least this many requests per second to each
 # backend server, which keeps its connections open and its estimates up to date.
 MIN_ATTEMPTS_PER_SERVER_PER_S: Final = 3.0
--- a/packages/core/tests/test_edge_nodes.py
+++ b/packages/core/tests/test_edge_nodes.py
@@ -10,20 +10,20 @@
 from mulberrybay_core.edge_nodes import (
     HEARTBEAT_PERIOD_S,
     MAX_ALL_WATCHING_COUNT,
-    MAX_STORE_AGE_S,
     MEMBER_PERIOD_S,
     MIN_HUBS_PER_DOMAIN_COUNT,
     MISSED_HEARTBEAT_COUNT,
     PEER_DISCOVERY_S,
     REMOVAL_DELAY_S,
+    STAND_IN_SPREAD_S,
     WATCHER_COUNT,
-    WATCHER_INCREASE_PERIOD_S,
     EdgeHeartbeat,
     EdgeNodeInfo,
     EdgeNodes,
     choose_advertised,
     count_advertised,
 )
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
 
 UNRESPONSIVE_AFTER_S = MISSED_HEARTBEAT_COUNT * HEARTBEAT_PERIOD_S
 
@@ -355,18 +355,36 @@
     assert count(PEER_DISCOVERY_S) == len(names)
 
 
-def test_more_nodes_watch_while_the_store_answers_no_watcher() -> None:
+def test_all_nodes_watch_soon_while_the_store_answers_no_watcher() -> None:
+    """Each of them may be the only one that the store answers."""
     counts = [
         watcher_count(
             40,
-            10.0 + period_count * WATCHER_INCREASE_PERIOD_S,
-            store_age_s=MAX_STORE_AGE_S,
+            10.0 + ratio * STAND_IN_SPREAD_S,
+            store_age_s=DEFAULT_FOLLOW_TIMES.max_peer_age_s,
             since_s=10.0,
         )
-        for period_count in (0, 1, 2)
+        for ratio in (0.0, 0.5, 1.0)
     ]
 
-    assert counts == [WATCHER_COUNT, 2 * WATCHER_COUNT, 3 * WATCHER_COUNT]
+    assert counts == [WATCHER_COUNT, 21, 40]
+
+
+def test_node_without_peers_calls_the_store_itself_in_time() -> None:
+    times = FollowTimes.from_bounds(contact_s=6.0, apply_s=6.0)
+    nodes = EdgeNodes(info("node-1"), 0.0, times.max_peer_age_s)
+    for number in range(2, 196):
+        nodes.put_registered(info(f"node-{number}"), number)
+        nodes.record_heartbeat(
+            heartbeat(f"node-{number}")._replace(store_age_s=0.0), 10.0
+        )
+    assert not nodes.should_watch(10.0)
+
+    at_s = 10.0
+    while not nodes.should_watch(at_s):
+        at_s += 0.2
+
+    assert at_s - 10.0 < 6.0 - 1.0
 
 
 @pytest.mark.parametrize(
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -10,6 +10,7 @@
     choose_advertised,
     count_advertised,
 )
+from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.request_owner import OwnerCandidates
 from mulberrybay_core.server_directory import ServerDirectory
 from mulberrybay_core.server_reach import ServerReach
@@ -17,10 +18,8 @@
 from mulberrybay_core.smoothed_rate import SmoothedRate
 from mulberrybay_edge.dispatcher import Dispatcher
 from mulberrybay_edge.store_watch import (
-    MAX_SMALL_FLEET_NODE_COUNT,
     SHARED_WATCH_TIMEOUT_S,
-    SMALL_FLEET_WATCH_TIMEOUT_S,
-    WATCH_TIMEOUT_S,
+    UNBOUNDED_WAIT_S,
     StoreWatch,
 )
 from mulberrybay_runtime.clock import read_clock_s
@@ -45,7 +44,9 @@
         watches: Sequence[StoreWatch],
         is_ready: Callable[[], bool],
         reach: ServerReach,
+        follow_times: FollowTimes,
     ) -> None:
+        self._follow_times = follow_times
         self._nodes = nodes
         self._directory = directory
         self._dispatcher = dispatcher
@@ -132,13 +133,25 @@
         should_watch = self._nodes.should_watch(now_s)
         is_shared = alive_count > MAX_ALL_WATCHING_COUNT
         self.watches_for_others = should_watch and is_shared
+        max_wait_s, bound_wait_s = UNBOUNDED_WAIT_S, self._follow_times.wait_s
         if is_shared:
-            timeout_s = SHARED_WATCH_TIMEOUT_S
-        elif alive_count <= MAX_SMALL_FLEET_NODE_COUNT:
-            timeout_s = SMALL_FLEET_WATCH_TIMEOUT_S
-        else:
-            timeout_s = WATCH_TIMEOUT_S
-        for watch in self._watches:
+            max_wait_s = SHARED_WATCH_TIMEOUT_S
+            bound_wait_s = min(max_wait_s, self._follow_times.shared_wait_s)
+        for index, watch in enumerate(self._watches):
             watch.serves_others = should_watch and self._nodes.is_shared(now_s)
-            watch.timeout_s = timeout_s
-            watch.set_paused(not should_watch)
+            watch.timeout_s = bound_wait_s if watch.has_bound else max_wait_s
+            watch.patience_s = self._follow_times.patience_s
+            watch.set_paused(not should_watch or self._must_wait(index, now_s))
+
+    def _must_wait(self, index: int, now_s: float) -> bool:
+        """Whether a watch waits until the first one has had an answer.
+
+        That is so while many nodes call the store because none of those that
+        do so for all has had an answer.
+        """
+        return (
+            index > 0
+            and self._nodes.is_standing_in
+            and self._watches[0].age_s(now_s)
+            > self._follow_times.max_peer_age_s
+        )
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -154,7 +154,9 @@
             settings.addresses.peers,
             settings.cpu_cores,
         )
-        self._nodes = EdgeNodes(own_info, read_clock_s())
+        self._nodes = EdgeNodes(
+            own_info, read_clock_s(), settings.follow_times.max_peer_age_s
+        )
         self._store = PlatformClient(
             PlatformSettings(
                 settings.store_address,
@@ -177,10 +179,14 @@
         self._registry = NodeRegistry(
             self._store, self._timers, self._nodes, self._crash_watch
         )
-        node_watch = StoreWatch(
-            self._store, self._timers, NODE_KIND, self._registry
+        self._node_watch = StoreWatch(
+            self._store,
+            self._timers,
+            NODE_KIND,
+            self._registry,
+            has_bound=False,
         )
-        self._watches = [*self._view.watches, node_watch]
+        self._watches = [*self._view.watches, self._node_watch]
 
     def _build_dispatch(self) -> None:
         settings = self._settings
@@ -223,6 +229,7 @@
             self._watches,
             self._is_ready,
             self._reach,
+            settings.follow_times,
         )
         handler_context = HandlerContext(
             self._request_dispatcher,
@@ -291,6 +298,10 @@
         for watch in self._watches:
             watch.start()
         self._timers.call_later(PEER_LINK_DELAY_S, self._open_peer_link)
+        # Apart from the maintenance, so that no fault there keeps it from
+        # following the store.
+        self._timers.call_every(MAINTENANCE_PERIOD_S, self._view.check)
+        self._timers.call_every(MAINTENANCE_PERIOD_S, self._node_watch.check)
         self._timers.call_every(MAINTENANCE_PERIOD_S, self._run_maintenance)
         settings_watch = SettingsWatch(
             self._adapter.settings_path,
@@ -425,7 +436,7 @@
             self._view.route_table.revision if self._view.route_table else 0,
             tuple(watch.changed_version for watch in self._watches),
             self._sharing.attempts_per_s,
-            max(watch.age_s(read_clock_s()) for watch in self._watches),
+            max(watch.age_s(read_clock_s()) for watch in self._view.watches),
             any(watch.is_restoring for watch in self._watches),
             self._nodes.is_hub(read_clock_s()),
             self._reach.is_lost,
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -187,6 +187,11 @@
         """The watches of all kinds, in the same order at every node."""
         return [*self._watches.values()]
 
+    def check(self) -> None:
+        """Calls the store where no reply can be counted on; see `StoreWatch`."""
+        for watch in self._watches.values():
+            watch.check()
+
     @property
     def failing_kinds(self) -> list[str]:
         """The kinds whose last call to the store failed."""
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -4,6 +4,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import HeaderNames
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 
 
@@ -52,6 +53,7 @@
         address_life_s: How long callers may cache a reply of the directory.
         store_address: The address of the platform's store.
         cpu_cores: The CPU seconds that the process can use per second.
+        follow_times: How long it counts on a call to the store.
     """
 
     node_name: str
@@ -66,3 +68,4 @@
     address_life_s: float
     store_address: Address
     cpu_cores: float
+    follow_times: FollowTimes = DEFAULT_FOLLOW_TIMES
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -6,6 +6,7 @@
 
 from mulberrybay_core.addresses import Address, parse_address
 from mulberrybay_core.caller_messages import HeaderNames
+from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 from mulberrybay_edge.settings import EdgeAddresses, EdgePaths, EdgeSettings
 
@@ -14,6 +15,8 @@
 # stopping process is killed.
 ADDRESS_LIFE_S: Final = 1.5
 DEFAULT_METRICS_PORT: Final = 9464
+DEFAULT_CONTACT_MS: Final = 4000
+DEFAULT_APPLY_MS: Final = 3000
 # A request sent later than this before a leaving server stops may be cut off.
 SERVER_STOP_MARGIN_S: Final = 1.0
 
@@ -92,6 +95,10 @@
         store_address=parse_address(_get_string(document, "store_address")),
         cpu_cores=_get_number(document, "cpu_share")
         * _get_number(document, "core_speed"),
+        follow_times=FollowTimes.from_bounds(
+            _get_number(document, "contact_ms", DEFAULT_CONTACT_MS) / 1000,
+            _get_number(document, "change_apply_ms", DEFAULT_APPLY_MS) / 1000,
+        ),
     )
 
 
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -1,16 +1,19 @@
 """Follows one kind of objects in the platform's store.
 
 Lists the objects once and then sends watch calls, each of which returns the
-changes after the known version or ends at its timeout. When the store has
+changes after the known version or ends at its timeout. A call that is not
+answered in time is followed by another one beside it. When the store has
 returned from an older copy, the objects are listed anew; for a while, what this
 node knows goes before that copy, and then a further list ends that.
 """
 
 import math
+import random
 from collections.abc import Callable
 from typing import Final, Protocol
 
 from mulberrybay_core.errors import Failure, FailureKind
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 from mulberrybay_core.object_cache import (
     CacheUpdate,
     ObjectCache,
@@ -24,16 +27,18 @@
 from mulberrybay_runtime.logs import StructuredLog
 from mulberrybay_runtime.timers import Timers
 
-# When a reply is lost, the connection stays open without data. A watch must
-# therefore time out before the changes it missed are too old. Heartbeats of
-# other nodes show earlier that a change was missed; a node with hardly any
-# peers relies on the timeout alone.
-WATCH_TIMEOUT_S: Final = 8.0
-SMALL_FLEET_WATCH_TIMEOUT_S: Final = 2.5
+# The longest wait of a watch that no change has to be learned from in time.
+UNBOUNDED_WAIT_S: Final = 8.0
 # Other nodes depend on the nodes that watch, so these must soon notice that
 # replies are missing.
 SHARED_WATCH_TIMEOUT_S: Final = 2.5
-MAX_SMALL_FLEET_NODE_COUNT: Final = 2
+# A part of each wait is random, so that nodes whose calls one change has ended
+# don't all wait in step.
+MIN_WAIT_RATIO: Final = 0.75
+# The most watch calls of a kind that are open at a time.
+MAX_OPEN_COUNT: Final = 3
+# Beyond the client's own timeout of a list.
+LIST_PATIENCE_S: Final = 2.5
 # The largest difference between the times at which two nodes see a change.
 BEHIND_GRACE_S: Final = 0.7
 # Changes within this time are read in one call instead of one call each.
@@ -67,6 +72,9 @@
         restore_count: How often the store has returned from an older copy.
         previous_age_s: The time between the last two answers of the store;
             infinite before the second.
+        has_bound: Whether changes must be known within a stated time.
+        patience_s: How long a reply may come after its timeout before another
+            call is sent.
     """
 
     def __init__(
@@ -77,8 +85,13 @@
         listener: WatchListener,
         clock: Callable[[], float] = read_clock_s,
         restore_rule: RestoreRule = take_copy,
+        *,
+        has_bound: bool = True,
+        source: random.Random | None = None,
     ) -> None:
         self._clock = clock
+        self._random = source or random.Random()
+        self.has_bound = has_bound
         self._restore_rule = restore_rule
         # When to list the objects once more and to take the list as it is.
         self._trust_store_at_s: float | None = None
@@ -98,8 +111,12 @@
         self.cache = ObjectCache()
         self._needs_list = True
         self.is_failing = False
-        self._cancel_watch: Callable[[], None] = lambda: None
-        self.timeout_s = SMALL_FLEET_WATCH_TIMEOUT_S
+        # Functions that cancel the open watch calls, by the calls' generations.
+        self._open_watches: dict[int, Callable[[], None]] = {}
+        # When another call must have been sent, whatever became of the last one.
+        self._next_call_due_s = math.inf
+        self.timeout_s = DEFAULT_FOLLOW_TIMES.wait_s
+        self.patience_s = DEFAULT_FOLLOW_TIMES.patience_s
         self.serves_others = False
         self._has_stale_list = False
 
@@ -107,16 +124,30 @@
         """Lists the objects; watch calls follow after the reply."""
         self._generation += 1
         generation = self._generation
+        self._next_call_due_s = self._clock() + LIST_PATIENCE_S
+
+        # The first watch call, or a peer, adds what a stale list lacks.
+        is_stale = self._has_stale_list = self.version is None
 
         def on_result(result: ObjectList | Failure) -> None:
-            if generation == self._generation:
-                self._on_list_result(result)
+            if not isinstance(result, Failure):
+                self._on_list_result(result, is_stale=is_stale)
+            elif generation == self._generation:
+                self._schedule_retry(result)
 
-        # The first watch call, or a peer, adds what a stale list lacks.
-        self._has_stale_list = self.version is None
-        self._store.list_kind(
-            self.kind, on_result, may_be_stale=self._has_stale_list
-        )
+        self._store.list_kind(self.kind, on_result, may_be_stale=is_stale)
+
+    def check(self) -> None:
+        """Sends another call if no reply to the last one can be counted on.
+
+        Called periodically. Nothing else has to work for this: neither a reply,
+        nor a timeout of the client, nor a peer.
+        """
+        if self._is_paused:
+            return
+        if self._clock() >= self._next_call_due_s:
+            self._note_failing("a reply is overdue")
+            self._resume()
 
     @property
     def version(self) -> int | None:
@@ -129,7 +160,10 @@
         return self.cache.changed_version
 
     def age_s(self, now_s: float) -> float:
-        """Returns the seconds since the last reply; infinite if none came."""
+        """Returns for how long the store may have had changes unknown here.
+
+        Infinite before the first reply that can't be stale.
+        """
         if self._last_reply_at_s is None:
             return math.inf
         return now_s - self._last_reply_at_s
@@ -162,7 +196,7 @@
         return now_s - self._behind_since_s >= wait_s
 
     def restart(self, peer_version: int) -> None:
-        """Restarts the current call, whose reply must have been lost.
+        """Sends another call, as the last one's reply must have been lost.
 
         Does nothing while the watch is paused.
         """
@@ -289,23 +323,20 @@
         )
         self._listener.on_list(self.cache.all_objects())
 
-    def _on_list_result(self, result: ObjectList | Failure) -> None:
-        if isinstance(result, Failure):
-            self._schedule_retry(result)
-            return
-        self._record_success()
+    def _on_list_result(self, result: ObjectList, *, is_stale: bool) -> None:
+        self._record_success(is_stale=is_stale)
         if self._is_earlier_era(result.store_version):
             # The reply was sent before the store returned from a copy.
             self._call_later(self._resume)
             return
+        # After the delay, the list of nodes shows whether other nodes watch.
+        # If they do, this watch is paused by then.
+        self._schedule_watch()
         self._needs_list = False
         if self._is_later_era(result.store_version):
             self._restore(result)
         else:
             self._apply_list(result)
-        # After the delay, the list of nodes shows whether other nodes watch.
-        # If they do, this watch is paused by then.
-        self._schedule_watch()
 
     def _apply_list(self, objects: ObjectList) -> None:
         if not self.trusts_store:
@@ -326,77 +357,89 @@
     def _watch(self) -> None:
         if self.version is None or self._is_paused:
             return
-        if self.is_restoring and self.trusts_store:
+        if self._needs_list or (self.is_restoring and self.trusts_store):
             self.start()
             return
         self._generation += 1
         generation = self._generation
+        confirms_list = self._has_stale_list and self.serves_others
+        # A store that failed answers at once or not at all.
+        timeout_s = 0.0 if confirms_list or self.is_failing else self._wait_s()
+        self._next_call_due_s = self._clock() + timeout_s + self.patience_s
 
         def on_result(result: ObjectList | Failure) -> None:
-            if generation == self._generation:
+            self._open_watches.pop(generation, None)
+            if not isinstance(result, Failure):
                 self._on_watch_result(result)
-
-        # An earlier call whose reply was lost would otherwise stay open and use
-        # the network link at the same time as this one.
-        self._cancel_watch()
-        confirms_list = self._has_stale_list and self.serves_others
-        self._cancel_watch = self._store.watch(
-            self.kind,
-            self.version,
-            0.0 if confirms_list else self.timeout_s,
-            on_result,
+            elif generation == self._generation:
+                self._on_watch_failure(result)
+
+        # Earlier calls stay open: their replies may only be slow.
+        while len(self._open_watches) >= MAX_OPEN_COUNT:
+            self._open_watches.pop(min(self._open_watches))()
+        self._open_watches[generation] = self._store.watch(
+            self.kind, self.version, timeout_s, on_result
         )
 
-    def _on_watch_result(self, result: ObjectList | Failure) -> None:
-        if isinstance(result, Failure):
-            if result.kind is FailureKind.HISTORY_GONE:
-                self._needs_list = True
-            self._schedule_retry(result)
-            return
-        self._record_success()
+    def _wait_s(self) -> float:
+        return self.timeout_s * self._random.uniform(MIN_WAIT_RATIO, 1.0)
+
+    def _on_watch_failure(self, failure: Failure) -> None:
+        if failure.kind is FailureKind.HISTORY_GONE:
+            self._needs_list = True
+        self._schedule_retry(failure)
+
+    def _on_watch_result(self, result: ObjectList) -> None:
+        self._record_success(is_stale=False)
+        while self._open_watches:
+            self._open_watches.popitem()[1]()
         if self._is_later_era(result.store_version):
             self._needs_list = True
             self.start()
             return
+        self._schedule_watch()
         new_changes = self.cache.apply(result)
         if self._has_stale_list and self.serves_others:
             # Other nodes may have older lists, and removals since then are in
             # no later change.
             self.cache.changed_version = result.store_version
         self._pass_on(new_changes)
-        self._schedule_watch()
 
     def _schedule_watch(self) -> None:
         self._call_later(self._watch)
 
-    def _call_later(self, callback: Callable[[], None]) -> None:
+    def _call_later(
+        self, callback: Callable[[], None], delay_s: float = BATCH_DELAY_S
+    ) -> None:
         """Calls back after a delay unless another call is sent before."""
         generation = self._generation
+        self._next_call_due_s = self._clock() + delay_s + self.patience_s
 
         def call_if_current() -> None:
             if generation == self._generation:
                 callback()
 
-        self._timers.call_later(BATCH_DELAY_S, call_if_current)
+        self._timers.call_later(delay_s, call_if_current)
 
     def _schedule_retry(self, failure: Failure) -> None:
+        self._note_failing(failure.detail)
+        self._call_later(self._resume, self._backoff.next_delay_s())
+
+    def _note_failing(self, cause: str) -> None:
         if not self.is_failing:
             self._log.warning(
-                "the store fails", kind=self.kind, cause=failure.detail
+                "the store fails",
+                kind=self.kind,
+                cause=cause,
+                answer_age_s=round(self.age_s(self._clock()), 3),
             )
         self.is_failing = True
-        generation = self._generation
-
-        def retry() -> None:
-            if generation == self._generation:
-                self._resume()
-
-        self._timers.call_later(self._backoff.next_delay_s(), retry)
 
-    def _record_success(self) -> None:
+    def _record_success(self, *, is_stale: bool) -> None:
         now_s = self._clock()
-        self.previous_age_s = self.age_s(now_s)
-        self._last_reply_at_s = now_s
+        if not is_stale:
+            self.previous_age_s = self.age_s(now_s)
+            self._last_reply_at_s = now_s
         if self.is_failing:
             self._log.info("the store answers again", kind=self.kind)
         self.is_failing = False
--- a/packages/edge/tests/test_fleet_sharing.py
+++ b/packages/edge/tests/test_fleet_sharing.py
@@ -11,6 +11,7 @@
     EdgeNodes,
     choose_advertised,
 )
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 from mulberrybay_core.server_directory import ServerDirectory
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import (
@@ -70,6 +71,7 @@
             [],
             lambda: True,
             self.reach,
+            DEFAULT_FOLLOW_TIMES,
         )
         self.now_s += 0.5
         self.sharing.update()
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -2,11 +2,21 @@
 
 from collections.abc import Callable
 
+import pytest
 from request_fakes import FakeTimers
 
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 from mulberrybay_core.store_messages import ListHandler, ObjectList
-from mulberrybay_edge.store_watch import BATCH_DELAY_S, StoreWatch
+from mulberrybay_edge.store_watch import (
+    BATCH_DELAY_S,
+    MAX_OPEN_COUNT,
+    StoreWatch,
+)
+
+# The users' bound of the smaller deployments.
+CONTACT_S = 4.0
+CHECK_PERIOD_S = 0.2
 
 FAILURE = Failure(
     FailureKind.PLATFORM, Step.RECORD, "store", "lost", 1.0, RunState.UNKNOWN
@@ -21,6 +31,8 @@
         self.stale_lists: list[bool] = []
         self.watches: list[ListHandler] = []
         self.cancelled: list[int] = []
+        self.waits_s: list[float] = []
+        self.era = 0
 
     def list_kind(
         self, kind: str, reply: ListHandler, *, may_be_stale: bool
@@ -36,11 +48,15 @@
         reply: ListHandler,
     ) -> Callable[[], None]:
         number = len(self.watches)
+        self.waits_s.append(timeout_s)
         self.watches.append(reply)
         return lambda: self.cancelled.append(number)
 
 
 class _Timers(FakeTimers):
+    def drop_all(self) -> None:
+        self._heap.clear()
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
         self.call_at(self.now_s + delay_s, callback)
 
@@ -81,13 +97,76 @@
     assert len(started.store.watches) == 1
 
 
-def test_restart_cancels_previous_watch() -> None:
-    """Guards against a watch call with a lost reply that stays open."""
+def test_calls_whose_replies_are_lost_end_with_the_next_reply() -> None:
+    """Guards against watch calls with lost replies that stay open."""
     started = _StartedWatch()
     started.timers.advance(BATCH_DELAY_S)
     started.watch.restart(9)
-    assert len(started.store.watches) == 2
-    assert started.store.cancelled == [0]
+    started.watch.restart(9)
+    assert started.store.cancelled == []
+    started.store.watches[1](ObjectList((), 9))
+    assert sorted(started.store.cancelled) == [0, 2]
+
+
+def test_number_of_open_watch_calls_is_bounded() -> None:
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    for _ in range(10):
+        started.watch.restart(9)
+    open_count = len(started.store.watches) - len(started.store.cancelled)
+    assert open_count == MAX_OPEN_COUNT
+    assert 10 not in started.store.cancelled
+
+
+def advance_with_checks(started: _StartedWatch, span_s: float) -> None:
+    ends_at_s = started.timers.now_s + span_s
+    while started.timers.now_s < ends_at_s:
+        started.watch.check()
+        started.timers.advance(CHECK_PERIOD_S)
+
+
+@pytest.mark.parametrize("silent_s", [0.0, 4.5, 11.0])
+def test_store_is_asked_again_in_time_after_it_left_calls_unanswered(
+    silent_s: float,
+) -> None:
+    started = _StartedWatch()
+    started.watch.timeout_s = DEFAULT_FOLLOW_TIMES.wait_s
+    started.timers.advance(BATCH_DELAY_S)
+    advance_with_checks(started, silent_s)
+    unanswered_count = len(started.store.watches)
+
+    advance_with_checks(started, CONTACT_S - 2 * CHECK_PERIOD_S)
+
+    assert len(started.store.watches) > unanswered_count
+
+
+def test_slow_reply_is_applied_beside_a_later_call() -> None:
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    advance_with_checks(started, CONTACT_S)
+    assert len(started.store.watches) > 1
+
+    started.store.watches[0](ObjectList((), 8))
+
+    assert started.watch.version == 8
+
+
+def test_watch_that_lost_its_timer_goes_on() -> None:
+    started = _StartedWatch()
+    started.timers.drop_all()
+
+    advance_with_checks(started, CONTACT_S)
+
+    assert started.store.watches
+
+
+def test_nodes_whose_calls_one_change_ended_do_not_wait_in_step() -> None:
+    waits_s = set()
+    for _ in range(4):
+        started = _StartedWatch()
+        started.timers.advance(BATCH_DELAY_S)
+        waits_s.add(started.store.waits_s[0])
+    assert len(waits_s) == 4
 
 
 def test_failed_watch_is_retried_and_lost_history_is_listed() -> None:
--- a/tests/on_platform/test_configuration_in_time.py
+++ b/tests/on_platform/test_configuration_in_time.py
@@ -1,5 +1,6 @@
 """Each confirmed configuration is in force in time, whatever the store did."""
 
+import math
 import pathlib
 import threading
 import time
@@ -56,10 +57,11 @@
     def write(self, **fields: object) -> None:
         """Writes a version that alone has a route of its number."""
         self.revision += 1
-        self.deployment.put(
-            "config", "main", versioned(self.revision, **fields)
-        )
-        self._written.append((self.revision, time.monotonic()))
+        document = versioned(self.revision, **fields)
+        # Nodes may have it before it is confirmed.
+        self._written.append((self.revision, math.inf))
+        self.deployment.put("config", "main", document)
+        self._written[-1] = (self.revision, time.monotonic())
 
     def end_disruption(self) -> None:
         """Notes that the store or a node has just been disrupted."""
@@ -88,6 +90,8 @@
             except OSError as error:
                 self.problems.append(f"{node.name}: {error!r}")
                 continue
+            if self._written[-1][0] != revision:
+                continue
             late_s = sent_at_s - self._due_s(written_at_s)
             if answer.status == 200:
                 if revision > newest:
