--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -35,6 +35,19 @@
     metrics: str
 
 
+class EdgeBoundNames(NamedTuple):
+    """The names of targets among the bounds in the settings file.
+
+    Attributes:
+        contact_ms: After a fault, the time within which a node must know all
+            changes again.
+        apply_ms: The time within which a change must be in force otherwise.
+    """
+
+    contact_ms: str
+    apply_ms: str
+
+
 class EdgeSettings(NamedTuple):
     """The settings of one node.
 
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -1,5 +1,6 @@
 """Reads a node's settings from a TOML file and validates them."""
 
+import json
 import pathlib
 import tomllib
 from typing import Any, Final
@@ -8,7 +9,12 @@
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
-from mulberrybay_edge.settings import EdgeAddresses, EdgePaths, EdgeSettings
+from mulberrybay_edge.settings import (
+    EdgeAddresses,
+    EdgeBoundNames,
+    EdgePaths,
+    EdgeSettings,
+)
 
 # The longest time for which callers are told to cache a reply of the directory.
 # Some cache it three times as long, and this must still expire before a
@@ -50,8 +56,24 @@
     return value
 
 
+def _parse_follow_times(
+    document: dict[str, Any], names: EdgeBoundNames
+) -> FollowTimes:
+    """Returns the times that follow from the bounds, a JSON object as text."""
+    bounds = json.loads(document.get("bounds", "{}"))
+    if not isinstance(bounds, dict):
+        raise ValueError("bounds: not a JSON object")
+    return FollowTimes.from_bounds(
+        _get_number(bounds, names.contact_ms, DEFAULT_CONTACT_MS) / 1000,
+        _get_number(bounds, names.apply_ms, DEFAULT_APPLY_MS) / 1000,
+    )
+
+
 def parse_edge_settings(
-    text: str, names: HeaderNames, paths: EdgePaths
+    text: str,
+    names: HeaderNames,
+    paths: EdgePaths,
+    bound_names: EdgeBoundNames,
 ) -> EdgeSettings:
     """Returns the settings in a TOML document.
 
@@ -95,15 +117,15 @@
         store_address=parse_address(_get_string(document, "store_address")),
         cpu_cores=_get_number(document, "cpu_share")
         * _get_number(document, "core_speed"),
-        follow_times=FollowTimes.from_bounds(
-            _get_number(document, "contact_ms", DEFAULT_CONTACT_MS) / 1000,
-            _get_number(document, "change_apply_ms", DEFAULT_APPLY_MS) / 1000,
-        ),
+        follow_times=_parse_follow_times(document, bound_names),
     )
 
 
 def load_edge_settings(
-    path: str, names: HeaderNames, paths: EdgePaths
+    path: str,
+    names: HeaderNames,
+    paths: EdgePaths,
+    bound_names: EdgeBoundNames,
 ) -> EdgeSettings:
     """Reads the settings from a file.
 
@@ -112,4 +134,4 @@
         ValueError: The content is invalid, see `parse_edge_settings`.
     """
     text = pathlib.Path(path).read_text(encoding="utf-8")
-    return parse_edge_settings(text, names, paths)
+    return parse_edge_settings(text, names, paths, bound_names)
