List the objects as soon as any reply of the store names a new era

Cause: after the store's return each watch went on from its revision of the era before. The store had given that revision out again, so that it didn't answer 410 but waited for later changes; what it had under lower revisions never came. Each watch learned of the era by its own reply alone, though the client had seen it in others.

Change: a position says something only within its era. A watch whose objects are of an earlier era than any reply has named lists them, and sends no watch call; so does one that hears of a later era from a peer. What it knows until then counts as no answer of the store for its peers. Ruled out: comparing revisions, which are given out again.

--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -113,6 +113,7 @@
         self.is_failing = False
         # Functions that cancel the open watch calls, by the calls' generations.
         self._open_watches: dict[int, Callable[[], None]] = {}
+        self._listed_era = 0
         # When another call must have been sent, whatever became of the last one.
         self._next_call_due_s = math.inf
         self.timeout_s = DEFAULT_FOLLOW_TIMES.wait_s
@@ -124,6 +125,7 @@
         """Lists the objects; watch calls follow after the reply."""
         self._generation += 1
         generation = self._generation
+        self._listed_era = self._store.era
         self._next_call_due_s = self._clock() + LIST_PATIENCE_S
 
         # The first watch call, or a peer, adds what a stale list lacks.
@@ -145,10 +147,21 @@
         """
         if self._is_paused:
             return
-        if self._clock() >= self._next_call_due_s:
+        if self._is_of_earlier_era and self._listed_era < self._store.era:
+            # Positions of the earlier era mean other changes in this one.
+            self._needs_list = True
+            self.start()
+        elif self._clock() >= self._next_call_due_s:
             self._note_failing("a reply is overdue")
             self._resume()
 
+    @property
+    def _is_of_earlier_era(self) -> bool:
+        """Whether the store has returned from a copy since it was read."""
+        return (
+            self.version is not None and era_of(self.version) < self._store.era
+        )
+
     @property
     def version(self) -> int | None:
         """The version of the store up to which all changes are known."""
@@ -162,9 +175,10 @@
     def age_s(self, now_s: float) -> float:
         """Returns for how long the store may have had changes unknown here.
 
-        Infinite before the first reply that can't be stale.
+        Infinite before the first reply that can't be stale, and while the
+        objects are those of an earlier era of the store.
         """
-        if self._last_reply_at_s is None:
+        if self._last_reply_at_s is None or self._is_of_earlier_era:
             return math.inf
         return now_s - self._last_reply_at_s
 
@@ -203,6 +217,7 @@
         self._behind_since_s = None
         if self._is_paused:
             return
+        self._needs_list |= self._is_later_era(peer_version)
         self._log.warning(
             "a change was missed",
             kind=self.kind,
@@ -349,7 +364,11 @@
         self._listener.on_list(self.cache.all_objects())
 
     def _resume(self) -> None:
-        if self._needs_list or (self.is_restoring and self.trusts_store):
+        if (
+            self._needs_list
+            or self._is_of_earlier_era
+            or (self.is_restoring and self.trusts_store)
+        ):
             self.start()
         else:
             self._watch()
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -1,5 +1,6 @@
 """When a node sends watch calls to the store, and when it sends none."""
 
+import math
 from collections.abc import Callable
 
 import pytest
@@ -8,9 +9,11 @@
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 from mulberrybay_core.store_messages import ListHandler, ObjectList
+from mulberrybay_core.store_position import make_position
 from mulberrybay_edge.store_watch import (
     BATCH_DELAY_S,
     MAX_OPEN_COUNT,
+    MAX_RETRY_S,
     StoreWatch,
 )
 
@@ -208,3 +211,37 @@
     timers.advance(1.0)
 
     assert store.stale_lists == [True, True]
+
+
+def test_objects_are_listed_as_soon_as_any_reply_names_a_new_era() -> None:
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    started.store.era = 1
+
+    started.watch.check()
+
+    assert len(started.store.lists) == 2
+    assert started.watch.age_s(started.timers.now_s) == math.inf
+    started.watch.check()
+    assert len(started.store.lists) == 2
+
+
+def test_no_watch_is_sent_into_an_earlier_era() -> None:
+    """Its revision may have been given out again, and nothing would end it."""
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    started.store.era = 1
+    started.store.watches[0](FAILURE)
+
+    started.timers.advance(MAX_RETRY_S)
+
+    assert (len(started.store.watches), len(started.store.lists)) == (1, 2)
+
+
+def test_peer_that_knows_a_later_era_makes_a_node_list_its_objects() -> None:
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+
+    started.watch.restart(make_position(1, 3))
+
+    assert (len(started.store.watches), len(started.store.lists)) == (1, 2)
