Keep following the store after an entry or a change that can't be decoded

Cause: errors that decoders did not expect (OverflowError from a number that is too large, RecursionError from deep nesting, ValueError from an integer of many digits) rejected the whole list, or left the reply's handler before the next call was scheduled. Ruled out: the store's rules for configurations, as any kind of objects is hit.

The next call is scheduled before a reply is applied, and after a fault of a listener the objects are listed again. The client sends what is queued although a handler failed.

Properties: any bytes, any JSON values give a value or a failure.

--- a/packages/core/mulberrybay_core/store_position.py
+++ b/packages/core/mulberrybay_core/store_position.py
@@ -16,6 +16,7 @@
 )
 
 _VERSION_BITS: Final = 40
+MAX_VERSION: Final = 2**_VERSION_BITS - 1
 # With this limit, a position fits into 64 bits on the wire.
 MAX_ERA: Final = 2 ** (63 - _VERSION_BITS) - 1
 
--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -347,11 +347,13 @@
         # After the delay, the list of nodes shows whether other nodes watch.
         # If they do, this watch is paused by then.
         self._schedule_watch()
-        self._needs_list = False
+        # A fault of the listener leaves the flag set: the list is read again.
+        self._needs_list = True
         if self._is_later_era(result.store_version):
             self._restore(result)
         else:
             self._apply_list(result)
+        self._needs_list = False
 
     def _apply_list(self, objects: ObjectList) -> None:
         if not self.trusts_store:
@@ -422,7 +424,9 @@
             # Other nodes may have older lists, and removals since then are in
             # no later change.
             self.cache.changed_version = result.store_version
+        needs_list, self._needs_list = self._needs_list, True
         self._pass_on(new_changes)
+        self._needs_list = needs_list
 
     def _schedule_watch(self) -> None:
         self._call_later(self._watch)
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -8,7 +8,11 @@
 
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
-from mulberrybay_core.store_messages import ListHandler, ObjectList
+from mulberrybay_core.store_messages import (
+    ListHandler,
+    ObjectList,
+    StoredObject,
+)
 from mulberrybay_core.store_position import make_position
 from mulberrybay_edge.store_watch import (
     BATCH_DELAY_S,
@@ -65,11 +69,17 @@
 
 
 class _Listener:
+    def __init__(self) -> None:
+        self.is_failing = False
+        self.names: set[str] = set()
+
     def on_list(self, objects: ObjectList) -> None:
-        pass
+        self.on_changes(objects)
 
     def on_changes(self, changes: ObjectList) -> None:
-        pass
+        if self.is_failing:
+            raise OverflowError
+        self.names |= {stored.name for stored in changes.items}
 
 
 class _StartedWatch:
@@ -78,8 +88,13 @@
     def __init__(self) -> None:
         self.store = _Store()
         self.timers = _Timers()
+        self.listener = _Listener()
         self.watch = StoreWatch(
-            self.store, self.timers, "servers", _Listener(), self.timers.clock
+            self.store,
+            self.timers,
+            "servers",
+            self.listener,
+            self.timers.clock,
         )
         self.watch.start()
         self.store.lists[0](ObjectList((), 5))
@@ -245,3 +260,21 @@
     started.watch.restart(make_position(1, 3))
 
     assert (len(started.store.watches), len(started.store.lists)) == (1, 2)
+
+
+def test_change_that_its_listener_fails_on_does_not_end_the_watch() -> None:
+    """The objects are listed again, as the listener lacks a change."""
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    started.listener.is_failing = True
+    changed = StoredObject("servers", "i-1", 9, {})
+    with pytest.raises(OverflowError):
+        started.store.watches[0](ObjectList((changed,), 9))
+    started.listener.is_failing = False
+
+    started.timers.advance(BATCH_DELAY_S)
+    started.store.lists[1](ObjectList((changed,), 9))
+    started.timers.advance(BATCH_DELAY_S)
+
+    assert started.listener.names == {"i-1"}
+    assert len(started.store.watches) == 2
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -510,9 +510,11 @@
             self._idle.append(connection)
         elif connection.stream is not None:
             connection.stream.close()
-        if call is not None:
-            call.finish(reply)
-        self._send_queued()
+        try:
+            if call is not None:
+                call.finish(reply)
+        finally:
+            self._send_queued()
 
     def on_connection_lost(self, connection: _Connection, reason: str) -> None:
         """Fails the call in progress on a connection that has ended."""
--- /dev/null
+++ b/tests/on_platform/test_store_input.py
@@ -0,0 +1,114 @@
+"""Whatever the store's replies hold, they give values or one kind of failure."""
+
+import json
+import time
+from typing import Any, Final
+
+import pytest
+from deployment import configuration
+from hypothesis import given, settings, strategies
+
+from mulberrybay_core.errors import Failure
+from mulberrybay_core.routing import RoutingConfiguration
+from mulberrybay_core.store_messages import ObjectList, StoredObject
+from mulberrybay_deployment.documents import DeploymentDocuments
+from mulberrybay_deployment.store_dialect import DeploymentDialect
+from mulberrybay_runtime.http_exchange import HttpReply
+
+DIALECT: Final = DeploymentDialect()
+DOCUMENTS: Final = DeploymentDocuments()
+# Of all values that other writers may leave, decoded ones and JSON texts.
+MAX_DECODE_S: Final = 2.0
+SERVER: Final[dict[str, Any]] = {
+    "service": "records",
+    "address": "127.0.0.1:9000",
+    "zone": "zone-a",
+    "revision": "v1",
+    "concurrency": 2,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 1,
+    "born": 1_700_000_000_000,
+}
+ODD_TEXTS: Final = {
+    "nested": "[" * 100_000 + "]" * 100_000,
+    "nested objects": '{"a":' * 100_000 + "1" + "}" * 100_000,
+    "brackets in a text": '"' + "[{" * 100_000 + '"',
+    "large integer": "9" * 10_000,
+    "large exponent": "1e999999",
+    "lone surrogate": r'"\ud800"',
+    "doubled field": '{"a":1,"a":[]}',
+}
+leaves = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(-(2**70), 2**70),
+    strategies.floats(),
+    strategies.text(max_size=8),
+    strategies.sampled_from(["ready", "1.2.3.4:99999", "idempotent", "x:1"]),
+)
+values = strategies.recursive(
+    leaves,
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=6), inner)
+    ),
+    max_leaves=8,
+)
+
+
+def make_reply(body: bytes, status: int = 200) -> HttpReply:
+    return HttpReply(status, {}, body, True)
+
+
+def item(name: str, spec: str) -> str:
+    return f'{{"meta":{{"name":"{name}","rev":7}},"spec":{spec}}}'
+
+
+@pytest.mark.parametrize("name", ODD_TEXTS)
+@pytest.mark.parametrize("form", ["items", "events"])
+def test_odd_entry_does_not_hide_the_others(name: str, form: str) -> None:
+    sound = json.dumps(SERVER)
+    odd = sound[:-1] + f',"more":{ODD_TEXTS[name]}}}'
+    texts = [item("a", sound), item("b", odd), item("c", sound)]
+    if form == "events":
+        texts = [f'{{"deleted":false,"object":{text}}}' for text in texts]
+    body = f'{{"{form}":[{",".join(texts)}],"as_of":9}}'.encode()
+
+    began_at_s = time.monotonic()
+    objects = DIALECT.decode_list(make_reply(body))
+
+    assert time.monotonic() - began_at_s < MAX_DECODE_S
+    assert isinstance(objects, ObjectList)
+    entries = {s.name: DOCUMENTS.read_server(s) for s in objects.items}
+    assert entries["a"] is not None
+    assert entries["c"] is not None
+
+
+@settings(deadline=None, max_examples=300)
+@given(body=strategies.binary(max_size=40) | values.map(json.dumps))
+def test_any_body_gives_a_value_or_a_failure(body: bytes | str) -> None:
+    data = body.encode() if isinstance(body, str) else body
+    for status in (200, 409):
+        reply = make_reply(data, status)
+        assert isinstance(DIALECT.decode_list(reply), ObjectList | Failure)
+        assert isinstance(
+            DIALECT.decode_object(reply), StoredObject | Failure | None
+        )
+        DIALECT.decode_write(reply)
+
+
+@settings(deadline=None, max_examples=300)
+@given(
+    changes=strategies.dictionaries(
+        strategies.sampled_from(["revision", "routes", "services", "limits"]),
+        values,
+        min_size=1,
+    )
+)
+def test_any_configuration_is_decoded_or_left_out(
+    changes: dict[str, Any],
+) -> None:
+    stored = StoredObject("", "main", 1, {**configuration(1), **changes})
+    decoded = DOCUMENTS.read_configuration(stored)
+    assert decoded is None or isinstance(decoded, RoutingConfiguration)
