Let the store-return machine fall silent and bound the time of a change

The machine found no late change as it had no silence, and checked only after a long rest that all nodes had the newest configuration. Now the store falls silent, for up to 11 s or for a moment that loses all waiting calls, among drills and refusals; a node in touch must have a confirmed version within 3 s, or 4 s after the last disruption.

--- a/tests/on_platform/model_store.py
+++ b/tests/on_platform/model_store.py
@@ -15,6 +15,8 @@
 
 POLL_S: Final = 0.05
 CALL_TIMEOUT_S: Final = 1.5
+# The client's timeout of a watch beyond its wait.
+WATCH_MARGIN_S: Final = 2.0
 REPLY_DELAY_S: Final = 0.004
 # The longest time by which a late reply comes after its call was answered.
 MAX_LATE_S: Final = 1.2
@@ -42,6 +44,9 @@
 
     Attributes:
         is_away: Whether all calls fail.
+        is_silent: Whether no call is answered.
+        silence_count: Changes as silence begins and ends; calls that wait then are
+            never answered.
         late_ratio: The ratio of replies that come late.
         lost_ratio: The ratio of replies that never come.
         stale_copy: What stale lists show; None for the present content.
@@ -50,6 +55,8 @@
     def __init__(self) -> None:
         self.era = 0
         self.is_away = False
+        self.is_silent = False
+        self.silence_count = 0
         self.stale_copy: ModelCopy | None = None
         self.late_ratio = self.lost_ratio = 0.0
         self._revision = 1
@@ -80,6 +87,16 @@
         stored = stored._replace(version=self._revision)
         self._changes.append(_Change(stored, is_removed=True))
 
+    def fall_silent(self) -> None:
+        """Leaves new and waiting calls unanswered."""
+        self.is_silent = True
+        self.silence_count += 1
+
+    def answer_again(self) -> None:
+        """Answers the calls that come from now on."""
+        self.is_silent = False
+        self.silence_count += 1
+
     def forget_history(self) -> None:
         """Discards the history."""
         self._changes.clear()
@@ -143,6 +160,7 @@
 
     Attributes:
         is_refused: Whether the store refuses this node's calls.
+        era: The highest era that a reply has named.
     """
 
     def __init__(
@@ -155,24 +173,31 @@
         self._later = call_later
         self._random = source
         self.is_refused = False
-
-    @property
-    def era(self) -> int:
-        """The era of the store."""
-        return self._store.era
+        self.era = 0
 
     def _is_failing(self) -> bool:
         return self._store.is_away or self.is_refused
 
-    def _reply(self, reply: ListHandler, result: ObjectList | Failure) -> None:
+    def _reply(
+        self,
+        reply: ListHandler,
+        result: ObjectList | Failure,
+        lost_after_s: float = CALL_TIMEOUT_S,
+    ) -> None:
         store = self._store
-        if self._random.random() < store.lost_ratio:
-            self._later(CALL_TIMEOUT_S, lambda: reply(_failure()))
+        if store.is_silent or self._random.random() < store.lost_ratio:
+            self._later(lost_after_s, lambda: reply(_failure()))
             return
+        era = store.era
+
+        def answer() -> None:
+            self.era = max(self.era, era)
+            reply(result)
+
         delay_s = REPLY_DELAY_S
         if self._random.random() < store.late_ratio:
             delay_s = self._random.uniform(0, MAX_LATE_S)
-        self._later(delay_s, lambda: reply(result))
+        self._later(delay_s, answer)
 
     def list_kind(
         self, kind: str, reply: ListHandler, *, may_be_stale: bool
@@ -196,10 +221,17 @@
         cancelled: list[bool] = []
         left = [int(timeout_s / POLL_S)]
         version = version_of(after_version)
+        silence_count = self._store.silence_count
 
         def poll() -> None:
             if cancelled:
                 return
+            if self._store.is_silent or (
+                silence_count != self._store.silence_count
+            ):
+                lost_after_s = POLL_S * max(0, left[0]) + WATCH_MARGIN_S
+                self._later(lost_after_s, lambda: answer(_failure()))
+                return
             left[0] -= 1
             if self._is_failing():
                 self._reply(answer, _failure())
--- a/tests/on_platform/test_store_return_machine.py
+++ b/tests/on_platform/test_store_return_machine.py
@@ -3,11 +3,13 @@
 The views, watches and caches of three nodes run on a clock of the test against
 a model of the store. Hypothesis chooses what operators and backend servers
 write, and when the store returns from a copy, forgets its history, refuses a
-node, loses replies or sends them late.
+node, loses replies, sends them late or falls silent. A configuration must be in
+force in time, and none may go back.
 """
 
 import heapq
 import itertools
+import math
 import os
 import random
 from collections.abc import Callable
@@ -30,7 +32,6 @@
 from mulberrybay_edge.store_watch import (
     FIRST_RETRY_S,
     MAX_RETRY_S,
-    WATCH_TIMEOUT_S,
 )
 from mulberrybay_runtime.backoff import Backoff
 
@@ -42,11 +43,14 @@
 MAX_STALE_S: Final = 1.5
 # Within this time, all that the copy lacks has been written again.
 MAX_WRITE_AGAIN_S: Final = 2.0
-# A node notices the return when its watch ends, and then prefers what it knows
-# for a while; so does a node that takes it from this one at the end of that
-# time. The last term is for calls, and for peers that ask for the list.
-SETTLE_S: Final = WATCH_TIMEOUT_S + 2 * RESTORE_PERIOD_S + 2.0
+# A node notices the return within its bound, and then prefers what it knows for a
+# while; so does a node that takes it from this one at the end of that time. The
+# last term is for calls, and for peers that ask for the list.
+CONTACT_S: Final = 4.0
+CONFIG_APPLY_S: Final = 3.0
+SETTLE_S: Final = CONTACT_S + 2 * RESTORE_PERIOD_S + 2.0
 EXAMPLE_COUNT: Final = int(os.environ.get("MULBERRYBAY_EXAMPLES", "250"))
+MAX_SILENCE_S: Final = 11.0
 SERVICE: Final = "records"
 DOMAINS: Final = ("zone-a", "zone-b")
 # The time after each step is one of these.
@@ -97,8 +101,8 @@
         self.seen_ids: set[str] = set()
         self.out_domains: set[str] = set()
         self.revision = 0
+        self.disrupted_until_s = clock.read_s()
         for watch in self.view.watches:
-            watch.timeout_s = WATCH_TIMEOUT_S
             watch.serves_others = True
             watch._backoff = Backoff(
                 FIRST_RETRY_S, MAX_RETRY_S, random.Random(seed)
@@ -123,6 +127,8 @@
         "service": SERVICE,
         "address": f"127.0.0.1:{9000 + number}",
         "zone": DOMAINS[number % 2],
+        "revision": "v1",
+        "warmup_left_ms": 0,
         "concurrency": 2,
         "state": state,
         "born": 1000 + number,
@@ -145,6 +151,10 @@
         # Tells one time that a domain is out of service from the next.
         self.toggle_count = 0
         self.toggled_at = dict.fromkeys(DOMAINS, 0)
+        # When the store's last disruption ended, and when the configuration was
+        # confirmed; infinite while it isn't.
+        self.disrupted_until_s = 0.0
+        self.confirmed_at_s = math.inf
         self.nodes: list[_Node] = []
 
     @initialize(seed=strategies.integers(0, 2**16))
@@ -165,7 +175,7 @@
 
     def _write_again(self) -> None:
         """Writes all that the store doesn't have as it should be."""
-        if self.store.is_away:
+        if self.store.is_away or self.store.is_silent:
             self.clock.call_later(STEP_S, self._write_again)
             return
         store = self.store
@@ -184,6 +194,8 @@
             is_out = domain in self.out_domains
             value = {"number": self.toggled_at[domain]}
             wanted["evacuations", domain] = value if is_out else None
+        if store.value("config", "main") != wanted["config", "main"]:
+            self.confirmed_at_s = self.clock.now_s
         for (kind, name), value in wanted.items():
             if value is not None and store.value(kind, name) != value:
                 store.put(kind, name, value)
@@ -192,7 +204,11 @@
 
     @rule()
     def configure(self) -> None:
+        if self.store.is_away or self.store.is_silent:
+            # The operator's call is not confirmed.
+            return
         self.revision += self.random.randint(1, 3)
+        self.confirmed_at_s = math.inf
         self._write_again()
         self._pass_time()
 
@@ -225,12 +241,15 @@
         self.toggled_at[domain] = self.toggle_count
 
     def _change_anything(self) -> None:
+        if self.store.is_away or self.store.is_silent:
+            return
         number = self.random.randrange(len(self.states))
         if self.states[number] == "ready":
             self.states[number] = self.random.choice(["draining", "gone"])
         self.states[len(self.states)] = "ready"
         self._toggle(self.random.choice(DOMAINS))
         self.revision += 1
+        self.confirmed_at_s = math.inf
         self._write_again()
         self._pass_time()
 
@@ -247,7 +266,7 @@
         self._start_return(age_s)
 
     def _start_return(self, age_s: float) -> None:
-        if self.store.is_away:
+        if self.store.is_away or self.store.is_silent:
             return
         old = [
             copy
@@ -260,6 +279,7 @@
         def come_back() -> None:
             self.store.return_from(copy)
             self.store.is_away = False
+            self._end_disruption()
             self.copies = [(self.clock.now_s, self.store.take_copy())]
             again_s = self.random.uniform(0, MAX_WRITE_AGAIN_S)
             self.clock.call_later(again_s, self._write_again)
@@ -267,6 +287,39 @@
         self.clock.call_later(AWAY_S, come_back)
         self._pass_time()
 
+    @rule(span_s=strategies.floats(0.0, MAX_SILENCE_S))
+    def fall_silent(self, span_s: float) -> None:
+        """Calls that wait or come are never answered; the shortest is a reset."""
+        if self.store.is_away or self.store.is_silent:
+            return
+        self.store.fall_silent()
+
+        def answer_again() -> None:
+            self.store.answer_again()
+            self._end_disruption()
+
+        self.clock.call_later(span_s, answer_again)
+        self._pass_time()
+
+    @property
+    def is_disrupted(self) -> bool:
+        store = self.store
+        return bool(
+            store.is_away
+            or store.is_silent
+            or store.late_ratio
+            or store.lost_ratio
+        )
+
+    def _end_disruption(self) -> None:
+        self.disrupted_until_s = self.clock.now_s
+        if self.store.value("config", "main") != {
+            "revision": self.revision,
+            "routes": [],
+            "services": [],
+        }:
+            self.confirmed_at_s = math.inf
+
     @rule()
     def forget_history(self) -> None:
         self.store.forget_history()
@@ -275,6 +328,10 @@
     @rule(number=node_numbers, is_refused=strategies.booleans())
     def refuse(self, number: int, is_refused: bool) -> None:
         self.nodes[number].client.is_refused = is_refused
+        # Other nodes that the store serves tell it what it misses.
+        self.nodes[number].disrupted_until_s = (
+            math.inf if is_refused else self.clock.now_s
+        )
         self._pass_time()
 
     @rule(number=node_numbers)
@@ -282,6 +339,7 @@
         """Starts another incarnation of a node, which knows nothing."""
         seed = self.random.randrange(2**16)
         self.nodes[number] = _Node(self.store, self.clock, seed)
+        self.nodes[number].disrupted_until_s = self.clock.now_s
         if number == NODE_COUNT - 1:
             for watch in self.nodes[number].view.watches:
                 watch.set_paused(True)
@@ -293,6 +351,7 @@
     )
     def disturb_replies(self, late: float, lost: float) -> None:
         self.store.late_ratio, self.store.lost_ratio = late, lost
+        self.disrupted_until_s = self.clock.now_s
         self._pass_time()
 
     @rule(span_s=strategies.sampled_from([3.0, 6.0, 12.0]))
@@ -312,6 +371,7 @@
                 old = len(self.copies) - 1 - round(MAX_STALE_S / STEP_S)
                 self.store.stale_copy = self.copies[max(0, old)][1]
             for node in self.nodes:
+                node.view.check()
                 node.view.directory.expire(self.clock.now_s)
                 node.view.directory.pop_dropped_ids()
                 self._exchange(node)
@@ -354,6 +414,13 @@
         revision = table.revision if table else 0
         assert revision >= node.revision, "the configuration went back"
         node.revision = revision
+        due_s = max(
+            self.confirmed_at_s + CONFIG_APPLY_S,
+            self.disrupted_until_s + CONTACT_S,
+            node.disrupted_until_s + CONTACT_S,
+        )
+        if self.clock.now_s > due_s and not self.is_disrupted:
+            assert revision == self.revision, "a configuration is late"
         usable = node.usable_ids()
         assert not usable & node.left_ids, "a server that left is used"
         node.left_ids |= {
@@ -392,6 +459,10 @@
             return
         for node in self.nodes:
             node.client.is_refused = False
+            node.disrupted_until_s = self.clock.now_s
+        if self.store.is_silent:
+            self._advance(MAX_SILENCE_S)
+        self.disrupted_until_s = self.clock.now_s
         self.store.late_ratio = self.store.lost_ratio = 0.0
         self._advance(AWAY_S + MAX_WRITE_AGAIN_S)
         self._write_again()
