--- a/packages/core/mulberrybay_core/platform_documents.py
+++ b/packages/core/mulberrybay_core/platform_documents.py
@@ -17,11 +17,14 @@
         servers: One entry for each backend server.
         configurations: The configuration that operators set.
         out_domains: One entry for each failure domain that is out of service.
+        configuration_name: The name of the only object of the configurations
+            that is in force.
     """
 
     servers: str
     configurations: str
     out_domains: str
+    configuration_name: str
 
 
 class PlatformDocuments(Protocol):
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -89,8 +89,10 @@
         self.on_changes(objects)
 
     def on_changes(self, changes: ObjectList) -> None:
+        name = self._view.documents.kinds.configuration_name
         for stored in changes.items:
-            self._view.apply_configuration(stored)
+            if stored.name == name:
+                self._view.apply_configuration(stored)
 
 
 class _DomainListener:
