Don't keep a configuration of a lower revision out for good

Cause: a version was applied only if its number was higher than any before; one that followed a number given by mistake, or other content under the same number, never came in force. Numbers order versions, but nothing bounded that rule in time.

Change: such a version is held back (and logged once) for 10 s in which the store answers, is not doubted after a return from a copy, and still has it; then it is in force. Ruled out: ordering by the store's revision alone, by which the copy that a store returns from would come in force before the operators have written again.

--- a/packages/core/mulberrybay_core/object_cache.py
+++ b/packages/core/mulberrybay_core/object_cache.py
@@ -240,6 +240,10 @@
             self.version, tuple(self._objects), items, has_kept_objects
         )
 
+    def find(self, name: str) -> StoredObject | None:
+        """Returns an object by its name."""
+        return self._objects.get(name)
+
     def all_objects(self) -> ObjectList:
         """Returns all objects."""
         return ObjectList(tuple(self._objects.values()), self.version or 0)
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -7,13 +7,14 @@
 import math
 from collections.abc import Callable
 
+from mulberrybay_core.configuration_order import ConfigurationOrder
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.restore_rules import (
     keep_out_of_service,
     make_configuration_rule,
     make_server_rule,
 )
-from mulberrybay_core.routing import RouteTable
+from mulberrybay_core.routing import RouteTable, RoutingConfiguration
 from mulberrybay_core.server_directory import ServerDirectory
 from mulberrybay_core.store_messages import (
     ObjectList,
@@ -80,7 +81,7 @@
 
 
 class _ConfigurationListener:
-    """Applies configurations; those without a higher revision are ignored."""
+    """Applies configurations; see `ConfigurationOrder`."""
 
     def __init__(self, view: "PlatformView") -> None:
         self._view = view
@@ -142,6 +143,7 @@
         self.directory = ServerDirectory(leaving_service_s)
         self.log = log
         self.route_table: RouteTable | None = None
+        self._configuration_order = ConfigurationOrder()
         self.unreadable_count = 0
         self._on_route_table = on_route_table
         kinds = documents.kinds
@@ -190,9 +192,13 @@
         return [*self._watches.values()]
 
     def check(self) -> None:
-        """Calls the store where no reply can be counted on; see `StoreWatch`."""
+        """Does what is due by the time alone; called periodically.
+
+        Calls the store where no reply can be counted on, see `StoreWatch`.
+        """
         for watch in self._watches.values():
             watch.check()
+        self._check_configuration()
 
     @property
     def failing_kinds(self) -> list[str]:
@@ -216,21 +222,43 @@
         )
 
     def apply_configuration(self, stored: StoredObject) -> None:
-        """Applies a configuration if it has a higher revision."""
+        """Applies a configuration unless one of a higher revision is in force."""
         configuration = self.documents.read_configuration(stored)
         if configuration is None:
             self.record_unreadable(stored.kind, stored.name)
             return
-        if self.route_table is not None and (
-            configuration.revision <= self.route_table.revision
+        order = self._configuration_order
+        known_held_back = order.held_back_revision
+        if order.put(configuration, stored.version, self.clock()):
+            self._put_in_force(configuration, stored.version)
+        elif order.held_back_revision != known_held_back:
+            self.log.log_view_change(
+                "configuration of a lower revision held back",
+                revision=configuration.revision,
+                version=stored.version,
+            )
+
+    def _check_configuration(self) -> None:
+        watch = self._watches[self.documents.kinds.configurations]
+        stored = watch.cache.find(self.documents.kinds.configuration_name)
+        position = stored.version if stored else None
+        order = self._configuration_order
+        is_doubtful = watch.is_failing or watch.is_restoring
+        if (
+            order.check(position, self.clock(), is_doubtful=is_doubtful)
+            and order.current is not None
         ):
-            return
+            self._put_in_force(order.current, position)
+
+    def _put_in_force(
+        self, configuration: RoutingConfiguration, version: int | None
+    ) -> None:
         self.route_table = RouteTable(configuration)
         self.log.log_view_change(
             "configuration in force",
             revision=configuration.revision,
             routes=len(configuration.routes),
-            version=stored.version,
+            version=version,
             store_age_s=round(self._answer_age_s(), 3),
         )
         self._on_route_table(self.route_table)
