Start requests outside of the callers' parser

Cause: a request was started in a callback of the parser; whatever was raised there (here an address that can't be dialled) came out as a parse error and queued 400 behind a request in progress. The class: one error handler around two things that fail for different reasons.

Change: the callbacks only queue requests, which are started after the parser has returned. A fault while a request is started is logged, and the request gets one answer, 502, since it may be with a server by then; its connection goes on.

The nodes with holders have a server of their own, not looked at.

--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers: answers requests in the order received."""
 
+import traceback
 from collections import deque
 from http import HTTPStatus
 from typing import Final, Self
@@ -102,7 +103,6 @@
         """Parses received bytes and enforces the size limits."""
         if self._is_ending or self._has_failed:
             return
-        limits = self._server.limits
         if not self._is_head_read:
             self._header_bytes += len(data)
         try:
@@ -111,6 +111,12 @@
             self._fail(caller_errors.BAD_REQUEST)
         except httptools.HttpParserError:
             self._fail(caller_errors.BAD_REQUEST)
+        self._check_limits()
+        # Not within the parser, which takes a fault there for a parse error.
+        self._start_next()
+
+    def _check_limits(self) -> None:
+        limits = self._server.limits
         if self._is_ending or self.message_started_at_s is None:
             return
         if (
@@ -170,10 +176,8 @@
             self._pending.append((caller_errors.HEADERS_TOO_LARGE, False))
         else:
             self._pending.append((self._read_request(), keeps_alive))
-        if len(self._pending) > MAX_PIPELINED_COUNT:
+        if len(self._pending) > MAX_PIPELINED_COUNT + (not self._is_busy):
             self._fail(caller_errors.BAD_REQUEST)
-            return
-        self._start_next()
 
     def _read_request(self) -> CallerRequest | CallerAnswer:
         names = self._server.names
@@ -266,7 +270,13 @@
                     )
                     self._start_next()
 
-            cancel = self._server.service.submit(request, reply)
+            try:
+                cancel = self._server.service.submit(request, reply)
+            except Exception as error:
+                # The request may be with a backend server by now.
+                self._server.record_fault(request.request_id, error)
+                reply(caller_errors.INCOMPLETE_REPLY)
+                continue
             if self._is_busy and number == self._request_count:
                 self._cancel = cancel
 
@@ -369,6 +379,15 @@
         """
         self._streams.listen(address, self._accept)
 
+    def record_fault(self, request_id: str, error: Exception) -> None:
+        """Logs a fault of the program that kept a request from being started."""
+        self._log.error(
+            "a request could not be started",
+            request_id=request_id,
+            error=repr(error),
+            trace="".join(traceback.format_tb(error.__traceback__)),
+        )
+
     def _accept(self, stream: Stream) -> _Connection:
         connection = _Connection(self, stream)
         self._connections.add(connection)
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -4,7 +4,7 @@
 
 from request_fakes import NAMES
 
-from mulberrybay_core.caller_messages import CallerAnswer
+from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
 from mulberrybay_edge.caller_server import CallerServer
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n\r\n"
@@ -38,8 +38,13 @@
 
     def __init__(self) -> None:
         self.replies: list[Any] = []
+        self.requests: list[CallerRequest] = []
+        self.error: Exception | None = None
 
-    def submit(self, request: object, reply: Any) -> object:  # noqa: ANN401
+    def submit(self, request: CallerRequest, reply: Any) -> object:  # noqa: ANN401
+        if self.error is not None:
+            raise self.error
+        self.requests.append(request)
         self.replies.append(reply)
         return lambda: None
 
@@ -72,3 +77,21 @@
         connection.on_data(stream, b"\x00nonsense\r\n\r\n")
 
     assert len(connection._pending) == 1
+
+
+def test_fault_while_a_request_is_started_gives_one_answer_and_no_other() -> (
+    None
+):
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    service.error = OSError("no address")
+    connection.on_data(stream, REQUEST)
+    service.error = None
+    connection.on_data(stream, REQUEST)
+    service.replies[0](CallerAnswer(200, (), b"own"))
+
+    assert stream.sent.count(b"HTTP/1.1 502 ") == 1
+    assert stream.sent.count(b"HTTP/1.1 200 ") == 1
+    assert stream.sent.count(b"HTTP/1.1 ") == 2
+    assert not stream.is_half_closed
