Serve a request that offers an upgrade with its whole body

Cause: for a request with `Upgrade` the parser reports the request's end right after its head and stops; the request was queued with the body read so far. Change: that report is ignored, and the parser goes on with the head as it was, less the offer, so that length, chunks, `Expect` and a closing connection mean what they mean elsewhere. A tunnel (CONNECT) is refused before anything is passed on.

--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -106,15 +106,49 @@
         if not self._is_head_read:
             self._header_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(caller_errors.BAD_REQUEST)
+            self._parse(data)
         except httptools.HttpParserError:
             self._fail(caller_errors.BAD_REQUEST)
         self._check_limits()
         # Not within the parser, which takes a fault there for a parse error.
         self._start_next()
 
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes, and goes on after the head of an offered upgrade.
+
+        The parser stops there. The offer is declined by serving the request as
+        it is (RFC 9110, 7.8).
+
+        Raises:
+            httptools.HttpParserError: The bytes are not HTTP.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                head = self._encode_head_without_offer()
+                if head is None:
+                    self._fail(caller_errors.BAD_REQUEST)
+                    return
+                data = head + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
+    def _encode_head_without_offer(self) -> bytes | None:
+        """Returns the head that was just read; None if it is of a tunnel."""
+        method = self._parser.get_method()
+        if method == b"CONNECT":
+            return None
+        version = self._parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (method, self._target, version)]
+        lines += [
+            f"{name}: {value}".encode("latin-1")
+            for name, value in self._headers
+            if name.lower() != "upgrade"
+        ]
+        return b"\r\n".join([*lines, b"", b""])
+
     def _check_limits(self) -> None:
         limits = self._server.limits
         if self._is_ending or self.message_started_at_s is None:
@@ -156,6 +190,9 @@
     def on_headers_complete(self) -> None:
         """Sends "100 Continue" if the caller expects it before the body."""
         self._is_head_read = True
+        if self._parser.should_upgrade():
+            # The parser is going to stop here; see `_parse`.
+            return
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self._stream.send(CONTINUE_ANSWER)
@@ -168,6 +205,8 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request."""
+        if self._parser.should_upgrade():
+            return
         self.message_started_at_s = None
         keeps_alive = self._parser.should_keep_alive()
         if self._body_bytes > self._server.limits.max_body_bytes:
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from request_fakes import NAMES
 
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
@@ -95,3 +96,59 @@
     assert stream.sent.count(b"HTTP/1.1 200 ") == 1
     assert stream.sent.count(b"HTTP/1.1 ") == 2
     assert not stream.is_half_closed
+
+
+OFFERS = (
+    b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    b"HTTP2-Settings: AAMAAABk\r\n",
+    b"Connection: keep-alive, upgrade\r\nUpgrade: websocket\r\n",
+    b"Upgrade: TLS/1.0, x/2\r\nConnection: Upgrade\r\n",
+)
+BODIES = (
+    (b"Content-Length: 5\r\n\r\nhello", b"hello"),
+    (
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+        b"hello",
+    ),
+    (b"Content-Length: 0\r\n\r\n", b""),
+    (b"\r\n", b""),
+)
+
+
+@pytest.mark.parametrize("offer", OFFERS)
+@pytest.mark.parametrize(("framed", "body"), BODIES)
+def test_request_that_offers_an_upgrade_is_served_with_its_whole_body(
+    offer: bytes, framed: bytes, body: bytes
+) -> None:
+    head = b"POST /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n"
+    data = head + offer + framed + REQUEST
+    for split in range(1, len(data)):
+        service, stream = _Service(), _Stream()
+        server = CallerServer(NAMES, service, None, _Timers())
+        connection = server._accept(stream)
+        connection.on_data(stream, data[:split])
+        connection.on_data(stream, data[split:])
+        service.replies[0](CallerAnswer(200, (), b"own"))
+        service.replies[1](CallerAnswer(200, (), b"own"))
+
+        first, second = service.requests
+        assert (first.method, first.target, first.body) == ("POST", "/x", body)
+        assert (second.method, second.body) == ("GET", b"")
+        names = {name.lower() for name, _ in first.headers}
+        assert not names & {"upgrade", "connection", "http2-settings"}
+        assert stream.sent.count(b"HTTP/1.1 ") == 2
+        assert not stream.is_half_closed
+
+
+def test_tunnel_is_refused_before_anything_is_passed_on() -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+
+    connection.on_data(
+        stream, b"CONNECT a.example:80 HTTP/1.1\r\nHost: a.example\r\n\r\nxx"
+    )
+
+    assert stream.sent.startswith(b"HTTP/1.1 400 ")
+    assert service.requests == []
+    assert stream.is_half_closed
