Count only time with answers towards trust in a store that returned from a copy

Cause: for 10 s a node prefers what it knows to the copy; these 10 s ran on while the store was silent, so that its first answer after it, still the old copy, was taken for the truth. Change: a failure of the store while a node doubts it starts the 10 s anew at the next answer. The test of the watch fails before.

--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -465,5 +465,8 @@
             self._last_reply_at_s = now_s
         if self.is_failing:
             self._log.info("the store answers again", kind=self.kind)
+            if self.is_restoring:
+                # Writers could not write again what the copy lacks.
+                self._prefer_own_knowledge()
         self.is_failing = False
         self._backoff.reset()
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -8,6 +8,7 @@
 
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
+from mulberrybay_core.restore_rules import RESTORE_PERIOD_S
 from mulberrybay_core.store_messages import (
     ListHandler,
     ObjectList,
@@ -278,3 +279,19 @@
 
     assert started.listener.names == {"i-1"}
     assert len(started.store.watches) == 2
+
+
+def test_time_without_answers_does_not_count_towards_trust_in_a_copy() -> None:
+    """Operators could not write again what the copy lacks."""
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    started.store.era = 1
+    started.watch.check()
+    started.store.lists[1](ObjectList((), make_position(1, 3)))
+    advance_with_checks(started, RESTORE_PERIOD_S)
+    assert started.watch.trusts_store
+
+    started.store.lists[-1](ObjectList((), make_position(1, 3)))
+
+    assert started.watch.is_restoring
+    assert not started.watch.trusts_store
