Count only the head of a request towards the limit of heads

Cause: all bytes of a read counted as head if the head was incomplete before it, the fields of a complete head were counted twice, and the sum was compared with twice the limit. Now complete fields are counted once, and raw bytes only while the head is incomplete after the read. The first new test fails before; the others hold the limit for heads that come whole or in pieces.

--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -77,7 +77,9 @@
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # Of the complete fields, and of all of a head that is incomplete.
         self._header_bytes = 0
+        self._unread_head_bytes = 0
         self._is_head_read = False
 
     @property
@@ -103,12 +105,12 @@
         """Parses received bytes and enforces the size limits."""
         if self._is_ending or self._has_failed:
             return
-        if not self._is_head_read:
-            self._header_bytes += len(data)
         try:
             self._parse(data)
         except httptools.HttpParserError:
             self._fail(caller_errors.BAD_REQUEST)
+        if not self._is_head_read:
+            self._unread_head_bytes += len(data)
         self._check_limits()
         # Not within the parser, which takes a fault there for a parse error.
         self._start_next()
@@ -155,7 +157,7 @@
             return
         if (
             not self._is_head_read
-            and self._header_bytes > limits.max_header_bytes
+            and self._unread_head_bytes > limits.max_header_bytes
         ):
             self._fail(caller_errors.HEADERS_TOO_LARGE)
         elif self._body_bytes > limits.max_body_bytes:
@@ -211,7 +213,7 @@
         keeps_alive = self._parser.should_keep_alive()
         if self._body_bytes > self._server.limits.max_body_bytes:
             self._pending.append((caller_errors.BODY_TOO_LARGE, False))
-        elif self._header_bytes > 2 * self._server.limits.max_header_bytes:
+        elif self._header_bytes > self._server.limits.max_header_bytes:
             self._pending.append((caller_errors.HEADERS_TOO_LARGE, False))
         else:
             self._pending.append((self._read_request(), keeps_alive))
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -152,3 +152,40 @@
     assert stream.sent.startswith(b"HTTP/1.1 400 ")
     assert service.requests == []
     assert stream.is_half_closed
+
+
+def test_large_body_that_comes_with_the_end_of_the_head_is_not_counted_as_head() -> (
+    None
+):
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    cookie = b"Cookie: " + b"c" * 2000 + b"\r\n"
+    body = b"b" * 40_000
+    head = b"POST /x HTTP/1.1\r\nHost: a.example\r\n" + cookie
+    data = head + b"Content-Length: 40000\r\n\r\n" + body
+    for split in (10, 1400, len(head) + 4, len(head) + 30):
+        connection = server._accept(stream)
+        connection.on_data(stream, data[:split])
+        connection.on_data(stream, data[split:])
+
+    assert [request.body for request in service.requests] == [body] * 4
+    assert stream.sent == b""
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 1000, 100_000])
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_head_beyond_the_limit_is_refused_however_it_comes(
+    piece_bytes: int, is_complete: bool
+) -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    size = server.limits.max_header_bytes + 1
+    data = b"GET /x HTTP/1.1\r\nHost: a.example\r\nCookie: " + b"c" * size
+    data += b"\r\n\r\n" * is_complete
+    for start in range(0, len(data), piece_bytes):
+        connection.on_data(stream, data[start : start + piece_bytes])
+
+    assert stream.sent.startswith(b"HTTP/1.1 431 ")
+    assert stream.sent.count(b"HTTP/1.1 ") == 1
+    assert service.requests == []
