Show that replies cut within their head and late requests of a stop are handled

A backend that stops within the head of its reply and closes: the reply is not complete at any byte, so callers never get it as whole. Requests that come late in the grace of a planned stop, in calm: each gets an answer, 200, 502 or 503, and one that is answered 503 has not run (bookings of 0.05, 0.7 and 1.7 s, one every 0.14 s through the grace).

--- a/packages/runtime/tests/test_reply_parser.py
+++ b/packages/runtime/tests/test_reply_parser.py
@@ -57,3 +57,29 @@
     parser.feed(data)
     reply = parser.end()
     assert (reply.body if reply else None) == body
+
+
+REPLIES = (
+    b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nhello",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Stamp: s\r\n\r\n"
+    b"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Stamp: s\r\nConnection: close\r\n\r\nhello",
+    b"HTTP/1.1 100 Continue\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Stamp: s\r\n\r\nhello",
+)
+
+
+@pytest.mark.parametrize("data", REPLIES)
+def test_reply_that_ends_within_its_head_is_not_complete(data: bytes) -> None:
+    for count in range(data.rindex(b"\r\nX-Stamp: s") + 12):
+        parser = SingleReplyParser()
+        assert parser.feed(data[:count]) is None
+        assert parser.end() is None
+
+
+@pytest.mark.parametrize("data", [REPLIES[0], REPLIES[1], REPLIES[3]])
+def test_framed_reply_that_ends_early_is_not_complete(data: bytes) -> None:
+    for count in range(len(data)):
+        parser = SingleReplyParser()
+        assert parser.feed(data[:count]) is None
+        assert parser.end() is None
--- a/tests/on_platform/test_failures_of_similar_systems.py
+++ b/tests/on_platform/test_failures_of_similar_systems.py
@@ -304,3 +304,48 @@
 
     assert answer.status == 502
     assert b"half" not in answer.body
+
+
+# Requests that came late in the grace of a planned stop, cut off at its end.
+
+
+@pytest.mark.parametrize("delay_s", [0.05, 0.7, 1.7])
+def test_each_booking_that_comes_during_a_stop_gets_an_answer(
+    deployment: Deployment, delay_s: float
+) -> None:
+    """One that is answered 503 has not run and doesn't run later."""
+    (node,) = deployment.start_nodes(1)
+    for backend in deployment.backends["bookings"]:
+        backend.delay_s = delay_s
+    statuses: dict[str, int] = {}
+    problems: list[str] = []
+
+    def call(request_id: str) -> None:
+        try:
+            statuses[request_id] = book(
+                node, request_id, deadline_ms=8000
+            ).status
+        except ConnectionRefusedError:
+            # Nothing listens: the request was not accepted.
+            return
+        except (OSError, http.client.HTTPException) as error:
+            problems.append(f"{request_id}: {error!r}")
+
+    threads = [
+        threading.Thread(target=call, args=(f"late-{n}",)) for n in range(22)
+    ]
+    threads[0].start()
+    time.sleep(0.1)
+    node.process.signal(signal.SIGTERM)
+    for thread in threads[1:]:
+        thread.start()
+        time.sleep(0.14)
+    for thread in threads:
+        thread.join()
+
+    assert problems == []
+    assert set(statuses.values()) <= {200, 502, 503}
+    time.sleep(delay_s)
+    for request_id, status in statuses.items():
+        count = execution_count(deployment, request_id)
+        assert count == 0 if status == 503 else count <= 1
