--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -204,9 +204,13 @@
 
     Attributes:
         zones: The zones of a service's backend servers, one per server.
+        contact_ms: The bound that nodes have after a fault.
+        config_apply_ms: The bound that they have otherwise.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-a")
+    contact_ms: int = 4000
+    config_apply_ms: int = 3000
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -343,7 +347,14 @@
 
     def _start(self, name: str, ports: list[int], zone: str) -> RunningNode:
         settings = self._folder / f"{name}.toml"
+        bounds = json.dumps(
+            {
+                "contact_ms": self.contact_ms,
+                "config_apply_ms": self.config_apply_ms,
+            }
+        )
         settings.write_text(
+            f"bounds = '{bounds}'\n"
             f'node_name = "{name}"\n'
             f'failure_domain = "{zone}"\n'
             "stop_grace_s = 3\n"
--- a/tests/on_platform/fleet_checks.py
+++ b/tests/on_platform/fleet_checks.py
@@ -18,7 +18,7 @@
 MIN_SHARD_REPLY_COUNT: Final = 2
 DRAIN_S: Final = 5.0
 EVACUATE_S: Final = 5.0
-CONFIG_APPLY_S: Final = 5.0
+CONFIG_APPLY_S: Final = 3.0
 ROLLBACK_SLACK_S: Final = 0.25
 TIMEOUT_S: Final = 2.0
 TIMEOUT_SLACK_S: Final = 0.5
@@ -230,7 +230,7 @@
             and is_newest
             and is_undisturbed
             and history.is_undisturbed(
-                STORE, configured_at_s, request.ended_at_s
+                STORE, request.sent_at_s, request.ended_at_s
             )
         )
         if request.status == 404 and is_due:
--- a/tests/on_platform/fleet_faults.py
+++ b/tests/on_platform/fleet_faults.py
@@ -10,6 +10,7 @@
 
 from deployment import RunningNode, configuration, route
 from faulty_deployment import STORE, ZONES, FaultyDeployment
+from fleet_checks import CONFIG_APPLY_S
 from fleet_history import FleetHistory, NamedLimit, Withdrawal
 from standins import BackendStandIn, StoreCopy
 
@@ -20,6 +21,15 @@
 STOP_LIMIT_S: Final = 4.0
 MIN_FAULT_S: Final = 0.3
 MAX_FAULT_S: Final = 4.0
+# The store rests until a change after its fault must be in force, and then some.
+REST_RATIO: Final = 0.7
+REST_S: Final = 2 * CONFIG_APPLY_S + 1.0
+# Of so many seeds, one has so many of its faults at the store.
+STORE_SEED_PERIOD: Final = 3
+STORE_FAULT_RATIO: Final = 0.6
+# By then all nodes wait for the next change.
+STEP_S: Final = 0.6
+MAX_SILENCE_S: Final = 11.0
 MAX_PAUSE_S: Final = 2.5
 MAX_SLOW_S: Final = 1.5
 LIMITS_PER_S: Final = (0.0, 2.0, 10.0)
@@ -47,6 +57,8 @@
     {"one_way": "to_target"},
     {"one_way": "from_target"},
     {"drop_existing": True},
+    # Open connections are silent for good, new ones work.
+    {"silent": True},
 )
 
 
@@ -78,6 +90,7 @@
         self._disrupted: set[str] = set()
         self._copies: list[StoreCopy] = []
         self._copied_at_s = 0.0
+        self._favours_store = seed % STORE_SEED_PERIOD == 0
         self._revision = 1
         self._sequence = 1
         self.problems: list[str] = []
@@ -88,6 +101,7 @@
             self._pause,
             self._reload,
             self._degrade_store,
+            self._silence_store,
             self._disturb_store_link,
             self._forget_store_history,
             self._return_store,
@@ -105,8 +119,11 @@
         )
 
     def inject(self) -> None:
-        """Begins a random fault."""
-        self._random.choice(self._kinds)()
+        """Begins a random fault; with some seeds, mostly one of the store."""
+        kinds = self._kinds
+        if self._favours_store and self._random.random() < STORE_FAULT_RATIO:
+            kinds = (self._silence_store, self._return_store)
+        self._random.choice(kinds)()
 
     def tick(self) -> None:
         """Ends faults that are due, and restarts nodes that have exited."""
@@ -257,27 +274,45 @@
     # The store.
 
     def _degrade_store(self) -> None:
+        kinds = ("down", "busy", "silent", "lost answers")
+        self._disturb_store(self._random.choice(kinds))
+
+    def _silence_store(self) -> None:
+        """Silences the store soon after a change, which all nodes then await."""
+        if STORE not in self._disrupted:
+            self._change_configuration()
+            self._schedule(lambda: self._disturb_store("silent"), STEP_S)
+
+    def _disturb_store(self, kind: str) -> None:
         if STORE in self._disrupted:
             return
         store = self._deployment.store
-        kind = self._random.choice(
-            ("down", "busy", "unresponsive", "lost answers")
-        )
         self._begin(STORE, kind)
         store.status = {"down": 503, "busy": 429}.get(kind, 0)
-        store.is_unresponsive = kind == "unresponsive"
+        if kind == "silent":
+            store.fall_silent()
         if kind == "lost answers":
             store.lost_answer_count = self._random.randint(1, 6)
 
         def undo() -> None:
-            store.status, store.is_unresponsive, store.lost_answer_count = (
-                0,
-                False,
-                0,
-            )
+            store.status = store.lost_answer_count = 0
+            store.answer_again()
             self._end(STORE, kind)
+            self._change_after_store_fault()
 
-        self._schedule(undo, self._duration_s())
+        max_s = MAX_SILENCE_S if kind == "silent" else MAX_FAULT_S
+        self._schedule(undo, self._duration_s(max_s))
+
+    def _change_after_store_fault(self) -> None:
+        """Changes the configuration soon, and often lets the store rest then.
+
+        The change must be in force in time only if nothing disturbs it.
+        """
+        if self._random.random() < REST_RATIO:
+            self._disrupted.add(STORE)
+            self._schedule(lambda: self._disrupted.discard(STORE), REST_S)
+        delay_s = self._random.uniform(0, CONFIG_APPLY_S)
+        self._schedule(self._change_configuration, delay_s)
 
     def _disturb_store_link(self) -> None:
         if STORE not in self._disrupted:
@@ -310,6 +345,7 @@
         store = self._deployment.store
         self._begin(STORE, "return")
         store.status = 503
+        self._deployment.set_link_faults(STORE, {"drop_existing": True})
 
         def come_back() -> None:
             self._deployment.return_store_from(copy)
@@ -320,6 +356,7 @@
         def write_again() -> None:
             self._deployment.write_again()
             self._end(STORE, "return")
+            self._change_after_store_fault()
 
         self._schedule(come_back, self._duration_s(MAX_AWAY_S))
 
--- a/tests/on_platform/fleet_soak.py
+++ b/tests/on_platform/fleet_soak.py
@@ -20,7 +20,7 @@
 from faulty_deployment import FaultyDeployment
 from fleet_checks import find_problems
 from fleet_faults import FleetFaults
-from fleet_history import FleetHistory
+from fleet_history import CONTACT_S, FleetHistory
 from fleet_load import FleetLoad, is_fatal, request_each_kind
 
 FAULTS_S: Final = 12.0
@@ -57,6 +57,7 @@
     """Runs one deployment under the random faults of a seed."""
     history = FleetHistory()
     with FaultyDeployment(folder) as deployment:
+        deployment.contact_ms = int(1000 * CONTACT_S)
         deployment.has_node_links = nodes_per_zone <= MAX_LINKED_NODES_PER_ZONE
         deployment.start_nodes_in_each_zone(nodes_per_zone)
         for servers in deployment.backends.values():
--- a/tests/on_platform/test_fleet_soak.py
+++ b/tests/on_platform/test_fleet_soak.py
@@ -28,6 +28,8 @@
         7,
         # A request that crashed servers reached them at all nodes again.
         102,
+        # A change after the store was silent was late at all nodes.
+        8403,
     ],
 )
 def test_seed_that_found_a_violation(tmp_path: pathlib.Path, seed: int) -> None:
--- a/tests/on_platform/test_store_return_machine.py
+++ b/tests/on_platform/test_store_return_machine.py
@@ -25,6 +25,7 @@
 )
 from model_store import ModelClient, ModelCopy, ModelStore
 
+from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 from mulberrybay_core.restore_rules import RESTORE_PERIOD_S
 from mulberrybay_deployment.documents import DeploymentDocuments
 from mulberrybay_edge.decision_log import DecisionLog
@@ -107,6 +108,7 @@
             watch._backoff = Backoff(
                 FIRST_RETRY_S, MAX_RETRY_S, random.Random(seed)
             )
+            watch._random = random.Random(seed)
             watch.start()
 
     def out_orders(self) -> dict[str, int]:
@@ -166,9 +168,6 @@
             _Node(self.store, self.clock, seed + number)
             for number in range(NODE_COUNT)
         ]
-        # One node only learns from the others.
-        for watch in self.nodes[-1].view.watches:
-            watch.set_paused(True)
         self._advance(1.0)
 
     # What operators and backend servers write.
@@ -340,9 +339,6 @@
         seed = self.random.randrange(2**16)
         self.nodes[number] = _Node(self.store, self.clock, seed)
         self.nodes[number].disrupted_until_s = self.clock.now_s
-        if number == NODE_COUNT - 1:
-            for watch in self.nodes[number].view.watches:
-                watch.set_paused(True)
         self._pass_time()
 
     @rule(
@@ -385,6 +381,15 @@
                 for peer in self.nodes
                 if peer is not node
             ]
+            if node is self.nodes[-1]:
+                # It stands in only while the store answers no other node.
+                watch.set_paused(
+                    any(
+                        peer.age_s(self.clock.now_s)
+                        < DEFAULT_FOLLOW_TIMES.max_peer_age_s
+                        for peer in peers
+                    )
+                )
             if watch.needs_complete_update:
                 settled = [peer for peer in peers if not peer.is_restoring]
                 update = settled[0].cache.update_since(0) if settled else None
