Take from a superseded call of the store nothing that is of another time

Since calls stay open beside later ones, the reply to a watch of an earlier era could come after the objects of the later era were listed: it has the changes after another point of the history, and taking its position would skip those in between for good. A list that was overtaken by a later one could take back what that one had, while a store that returned from a copy is doubted and lists replace all. Now a reply of another era than its call only makes the node list again, and a list below the known position is left out. Both tests fail before.

--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -347,6 +347,10 @@
         # After the delay, the list of nodes shows whether other nodes watch.
         # If they do, this watch is paused by then.
         self._schedule_watch()
+        if self.version is not None and result.store_version < self.version:
+            # A later call or a peer has told more since the list was sent.
+            self._needs_list = False
+            return
         # A fault of the listener leaves the flag set: the list is read again.
         self._needs_list = True
         if self._is_later_era(result.store_version):
@@ -382,7 +386,7 @@
             self.start()
             return
         self._generation += 1
-        generation = self._generation
+        generation, since = self._generation, self.version
         confirms_list = self._has_stale_list and self.serves_others
         # A store that failed answers at once or not at all.
         timeout_s = 0.0 if confirms_list or self.is_failing else self._wait_s()
@@ -391,7 +395,7 @@
         def on_result(result: ObjectList | Failure) -> None:
             self._open_watches.pop(generation, None)
             if not isinstance(result, Failure):
-                self._on_watch_result(result)
+                self._on_watch_result(result, since)
             elif generation == self._generation:
                 self._on_watch_failure(result)
 
@@ -410,11 +414,16 @@
             self._needs_list = True
         self._schedule_retry(failure)
 
-    def _on_watch_result(self, result: ObjectList) -> None:
+    def _on_watch_result(self, result: ObjectList, since: int) -> None:
+        """Applies changes after a position, if it means the same to the store.
+
+        A call that was open as the store returned from a copy gets the changes
+        after a revision of the later era.
+        """
         self._record_success(is_stale=False)
         while self._open_watches:
             self._open_watches.popitem()[1]()
-        if self._is_later_era(result.store_version):
+        if era_of(result.store_version) != era_of(since):
             self._needs_list = True
             self.start()
             return
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -17,6 +17,7 @@
 from mulberrybay_core.store_position import make_position
 from mulberrybay_edge.store_watch import (
     BATCH_DELAY_S,
+    LIST_PATIENCE_S,
     MAX_OPEN_COUNT,
     MAX_RETRY_S,
     StoreWatch,
@@ -295,3 +296,37 @@
 
     assert started.watch.is_restoring
     assert not started.watch.trusts_store
+
+
+def test_reply_to_a_watch_of_an_earlier_era_skips_no_change_of_the_later_one() -> (
+    None
+):
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    started.store.era = 1
+    started.watch.check()
+    started.store.lists[1](ObjectList((), make_position(1, 3)))
+
+    # It has what came after revision 5, and lacks what came after revision 3.
+    started.store.watches[0](ObjectList((), make_position(1, 7)))
+
+    assert started.watch.version == make_position(1, 3)
+    assert len(started.store.lists) == 3
+
+
+def test_list_that_comes_after_a_later_one_takes_nothing_back() -> None:
+    """While a store that returned from a copy is doubted, lists replace all."""
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    started.store.era = 1
+    started.watch.check()
+    advance_with_checks(started, LIST_PATIENCE_S + 2 * CHECK_PERIOD_S)
+    assert len(started.store.lists) == 3
+    position = make_position(1, 8)
+    added = StoredObject("servers", "i-1", position, {})
+
+    started.store.lists[2](ObjectList((added,), position))
+    started.store.lists[1](ObjectList((), make_position(1, 7)))
+
+    assert started.watch.version == position
+    assert started.watch.cache.find("i-1") is not None
