--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -156,9 +156,21 @@
     }
 
 
+def service_settings(name: str) -> dict[str, Any]:
+    """Returns a service for the operator's configuration."""
+    return {
+        "name": name,
+        "health_path": "/health",
+        "max_conns": 30,
+        "protocol": "h1",
+        "tls": False,
+        "warmup_s": 3.0,
+        "warmup_per_s": 0.0,
+    }
+
+
 def configuration(revision: int, **fields: object) -> dict[str, Any]:
     """Returns an operator's configuration; `fields` override its fields."""
-    services = [*SHARDS, *SINGLE_SERVICES]
     return {
         "revision": revision,
         "routes": [
@@ -178,16 +190,7 @@
             ),
         ],
         "services": [
-            {
-                "name": name,
-                "health_path": "/health",
-                "max_conns": 30,
-                "protocol": "h1",
-                "tls": False,
-                "warmup_s": 3.0,
-                "warmup_per_s": 0.0,
-            }
-            for name in services
+            service_settings(name) for name in (*SHARDS, *SINGLE_SERVICES)
         ],
         "limits": {
             "max_header_bytes": 4096,
@@ -204,11 +207,15 @@
 
     Attributes:
         zones: The zones of a service's backend servers, one per server.
+        shards: The services whose replies are parts of an answer.
+        services: The services that have backend servers from the start.
         contact_ms: The bound that nodes have after a fault.
         config_apply_ms: The bound that they have otherwise.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-a")
+    shards: tuple[str, ...] = SHARDS
+    services: tuple[str, ...] = (*SHARDS, *SINGLE_SERVICES)
     contact_ms: int = 4000
     config_apply_ms: int = 3000
 
@@ -231,10 +238,10 @@
         self._processes = self._exit_stack.enter_context(
             Processes(self._folder)
         )
-        for service in (*SHARDS, *SINGLE_SERVICES):
+        for service in self.services:
             for zone in self.zones:
                 self.add_backend(service, zone=zone)
-        self.put("config", "main", configuration(1))
+        self.put("config", "main", self.first_configuration())
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -242,6 +249,10 @@
 
     # The platform: the store and the backend servers.
 
+    def first_configuration(self) -> dict[str, Any]:
+        """Returns the configuration with which nodes start."""
+        return configuration(1)
+
     def put(self, kind: str, name: str, spec: object) -> None:
         """Writes an object to the store."""
         self._written[kind, name] = spec
@@ -287,7 +298,9 @@
         self, service: str, *, zone: str = "zone-a"
     ) -> BackendStandIn:
         """Starts a backend server and registers it in the store."""
-        backend = BackendStandIn(service, is_shard=service in SHARDS, zone=zone)
+        backend = BackendStandIn(
+            service, is_shard=service in self.shards, zone=zone
+        )
         backend.connect_port = self._add_link(backend.server_id, backend.port)
 
         async def on_running(is_running: bool) -> None:
