Use no load of a backend server that can't be computed with

Callers got 502 for all requests of a service for as long as its servers named a load of some hundred digits, or a negative one was believed.

Ruled out: other numbers in replies (Retry-After, Server-Limit, Keep-Alive) are bounded already, by reading.

--- a/packages/core/mulberrybay_core/placement.py
+++ b/packages/core/mulberrybay_core/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
+from mulberrybay_core.load_report import LoadReport
 from mulberrybay_core.server_directory import KnownServer
 
 # Weight of one latency sample in the estimate.
@@ -41,14 +42,6 @@
 MAX_JITTER_RATIO: Final = 0.06
 
 
-class LoadReport(NamedTuple):
-    """The load that a backend server reports with a reply."""
-
-    running_count: int
-    waiting_count: int
-    slot_count: int
-
-
 class ServerState:
     """What this node has observed of one backend server.
 
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -5,8 +5,8 @@
 import pytest
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.load_report import LoadReport
 from mulberrybay_core.placement import (
-    LoadReport,
     PlacementQuery,
     ServerState,
     choose_server,
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -7,8 +7,8 @@
 
 from mulberrybay_core.caller_messages import LEAVING_VALUE, HeaderNames
 from mulberrybay_core.fatal_requests import is_proof_of_life
+from mulberrybay_core.load_report import LoadReport
 from mulberrybay_core.placement import (
-    LoadReport,
     PlacementQuery,
     ServerState,
     choose_server,
@@ -444,7 +444,7 @@
                 outcome, server_id, None, result.detail, is_sent
             )
         self._context.reach.record_reply(server_id, now_s)
-        self._record_load(state, reply, now_s)
+        self._record_load(state, server_id, reply, now_s)
         if reply.status != 421:
             # Otherwise another server answered at the address.
             self._record_announcements(attempt.server, reply, now_s)
@@ -481,16 +481,16 @@
         )
 
     def _record_load(
-        self, state: ServerState, reply: HttpReply, now_s: float
+        self, state: ServerState, server_id: str, reply: HttpReply, now_s: float
     ) -> None:
-        fields = reply.headers.get(self._load_header, "").split(",")
-        if len(fields) != 3:
-            return
-        try:
-            running, waiting, slots = (int(field) for field in fields)
-        except ValueError:
+        text = reply.headers.get(self._load_header)
+        if text is None:
             return
-        state.record_load(LoadReport(running, waiting, slots), now_s)
+        report = LoadReport.from_header(text)
+        if report is None:
+            self._count_unreadable(server_id, "load", text)
+        else:
+            state.record_load(report, now_s)
 
     def _record_announcements(
         self, server: KnownServer, reply: HttpReply, now_s: float
--- a/tests/on_platform/test_server_announcements.py
+++ b/tests/on_platform/test_server_announcements.py
@@ -160,3 +160,21 @@
 
     assert node.send_request("/records/1").status == 200
     assert "unreadable reply header" in deployment.messages(node)
+
+
+@pytest.mark.parametrize(
+    "load",
+    ["9" * 400 + ",0,2", "1," + "9" * 5000 + ",2", "-7,0,2", "1,0", "a,b,c"],
+    ids=["huge", "of many digits", "negative", "too short", "no numbers"],
+)
+def test_unreadable_load_of_servers_fails_no_request(
+    deployment: Deployment, load: str
+) -> None:
+    for backends in deployment.backends.values():
+        for backend in backends:
+            backend.headers = (("X-Server-Load", load),)
+    (node,) = deployment.start_nodes(1)
+
+    send_each_kind(node, 5)
+
+    assert "a handler failed" not in deployment.messages(node)
