--- a/tests/on_platform/test_server_entries.py
+++ b/tests/on_platform/test_server_entries.py
@@ -3,6 +3,7 @@
 from typing import Any, Final
 
 import pytest
+from deployment import Deployment
 from hypothesis import given, settings, strategies
 from test_store_input import DOCUMENTS, SERVER, values
 
@@ -57,3 +58,23 @@
 ) -> None:
     value = {**SERVER, "address": address}
     assert DOCUMENTS.read_server(StoredObject("", "i-1", 1, value)) is None
+
+
+def test_names_that_are_no_unicode_keep_no_node_from_the_list(
+    deployment: Deployment,
+) -> None:
+    for backends in deployment.backends.values():
+        for server in backends:
+            entry = server.entry()
+            deployment.put("servers", f"{server.server_id}\ud800", entry)
+            odd = server.entry(
+                zone="\ud800", revision="\ud800", service="\ud800"
+            )
+            deployment.put("servers", f"{server.server_id}-odd", odd)
+    deployment.put("evacuations", "\ud800", {})
+    nodes = deployment.start_nodes(3)
+
+    for node in nodes:
+        assert node.send_request("/search/x").status == 200
+        assert "a handler failed" not in deployment.messages(node)
+        assert "unreadable frame" not in deployment.messages(node)
--- a/tests/on_platform/test_store_input.py
+++ b/tests/on_platform/test_store_input.py
@@ -112,3 +112,26 @@
     stored = StoredObject("", "main", 1, {**configuration(1), **changes})
     decoded = DOCUMENTS.read_configuration(stored)
     assert decoded is None or isinstance(decoded, RoutingConfiguration)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    ['{"meta":{"name":"b","rev":-1}}', '{"meta":{"name":"b"}}', "17"],
+)
+def test_page_of_odd_entries_does_not_end_the_list(odd: str) -> None:
+    sound = item("a", json.dumps(SERVER))
+    for texts in ([odd], [sound, odd], [odd, sound]):
+        body = f'{{"items":[{",".join(texts)}],"has_more":true,"as_of":9}}'
+        objects = DIALECT.decode_list(make_reply(body.encode()))
+        names = [json.loads(text) for text in texts]
+        last = [n["meta"]["name"] for n in names if isinstance(n, dict)]
+        assert isinstance(objects, ObjectList)
+        assert objects.next_name == (last[-1] if last else "")
+
+
+def test_name_that_can_not_be_sent_names_no_object() -> None:
+    texts = [item(r"b\ud800", json.dumps(SERVER)), item("c", "{}")]
+    body = f'{{"items":[{",".join(texts)}],"as_of":9}}'
+    objects = DIALECT.decode_list(make_reply(body.encode()))
+    assert isinstance(objects, ObjectList)
+    assert [stored.name for stored in objects.items] == ["c"]
