Report no fault of a node's own as a peer's unreadable frame

A fault of a listener while an update was applied (any ValueError) was counted and logged as an unreadable frame of the peer and lost its trace. Callers saw nothing of it; the node asks a peer again.

Two tests failed before. Frames are decoded within the handler, applied and answered after it. Looked at and left, by reading: heartbeats (decoded apart already), replies of backend servers to both kinds of nodes, links between nodes with holders (the handler catches frame errors only, which no listener raises).

--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -149,16 +149,21 @@
     def on_data(self, stream: Stream, data: bytes) -> None:
         """Replies to requests."""
         try:
-            for payload in self._frame_reader.feed(data):
-                reply = self._exchange.make_reply(payload)
-                if reply is None:
-                    stream.close()
-                else:
-                    stream.send(reply)
-                    self._exchange.add_replying_stream(stream)
+            requests = [
+                decode_request(payload)
+                for payload in self._frame_reader.feed(data)
+            ]
         except _DECODE_ERRORS as error:
             self._exchange.record_unreadable(stream.peer, error)
             stream.close()
+            return
+        for kind_index, since_version in requests:
+            reply = self._exchange.make_reply(kind_index, since_version)
+            if reply is None:
+                stream.close()
+                return
+            stream.send(reply)
+            self._exchange.add_replying_stream(stream)
 
     def on_closed(self, stream: Stream, reason: str) -> None:
         """Handles the end of the connection, with or without a reply."""
@@ -189,16 +194,19 @@
     def on_data(self, stream: Stream, data: bytes) -> None:
         """Applies the update that the peer sent."""
         try:
-            for payload in self._frame_reader.feed(data):
-                kind_index, update = decode_update(payload)
-                if kind_index == self.kind_index:
-                    self._exchange.record_update(kind_index, update)
-                    self.apply(update)
-                self._finish_and_close(stream)
-                return
+            payloads = self._frame_reader.feed(data)
+            decoded = decode_update(payloads[0]) if payloads else None
         except _DECODE_ERRORS as error:
             self._exchange.record_unreadable(stream.peer, error)
             self._finish_and_close(stream)
+            return
+        if decoded is None:
+            return
+        self._finish_and_close(stream)
+        kind_index, update = decoded
+        if kind_index == self.kind_index:
+            self._exchange.record_update(kind_index, update)
+            self.apply(update)
 
     def on_closed(self, stream: Stream, reason: str) -> None:
         """Handles a connection that closed without a reply.
@@ -292,13 +300,12 @@
         if self._pending.get(request.kind_index) is request:
             del self._pending[request.kind_index]
 
-    def make_reply(self, payload: bytes) -> bytes | None:
+    def make_reply(self, kind_index: int, since_version: int) -> bytes | None:
         """Returns the frame that replies to a request.
 
         None if this node has not read the kind, or if it is already sending
         as many replies as it may.
         """
-        kind_index, since_version = decode_request(payload)
         if kind_index >= len(self._watches):
             return None
         if self._count_replying() >= MAX_CONCURRENT_REPLY_COUNT:
--- a/packages/edge/tests/test_peer_exchange.py
+++ b/packages/edge/tests/test_peer_exchange.py
@@ -175,3 +175,38 @@
     assert stream.is_closed
     assert lagging.watch.version is None
     assert lagging.exchange.counts["unreadable"] == 1
+
+
+class _FaultyListener(_Listener):
+    def on_list(self, objects: ObjectList) -> None:
+        raise ValueError("a fault of this node")
+
+
+def test_own_fault_while_an_update_is_applied_is_no_unreadable_frame() -> None:
+    informed, lagging = _Node(40), _Node()
+    lagging.watch = StoreWatch(None, Timers(), "servers", _FaultyListener())
+    stream, request = request_update(lagging)
+    reply_stream = informed.receive_request(stream.sent[0])
+
+    with pytest.raises(ValueError, match="a fault of this node"):
+        request.on_data(stream, b"".join(reply_stream.sent))
+
+    assert stream.is_closed
+    assert lagging.exchange.counts["unreadable"] == 0
+    lagging.exchange.request_update(PEER, 0, 0, apply)
+    assert len(lagging.streams.dialled) == 2
+
+
+def test_own_fault_while_a_reply_is_made_is_no_unreadable_frame(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    informed, lagging = _Node(40), _Node()
+    stream, _ = request_update(lagging)
+
+    def fail(_: int) -> None:
+        raise ValueError("a fault of this node")
+
+    monkeypatch.setattr(informed.watch.cache, "update_since", fail)
+    with pytest.raises(ValueError, match="a fault of this node"):
+        informed.receive_request(stream.sent[0])
+    assert informed.exchange.counts["unreadable"] == 0
