--- a/packages/core/tests/test_request_identity.py
+++ b/packages/core/tests/test_request_identity.py
@@ -31,6 +31,13 @@
         {"headers": (*REQUEST.headers, ("X-Client-Request-Id", "1"))},
         {"headers": (*REQUEST.headers, ("X-Forwarded-Proto", "https"))},
         {"headers": (("Host", "A.example:80"), ("Authorization", "alice"))},
+        {"headers": (*REQUEST.headers, ("b3", "80f198ee56343ba8-1-1"))},
+        {"headers": (*REQUEST.headers, ("newrelic", "eyJ2IjpbMCwxXX0="))},
+        {"headers": (*REQUEST.headers, ("sw8", "1-TRACE-SEGMENT-3"))},
+        {"headers": (*REQUEST.headers, ("X-Sent-At", "1700000000123"))},
+        {"headers": (*REQUEST.headers, ("User-Agent", "client/1.2 (try 3)"))},
+        {"headers": (*REQUEST.headers, ("Accept", "*/*"))},
+        {"headers": (*REQUEST.headers, ("Content-Length", "4"))},
     ],
 )
 def test_repeat_of_a_request_has_its_identity(changes: dict) -> None:
@@ -62,6 +69,9 @@
         {"body": b"bod"},
         {"headers": (("Host", "a.example"), ("Authorization", "bob"))},
         {"headers": (("Host", "a.example"),)},
+        {"headers": (*REQUEST.headers, ("Cookie", "session=2"))},
+        {"headers": (*REQUEST.headers, ("X-Api-Key", "2"))},
+        {"headers": (*REQUEST.headers, ("X-Forwarded-For", "10.0.0.2"))},
     ],
 )
 def test_another_request_has_another_identity(changes: dict) -> None:
