Decode no value from outside with fewer errors expected than it may raise

A node would learn of no other node as long as one entry of theirs had a number out of range: its decoder did not expect OverflowError, so the listener failed for the whole list, again and again. The same in health replies ({"status": []}) and the list of VMs of nodes with holders.

All use DECODE_ERRORS now. The test of an entry with an infinite number failed before; those of health replies came with the change.

--- a/packages/backends/mulberrybay_backends/health.py
+++ b/packages/backends/mulberrybay_backends/health.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.fleet import BackendServer
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.http_exchange import (
@@ -52,7 +53,7 @@
             return
         for http_reply in replies:
             reply, self.reply = self.reply, None
-            is_leaving = _parse_is_leaving(http_reply)
+            is_leaving = parse_is_leaving(http_reply)
             if reply is not None and is_leaving is not None:
                 reply(is_leaving)
 
@@ -68,13 +69,13 @@
             self.stream = None
 
 
-def _parse_is_leaving(reply: HttpReply) -> bool | None:
+def parse_is_leaving(reply: HttpReply) -> bool | None:
     """Returns whether the server is leaving; None if the reply is invalid."""
     try:
         status = json.loads(reply.body)["status"]
-    except (ValueError, KeyError, TypeError):
+        return {"live": False, "leaving": True}.get(status)
+    except DECODE_ERRORS:
         return None
-    return {"live": False, "leaving": True}.get(status)
 
 
 class HealthConnections:
--- a/packages/backends/tests/test_malformed_replies.py
+++ b/packages/backends/tests/test_malformed_replies.py
@@ -2,8 +2,10 @@
 
 import json
 
+import pytest
 from hypothesis import given, settings, strategies
 
+from mulberrybay_backends.health import parse_is_leaving
 from mulberrybay_backends.protocol import read_backend_reply
 from mulberrybay_core.attempts import AttemptKind
 from mulberrybay_core.backend_messages import BackendOutcome, BackendRequest
@@ -53,3 +55,10 @@
         json.loads(result.body.decode("ascii"))
     if result.run_state is RunState.NOT_RUN:
         assert headers.get("x-not-run") == "1" or status == 409
+
+
+@pytest.mark.parametrize(
+    "body", [b'{"status": []}', b'{"status": {}}', b"[" * 100_000, b"[]", b""]
+)
+def test_any_health_reply_is_read_or_ignored(body: bytes) -> None:
+    assert parse_is_leaving(HttpReply(200, {}, body, True)) is None
--- a/packages/core/mulberrybay_core/audit.py
+++ b/packages/core/mulberrybay_core/audit.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from mulberrybay_core.configuration import Configuration
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.platform_messages import JsonObject
 
 AUDIT_KIND: Final = "audit"
@@ -67,5 +68,5 @@
                 summary=str(value["summary"]),
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Error(f"not an audit entry: {error!r}")
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple, Protocol
 
 from mulberrybay_core.addresses import parse_address
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.edge_nodes import EdgeNodeInfo, EdgeNodes
 from mulberrybay_core.errors import Failure
 from mulberrybay_core.store_messages import (
@@ -97,7 +98,7 @@
                 "fatal_requests", {}
             ).items()
         }
-    except (AttributeError, TypeError, ValueError):
+    except DECODE_ERRORS:
         return {}
 
 
@@ -113,7 +114,7 @@
             parse_address(str(value["peer_address"])),
             float(value["cpu_cores"]),
         )
-    except (KeyError, TypeError, ValueError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/edge/tests/test_node_registry.py
+++ b/packages/edge/tests/test_node_registry.py
@@ -1,5 +1,6 @@
 """What nodes store in their entries for nodes that start later."""
 
+import math
 from collections.abc import Callable, Collection, Mapping, Sequence
 
 import pytest
@@ -48,6 +49,13 @@
     assert decode_registration(stored) == INFO
 
 
+@pytest.mark.parametrize("number", [math.inf, math.nan, "9" * 5000, None])
+def test_entry_with_a_number_out_of_range_names_no_node(number: object) -> None:
+    value = {**encode_registration(INFO, 0), "incarnation": number}
+    stored = StoredObject("nodes", "node", 1, value)
+    assert decode_registration(stored) is None
+
+
 CONDEMNED = "ab" * 16
 
 
--- a/packages/operators/mulberrybay_operators/burn_codec.py
+++ b/packages/operators/mulberrybay_operators/burn_codec.py
@@ -14,6 +14,7 @@
     Contributor,
 )
 from mulberrybay_core.configuration import Targets
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.operator_messages import NodeBurn
 
 # Counts of nodes can be added only if they cover the same time windows.
@@ -65,7 +66,7 @@
                 classes=tuple(_decode_class(x) for x in value["classes"]),
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Error(f"invalid service-level counts: {error!r}")
 
 
--- a/packages/platform/mulberrybay_platform/object_codec.py
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.store_messages import (
     JsonObject,
@@ -51,14 +52,7 @@
 ) -> T | Failure:
     try:
         return read(json.loads(reply.body))
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except DECODE_ERRORS as error:
         return _platform_failure(reply, f"malformed reply: {error!r}")
 
 
--- a/packages/platform/mulberrybay_platform/vm_list.py
+++ b/packages/platform/mulberrybay_platform/vm_list.py
@@ -3,6 +3,7 @@
 import json
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.errors import Failure, FailureKind, Step
 from mulberrybay_core.fleet import BackendServer, EntryVm, Fleet, VmState
 from mulberrybay_core.store_messages import JsonObject
@@ -19,7 +20,7 @@
         servers = [
             _parse_backend_server(vm) for vm in vms if vm["role"] == "backend"
         ]
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return _failure(f"malformed VM list: {error!r}")
     return Fleet(entry_vms, servers)
 
