Bound the time that nodes with holders count on one call to the store

Nodes with holders waited for a watch that nobody answers for 12 s, where a configuration must be in force within 5 s, and a configuration with a number out of range ended their following for good: the next call was sent by the handler of the reply before.

Change: ObjectFollower sends the next call before it passes a reply on, and lists the objects beside a call whose reply is overdue, 0.5 s after the store should have answered.

The stand-in of this platform answered a watch that had been waiting as a silence began, once the silence was over; it no longer does.

--- a/packages/core/mulberrybay_core/documents.py
+++ b/packages/core/mulberrybay_core/documents.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from mulberrybay_core.configuration import Configuration, Targets, WorkClass
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.errors import RunState
 from mulberrybay_core.platform_messages import JsonObject
 from mulberrybay_core.run_record import RunRecord
@@ -52,7 +53,7 @@
                 summary=str(value["summary"]),
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Error(f"not a configuration: {error!r}")
 
 
@@ -94,7 +95,7 @@
                 for item in value["snapshots"]
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Error(f"not a list of snapshots: {error!r}")
 
 
@@ -115,5 +116,5 @@
                 result_json=str(value["result_json"]),
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Error(f"not a run record: {error!r}")
--- a/packages/daemon/mulberrybay_daemon/configuration_task.py
+++ b/packages/daemon/mulberrybay_daemon/configuration_task.py
@@ -21,20 +21,20 @@
     decode_configuration,
     encode_configuration,
 )
-from mulberrybay_core.errors import Failure
 from mulberrybay_core.member_messages import (
     ConfigurationRequest,
     ConfigurationUpdate,
     NodeInfo,
 )
 from mulberrybay_core.platform_messages import ObjectList, PlatformStore
+from mulberrybay_daemon.object_follower import ObjectFollower
 from mulberrybay_nodes.links import Link, NodeLinks
-from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.timers import Timers
 
 WATCHER_COUNT: Final = 2
-WATCH_TIMEOUT_S: Final = 10.0
-WATCHER_CHECK_PERIOD_S: Final = 1.0
+# A call that is never answered and the list after it end well within the 5 s in
+# which a configuration must be in force.
+WATCH_WAIT_S: Final = 2.0
 
 
 class ConfigurationTask:
@@ -49,12 +49,16 @@
         on_change: Callable[[Configuration], None],
     ) -> None:
         self._node_id = node_id
-        self._store = store
-        self._timers = timers
         self._get_links = get_links
         self._on_change = on_change
-        self._backoff = Backoff(max_delay_s=1.0)
-        self._store_version = 0
+        self._follower = ObjectFollower(
+            store,
+            timers,
+            CONFIGURATION_KIND,
+            WATCH_WAIT_S,
+            self._on_objects,
+            lambda: bool(self.current.revision) and not self._is_watcher(),
+        )
         self._get_live_nodes: Callable[[], tuple[NodeInfo, ...]] = tuple
         self.current: Configuration = EMPTY_CONFIGURATION
 
@@ -66,7 +70,7 @@
                 platform.
         """
         self._get_live_nodes = get_live_nodes
-        self._read()
+        self._follower.start()
 
     def _is_watcher(self) -> bool:
         """Returns whether this node is to watch the platform.
@@ -80,31 +84,9 @@
         )
         return self._node_id in ranked[:WATCHER_COUNT]
 
-    def _read(self) -> None:
-        self._store.list_kind(CONFIGURATION_KIND, self._on_list)
-
-    def _watch(self) -> None:
-        if self.current.revision and not self._is_watcher():
-            self._timers.call_later(WATCHER_CHECK_PERIOD_S, self._watch)
-            return
-        self._store.watch(
-            CONFIGURATION_KIND,
-            self._store_version,
-            WATCH_TIMEOUT_S,
-            self._on_list,
-        )
-
-    def _on_list(self, result: Result[ObjectList, Failure]) -> None:
-        match result:
-            case Result(tag="ok", ok=objects):
-                self._backoff.reset()
-                self._store_version = objects.store_version
-                for item in objects.items:
-                    self._apply_document(item.value)
-                self._watch()
-            case _:
-                delay_s = self._backoff.next_delay_s()
-                self._timers.call_later(delay_s, self._read)
+    def _on_objects(self, objects: ObjectList) -> None:
+        for item in objects.items:
+            self._apply_document(item.value)
 
     def _apply_document(self, value: object) -> None:
         match decode_configuration(value):
--- a/packages/daemon/mulberrybay_daemon/fleet_task.py
+++ b/packages/daemon/mulberrybay_daemon/fleet_task.py
@@ -19,13 +19,13 @@
 from mulberrybay_core.platform_messages import ObjectList, PlatformStore
 from mulberrybay_core.snapshot import SNAPSHOT_KIND, IndexSnapshot
 from mulberrybay_core.snapshot_catalog import SnapshotCatalog
+from mulberrybay_daemon.object_follower import ObjectFollower
 from mulberrybay_nodes.links import Link, NodeLinks
-from mulberrybay_runtime.backoff import Backoff
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timers
 
 VM_LIST_PERIOD_S: Final = 1.0
-SNAPSHOT_WATCH_TIMEOUT_S: Final = 10.0
+SNAPSHOT_WAIT_S: Final = 4.0
 # Nodes read the list at different times, so a list that is newer by less than
 # this is not sent to a peer.
 PEER_AGE_MARGIN_S: Final = 3 * VM_LIST_PERIOD_S
@@ -53,11 +53,15 @@
         self._catalog = catalog
         self._get_links = get_links
         self._on_fleet = on_fleet
-        self._backoff = Backoff(max_delay_s=1.0)
-        # `_store_version` is the store's version at the last read,
-        # `_snapshot_version` that of the last known change of snapshots,
-        # which the platform or a peer reported.
-        self._store_version = 0
+        self._snapshot_follower = ObjectFollower(
+            store,
+            timers,
+            SNAPSHOT_KIND,
+            SNAPSHOT_WAIT_S,
+            self._apply_snapshot_objects,
+        )
+        # The version of the last known change of snapshots, which the platform
+        # or a peer reported.
         self._snapshot_version = NO_SNAPSHOT_VERSION
         self._fleet_read_at_s = -math.inf
         self._request_numbers = itertools.count()
@@ -74,7 +78,7 @@
     def start(self) -> None:
         """Starts to read VMs and snapshots from the platform."""
         self._read_vms()
-        self._store.list_kind(SNAPSHOT_KIND, self._on_snapshots)
+        self._snapshot_follower.start()
 
     def _read_vms(self) -> None:
         sent_at_s = read_clock_s()
@@ -93,27 +97,7 @@
         self.fleet = fleet
         self._on_fleet(fleet)
 
-    def _on_snapshots(self, result: Result[ObjectList, Failure]) -> None:
-        match result:
-            case Result(tag="ok", ok=objects):
-                self._backoff.reset()
-                self._apply_snapshot_objects(objects)
-                self._store.watch(
-                    SNAPSHOT_KIND,
-                    self._store_version,
-                    SNAPSHOT_WATCH_TIMEOUT_S,
-                    self._on_snapshots,
-                )
-            case _:
-                self._timers.call_later(
-                    self._backoff.next_delay_s(),
-                    lambda: self._store.list_kind(
-                        SNAPSHOT_KIND, self._on_snapshots
-                    ),
-                )
-
     def _apply_snapshot_objects(self, objects: ObjectList) -> None:
-        self._store_version = objects.store_version
         self._catalog.is_listed = True
         last_version = max((item.version for item in objects.items), default=0)
         if last_version < self._snapshot_version:
--- a/packages/testing/mulberrybay_testing/platform_control.py
+++ b/packages/testing/mulberrybay_testing/platform_control.py
@@ -47,10 +47,16 @@
 
 
 class PlatformFaults:
-    """The active faults of the platform stand-in."""
+    """The active faults of the platform stand-in.
+
+    Attributes:
+        silence_count: How often the stand-in has fallen silent. Calls that wait
+            as it does are never answered.
+    """
 
     def __init__(self) -> None:
         self.outage: Outage | None = None
+        self.silence_count = 0
         self.failing_kinds: frozenset[str] = frozenset()
         self.delay_s = 0.0
         self._answer_losses_left: dict[str, int] = {}
@@ -60,6 +66,7 @@
         """Applies the fault settings of a control document."""
         if "outage" in control:
             self.outage = control["outage"]
+            self.silence_count += self.outage == "silent"
         if "failing_kinds" in control:
             self.failing_kinds = frozenset(control["failing_kinds"])
         if "delay_s" in control:
--- a/packages/testing/mulberrybay_testing/platform_standin.py
+++ b/packages/testing/mulberrybay_testing/platform_standin.py
@@ -165,7 +165,10 @@
             float(request.query.get("timeout_s", "0")), _MAX_WATCH_S
         )
         ends_at_s = time.monotonic() + timeout_s
+        silence_count = self._faults.silence_count
         while True:
+            if silence_count != self._faults.silence_count:
+                await asyncio.Event().wait()
             outage = await self._apply_outage()
             if outage is not None:
                 return outage
