Condemn no request before other nodes can tell what else a server lost

Cause: a node judged a crash that it had seen before another node had told that the same crash ended the other request too (logs: condemned at 19.729 s, the other's third crash seen elsewhere at 19.725 s, known at 19.806 s).

Change: until 0.15 s after its last crash (check of the server, telling, links), a request that met another one with one crash less is undecided; a request that no other one explains is condemned at once, as before. The watch judges again by a timer, so that requests in progress end. A request that is condemned stays so.

The test on requests beside a fatal one asked for the judgement at the very moment of the fourth crash; it now asks that the innocent is not condemned then, and that the fatal one is 0.15 s later: the first is what the fault broke.

--- a/packages/core/mulberrybay_core/fatal_requests.py
+++ b/packages/core/mulberrybay_core/fatal_requests.py
@@ -9,14 +9,15 @@
 ran on the server has crashed as many in a row.
 
 Nodes tell each other of crashes and of replies that clear a request. Each judges
-by itself, and all judge alike once they know the same.
+by itself, and all judge alike once they know the same. Until others can have told
+what else a server lost, another request with one crash less may have caused all.
 """
 
 import hashlib
 import itertools
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final, NamedTuple
 
 # A request is condemned after this many crashes in a row.
@@ -25,6 +26,9 @@
 MAX_CRASH_COUNT: Final = 5
 # Servers that are killed one after the other end closer together than this.
 MIN_CRASH_GAP_S: Final = 0.025
+# What a server lost is known at all nodes after this time: the check of the server,
+# the time until nodes tell, and their links.
+TOLD_AFTER_S: Final = 0.15
 # A request that servers used to reply to is condemned only after this time without
 # a reply.
 MIN_SILENCE_S: Final = 1.0
@@ -161,10 +165,21 @@
 
 
 class _Candidates:
-    """Requests with enough crashes in a row to be condemned."""
-
-    def __init__(self, crashes: Mapping[bytes, tuple[Crash, ...]]) -> None:
+    """Requests with about enough crashes in a row to be condemned."""
+
+    def __init__(
+        self,
+        crashes: Mapping[bytes, tuple[Crash, ...]],
+        undecided: Collection[bytes],
+    ) -> None:
+        """Creates the candidates of one judgement.
+
+        Args:
+            crashes: The crashes in a row of each.
+            undecided: Those of whose last crash other nodes may know more.
+        """
         self._crashes = crashes
+        self._undecided = undecided
         self._by_server: dict[int, list[tuple[bytes, Crash]]] = {}
         for identity, in_a_row in crashes.items():
             for crash in in_a_row:
@@ -178,6 +193,8 @@
 
     def _is_guilty(self, identity: bytes) -> bool:
         crashes = self._crashes[identity]
+        if len(crashes) < CONDEMNED_COUNT:
+            return False
         if len(crashes) >= MAX_CRASH_COUNT:
             return True
         unexplained_count = sum(
@@ -187,7 +204,7 @@
 
     def _has_rival(self, identity: bytes, crash: Crash) -> bool:
         """Whether another request that ran there has as many crashes."""
-        count = len(self._crashes[identity])
+        count = len(self._crashes[identity]) - (identity in self._undecided)
         return any(
             name != identity
             and len(self._crashes[name]) >= count
@@ -205,6 +222,9 @@
         # recorded one after the other, are judged together.
         self._condemned: frozenset[bytes] = frozenset()
         self._is_judged = True
+        self._now_s = -math.inf
+        # When to judge again without further news.
+        self._decided_at_s = math.inf
         # When a server last ran a request and replied, by request; oldest first.
         self._replied_at_s: OrderedDict[bytes, float] = OrderedDict()
 
@@ -220,6 +240,7 @@
 
     def record_request(self, identity: bytes, now_s: float) -> None:
         """Records that a caller has sent a request."""
+        self.pass_time(now_s)
         suspect = self._suspects.get(identity)
         if suspect is not None:
             suspect.seen_at_s = now_s
@@ -263,6 +284,7 @@
         Returns:
             Whether the crashes in a row have changed.
         """
+        self.pass_time(now_s)
         suspect = self._suspects.get(identity) or _Suspect(now_s)
         replied_at_s = self._replied_at_s.get(identity, suspect.replied_at_s)
         known = (*suspect.crashes, *crashes)
@@ -313,18 +335,35 @@
         """Whether a request must not be sent to servers, except for trials."""
         return identity in self.condemned
 
+    def pass_time(self, now_s: float) -> None:
+        """Judges again what was undecided, if others can have told by now."""
+        self._now_s = max(self._now_s, now_s)
+        if self._now_s >= self._decided_at_s:
+            self._is_judged = False
+
     def _judge(self) -> None:
         candidates = {
             identity: suspect.crashes
             for identity, suspect in self._suspects.items()
-            if len(suspect.crashes) >= CONDEMNED_COUNT
+            if len(suspect.crashes) >= CONDEMNED_COUNT - 1
             and (
                 suspect.replied_at_s is None
                 or suspect.crashes[-1].crashed_at_s
                 >= suspect.replied_at_s + MIN_SILENCE_S
             )
         }
-        self._condemned = _Candidates(candidates).guilty()
+        decided_at_s = {
+            identity: self._suspects[identity].changed_at_s + TOLD_AFTER_S
+            for identity in candidates
+            if identity not in self._condemned
+        }
+        undecided = {
+            identity: at_s
+            for identity, at_s in decided_at_s.items()
+            if at_s > self._now_s
+        }
+        self._decided_at_s = min(undecided.values(), default=math.inf)
+        self._condemned = _Candidates(candidates, undecided).guilty()
 
     def last_crash_at_s(self, identity: bytes) -> float | None:
         """Returns when the last crash in a row was; None without any."""
--- a/packages/core/tests/test_fatal_requests.py
+++ b/packages/core/tests/test_fatal_requests.py
@@ -14,6 +14,7 @@
     MAX_SUSPECT_COUNT,
     MAX_TOLD_COUNT,
     TELL_S,
+    TOLD_AFTER_S,
     TRIAL_DELAYS_S,
     Crash,
     FatalRequests,
@@ -108,6 +109,8 @@
     assert not requests.condemned  # Either may have caused all of them.
 
     requests.record_crash(FATAL, crash(4, 3.5, 4.0), 4.0)
+    assert OTHER not in requests.condemned
+    requests.pass_time(4.0 + TOLD_AFTER_S)
 
     assert requests.condemned == {FATAL}
 
@@ -121,6 +124,29 @@
     requests.record_crash(OTHER, crash(3, 2.5, 3.0), 3.0)
     assert not requests.is_condemned(OTHER)
 
+    requests.pass_time(3.0 + TOLD_AFTER_S)
+
+    assert requests.condemned == {OTHER}
+
+
+@pytest.mark.parametrize("count", [CONDEMNED_COUNT, CONDEMNED_COUNT + 1])
+def test_innocent_request_is_at_no_time_condemned_for_crashes_of_another(
+    count: int,
+) -> None:
+    requests = FatalRequests()
+    for number in range(1, count + 1):
+        report = crash(number, number - 0.5, number)
+        # Another node saw the crash under the fatal request, and tells of it.
+        requests.record_crash(OTHER, report, number)
+        assert OTHER not in requests.condemned
+        requests.record_crash(FATAL, report, number + TOLD_AFTER_S / 2)
+        requests.pass_time(number + 0.4)
+        assert OTHER not in requests.condemned
+    report = crash(9, count + 0.5, count + 0.8)
+    requests.record_crash(FATAL, report, count + 0.8)
+    requests.pass_time(count + 0.8 + TOLD_AFTER_S)
+    assert requests.condemned == {FATAL}
+
 
 def test_requests_that_always_crash_servers_together_are_condemned() -> None:
     requests = FatalRequests()
--- a/packages/edge/mulberrybay_edge/crash_watch.py
+++ b/packages/edge/mulberrybay_edge/crash_watch.py
@@ -20,6 +20,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import (
     MAX_STORED_COUNT,
+    TOLD_AFTER_S,
     Crash,
     FatalRequests,
     SuspectReport,
@@ -240,6 +241,18 @@
 
         A change of one request may condemn another; see `FatalRequests`.
         """
+        self._timers.call_at(read_clock_s() + TOLD_AFTER_S, self._judge_again)
+        self._end_condemned(changed, condemned_before)
+
+    def _judge_again(self) -> None:
+        """Judges what could not be decided before other nodes had told."""
+        condemned = self.requests.condemned
+        self.requests.pass_time(read_clock_s())
+        self._end_condemned((), condemned)
+
+    def _end_condemned(
+        self, changed: Iterable[bytes], condemned_before: frozenset[bytes]
+    ) -> None:
         affected = {*changed, *(self.requests.condemned ^ condemned_before)}
         for identity in affected:
             self._log_change(identity)
