Let the soak find changes that are late after a silence, and odd entries

No fault wrote an entry of another writer.

A new fault writes odd entries for all services.

Watches into an earlier era alone are hidden by the bound on calls; the tests of the watch see them.

--- a/tests/on_platform/fleet_faults.py
+++ b/tests/on_platform/fleet_faults.py
@@ -24,9 +24,12 @@
 # The store rests until a change after its fault must be in force, and then some.
 REST_RATIO: Final = 0.7
 REST_S: Final = 2 * CONFIG_APPLY_S + 1.0
-# Of so many seeds, one has so many of its faults at the store.
+# Of so many seeds, one has faults of the store only: a node that starts again, or
+# is told of a change by another fault's end, would hide what the others miss.
 STORE_SEED_PERIOD: Final = 3
-STORE_FAULT_RATIO: Final = 0.6
+# How often all is written again, and changed, before nodes ask the store that has
+# returned.
+AT_ONCE_RATIO: Final = 0.5
 # By then all nodes wait for the next change.
 STEP_S: Final = 0.6
 MAX_SILENCE_S: Final = 11.0
@@ -37,11 +40,23 @@
 # Series of signals and changes, each soon after the one before.
 SERIES_COUNTS: Final = (4, 8)
 MAX_SERIES_GAP_S: Final = 0.4
+# Fields that make an entry name no server; empty for one that is missing.
+ODD_FIELDS: Final[tuple[dict[str, object], ...]] = (
+    {"address": "::1:8104", "revision": "", "sequence": ""},
+    {"address": "a.example:80"},
+    {"address": "127.0.0.1:99999"},
+    {"address": ["127.0.0.1", 80]},
+    {"warmup_left_ms": ""},
+    {"state": "resting"},
+)
 # Longer than the time in which nodes must react, so that violations show.
 WITHDRAWAL_S: Final = 7.0
 # The store returns from one of the last copies, each a second apart.
 COPY_PERIOD_S: Final = 1.0
 MAX_COPY_COUNT: Final = 4
+# Changes just before the store returns, of which only the last is written again.
+LOST_COUNTS: Final = (0, 3)
+CHANGE_COUNTS: Final = (1, 2)
 MAX_AWAY_S: Final = 1.0
 MAX_WRITE_AGAIN_S: Final = 2.0
 NO_LINK_FAULTS: Final[ProxySettings] = {
@@ -70,6 +85,11 @@
     undo: Callable[[], None]
 
 
+def disturbs_only_store(seed: int) -> bool:
+    """Whether a seed has faults of the store only."""
+    return seed % STORE_SEED_PERIOD == 0
+
+
 class FleetFaults:
     """Injects faults and records them in the history.
 
@@ -90,7 +110,8 @@
         self._disrupted: set[str] = set()
         self._copies: list[StoreCopy] = []
         self._copied_at_s = 0.0
-        self._favours_store = seed % STORE_SEED_PERIOD == 0
+        self._disturbs_only_store = disturbs_only_store(seed)
+        self._returns_store = seed % (2 * STORE_SEED_PERIOD) != 0
         self._revision = 1
         self._sequence = 1
         self.problems: list[str] = []
@@ -111,6 +132,7 @@
             self._degrade_server,
             self._drain,
             self._remove,
+            self._write_odd_entry,
             self._evacuate,
             self._change_configuration,
             self._limit_server,
@@ -119,10 +141,12 @@
         )
 
     def inject(self) -> None:
-        """Begins a random fault; with some seeds, mostly one of the store."""
+        """Begins a random fault; with some seeds, one of the store."""
         kinds = self._kinds
-        if self._favours_store and self._random.random() < STORE_FAULT_RATIO:
-            kinds = (self._silence_store, self._return_store)
+        if self._disturbs_only_store:
+            kinds = (self._silence_store,)
+            if self._returns_store:
+                kinds = (self._silence_store, self._return_store)
         self._random.choice(kinds)()
 
     def tick(self) -> None:
@@ -303,16 +327,21 @@
         max_s = MAX_SILENCE_S if kind == "silent" else MAX_FAULT_S
         self._schedule(undo, self._duration_s(max_s))
 
-    def _change_after_store_fault(self) -> None:
+    def _change_after_store_fault(self, *, has_changed: bool = False) -> None:
         """Changes the configuration soon, and often lets the store rest then.
 
         The change must be in force in time only if nothing disturbs it.
+
+        Args:
+            has_changed: Whether it has just been changed.
         """
-        if self._random.random() < REST_RATIO:
+        rests = self._random.random() < REST_RATIO
+        if rests or self._disturbs_only_store:
             self._disrupted.add(STORE)
             self._schedule(lambda: self._disrupted.discard(STORE), REST_S)
-        delay_s = self._random.uniform(0, CONFIG_APPLY_S)
-        self._schedule(self._change_configuration, delay_s)
+        if not has_changed:
+            delay_s = self._random.uniform(0, CONFIG_APPLY_S)
+            self._schedule(self._change_configuration, delay_s)
 
     def _disturb_store_link(self) -> None:
         if STORE not in self._disrupted:
@@ -334,6 +363,17 @@
         self._schedule(undo, self._duration_s())
 
     def _return_store(self) -> None:
+        """Lets the store lose changes that the nodes have just learned.
+
+        What is written again has other revisions of the store than before.
+        """
+        if STORE in self._disrupted or not self._copies:
+            return
+        for _ in range(self._random.randint(*LOST_COUNTS)):
+            self._change_configuration()
+        self._schedule(self._start_return, STEP_S)
+
+    def _start_return(self) -> None:
         """Lets the store return from a copy that is some seconds old.
 
         What it lost is written again within the time that the users state.
@@ -349,14 +389,21 @@
 
         def come_back() -> None:
             self._deployment.return_store_from(copy)
+            if self._random.random() < AT_ONCE_RATIO:
+                # So many that revisions of the store may be given out again.
+                write_again(self._random.randint(*CHANGE_COUNTS))
+                store.status = 0
+                return
             store.status = 0
             again_s = self._random.uniform(0, MAX_WRITE_AGAIN_S)
             self._schedule(write_again, again_s)
 
-        def write_again() -> None:
+        def write_again(change_count: int = 0) -> None:
             self._deployment.write_again()
+            for _ in range(change_count):
+                self._change_configuration()
             self._end(STORE, "return")
-            self._change_after_store_fault()
+            self._change_after_store_fault(has_changed=change_count > 0)
 
         self._schedule(come_back, self._duration_s(MAX_AWAY_S))
 
@@ -483,6 +530,24 @@
                 lambda: self._register(server, "ready"),
             )
 
+    def _write_odd_entry(self) -> None:
+        """Writes entries of another writer, which name no server to use."""
+        name = f"odd-{next(self._numbers)}"
+        for servers in self._deployment.backends.values():
+            odd = self._random.choice(ODD_FIELDS)
+            entry = {**servers[0].entry(), **odd}
+            entry = {key: value for key, value in entry.items() if value != ""}
+            self._deployment.put(
+                "servers", f"{name}-{servers[0].service}", entry
+            )
+        self.fault_log.append(f"{time.monotonic():.2f} odd entries {name}")
+
+        def undo() -> None:
+            for service in self._deployment.backends:
+                self._deployment.remove("servers", f"{name}-{service}")
+
+        self._schedule(undo, WITHDRAWAL_S)
+
     # The operator.
 
     def _evacuate(self) -> None:
--- a/tests/on_platform/fleet_soak.py
+++ b/tests/on_platform/fleet_soak.py
@@ -19,11 +19,13 @@
 
 from faulty_deployment import FaultyDeployment
 from fleet_checks import find_problems
-from fleet_faults import FleetFaults
+from fleet_faults import FleetFaults, disturbs_only_store
 from fleet_history import CONTACT_S, FleetHistory
 from fleet_load import FleetLoad, is_fatal, request_each_kind
 
 FAULTS_S: Final = 12.0
+# A change after a fault of the store is due only some seconds later.
+STORE_FAULTS_RATIO: Final = 2.5
 MEAN_GAP_S: Final = 0.5
 TICK_S: Final = 0.05
 # Links of each node's own are proxies in this process.
@@ -55,6 +57,8 @@
     nodes_per_zone: int = 1,
 ) -> SoakResult:
     """Runs one deployment under the random faults of a seed."""
+    if disturbs_only_store(seed):
+        faults_s *= STORE_FAULTS_RATIO
     history = FleetHistory()
     with FaultyDeployment(folder) as deployment:
         deployment.contact_ms = int(1000 * CONTACT_S)
