Report a dial without a free descriptor instead of raising

Its caller got 502 though another server might have served it, the pool counted the connection for good, and calls to the store or to peers broke off where they were made.

Change: the stream's observer is told once, like after a refused connection, before the poller waits next.

--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -70,6 +70,10 @@
     return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
 
 
+def _connect_failure(code: int | None) -> str:
+    return f"connect failed: {errno.errorcode.get(code or 0, str(code))}"
+
+
 def _enable_keepalive_probes(connection: socket.socket) -> None:
     """Lets the kernel close a connection after seconds without a reply."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -186,6 +190,10 @@
         self._poller = poller
         self._streams: dict[socket.socket, Stream] = {}
         self._deferred_streams: list[Stream] = []
+        # Stands for the socket of streams that have none.
+        self._no_socket = socket.socket()
+        self._no_socket.close()
+        self._undialled: list[tuple[Stream, str]] = []
         self._listeners: dict[
             socket.socket, Callable[[Stream], StreamObserver]
         ] = {}
@@ -236,7 +244,13 @@
                 is idle (TCP keepalive) and closes it if the peer is
                 unresponsive.
         """
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            # The process has no descriptor left.
+            stream = Stream(self, self._no_socket, address, observer)
+            self._undialled.append((stream, _connect_failure(error.errno)))
+            return stream
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if detects_silence:
@@ -265,6 +279,8 @@
         del event
         while self._deferred_streams:
             self.send(self._deferred_streams.pop(), b"")
+        while self._undialled:
+            self.close_stream(*self._undialled.pop())
 
     def send(self, stream: Stream, data: bytes) -> bool:
         """Sends bytes; see `Stream.send`."""
@@ -307,10 +323,11 @@
         if not stream.is_open:
             return
         stream.is_open = False
-        self._streams.pop(stream.connection, None)
-        self._poller.discard(stream.connection)
-        with contextlib.suppress(OSError):
-            stream.connection.close()
+        if stream.connection is not self._no_socket:
+            self._streams.pop(stream.connection, None)
+            self._poller.discard(stream.connection)
+            with contextlib.suppress(OSError):
+                stream.connection.close()
         if reason is not None and stream.observer is not None:
             stream.observer.on_closed(stream, reason)
 
@@ -382,11 +399,8 @@
             stream.observer.on_connected(stream)
 
     def _fail_dial(self, stream: Stream, code: int) -> None:
-        if code == errno.ECONNREFUSED:
-            reason = CONNECTION_REFUSED
-        else:
-            name = errno.errorcode.get(code, str(code))
-            reason = f"connect failed: {name}"
+        is_refused = code == errno.ECONNREFUSED
+        reason = CONNECTION_REFUSED if is_refused else _connect_failure(code)
         self.close_stream(stream, reason)
 
     @handler("_disconnect", "_error", priority=1)
--- a/packages/runtime/tests/test_streams_dial.py
+++ b/packages/runtime/tests/test_streams_dial.py
@@ -10,6 +10,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_runtime.streams import Stream, Streams
+from mulberrybay_testing.waiting import wait_until
 
 
 class _Observer:
@@ -40,7 +41,10 @@
     with monkeypatch.context() as patch:
         patch.setattr(socket, "socket", fail)
         streams.dial(Address("127.0.0.1", 9), observer)
-    for _ in range(5):
-        root.tick(0.01)
+    assert observer.reasons == []
+    root.start()
+    wait_until(lambda: bool(observer.reasons), 5.0, "the dial has failed")
+    root.stop()
+    root.join()
 
-    assert len(observer.reasons) == 1
+    assert observer.reasons == ["connect failed: EMFILE"]
