Let the store-return machine fall silent before all is written again

What a copy lacks was written 0.1 s after the end of a silence, before most nodes had asked, and a silence longer than the time of doubt came right after a return by chance only.

Change: a rule of its own returns the store and silences it for 10 to 11 s, and writing resumes up to 2 s after a silence.

--- a/tests/on_platform/test_store_return_machine.py
+++ b/tests/on_platform/test_store_return_machine.py
@@ -175,7 +175,8 @@
     def _write_again(self) -> None:
         """Writes all that the store doesn't have as it should be."""
         if self.store.is_away or self.store.is_silent:
-            self.clock.call_later(STEP_S, self._write_again)
+            delay_s = self.random.uniform(STEP_S, MAX_WRITE_AGAIN_S)
+            self.clock.call_later(delay_s, self._write_again)
             return
         store = self.store
         wanted: dict[tuple[str, str], dict[str, Any] | None] = {
@@ -300,6 +301,19 @@
         self.clock.call_later(span_s, answer_again)
         self._pass_time()
 
+    @rule(
+        age_s=strategies.floats(0, MAX_COPY_AGE_S),
+        span_s=strategies.floats(RESTORE_PERIOD_S, MAX_SILENCE_S),
+    )
+    def fall_silent_before_it_is_written_again(
+        self, age_s: float, span_s: float
+    ) -> None:
+        """What the copy lacks is written again after a long silence only."""
+        self.return_from_copy_soon(age_s)
+        while self.store.is_away:
+            self._advance(STEP_S)
+        self.fall_silent(span_s)
+
     @property
     def is_disrupted(self) -> bool:
         store = self.store
