Judge a server as left only once the node has read that it leaves

Cause: the check, not the nodes. The store returned from a copy without the entry of i-5; the node's grace for removed entries ended 2.1 s later, before the entry that was written again reached it (replies 0.3 s late, one in five lost). The operator then took i-5 away. The check counted "not used, and gone by the truth" as "this node knows that it left", though the node had last read 785 and the removal is at 794. When the late reply of 789 (i-5 ready) came, it used i-5 again, rightly by all that it could know.

Ruled out: an older reply that undoes a newer one (789 was newer than all this node had read), and the machine's load (the clock is the test's).

Change: a server counts as left at a node only once the node's position has reached the write that says so. A write after the return sets that position anew; a server that drains first keeps the position of that.

--- a/tests/on_platform/model_store.py
+++ b/tests/on_platform/model_store.py
@@ -11,7 +11,11 @@
     ObjectList,
     StoredObject,
 )
-from mulberrybay_core.store_position import place_list, version_of
+from mulberrybay_core.store_position import (
+    make_position,
+    place_list,
+    version_of,
+)
 
 POLL_S: Final = 0.05
 CALL_TIMEOUT_S: Final = 1.5
@@ -64,6 +68,11 @@
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._changes: list[_Change] = []
 
+    @property
+    def position(self) -> int:
+        """The position of the last write."""
+        return make_position(self.era, self._revision)
+
     def names(self, kind: str) -> list[str]:
         """Returns the names of the objects of a kind."""
         return [name for key_kind, name in self._objects if key_kind == kind]
--- a/tests/on_platform/test_store_return_machine.py
+++ b/tests/on_platform/test_store_return_machine.py
@@ -27,6 +27,7 @@
 
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
 from mulberrybay_core.restore_rules import RESTORE_PERIOD_S
+from mulberrybay_core.store_position import era_of
 from mulberrybay_deployment.documents import DeploymentDocuments
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.platform_view import PlatformView
@@ -117,6 +118,13 @@
         assert {o.name for o in objects} == self.view.directory.out_domains
         return {stored.name: stored.value["number"] for stored in objects}
 
+    @property
+    def server_position(self) -> int:
+        """The position up to which this node has read servers' entries."""
+        kind = self.view.documents.kinds.servers
+        (watch,) = (w for w in self.view.watches if w.kind == kind)
+        return watch.version or 0
+
     def usable_ids(self) -> set[str]:
         return {
             server.entry.server_id
@@ -149,6 +157,8 @@
         self.copies: list[tuple[float, ModelCopy]] = []
         self.revision = 1
         self.states: dict[int, str] = {}
+        # Where the store says that a server leaves or has left.
+        self.left_positions: dict[str, int] = {}
         self.out_domains: set[str] = set()
         # Tells one time that a domain is out of service from the next.
         self.toggle_count = 0
@@ -201,6 +211,14 @@
                 store.put(kind, name, value)
             elif value is None and store.value(kind, name) is not None:
                 store.remove(kind, name)
+            else:
+                continue
+            if kind == "servers" and (
+                value is None or value["state"] != "ready"
+            ):
+                known = self.left_positions.get(name, 0)
+                if era_of(known) < store.era or not known:
+                    self.left_positions[name] = store.position
 
     @rule()
     def configure(self) -> None:
@@ -448,6 +466,8 @@
             if state != "ready"
             and f"i-{number}" in node.seen_ids
             and f"i-{number}" not in usable
+            and node.server_position
+            >= self.left_positions.get(f"i-{number}", math.inf)
         }
         # A server in a domain that is out of service is unusable for that.
         node.left_ids -= {
