Keep what a peer kept when an older list arrives late

What callers would see: a failure domain that operators have taken out of service gets requests again at a node, for as long as the next reply of the store takes (0.1 s in the trace; longer while the store is away).

Cause: after the store has returned from a copy, a node that has started since takes from a peer the objects that the copy lacks (`merge_kept`). They have the position at which the peer read or kept them, which may be later than the one up to which this node has read. `merge` removed whatever a list or an update does not name, without regard to positions; `apply` has always compared them. A list that the store sent before the domain was taken out, and that came late, so brought the domain back.

Ruled out: the rule of what is kept (`keep_out_of_service`), and expiry of the peer's knowledge; both are not called at that moment.

Change: `merge` removes an object only if the update is not older than it.

--- a/packages/core/mulberrybay_core/object_cache.py
+++ b/packages/core/mulberrybay_core/object_cache.py
@@ -119,8 +119,11 @@
             stored for stored in update.items if self._is_newer(stored)
         )
         present = set(update.names)
+        # What a peer kept may be of a later position than the update.
         removed_names = tuple(
-            name for name in self._objects if name not in present
+            name
+            for name, stored in self._objects.items()
+            if name not in present and stored.version <= update.store_version
         )
         changed = max((stored.version for stored in items), default=0)
         if removed_names:
--- a/packages/core/tests/test_object_cache.py
+++ b/packages/core/tests/test_object_cache.py
@@ -75,3 +75,19 @@
 
     assert changes.removed_names == ()
     assert version_by_name(cache) == {"a": 8}
+
+
+def test_list_that_is_older_than_a_kept_object_does_not_remove_it() -> None:
+    cache, peer = ObjectCache(), ObjectCache()
+    cache.replace(ObjectList((), 5))
+    peer.replace(ObjectList((stored("a", 9),), 9))
+    kept = peer.update_since(0)
+    assert kept is not None
+    cache.merge_kept(kept, lambda restored: restored.known)
+
+    # The store sent the list before the object was written.
+    changes = cache.replace(ObjectList((), 7))
+
+    assert changes.removed_names == ()
+    assert version_by_name(cache) == {"a": 9}
+    assert cache.replace(ObjectList((), 10)).removed_names == ("a",)
--- a/tests/on_platform/test_store_return_machine.py
+++ b/tests/on_platform/test_store_return_machine.py
@@ -34,6 +34,7 @@
 from mulberrybay_edge.store_watch import (
     FIRST_RETRY_S,
     MAX_RETRY_S,
+    StoreWatch,
 )
 from mulberrybay_runtime.backoff import Backoff
 
@@ -422,11 +423,7 @@
                         for peer in peers
                     )
                 )
-            if watch.needs_complete_update:
-                settled = [peer for peer in peers if not peer.is_restoring]
-                update = settled[0].cache.update_since(0) if settled else None
-                if update is not None:
-                    watch.apply_complete_update(update)
+            self._ask_for_restored_objects(node, watch, peers)
             newest = max(peer.changed_version for peer in peers)
             if not watch.is_behind(newest, self.clock.now_s):
                 continue
@@ -444,6 +441,22 @@
                         ),
                     )
 
+    def _ask_for_restored_objects(
+        self, node: _Node, watch: StoreWatch, peers: list[StoreWatch]
+    ) -> None:
+        """Asks a peer as the nodes' links do after a return of the store."""
+        restoring = [peer for peer in peers if peer.is_restoring]
+        settled = [peer for peer in peers if not peer.is_restoring]
+        if restoring and watch.needs_kept_objects(restoring[0].changed_version):
+            # Heartbeats and replies may be lost.
+            update = restoring[0].cache.update_since(0)
+            if update is not None and self.random.random() < 0.7:
+                watch.apply_kept_objects(update)
+        elif settled and watch.needs_complete_update:
+            update = settled[0].cache.update_since(0)
+            if update is not None:
+                watch.apply_complete_update(update)
+
     # What must hold.
 
     def _check(self, node: _Node) -> None:
