Don't pass on a status that says "not run" for a request that may have run

Cause: `ForwardHandler` kept any reply of a failed run to pass it on as it is, without regard to what its status says to a caller. Only the header says that a server did not run a request; 408, 421, 429 and 503 of a node say the same to its callers.

Ruled out: `RelayHandler`, which already judges the status of another node's refusal when a node before it may have run the request; `GatherHandler`, which passes no status on. A request that is handed on gets its answer from the other node's `ForwardHandler`.

Change: such a reply is not kept; without another one the caller gets 502 of this node, without a stamp, which promises nothing. A status that says nothing of this (500, 404) is passed on as before. The statuses stand in core once, for both handlers.

Result: the test fails before for 408, 429 and 503 and both kinds of routes, and passes after.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -4,6 +4,8 @@
 
 from mulberrybay_core.caller_messages import CallerAnswer
 
+# Answers with these statuses say that the request was not run.
+REFUSAL_STATUSES: Final = (408, 421, 429, 503)
 BAD_REQUEST: Final = CallerAnswer(400, body=b"the request is not valid HTTP\n")
 NO_ROUTE: Final = CallerAnswer(404, body=b"no route has this host and path\n")
 REQUEST_TIMEOUT: Final = CallerAnswer(
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -153,7 +153,7 @@
         if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
             self._may_have_run = True
             if result.outcome is AttemptOutcome.FAILED:
-                self._failure = result.reply
+                self._keep_failure(result.reply)
         may_retry = self._is_retryable or not self._may_have_run
         if may_retry and self._may_send() and not self._must_wait():
             self._send()
@@ -164,6 +164,11 @@
         else:
             self._schedule_timer()
 
+    def _keep_failure(self, reply: HttpReply | None) -> None:
+        """Keeps a reply to pass on if no other server serves the request."""
+        if reply and reply.status not in caller_errors.REFUSAL_STATUSES:
+            self._failure = reply
+
     # Timers.
 
     def _schedule_timer(self) -> None:
@@ -241,7 +246,7 @@
 
         If no server can have run it, the answer is a refusal, which tells the
         caller that it was not run. Otherwise, a server's reply with an error
-        status is passed on.
+        status is passed on, unless its status says so too.
         """
         if self._has_ended:
             return
--- a/packages/edge/mulberrybay_edge/relay_handler.py
+++ b/packages/edge/mulberrybay_edge/relay_handler.py
@@ -14,7 +14,6 @@
 from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import CallerAnswer
 from mulberrybay_core.edge_nodes import EdgeNodeInfo
-from mulberrybay_core.fatal_requests import NOT_RUN_STATUSES
 from mulberrybay_core.routing import RouteKind
 from mulberrybay_edge.exchange import (
     Exchange,
@@ -42,8 +41,6 @@
 # Why a request is refused that no other node gets.
 CUT_OFF: Final = "no backend server can be reached"
 OWNER_UNREACHED: Final = "the node that sends this request can't be reached"
-# With these, a node says that it did not run a request.
-REFUSAL_STATUSES: Final = (*NOT_RUN_STATUSES, 503)
 
 
 class RelayTargets(NamedTuple):
@@ -142,7 +139,8 @@
 
         That it did not run the request says nothing of nodes that had it before.
         """
-        if self._may_have_run and reply.status in REFUSAL_STATUSES:
+        is_refusal = reply.status in caller_errors.REFUSAL_STATUSES
+        if self._may_have_run and is_refusal:
             self._fail(
                 f"{self._node_name} refused it", caller_errors.INCOMPLETE_REPLY
             )
--- a/packages/edge/tests/test_forward_handler.py
+++ b/packages/edge/tests/test_forward_handler.py
@@ -116,6 +116,23 @@
     assert harness.header("signature") == "sig-x"
 
 
+@pytest.mark.parametrize("kind", [IDEMPOTENT, NON_IDEMPOTENT])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_refusing_status_of_a_server_that_may_have_run_it_is_not_passed_on(
+    kind: RouteKind, status: int
+) -> None:
+    """Callers repeat what they are told has not run."""
+    harness = RequestHarness(kind=kind)
+    start_handler(harness)
+
+    for attempt in harness.sender.attempts:
+        attempt.end(AttemptOutcome.FAILED, make_failure(status))
+
+    assert harness.answer.status == 502
+    assert harness.header("signature") is None
+    assert harness.header("Retry-After") is None
+
+
 def test_service_without_servers_is_refused_at_once() -> None:
     """A request must not wait for a service that has no server."""
     harness = RequestHarness()
