Don't use a success that bears no signature of a backend server

Cause: the dispatcher took each 2xx for a served request. Only `GatherHandler` looked for a signature, so forwarded requests were never checked.

Change: a 2xx without a signature counts as a reply that is no answer: the request may have run, a route that may repeat gets another server, the others get 502, and the server's health counts a failure. The check stands in the dispatcher, so it holds for all handlers.

Ruled out: failures without a signature.

Result: the test (no signature, and an empty one) fails before and passes after.

--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -155,6 +155,7 @@
         self._load_header = context.names.load.lower()
         self._not_run_header = context.names.not_run.lower()
         self._id_header = context.names.request_id.lower()
+        self._signature_header = context.names.signature.lower()
         self._leaving_header = context.names.leaving.lower()
         self._limit_header = context.names.rate_limit.lower()
         self.table: RouteTable | None = None
@@ -465,9 +466,16 @@
             return AttemptResult(
                 AttemptOutcome.LOST, server_id, None, detail, True
             )
+        is_success = 200 <= reply.status < 300
+        if is_success and not reply.headers.get(self._signature_header):
+            state.record_failure(now_s)
+            detail = "the reply bears no signature of a backend server"
+            return AttemptResult(
+                AttemptOutcome.LOST, server_id, None, detail, True
+            )
         if is_proof_of_life(reply.status):
             self._context.crash_watch.record_reply(attempt.template.identity)
-        if 200 <= reply.status < 300:
+        if is_success:
             latency_s = now_s - attempt.started_at_s
             attempt.history.record_latency(latency_s)
             state.record_success(
--- a/packages/edge/tests/test_dispatcher.py
+++ b/packages/edge/tests/test_dispatcher.py
@@ -18,6 +18,7 @@
     ExchangeResult,
 )
 from mulberrybay_edge.sending import (
+    AttemptOutcome,
     AttemptResult,
     AttemptSpec,
     RequestTemplate,
@@ -227,7 +228,7 @@
 
 
 def finish(started: Exchange, headers: dict[str, str]) -> None:
-    reply = HttpReply(200, headers, b"", True)
+    reply = HttpReply(200, {"signature": "sig", **headers}, b"", True)
     started.finish(ExchangeResult(ExchangeOutcome.REPLY, reply))
 
 
@@ -250,3 +251,18 @@
     finish(setup.connections.started[2][0], {})
 
     assert not server.limit.is_in_force
+
+
+@pytest.mark.parametrize("headers", [{}, {"signature": ""}])
+def test_success_of_a_program_that_is_no_backend_server_is_not_used(
+    monkeypatch: pytest.MonkeyPatch, headers: dict[str, str]
+) -> None:
+    setup = _Setup(monkeypatch)
+    setup.send()
+    started, _ = setup.connections.started[0]
+
+    reply = HttpReply(200, headers, b"whole", True)
+    started.finish(ExchangeResult(ExchangeOutcome.REPLY, reply))
+
+    (result,) = setup.results
+    assert (result.outcome, result.reply) == (AttemptOutcome.LOST, None)
