Treat a peer's whole list of a later era as a return of the store

What callers would see: a failure domain that operators have taken out of service gets requests again at a node, for seconds, after the store has returned from a copy twice within some ten seconds.

Cause: a node that doesn't call the store itself ends its doubt in the store's copy by the whole list of a peer that doubts no longer (`apply_complete_update`). It took the list as it is even if that is of a later era. But then the store has returned from a copy once more, and the peer may only have read that copy: a node that has started since doubts nothing. What this node had kept was lost.

Change: such a list is handled like any first list of a later era, by which the node keeps what it knows for `RESTORE_PERIOD_S`.

--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -251,6 +251,10 @@
         """Takes all objects of a peer that has read the store's list."""
         if self.version is None or update.store_version < self.version:
             return
+        if self._is_later_era(update.store_version):
+            # The store has returned from a copy once more.
+            self._restore(update.to_list())
+            return
         self._trust_store_at_s = None
         self.cache.reset(update.to_list())
         self._listener.on_list(self.cache.all_objects())
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -8,6 +8,7 @@
 
 from mulberrybay_core.errors import Failure, FailureKind, RunState, Step
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
+from mulberrybay_core.object_cache import CacheUpdate
 from mulberrybay_core.restore_rules import RESTORE_PERIOD_S
 from mulberrybay_core.store_messages import (
     ListHandler,
@@ -330,3 +331,24 @@
 
     assert started.watch.version == position
     assert started.watch.cache.find("i-1") is not None
+
+
+def test_whole_list_of_a_peer_in_a_later_era_does_not_end_doubt_in_the_copy() -> (
+    None
+):
+    """The later copy may lack what this node has kept from the one before."""
+    started = _StartedWatch()
+    started.store.era = 1
+    started.watch.check()
+    started.store.lists[1](ObjectList((), make_position(1, 3)))
+    started.watch.set_paused(True)
+    started.timers.advance(RESTORE_PERIOD_S)
+    assert started.watch.needs_complete_update
+
+    started.watch.apply_complete_update(
+        CacheUpdate(make_position(2, 3), (), ())
+    )
+
+    assert started.watch.version == make_position(2, 3)
+    assert started.watch.is_restoring
+    assert not started.watch.trusts_store
