Send a request on another connection if an idle one was reset

What callers saw: a booking that a node put on an idle connection which the server had reset got 502, "may have run", though no byte of it had been sent.

Cause: `_Connection.send` set the time of sending before it passed the bytes to the stream. A stream that fails tells its observer at once, so the exchange ended as LOST in the midst of its start.

Ruled out: dialling, which reports its failures later (since also without a descriptor); and replies, which come from the poller.

Change: the exchange belongs to a connection only once its bytes are passed on. If an idle connection turns out to be closed, the pool goes on to the next and then dials. A new connection that is reset at once counts as refused, so that the next dial is delayed.

--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -53,6 +53,16 @@
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 
 
+class SendState(enum.Enum):
+    """What became of a request that was to be sent on an open connection."""
+
+    SENT = "sent"
+    # It must no longer be sent.
+    EXPIRED = "expired"
+    # No byte was sent, because the peer had closed the connection.
+    CLOSED = "closed"
+
+
 class DialHandler(Protocol):
     """Handles the end of a dial."""
 
@@ -133,34 +143,40 @@
         self._exchange = exchange
         exchange.connection = self
 
-    def send(self, exchange: Exchange) -> bool:
-        """Sends a request on the open connection.
-
-        Returns:
-            False if the request must no longer be sent.
-        """
-        self._exchange = exchange
-        exchange.connection = self
+    def send(self, exchange: Exchange) -> SendState:
+        """Sends a request on the open connection."""
+        exchange.connection = None
         now_s = read_clock_s()
         data = exchange.encode(now_s)
         if data is None or self.stream is None:
-            self._exchange = exchange.connection = None
-            return False
+            return SendState.EXPIRED
+        if not self.stream.send(data):
+            return SendState.CLOSED
         self._parser = SingleReplyParser(expects_body=exchange.expects_body)
+        self._exchange = exchange
+        exchange.connection = self
         exchange.sent_at_s = now_s
-        self.stream.send(data)
-        return True
+        return SendState.SENT
 
     def on_connected(self, stream: Stream) -> None:
         """Sends the request that waited for the connection, if any."""
         self.is_connected = True
         self._pool.record_dial(is_accepted=True)
-        exchange = self._exchange
+        exchange, self._exchange = self._exchange, None
         if exchange is None:
             self._pool.add_idle(self)
-        elif not self.send(exchange):
+            return
+        state = self.send(exchange)
+        if state is SendState.EXPIRED:
             self._pool.add_idle(self)
             exchange.finish(ExchangeResult(ExchangeOutcome.NOT_SENT))
+        elif state is SendState.CLOSED:
+            # Servers reset connections beyond their cap.
+            self._pool.record_dial(is_accepted=False)
+            detail = "the connection was reset at once"
+            exchange.finish(
+                ExchangeResult(ExchangeOutcome.NOT_CONNECTED, detail=detail)
+            )
 
     def on_data(self, stream: Stream, data: bytes) -> None:
         """Parses received bytes and finishes the exchange on a full reply."""
@@ -353,10 +369,12 @@
                     self.close_idle()
                 break
             self._used.add(connection)
-            if connection.send(exchange):
+            state = connection.send(exchange)
+            if state is SendState.SENT:
                 return True
-            self.add_idle(connection)
-            return False
+            if state is SendState.EXPIRED:
+                self.add_idle(connection)
+                return False
         self._dial(exchange)
         return True
 
