Reject what a node says of itself if a number or address can't be used

What callers would see: after one heartbeat with a rate or CPU time that is no number, each period of a node ends in a fault: its shares of limits, its watching of the store and the directory's answers stay as they were as long as the sender runs. With a host name in place of an address, each heartbeat waits for a look-up; with one that can't be encoded, the node's own heartbeats end for good, since the next one is scheduled after the sending. Any program that can reach the peer port can send such a datagram, and a registration in the store can say the same.

Cause: `decode_heartbeat` and `decode_registration` checked the form of a message, not its values: `math.ceil` and `round` raise on values that are no number (`count_advertised`, `rank_by_domain`).

Ruled out: lone surrogates, wrong sizes and deep nesting in the message itself; Cap'n Proto and the existing cases reject them.

Change: core checks both: IPv4 addresses with a port, quantities that are finite and not below 0, finite times of suspected requests; an infinite age of the store's answer stays valid, as a node that has had none says so. A heartbeat that fails is counted and logged like any unreadable one, a registration is left out.

--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -9,6 +9,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
+from mulberrybay_core.node_checks import check_heartbeat
 
 PROTOCOL_VERSION: Final = 2
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name("edge.capnp")))
@@ -92,7 +93,8 @@
     """Returns the heartbeat in a datagram.
 
     Raises:
-        HeartbeatError: The datagram can't be decoded.
+        HeartbeatError: The datagram can't be decoded, or a value in it can't
+            be used.
     """
     try:
         decompressor = zlib.decompressobj()
@@ -104,7 +106,7 @@
                 raise HeartbeatError(
                     f"unsupported protocol version {message.version}"
                 )
-            return EdgeHeartbeat(
+            heartbeat = EdgeHeartbeat(
                 EdgeNodeInfo(
                     message.name,
                     message.incarnation,
@@ -123,6 +125,7 @@
                 message.lacksServers,
                 tuple(_decode_report(report) for report in message.suspects),
             )
+        return check_heartbeat(heartbeat)
     except (
         capnp.KjException,
         ValueError,
--- a/packages/edge/mulberrybay_edge/node_registry.py
+++ b/packages/edge/mulberrybay_edge/node_registry.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.edge_nodes import EdgeNodeInfo, EdgeNodes
 from mulberrybay_core.errors import Failure
+from mulberrybay_core.node_checks import check_node_info
 from mulberrybay_core.store_messages import (
     JsonObject,
     ObjectList,
@@ -106,13 +107,15 @@
     """Returns the node of a stored entry; None if it is malformed."""
     value = stored.value
     try:
-        return EdgeNodeInfo(
-            stored.name,
-            int(value["incarnation"]),
-            str(value["failure_domain"]),
-            parse_address(str(value["caller_address"])),
-            parse_address(str(value["peer_address"])),
-            float(value["cpu_cores"]),
+        return check_node_info(
+            EdgeNodeInfo(
+                stored.name,
+                int(value["incarnation"]),
+                str(value["failure_domain"]),
+                parse_address(str(value["caller_address"])),
+                parse_address(str(value["peer_address"])),
+                float(value["cpu_cores"]),
+            )
         )
     except DECODE_ERRORS:
         return None
