Close a request to a peer whose reply is nested too deeply

What callers would see: nothing at once; the node that asked lacks the peer's changes for one second more at each such reply, as the request stays open until its timeout and no other peer is asked for the kind meanwhile; the log has a fault of the program instead of an unreadable frame, and the counter of unreadable frames doesn't move.

Cause: `json.loads` raises RecursionError for a value that is nested some thousand levels deep; the handler of unreadable frames named the errors by hand and left it out.

Ruled out: an item that is dropped alone. A node takes the list's position with an update, so an object that is left out would be missing for good; another peer is asked instead.

Result: the test (10,000 and 100,000 levels) fails before and passes after.

--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -17,6 +17,7 @@
 import capnp
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.object_cache import CacheUpdate
 from mulberrybay_core.store_messages import StoredObject
 from mulberrybay_edge.heartbeat_codec import PROTOCOL_VERSION, SCHEMA
@@ -42,10 +43,9 @@
 MAX_UPDATE_BYTES: Final = 64 * 1024 * 1024
 # The exceptions that decoding a malformed frame may raise.
 _DECODE_ERRORS: Final = (
+    *DECODE_ERRORS,
     capnp.KjException,
     FrameTooLongError,
-    UnicodeDecodeError,
-    ValueError,
     zlib.error,
 )
 
--- a/packages/edge/tests/test_peer_exchange.py
+++ b/packages/edge/tests/test_peer_exchange.py
@@ -1,15 +1,20 @@
 """Requests for changed objects between nodes, and the limit on replies."""
 
+import json
+import zlib
+
 import pytest
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.object_cache import CacheUpdate
 from mulberrybay_core.store_messages import ObjectList, StoredObject
+from mulberrybay_edge.heartbeat_codec import PROTOCOL_VERSION, SCHEMA
 from mulberrybay_edge.peer_exchange import (
     MAX_CONCURRENT_REPLY_COUNT,
     PeerExchange,
 )
 from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_nodes.frames import wrap_frame
 from mulberrybay_runtime.timers import Timers
 
 PEER = Address("127.0.0.1", 1)
@@ -177,6 +182,29 @@
     assert lagging.exchange.counts["unreadable"] == 1
 
 
+@pytest.mark.parametrize("depth", [10_000, 100_000])
+def test_object_that_is_nested_too_deeply_does_not_keep_a_request_open(
+    depth: int,
+) -> None:
+    lagging = _Node()
+    stream, request = request_update(lagging)
+    message = SCHEMA.Update.new_message(
+        version=PROTOCOL_VERSION,
+        storeVersion=7,
+        names=["i-1", "i-2"],
+        items=[
+            {"name": "i-1", "version": 6, "value": '{"a":' + "[" * depth},
+            {"name": "i-2", "version": 7, "value": json.dumps(VALUE)},
+        ],
+    )
+
+    request.on_data(stream, wrap_frame(zlib.compress(message.to_bytes())))
+
+    assert stream.is_closed
+    assert lagging.exchange.counts["unreadable"] == 1
+    assert lagging.watch.version is None
+
+
 class _FaultyListener(_Listener):
     def on_list(self, objects: ObjectList) -> None:
         raise ValueError("a fault of this node")
