Reject settings that are no finite number, port or text

What operators would see: a settings file with `inf`, `nan`, a list where a port is asked, or `bounds` that is no text ends the start of a node with a trace instead of a message that names the key; read anew by a running node, it raises a fault instead of "settings not reloaded". An infinite `stop_grace_s` or ratio of repeats was taken as it is, a port beyond 65,535 as well, and failed as the socket was bound.

Cause: `_get_number` accepted what TOML calls a number, `metrics_port` and `bounds` were used unchecked, so that other errors than ValueError escaped.

Change: numbers are finite, ports lie between 1 and 65,535, `bounds` is text and decoded like other JSON from outside.

Ruled out: `settings_watch`, which handles ValueError and OSError and keeps the settings in force.

--- a/packages/core/mulberrybay_core/addresses.py
+++ b/packages/core/mulberrybay_core/addresses.py
@@ -1,7 +1,9 @@
 """Network addresses, shared by every package."""
 
 import ipaddress
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+MAX_PORT: Final = 65535
 
 
 class Address(NamedTuple):
@@ -35,8 +37,8 @@
     if not separator or not host or not _is_decimal(port_text):
         raise ValueError(f"{text!r} is not HOST:PORT")
     port = int(port_text)
-    if not 1 <= port <= 65535:
-        raise ValueError(f"port {port} is not between 1 and 65535")
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"port {port} is not between 1 and {MAX_PORT}")
     return Address(host, port)
 
 
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -1,11 +1,11 @@
 """Reads a node's settings from a TOML file and validates them."""
 
-import json
+import math
 import pathlib
 import tomllib
 from typing import Any, Final
 
-from mulberrybay_core.addresses import Address, parse_address
+from mulberrybay_core.addresses import MAX_PORT, Address, parse_address
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
@@ -15,6 +15,7 @@
     EdgePaths,
     EdgeSettings,
 )
+from mulberrybay_runtime.json_input import decode_json
 
 # The longest time for which callers are told to cache a reply of the directory.
 # Some cache it three times as long, and this must still expire before a
@@ -33,11 +34,20 @@
     value = table.get(key, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueError(f"{key}: {value!r} is not a number")
-    if value < 0:
-        raise ValueError(f"{key}: {value!r} is below 0")
+    if not math.isfinite(value) or value < 0:
+        raise ValueError(f"{key}: {value!r} is infinite or below 0")
     return value
 
 
+def _get_port(
+    table: dict[str, Any], key: str, default: int | None = None
+) -> int:
+    port = int(_get_number(table, key, default))
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"{key}: {port} is not between 1 and {MAX_PORT}")
+    return port
+
+
 def _get_string(table: dict[str, Any], key: str) -> str:
     value = table.get(key)
     if not isinstance(value, str) or not value:
@@ -60,7 +70,10 @@
     document: dict[str, Any], names: EdgeBoundNames
 ) -> FollowTimes:
     """Returns the times that follow from the bounds, a JSON object as text."""
-    bounds = json.loads(document.get("bounds", "{}"))
+    text = document.get("bounds", "{}")
+    if not isinstance(text, str):
+        raise ValueError("bounds: not a string")
+    bounds = decode_json(text.encode())
     if not isinstance(bounds, dict):
         raise ValueError("bounds: not a JSON object")
     return FollowTimes.from_bounds(
@@ -92,9 +105,9 @@
             callers=parse_address(_get_string(listen, "callers")),
             readiness=_get_optional_address(listen, "readiness"),
             directory=_get_optional_address(listen, "directory"),
-            peers=Address(host, int(_get_number(listen, "peer_port"))),
+            peers=Address(host, _get_port(listen, "peer_port")),
             metrics=Address(
-                host, int(listen.get("metrics_port", DEFAULT_METRICS_PORT))
+                host, _get_port(listen, "metrics_port", DEFAULT_METRICS_PORT)
             ),
         ),
         paths=paths,
--- a/packages/edge/tests/test_edge_settings.py
+++ b/packages/edge/tests/test_edge_settings.py
@@ -1,10 +1,12 @@
 """The settings of an edge node."""
 
+import math
+
 import pytest
 
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
-from mulberrybay_edge.settings import EdgeBoundNames, EdgePaths
+from mulberrybay_edge.settings import EdgeBoundNames, EdgePaths, EdgeSettings
 from mulberrybay_edge.settings_file import parse_edge_settings
 
 TEXT = """
@@ -28,14 +30,17 @@
 """
 
 
-def parse_times(bounds: str) -> FollowTimes:
-    settings = parse_edge_settings(
-        TEXT.format(bounds=bounds),
+def parse_text(text: str) -> EdgeSettings:
+    return parse_edge_settings(
+        text,
         HeaderNames(*["x"] * len(HeaderNames._fields)),
         EdgePaths("/a", "/b", "/c"),
         EdgeBoundNames("contact", "apply"),
     )
-    return settings.follow_times
+
+
+def parse_times(bounds: str) -> FollowTimes:
+    return parse_text(TEXT.format(bounds=bounds)).follow_times
 
 
 def test_times_follow_from_the_operators_bounds() -> None:
@@ -50,6 +55,36 @@
         parse_times(f"bounds = '{bounds}'")
 
 
+LINES = [line for line in TEXT.splitlines() if " = " in line]
+VALUES = ["nan", "inf", "-1", "[]", "{}", "true", "''", "'x'", "70000", "1e400"]
+
+
+@pytest.mark.parametrize("value", VALUES)
+@pytest.mark.parametrize("line", [*LINES, "bounds = 1", "metrics_port = 1"])
+def test_setting_with_any_value_is_used_or_rejected_as_invalid(
+    line: str, value: str
+) -> None:
+    """Another exception would end a node that reads its settings anew."""
+    key = line.partition(" = ")[0]
+    text = TEXT.format(bounds="bounds = '{}'")
+    text = text.replace("peer_port = 2", "peer_port = 2\nmetrics_port = 4")
+    (old,) = [item for item in text.splitlines() if item.startswith(f"{key} =")]
+    try:
+        settings = parse_text(text.replace(old, f"{key} = {value}"))
+    except ValueError:
+        return
+    ports = [settings.addresses.peers.port, settings.addresses.metrics.port]
+    assert all(1 <= port <= 65535 for port in ports)
+    numbers = [
+        settings.cpu_cores,
+        settings.cold_factor,
+        settings.stop_grace_s,
+        settings.address_life_s,
+        *settings.retry_terms,
+    ]
+    assert all(math.isfinite(number) for number in numbers)
+
+
 @pytest.mark.parametrize(
     ("contact_s", "apply_s"), [(4.0, 3.0), (5.0, 5.0), (6.0, 6.0), (6.0, 2.0)]
 )
