State what may change between two releases, and soak two builds side by side

Three tests hold it to that: heartbeats of a newer schema, of the first one, and of another version.

Every other node starts with it, all are replaced one after the other beside the faults, and each start swaps a node's build.

--- /dev/null
+++ b/packages/edge/tests/test_message_versions.py
@@ -0,0 +1,91 @@
+"""Heartbeats between nodes of two releases; see docs/UPGRADES.md."""
+
+import pathlib
+import zlib
+from typing import Any
+
+import capnp
+import pytest
+
+from mulberrybay_edge import heartbeat_codec
+from mulberrybay_edge.heartbeat_codec import (
+    PROTOCOL_VERSION,
+    HeartbeatError,
+    decode_heartbeat,
+)
+
+SCHEMA_TEXT = (
+    pathlib.Path(heartbeat_codec.__file__)
+    .with_name("edge.capnp")
+    .read_text(encoding="utf-8")
+)
+FILE_ID = "@0xb3f1d9c26a7e4058;"
+LAST_FIELD = "  suspects @17 :List(SuspectReport);\n"
+FIELDS = {
+    "version": PROTOCOL_VERSION,
+    "name": "node-2",
+    "incarnation": 7,
+    "failureDomain": "zone-b",
+    "callerHost": "127.0.0.1",
+    "callerPort": 8001,
+    "peerHost": "127.0.0.1",
+    "peerPort": 8002,
+    "isServing": True,
+    "cpuCores": 1.5,
+    "storeAgeS": 0.5,
+}
+
+
+def load(path: pathlib.Path, text: str, file_id: str) -> Any:  # noqa: ANN401
+    """Returns the schema of another release."""
+    assert text.startswith(FILE_ID)
+    path.write_text(text.replace(FILE_ID, file_id), encoding="utf-8")
+    return capnp.load(str(path))
+
+
+def encode(schema: Any, fields: dict[str, Any]) -> bytes:  # noqa: ANN401
+    message = schema.EdgeHeartbeat.new_message(**fields)
+    return zlib.compress(message.to_bytes())
+
+
+def test_heartbeat_of_a_newer_release_is_read_without_its_new_fields(
+    tmp_path: pathlib.Path,
+) -> None:
+    text = SCHEMA_TEXT.replace(
+        LAST_FIELD, f"{LAST_FIELD}  added @18 :Text;\n  rate @19 :Float64;\n"
+    )
+    newer = load(tmp_path / "newer.capnp", text, "@0xb3f1d9c26a7e4059;")
+
+    data = encode(newer, {**FIELDS, "added": "x", "rate": 2.0, "isHub": True})
+
+    heartbeat = decode_heartbeat(data)
+    assert heartbeat.sender.name == "node-2"
+    assert heartbeat.is_hub
+
+
+def test_heartbeat_of_an_older_release_means_what_that_release_does(
+    tmp_path: pathlib.Path,
+) -> None:
+    first = SCHEMA_TEXT.index("  isRestoring @14")
+    end = SCHEMA_TEXT.index(LAST_FIELD) + len(LAST_FIELD)
+    text = SCHEMA_TEXT[:first] + SCHEMA_TEXT[end:]
+    older = load(tmp_path / "older.capnp", text, "@0xb3f1d9c26a7e405a;")
+
+    heartbeat = decode_heartbeat(encode(older, FIELDS))
+
+    assert heartbeat.is_serving
+    assert heartbeat.sender.cpu_cores == pytest.approx(1.5)
+    assert not heartbeat.is_restoring
+    assert not heartbeat.is_hub
+    assert not heartbeat.lacks_servers
+    assert heartbeat.suspects == ()
+
+
+def test_heartbeat_of_another_protocol_version_is_rejected(
+    tmp_path: pathlib.Path,
+) -> None:
+    other = load(tmp_path / "other.capnp", SCHEMA_TEXT, "@0xb3f1d9c26a7e405b;")
+    data = encode(other, {**FIELDS, "version": PROTOCOL_VERSION + 1})
+
+    with pytest.raises(HeartbeatError, match="version"):
+        decode_heartbeat(data)
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -7,6 +7,7 @@
 import re
 import signal
 import sys
+from collections.abc import Callable
 from typing import Any, Final, NamedTuple, Self
 
 from standins import (
@@ -211,6 +212,7 @@
         services: The services that have backend servers from the start.
         contact_ms: The bound that nodes have after a fault.
         config_apply_ms: The bound that they have otherwise.
+        choose_program: Returns the program to start for a node's name.
     """
 
     zones: tuple[str, ...] = ("zone-a", "zone-a")
@@ -228,6 +230,9 @@
         self._servers: dict[str, HttpServer] = {}
         self.nodes: list[RunningNode] = []
         self._start_count = 0
+        self.choose_program: Callable[[str], pathlib.Path] = lambda _: (
+            NODE_PROGRAM_PATH
+        )
         # What was written last under each kind and name; None for a removal.
         self._written: dict[tuple[str, str], object] = {}
 
@@ -390,7 +395,7 @@
         self._start_count += 1
         process = self._processes.start(
             f"{name}-{self._start_count}",
-            [sys.executable, str(NODE_PROGRAM_PATH)],
+            [sys.executable, str(self.choose_program(name))],
             {"MULBERRYBAY_SETTINGS": str(settings)},
         )
         node = RunningNode(name, process, *ports[1:], ports[0], zone)
--- a/tests/on_platform/fleet_faults.py
+++ b/tests/on_platform/fleet_faults.py
@@ -118,7 +118,7 @@
         self.fault_log: list[str] = []
         self._kinds: tuple[Callable[[], None], ...] = (
             self._kill,
-            self._stop,
+            self.stop_node,
             self._pause,
             self._reload,
             self._degrade_store,
@@ -219,7 +219,8 @@
 
         self._schedule(undo, self._duration_s())
 
-    def _stop(self) -> None:
+    def stop_node(self) -> None:
+        """Stops a node gracefully and starts it again."""
         node = self._pick_node()
         if node is None or not node.handles_signals():
             return
@@ -286,7 +287,7 @@
                 (
                     self._reload,
                     self._reload,
-                    self._stop,
+                    self.stop_node,
                     self._kill,
                     self._change_configuration,
                     self._drain,
--- a/tests/on_platform/fleet_soak.py
+++ b/tests/on_platform/fleet_soak.py
@@ -22,11 +22,13 @@
 from fleet_faults import FleetFaults, disturbs_only_store
 from fleet_history import CONTACT_S, FleetHistory
 from fleet_load import FleetLoad, is_fatal, request_each_kind
+from node_builds import AlternatingBuilds, build_commit
 
 FAULTS_S: Final = 12.0
 # A change after a fault of the store is due only some seconds later.
 STORE_FAULTS_RATIO: Final = 2.5
 MEAN_GAP_S: Final = 0.5
+REPLACE_GAP_S: Final = 2.0
 TICK_S: Final = 0.05
 # Links of each node's own are proxies in this process.
 MAX_LINKED_NODES_PER_ZONE: Final = 4
@@ -55,13 +57,19 @@
     seed: int,
     faults_s: float = FAULTS_S,
     nodes_per_zone: int = 1,
+    builds: AlternatingBuilds | None = None,
 ) -> SoakResult:
-    """Runs one deployment under the random faults of a seed."""
+    """Runs one deployment under the random faults of a seed.
+
+    With `builds`, nodes are also replaced one after the other.
+    """
     if disturbs_only_store(seed):
         faults_s *= STORE_FAULTS_RATIO
     history = FleetHistory()
     with FaultyDeployment(folder) as deployment:
         deployment.contact_ms = int(1000 * CONTACT_S)
+        if builds is not None:
+            deployment.choose_program = builds.choose
         deployment.has_node_links = nodes_per_zone <= MAX_LINKED_NODES_PER_ZONE
         deployment.start_nodes_in_each_zone(nodes_per_zone)
         for servers in deployment.backends.values():
@@ -71,12 +79,15 @@
         faults = FleetFaults(deployment, history, seed)
         with FleetLoad(deployment, history, seed):
             ends_at_s = time.monotonic() + faults_s
-            next_at_s = time.monotonic()
+            next_at_s = replace_at_s = time.monotonic()
             while time.monotonic() < ends_at_s:
                 faults.tick()
                 if time.monotonic() >= next_at_s:
                     faults.inject()
                     next_at_s += MEAN_GAP_S
+                if builds is not None and time.monotonic() >= replace_at_s:
+                    faults.stop_node()
+                    replace_at_s += REPLACE_GAP_S
                 time.sleep(TICK_S)
             faults.end_all()
             problems = _wait_recovery(deployment, history, seed)
@@ -120,21 +131,31 @@
         "--keep", type=pathlib.Path, help="folder in which logs are kept"
     )
     parser.add_argument("--nodes-per-zone", type=int, default=1)
+    parser.add_argument(
+        "--beside", metavar="COMMIT", help="an older build to run beside this"
+    )
     settings = parser.parse_args(arguments)
     broken_count = 0
     with tempfile.TemporaryDirectory() as scratch:
         folder = settings.keep or pathlib.Path(scratch)
+        older_program = None
+        if settings.beside:
+            build_folder = pathlib.Path(scratch) / "older"
+            older_program = build_commit(settings.beside, build_folder)
         for seed in range(settings.seed, settings.seed + settings.count):
+            builds = AlternatingBuilds(older_program) if older_program else None
             result = run_seed(
                 folder / f"seed-{seed}",
                 seed,
                 nodes_per_zone=settings.nodes_per_zone,
+                builds=builds,
             )
             broken_count += bool(result.problems)
             verdict = "broken" if result.problems else "held"
             counts = dict(sorted(result.statuses.items()))
             print(f"seed {seed}: {verdict}, answers {counts}", flush=True)
-            for line in (*result.problems, *result.fault_log):
+            starts = builds.start_log if builds else []
+            for line in (*result.problems, *result.fault_log, *starts):
                 if result.problems:
                     print(f"  {line}", flush=True)
     return 1 if broken_count else 0
