--- a/tests/on_platform/node_builds.py
+++ b/tests/on_platform/node_builds.py
@@ -4,6 +4,7 @@
 import pathlib
 import subprocess
 import tarfile
+import time
 from typing import Final
 
 from deployment import NODE_PROGRAM_PATH
@@ -39,7 +40,7 @@
     """Starts every other node with the older build, and swaps it at restarts.
 
     Attributes:
-        start_log: The nodes and builds in the order of their starts.
+        start_log: The nodes and builds with the times of their starts.
     """
 
     def __init__(self, older_program: pathlib.Path) -> None:
@@ -53,5 +54,6 @@
             name, bool(len(self._runs_older) % 2)
         )
         self._runs_older[name] = is_older
-        self.start_log.append(f"{name} {'older' if is_older else 'present'}")
+        build = "older" if is_older else "present"
+        self.start_log.append(f"{time.monotonic():.2f} start {name} {build}")
         return self._older_program if is_older else NODE_PROGRAM_PATH
