--- a/packages/edge/tests/test_server_connections.py
+++ b/packages/edge/tests/test_server_connections.py
@@ -29,7 +29,15 @@
         self._observer.on_connected(self)
 
     def reply(self) -> None:
-        self._observer.on_data(self, REPLY)
+        self.receive(REPLY)
+
+    def receive(self, data: bytes) -> None:
+        self._observer.on_data(self, data)
+
+    def end(self, reason: str) -> None:
+        if self.is_open:
+            self.is_open = False
+            self._observer.on_closed(self, reason)
 
     def send(self, data: bytes) -> bool:
         if self.is_reset and self.is_open:
