Feed peers' connections with any bytes

The same for requests for changed objects and updates between nodes, spoiled in up to two places: answered, applied, or the end of the connection, after which another peer can be asked.

--- a/packages/edge/tests/test_peer_input.py
+++ b/packages/edge/tests/test_peer_input.py
@@ -1,6 +1,7 @@
 """What other nodes say of themselves, with any content."""
 
 import math
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -16,7 +17,8 @@
     count_advertised,
 )
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
-from mulberrybay_core.store_messages import StoredObject
+from mulberrybay_core.object_cache import CacheUpdate
+from mulberrybay_core.store_messages import ObjectList, StoredObject
 from mulberrybay_edge.heartbeat_codec import (
     HeartbeatError,
     decode_heartbeat,
@@ -26,7 +28,14 @@
     decode_registration,
     encode_registration,
 )
+from mulberrybay_edge.peer_exchange import (
+    PeerExchange,
+    encode_request,
+    encode_update,
+)
+from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_runtime.datagrams import Datagrams
+from mulberrybay_runtime.timers import Timers
 
 ADDRESS = Address("127.0.0.1", 9)
 INFO = EdgeNodeInfo("node-2", 7, "zone-b", ADDRESS, ADDRESS)
@@ -154,3 +163,106 @@
     assert decode_registration(StoredObject("n", "node-2", 1, value)) == INFO
     stored = StoredObject("n", "node-2", 1, change(dict(value)))
     assert decode_registration(stored) is None
+
+
+class _Stream:
+    """A connection with a peer that records what is sent."""
+
+    peer = ADDRESS
+
+    def __init__(self) -> None:
+        self.sent = b""
+        self.unsent = bytearray()
+        self.is_closed = False
+
+    def send(self, data: bytes) -> bool:
+        self.sent += data
+        return True
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+class _Streams:
+    """Keeps the observers of connections."""
+
+    def __init__(self) -> None:
+        self.accept: Any = None
+        self.dialled: list[tuple[_Stream, Any]] = []
+
+    def listen(self, address: Address, accept: object) -> None:
+        self.accept = accept
+
+    def dial(self, address: Address, observer: object) -> _Stream:
+        self.dialled.append((_Stream(), observer))
+        return self.dialled[-1][0]
+
+
+class _Listener:
+    def on_list(self, objects: ObjectList) -> None:
+        pass
+
+    def on_changes(self, changes: ObjectList) -> None:
+        pass
+
+
+messages = strategies.one_of(
+    strategies.binary(max_size=40),
+    strategies.binary(max_size=40).map(zlib.compress),
+    strategies.builds(
+        encode_request,
+        strategies.integers(0, 65535),
+        strategies.integers(0, 2**64 - 1),
+    ),
+    strategies.builds(
+        encode_update,
+        strategies.integers(0, 3),
+        strategies.builds(
+            CacheUpdate,
+            strategies.integers(0, 2**64 - 1),
+            strategies.just(("i-1",)),
+            strategies.lists(
+                strategies.builds(
+                    StoredObject,
+                    strategies.just("servers"),
+                    strategies.sampled_from(["i-1", "i-2", ""]),
+                    strategies.integers(0, 2**64 - 1),
+                    strategies.sampled_from([{}, {"a": math.nan}, [], None]),
+                ),
+                max_size=2,
+            ).map(tuple),
+        ),
+    ),
+)
+
+
+@settings(max_examples=400, deadline=None, derandomize=True, database=None)
+@given(
+    data=strategies.lists(messages, max_size=3).map(b"".join),
+    flipped=strategies.lists(
+        strategies.tuples(strategies.integers(0), strategies.integers(0, 255)),
+        max_size=2,
+    ),
+)
+def test_any_bytes_of_a_peer_are_answered_applied_or_end_the_connection(
+    data: bytes, flipped: list[tuple[int, int]]
+) -> None:
+    spoiled = bytearray(data)
+    for position, value in flipped if data else []:
+        spoiled[position % len(data)] = value
+    watch = StoreWatch(None, Timers(), "servers", _Listener())  # type: ignore[arg-type]
+    watch.cache.replace(ObjectList((StoredObject("", "i-1", 1, {}),), 5))
+    streams: Any = _Streams()
+    exchange = PeerExchange(streams, Timers(), [watch])
+    exchange.listen(ADDRESS)
+    exchange.request_update(ADDRESS, 0, 5, watch.apply_peer_update)
+
+    accepted = _Stream()
+    streams.accept(accepted).on_data(accepted, bytes(spoiled))
+    dialled, observer = streams.dialled[0]
+    observer.on_data(dialled, bytes(spoiled))
+
+    assert watch.version is not None
+    if dialled.is_closed:
+        exchange.request_update(ADDRESS, 0, 5, watch.apply_peer_update)
+        assert len(streams.dialled) == 2
