Crash two servers only before the sender that stands still is found

test_suspected_request_does_not_wait_for_a_sender_that_stands_still[search] missed its moment once: the first four copies crashed three servers in a row, and the search was condemned before a node was handed one.

Cause: the test. All servers crashed under each copy, so nothing kept the request between its first crash and its condemnation.

Tried and taken back: crashes at the servers of one shard only.

Change: the first two copies crash their servers, the others hang, so that the request stays suspected until the test has found the sender. What is asked is the same.

--- a/tests/on_platform/test_fatal_requests.py
+++ b/tests/on_platform/test_fatal_requests.py
@@ -5,7 +5,7 @@
 import pathlib
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
 import pytest
@@ -23,6 +23,8 @@
 CRASH_COUNT: Final = 3
 # A refusal that is known in advance takes no longer.
 AT_ONCE_S: Final = 0.25
+# Longer than a test.
+HANG_S: Final = 600.0
 FATAL_CALLER: Final = "mallory"
 OTHER_CALLER: Final = "alice"
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
@@ -124,6 +126,22 @@
         server.is_fatal = is_fatal
 
 
+def crash_first(servers: Sequence[BackendStandIn], count: int) -> None:
+    """Lets the first fatal requests crash servers, and the others hang."""
+    numbers = itertools.count()
+
+    def crashes_or_hangs(request: Request) -> bool:
+        if not is_fatal(request):
+            return False
+        if next(numbers) >= count:
+            for server in servers:
+                server.crash_after_s = HANG_S
+        return True
+
+    for server in servers:
+        server.is_fatal = crashes_or_hangs
+
+
 def third_crash_at_s(servers: Iterable[BackendStandIn]) -> float:
     crashed_at_s = sorted(
         at_s for server in servers for at_s in server.crashed_at_s
@@ -276,7 +294,7 @@
     nodes = deployment.start_nodes(4)
     wait_served(nodes, kind)
     servers = servers_of(deployment, kind)
-    make_fatal(servers)
+    crash_first(servers, CRASH_COUNT - 1)
     for server in servers:
         server.restart_after_s = CONTACT_S
     senders = start_fatal_senders(nodes, kind)
