Derive the reserve with which gathered answers leave

The cause is the constant reserve of 2 ms: due timers wait behind replies of other queries, requests wait to be read, and answers take time to merge and send.

A node now observes these delays for 10 s and takes an upper quantile, between 2 ms and 0.15 of the target. The time before a request is read is part of its own network time, since the poller knows between which times it arrived.

Ruled out: a longer constant, which costs calm nodes shards; reading the round trip again, since delayed acknowledgements may be part of it.

Not measured on a deployment.

--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -17,6 +17,7 @@
     CancelRequest,
     HeaderNames,
 )
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.routing import CallerLimits
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.logs import StructuredLog
@@ -68,6 +69,12 @@
         self._has_failed = False
         self._has_request = False
         self._round_trip_s = stream.round_trip_s()
+        self._opened_since_s = stream.arrival_bounds_s()[0]
+        self._accepted_at_s = read_clock_s()
+        if server.answer_reserve is not None:
+            server.answer_reserve.record_round_trip(
+                stream.peer.host, self._round_trip_s, self._accepted_at_s
+            )
         self.last_active_at_s = read_clock_s()
         self.message_started_at_s: float | None = None
         self._clear_message()
@@ -275,11 +282,20 @@
         """Returns the network time of a request, in seconds.
 
         It is two round trips for the first request of a connection, which
-        includes the opening of the connection, and one for later requests.
+        includes the opening of the connection, and one for later requests. To
+        this comes the time for which the request waited to be read.
         """
-        round_trip_count = 1 if self._has_request else 2
-        self._has_request = True
-        return round_trip_count * self._round_trip_s
+        round_trip_count = 1
+        earliest_s, latest_s = self._stream.arrival_bounds_s()
+        if not self._has_request:
+            self._has_request = True
+            round_trip_count = 2
+            if earliest_s <= self._accepted_at_s:
+                # It arrived with the connection, before the node accepted that.
+                earliest_s = self._opened_since_s
+                latest_s = self._accepted_at_s
+        waited_s = read_clock_s() - (earliest_s + latest_s) / 2
+        return round_trip_count * self._round_trip_s + waited_s
 
     # Answers.
 
@@ -329,9 +345,25 @@
         self._stream.send(
             encode_answer(answer, closes=closes, has_body=has_body)
         )
+        self._observe_sending(self.last_active_at_s)
         if closes:
             self._end()
 
+    def _observe_sending(self, submitted_at_s: float) -> None:
+        """Records how long the kernel takes to accept an answer."""
+        reserve = self._server.answer_reserve
+        if reserve is None:
+            return
+        if not self._stream.unsent:
+            reserve.record_unsent(0.0, submitted_at_s)
+            return
+
+        def on_sent() -> None:
+            now_s = read_clock_s()
+            reserve.record_unsent(now_s - submitted_at_s, now_s)
+
+        self._stream.on_sent = on_sent
+
     def _fail(self, answer: CallerAnswer) -> None:
         """Answers with an error and ends the connection.
 
@@ -396,6 +428,8 @@
         self.internal_header_names = frozenset({"content-length"})
         self.service = service
         self.limits = CallerLimits()
+        # Gets the delays of connections and answers, if there is one.
+        self.answer_reserve: AnswerReserve | None = None
         # Whether connections are closed after the next answer, and whether new
         # requests are refused: the process ends before they could be answered.
         self.is_stopping = False
--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -113,6 +113,9 @@
             self._histories.get(route),
             RequestTemplate(request, self._names),
             end,
+            self._context.answer_reserve.reserve_s(
+                len(route.shards), route.target_latency_s, self._clock()
+            ),
         )
         handler: RequestHandler
         targets = self._find_relay_targets(job.template.identity)
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -260,7 +260,7 @@
         if self._missing_count == 0:
             self._answer()
         elif self._context.clock() >= self._answer_at_s:
-            self._answer_if_enough()
+            self._answer_overdue()
         elif self._has_waiting_shard:
             self._check_completion()
         if self._was_careful and not self._has_ended:
@@ -374,7 +374,19 @@
             return True
         return False
 
+    def _answer_overdue(self) -> None:
+        """Answers with a reply that was read before the due timer ran."""
+        if not self._answer_if_enough():
+            return
+        reply_count = len(self._shards) - self._missing_count
+        if self._is_enough(reply_count - 1):
+            now_s = self._context.clock()
+            self._context.answer_reserve.record_lateness(
+                now_s - self._answer_at_s, now_s
+            )
+
     def _answer(self) -> None:
+        started_at_s = self._context.clock()
         job, names = self._job, self._context.names
         replies = [
             shard.reply for shard in self._shards if shard.reply is not None
@@ -394,6 +406,10 @@
         self._context.counts.missing_shard_count += self._missing_count
         self._record_end(outcome, **self._describe())
         self._finish(answer)
+        now_s = self._context.clock()
+        self._context.answer_reserve.record_work(
+            now_s - started_at_s, len(replies), now_s
+        )
 
     def _end_condemned(self) -> None:
         if self._may_have_run or any(
--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from mulberrybay_core.edge_nodes import EdgeNodes
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import RoutedService
@@ -38,6 +39,7 @@
     connections: ServerConnections
     crash_watch: CrashWatch
     callers: CallerServer
+    answer_reserve: AnswerReserve
     store: PlatformClient
     view: PlatformView
     watches: list[StoreWatch]
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -16,6 +16,7 @@
     EdgeNodeInfo,
     EdgeNodes,
 )
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.request_owner import (
     choose_owner,
@@ -121,6 +122,7 @@
         self._exit_stack = contextlib.ExitStack()
         self._random = random.Random()
         self._counts = RequestCounts()
+        self._answer_reserve = AnswerReserve()
         self._started_at_s = read_clock_s()
         self._stopping_since_s: float | None = None
         self._was_stopped_at_start = False
@@ -240,6 +242,7 @@
             self._crash_watch,
             settings.retry_terms.ratio,
             read_clock_s,
+            self._answer_reserve,
         )
         self._service = RoutedService(
             handler_context,
@@ -252,6 +255,7 @@
     def _build_servers(self) -> None:
         settings, paths = self._settings, self._settings.paths
         self._callers = self._make_server(self._service)
+        self._callers.answer_reserve = self._answer_reserve
         self._readiness = self._make_server(
             ReadinessService(paths.readiness, self._is_ready)
         )
@@ -569,6 +573,7 @@
                 connections=self._connections,
                 crash_watch=self._crash_watch,
                 callers=self._callers,
+                answer_reserve=self._answer_reserve,
                 store=self._store,
                 view=self._view,
                 watches=self._watches,
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -38,6 +38,12 @@
         "counter",
         "Shards that answers did not cover.",
     ),
+    MetricSpec(
+        "edge_answer_delay_seconds",
+        "gauge",
+        "Delays that the reserve of answers covers; work is for each reply.",
+        ("cause",),
+    ),
     MetricSpec("edge_caller_connections", "gauge", "Connections of callers."),
 )
 SERVER_SPECS: Final = (
@@ -217,6 +223,9 @@
         for labels, count in counts.outcomes.items():
             yield Sample("edge_runs", count, labels)
         yield from count_samples("edge_refusals", counts.refusals)
+        delays_s = self._sources.answer_reserve.parts_s(read_clock_s())
+        for cause, delay_s in delays_s.items():
+            yield Sample("edge_answer_delay_seconds", delay_s, (cause,))
         yield Sample("edge_callers_gone", counts.disconnected_caller_count)
         yield Sample("edge_missing_shards", counts.missing_shard_count)
         yield Sample(
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -12,6 +12,10 @@
     CallerRequest,
     HeaderNames,
 )
+from mulberrybay_core.overload.answer_reserve import (
+    MIN_RESERVE_S,
+    AnswerReserve,
+)
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
 from mulberrybay_core.suspect_turns import SuspectTurns
@@ -28,8 +32,6 @@
 # If all servers are full, a request is refused after this fraction of its
 # target latency.
 MAX_QUEUE_RATIO: Final = 0.2
-# Reserve for merging and sending an answer and for timers that fire late.
-ANSWER_MARGIN_S: Final = 0.002
 # The minimum latency budget of a node, as a fraction of the target latency. It
 # applies if the network time to the caller leaves less.
 MIN_LATENCY_BUDGET_RATIO: Final = 0.3
@@ -83,6 +85,7 @@
         crash_watch: Knows the requests under which servers crash.
         retry_ratio: Retries allowed per request, over all nodes.
         clock: Returns the time in seconds.
+        answer_reserve: Derives how early answers must leave.
     """
 
     sender: Sender
@@ -93,6 +96,7 @@
     crash_watch: CrashWatch
     retry_ratio: float
     clock: Callable[[], float]
+    answer_reserve: AnswerReserve
 
 
 class RequestJob(NamedTuple):
@@ -104,6 +108,7 @@
         history: The latencies of that route.
         template: The request as it is sent to backend servers.
         reply: Called with the answer.
+        answer_reserve_s: How long before its due time the answer must leave.
     """
 
     request: CallerRequest
@@ -111,16 +116,17 @@
     history: RouteHistory
     template: RequestTemplate
     reply: AnswerHandler
+    answer_reserve_s: float = MIN_RESERVE_S
 
     def latency_budget_s(self) -> float:
         """Returns the time within which this node should answer, in seconds.
 
-        It is the target latency less the network time to the caller and a
-        margin, but not below MIN_LATENCY_BUDGET_RATIO of the target latency.
+        It is the target latency less the network time to the caller and the
+        reserve, but not below MIN_LATENCY_BUDGET_RATIO of the target latency.
         """
         target_s = self.route.target_latency_s
         latency_budget_s = (
-            target_s - self.request.network_time_s - ANSWER_MARGIN_S
+            target_s - self.request.network_time_s - self.answer_reserve_s
         )
         return max(latency_budget_s, MIN_LATENCY_BUDGET_RATIO * target_s)
 
@@ -280,7 +286,15 @@
     def _set_timer(self, due_s: float, callback: Callable[[], None]) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._context.timers.call_at(due_s, callback)
+        clock = self._context.clock
+        due_s = max(due_s, clock())
+
+        def fire() -> None:
+            now_s = clock()
+            self._context.answer_reserve.record_lateness(now_s - due_s, now_s)
+            callback()
+
+        self._timer = self._context.timers.call_at(due_s, fire)
 
     def _record_end(self, outcome: str, **fields: object) -> None:
         """Counts and logs the outcome of the request."""
--- a/packages/edge/tests/played_servers.py
+++ b/packages/edge/tests/played_servers.py
@@ -13,6 +13,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import (
     CallerLimits,
@@ -204,6 +205,7 @@
             crash_watch,
             terms.ratio,
             timers.clock,
+            AnswerReserve(),
         )
         self.answers: list[PlayedAnswer] = []
 
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -12,6 +12,7 @@
     CallerRequest,
     HeaderNames,
 )
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route, RouteKind, WeightedService
 from mulberrybay_edge.crash_watch import CrashWatch
@@ -260,6 +261,7 @@
             CrashWatch(self.connections, self.timers, log),
             0.2,
             self.timers.clock,
+            AnswerReserve(),
         )
         request = CallerRequest(
             "GET",
--- /dev/null
+++ b/packages/edge/tests/test_answer_in_time.py
@@ -0,0 +1,188 @@
+"""Gathered answers of a node that is busy with replies, on a played clock."""
+
+import heapq
+import itertools
+import random
+from typing import Final
+
+from request_fakes import NAMES, FakeProbes, FakeSender
+
+from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
+from mulberrybay_core.overload.answer_reserve import (
+    MAX_RESERVE_RATIO,
+    MIN_RESERVE_S,
+    AnswerReserve,
+)
+from mulberrybay_core.route_history import RouteHistory
+from mulberrybay_core.routing import Route, RouteKind
+from mulberrybay_edge.crash_watch import CrashWatch
+from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.gather_handler import GatherHandler
+from mulberrybay_edge.request_context import (
+    HandlerContext,
+    RequestCounts,
+    RequestJob,
+)
+from mulberrybay_edge.sending import RequestTemplate
+from mulberrybay_runtime.timers import Timers
+
+SHARDS: Final = tuple(f"s{number}" for number in range(90))
+# Processor time of a node: a reply, an attempt, and an answer.
+REPLY_S: Final = 0.0002
+SEND_S: Final = 0.0002
+ANSWER_S: Final = 0.001
+URGENT: Final = Route(
+    "urgent",
+    "a.example",
+    "/",
+    RouteKind.IDEMPOTENT,
+    timeout_s=2.0,
+    target_latency_s=0.087,
+    max_server_count=2,
+    split=(),
+    shards=SHARDS,
+    top_hit_count=10,
+    min_coverage=0.5,
+)
+
+
+class _FixedReserve(AnswerReserve):
+    """The constant that was used before."""
+
+    def reserve_s(
+        self, shard_count: int, target_latency_s: float, now_s: float
+    ) -> float:
+        return MIN_RESERVE_S
+
+
+class _BusyNode:
+    """Reads all replies that are ready, then runs the timers that are due.
+
+    Each step takes processor time, in which further replies become ready.
+    """
+
+    def __init__(self, reserve: AnswerReserve) -> None:
+        self.now_s = 0.0
+        self.reserve = reserve
+        self.timers = Timers()
+        self._random = random.Random(5)
+        self._numbers = itertools.count()
+        self._events: list[tuple[float, int, object]] = []
+        self._sender = FakeSender(self.clock)
+        self._sender.has_retry_budget = False
+        log = DecisionLog(self.clock)
+        self._context = HandlerContext(
+            self._sender,
+            self.timers,
+            NAMES,
+            log,
+            RequestCounts(),
+            CrashWatch(FakeProbes(), self.timers, log),
+            0.2,
+            self.clock,
+            reserve,
+        )
+        self._history = RouteHistory(URGENT.target_latency_s)
+        # When each answer left, relative to its target.
+        self.margins_s: list[float] = []
+        self.missing_count = 0
+
+    def clock(self) -> float:
+        return self.now_s
+
+    def _push(self, at_s: float, event: object) -> None:
+        heapq.heappush(self._events, (at_s, next(self._numbers), event))
+
+    def play(self, query_period_s: float, until_s: float) -> None:
+        """Plays queries at random times until a time."""
+        at_s = self.now_s
+        while at_s < until_s:
+            at_s += self._random.expovariate(1 / query_period_s)
+            self._push(at_s, None)
+        while self._events and self.now_s < until_s:
+            due_s = self.timers.next_due_s()
+            times_s = [self._events[0][0], *([due_s] if due_s else [])]
+            self.now_s = max(self.now_s, min(times_s))
+            self._read_ready()
+            self.timers.run_due(self.now_s)
+
+    def _read_ready(self) -> None:
+        ready_until_s, ready = self.now_s, []
+        while self._events and self._events[0][0] <= ready_until_s:
+            ready.append(heapq.heappop(self._events))
+        for came_at_s, _, event in ready:
+            if event is None:
+                self._start(came_at_s)
+            elif not event.is_finished:
+                self.now_s += REPLY_S
+                event.succeed(b"", str(next(self._numbers)))
+
+    def _start(self, came_at_s: float) -> None:
+        request_id = f"id-{next(self._numbers)}"
+        waited_s = self.now_s - came_at_s
+        request = CallerRequest(
+            "GET", "/x", "/x", "a.example", (), b"", request_id, self.now_s,
+            None, waited_s,
+        )  # fmt: skip
+
+        def on_answer(answer: CallerAnswer) -> None:
+            self.now_s += ANSWER_S
+            took_s = self.now_s - came_at_s
+            self.margins_s.append(URGENT.target_latency_s - took_s)
+            self.missing_count += int(dict(answer.headers).get("Missing", 0))
+
+        reserve_s = self.reserve.reserve_s(
+            len(SHARDS), URGENT.target_latency_s, self.now_s
+        )
+        job = RequestJob(
+            request,
+            URGENT,
+            self._history,
+            RequestTemplate(request, NAMES),
+            on_answer,
+            reserve_s,
+        )
+        GatherHandler(self._context, job).start()
+        for attempt in self._sender.attempts:
+            self.now_s += SEND_S
+            delay_s = 0.01 + self._random.expovariate(1 / 0.03)
+            self._push(self.now_s + delay_s, attempt)
+        self._sender.attempts.clear()
+
+    def in_time_ratio(self) -> float:
+        return sum(margin_s >= 0 for margin_s in self.margins_s) / len(
+            self.margins_s
+        )
+
+    def missing_ratio(self) -> float:
+        return self.missing_count / len(self.margins_s) / len(SHARDS)
+
+    def current_reserve_s(self) -> float:
+        return self.reserve.reserve_s(
+            len(SHARDS), URGENT.target_latency_s, self.now_s
+        )
+
+
+def test_busy_node_answers_in_time_with_a_derived_reserve() -> None:
+    """Answers that wait behind replies of other queries leave too late."""
+    fixed, derived = _BusyNode(_FixedReserve()), _BusyNode(AnswerReserve())
+
+    for node in (fixed, derived):
+        node.play(0.06, 30.0)
+
+    assert fixed.in_time_ratio() < 0.6
+    assert derived.in_time_ratio() > 0.7
+    assert 0.004 < derived.current_reserve_s() <= MAX_RESERVE_RATIO * 0.087
+    # Few shards are left out for it.
+    assert derived.missing_ratio() - fixed.missing_ratio() < 0.06
+
+
+def test_reserve_of_a_calm_node_returns_to_its_lower_bound() -> None:
+    """An answer that leaves early for no reason lacks shards."""
+    node = _BusyNode(AnswerReserve())
+    node.play(0.06, 10.0)
+    assert node.current_reserve_s() > 2 * MIN_RESERVE_S
+
+    node.play(1.0, 40.0)
+
+    assert node.current_reserve_s() < 1.5 * MIN_RESERVE_S
--- a/packages/edge/tests/test_caller_input.py
+++ b/packages/edge/tests/test_caller_input.py
@@ -53,6 +53,9 @@
     def round_trip_s(self) -> float:
         return 0.0
 
+    def arrival_bounds_s(self) -> tuple[float, float]:
+        return 0.0, 0.0
+
     def send(self, data: bytes) -> bool:
         assert not self.is_half_closed
         self.sent += data
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -5,7 +5,10 @@
 import pytest
 from request_fakes import NAMES
 
+from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
+from mulberrybay_edge import caller_server
 from mulberrybay_edge.caller_server import CallerServer
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n\r\n"
@@ -17,10 +20,17 @@
     def __init__(self) -> None:
         self.sent = b""
         self.is_half_closed = False
+        self.arrival_bounds = (0.0, 0.0)
+        self.unsent = b""
+        self.peer = Address("192.0.2.1", 1)
+        self.on_sent: Any = None
 
     def round_trip_s(self) -> float:
         return 0.0
 
+    def arrival_bounds_s(self) -> tuple[float, float]:
+        return self.arrival_bounds
+
     def send(self, data: bytes) -> bool:
         self.sent += data
         return True
@@ -189,3 +199,46 @@
     assert stream.sent.startswith(b"HTTP/1.1 431 ")
     assert stream.sent.count(b"HTTP/1.1 ") == 1
     assert service.requests == []
+
+
+def test_time_before_a_request_is_read_counts_as_network_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A busy node reads requests late, while their callers already wait."""
+    clock_s = 1.0
+    monkeypatch.setattr(caller_server, "read_clock_s", lambda: clock_s)
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    stream.arrival_bounds = (0.98, 0.99)
+    connection = server._accept(stream)
+
+    # The first request came with the connection, which was accepted at 1.0.
+    clock_s, stream.arrival_bounds = 1.02, (0.995, 1.01)
+    connection.on_data(stream, REQUEST)
+    service.replies[0](CallerAnswer(200))
+    clock_s, stream.arrival_bounds = 2.01, (2.0, 2.0)
+    connection.on_data(stream, REQUEST)
+
+    times_s = [request.network_time_s for request in service.requests]
+    assert times_s == pytest.approx([0.03, 0.01])
+
+
+def test_time_in_which_a_connection_takes_no_bytes_is_reserved(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An answer whose end is sent after the target is late."""
+    clock_s = 1.0
+    monkeypatch.setattr(caller_server, "read_clock_s", lambda: clock_s)
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    server.answer_reserve = AnswerReserve()
+    server._accept(stream).on_data(stream, REQUEST)
+    stream.unsent = b"end of the answer"
+
+    service.replies[0](CallerAnswer(200))
+    clock_s = 1.006
+    stream.on_sent()
+
+    assert server.answer_reserve.parts_s(clock_s)["unsent"] == pytest.approx(
+        0.006
+    )
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -18,6 +18,7 @@
 from circuits.core.pollers import EPoll
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_runtime.clock import read_clock_s
 
 READ_SIZE_BYTES: Final = 262_144
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
@@ -28,6 +29,8 @@
 # PROBE_PERIOD_S * (PROBE_COUNT + 1) seconds.
 PROBE_PERIOD_S: Final = 1
 PROBE_COUNT: Final = 2
+# A poll that takes less has found sockets that were ready before.
+MIN_POLL_WAIT_S: Final = 0.0002
 # The offset of tcpi_rtt, in microseconds, in struct tcp_info of Linux.
 _RTT_OFFSET_BYTES: Final = 68
 _TCP_INFO_BYTES: Final = 104
@@ -46,6 +49,27 @@
     def __init__(self) -> None:
         super().__init__()
         self._readable: list[socket.socket] = []
+        now_s = read_clock_s()
+        self._arrival_bounds_s = now_s, now_s
+        self._polled_at_s = now_s
+
+    def arrival_bounds_s(self) -> tuple[float, float]:
+        """Returns between which times a socket that is read became readable.
+
+        If the last poll had to wait, that was at its end; else it was while
+        the loop handled the events of the poll before.
+        """
+        return self._arrival_bounds_s
+
+    def _generate_events(self, event: Event) -> None:
+        started_at_s = read_clock_s()
+        super()._generate_events(event)
+        ended_at_s = read_clock_s()
+        if ended_at_s - started_at_s > MIN_POLL_WAIT_S:
+            self._arrival_bounds_s = ended_at_s, ended_at_s
+        else:
+            self._arrival_bounds_s = self._polled_at_s, started_at_s
+        self._polled_at_s = ended_at_s
 
     def pop_readable(self) -> list[socket.socket]:
         """Returns the sockets that became readable and clears the list."""
@@ -110,6 +134,7 @@
         deferred: Data to send at the end of this loop iteration.
         is_connecting: Whether the dial is in progress.
         is_open: Whether the stream was not closed yet.
+        on_sent: Called once when `unsent` becomes empty.
         half_closes_when_sent: Whether to close the sending side once `unsent`
             is empty.
     """
@@ -129,6 +154,7 @@
         self.deferred: list[bytes] = []
         self.is_connecting = observer is not None
         self.is_open = True
+        self.on_sent: Callable[[], None] | None = None
         self.half_closes_when_sent = False
 
     def send(self, data: bytes) -> bool:
@@ -175,6 +201,10 @@
             return 0.0
         return int(round_trip_us) / 1e6
 
+    def arrival_bounds_s(self) -> tuple[float, float]:
+        """Returns between which times the bytes being read have arrived."""
+        return self._owner.arrival_bounds_s()
+
     def close(self) -> None:
         """Closes the connection without notifying the observer."""
         self._owner.close_stream(self, reason=None)
@@ -206,6 +236,10 @@
             self.close_stream(stream, reason=None)
         self.stop_listening()
 
+    def arrival_bounds_s(self) -> tuple[float, float]:
+        """Returns when bytes have arrived; see `StreamPoller`."""
+        return self._poller.arrival_bounds_s()
+
     def listen(
         self, address: Address, accept: Callable[[Stream], StreamObserver]
     ) -> None:
@@ -316,6 +350,9 @@
             self._poller.removeWriter(stream.connection)
         if stream.half_closes_when_sent and not stream.unsent:
             stream.half_close()
+        if stream.on_sent is not None and not stream.unsent:
+            on_sent, stream.on_sent = stream.on_sent, None
+            on_sent()
         return True
 
     def close_stream(self, stream: Stream, reason: str | None) -> None:
