Place requests by the work that servers report

Callers got no use of servers that report four figures: the header was dropped as unreadable, so requests also went to machines on which work takes several times as long, and nothing was known of what other nodes had queued there.

With the fourth, the cost of a server is its queue times the machine's figure, weighed against what the node has seen itself. The weight by the age of a report is learned as the slope of observed on predicted latencies. Costs vary by a part of their error, so that nodes that see the same idle server don't all choose it. Hedges use the same.

Not measured on a deployment.

--- a/packages/core/mulberrybay_core/placement.py
+++ b/packages/core/mulberrybay_core/placement.py
@@ -11,12 +11,15 @@
 from typing import Final, NamedTuple
 
 from mulberrybay_core.load_report import LoadReport
+from mulberrybay_core.overload.load_forecast import (
+    ABANDONED_LATENCY_RATIO,
+    LoadForecast,
+    LoadPrediction,
+)
 from mulberrybay_core.server_directory import KnownServer
 
 # Weight of one latency sample in the estimate.
 LATENCY_SAMPLE_WEIGHT_RATIO: Final = 0.15
-# The latency of an abandoned request is assumed to be this multiple of its age.
-ABANDONED_LATENCY_RATIO: Final = 2.0
 # Bounds of one latency sample, as multiples of the typical latency.
 MIN_RELATIVE_LATENCY_RATIO: Final = 0.3
 MAX_RELATIVE_LATENCY_RATIO: Final = 12.0
@@ -40,6 +43,15 @@
 # Random increase of a cost, so that nodes with similar estimates don't all
 # choose the same server.
 MAX_JITTER_RATIO: Final = 0.06
+# Random change of a cost that uses a report of work, as a part of the error of
+# such costs. In trials of 30 nodes, 0.2 gave shorter latencies with two
+# replicas than 0, 0.5 and 1.
+REPORT_JITTER_RATIO: Final = 0.2
+# Weight of one request in the mean work at a server, and the bounds of that
+# mean as a multiple of the work of the request to be sent.
+WORK_WEIGHT_RATIO: Final = 0.1
+MIN_WORK_RATIO: Final = 0.2
+MAX_WORK_RATIO: Final = 5.0
 
 
 class ServerState:
@@ -52,6 +64,7 @@
     __slots__ = (
         "_excess_latency_ratio",
         "_failure_ratio",
+        "_mean_latency_s",
         "_outcome_at_s",
         "_own_count_at_report",
         "_report",
@@ -70,6 +83,22 @@
         self._report: LoadReport | None = None
         self._report_at_s = 0.0
         self._own_count_at_report = 0
+        # Of the routes whose requests were sent to the server.
+        self._mean_latency_s = 0.0
+
+    @property
+    def reports_work(self) -> bool:
+        """Whether the last report says how long work takes."""
+        report = self._report
+        return report is not None and report.work_percent is not None
+
+    def record_sent(self, typical_latency_s: float) -> None:
+        """Records a request of a route with a typical latency."""
+        if not self._mean_latency_s:
+            self._mean_latency_s = typical_latency_s
+        self._mean_latency_s += WORK_WEIGHT_RATIO * (
+            typical_latency_s - self._mean_latency_s
+        )
 
     def relative_latency(self, now_s: float) -> float:
         """Returns the expected latency as a multiple of the typical one.
@@ -150,6 +179,36 @@
         others = max(0, total - self._own_count_at_report - 1)
         return others * (1 - age_s / MAX_LOAD_REPORT_AGE_S)
 
+    def predict(
+        self, slot_count: int, query: "PlacementQuery"
+    ) -> LoadPrediction | None:
+        """Predicts the latency of a request with and without the last report.
+
+        Returns:
+            None if that report doesn't say how long work takes.
+        """
+        report = self._report
+        if report is None or report.work_percent is None:
+            return None
+        own_count = len(self.in_flight)
+        work_ratio = min(
+            max(self._mean_latency_s / query.typical_latency_s, MIN_WORK_RATIO),
+            MAX_WORK_RATIO,
+        )
+        total = report.running_count + report.waiting_count
+        others = max(0, total - self._own_count_at_report - 1)
+        with_report = (report.work_percent / 100) * _queue_factor(
+            own_count + others, slot_count, work_ratio
+        )
+        without = self.relative_latency(query.now_s) * _queue_factor(
+            own_count, slot_count, work_ratio
+        )
+        return LoadPrediction(
+            query.now_s - self._report_at_s,
+            math.log(with_report),
+            math.log(without),
+        )
+
     def is_stalled(self, now_s: float, typical_latency_s: float) -> bool:
         """Returns whether a request to the server is unusually old.
 
@@ -173,11 +232,31 @@
         now_s: The time.
         typical_latency_s: The typical latency of a request on this route.
         failure_domain: The failure domain of this node.
+        forecast: Weighs reports that say how long work takes; None if these
+            are used like others.
     """
 
     now_s: float
     typical_latency_s: float
     failure_domain: str
+    forecast: LoadForecast | None = None
+
+
+def _queue_factor(
+    load: float, slot_count: int, work_ratio: float = 1.0
+) -> float:
+    """Returns the latency as a multiple of that at a server without load.
+
+    Args:
+        load: The requests at the server.
+        slot_count: The requests that it runs at the same time.
+        work_ratio: The work of one of these as a multiple of that of the
+            request to be sent.
+    """
+    queue_cost = max(0.0, load + 1 - slot_count) / slot_count
+    # A server that is nearly full is slower even before requests are queued.
+    slot_use_cost = 0.3 * min(1.0, load / slot_count)
+    return 1 + slot_use_cost + queue_cost * work_ratio
 
 
 def placement_cost(
@@ -186,11 +265,12 @@
     """Returns the expected latency as a multiple of the typical one."""
     slots = max(1, server.entry.slot_count)
     now_s = query.now_s
-    load = len(state.in_flight) + state.other_nodes_load(now_s)
-    queue_cost = max(0.0, load + 1 - slots) / slots
-    # A server that is nearly full is slower even before requests are queued.
-    slot_use_cost = 0.3 * min(1.0, load / slots)
-    cost = state.relative_latency(now_s) * (1 + slot_use_cost + queue_cost)
+    prediction = state.predict(slots, query) if query.forecast else None
+    if query.forecast is not None and prediction is not None:
+        cost = query.forecast.cost(prediction)
+    else:
+        load = len(state.in_flight) + state.other_nodes_load(now_s)
+        cost = state.relative_latency(now_s) * _queue_factor(load, slots)
     if state.is_stalled(now_s, query.typical_latency_s):
         cost += STALL_COST_RATIO
     # A failed request is retried, which takes the same time again.
@@ -210,13 +290,19 @@
 ) -> KnownServer | None:
     """Returns the server with the lowest cost; None without candidates.
 
-    Costs are increased at random by up to MAX_JITTER_RATIO.
+    Costs are increased at random by up to MAX_JITTER_RATIO. Those that use a
+    report vary more if reports predict little: other nodes have seen it too.
     """
     best: KnownServer | None = None
     best_cost = 0.0
     for server, state in candidates:
         cost = placement_cost(server, state, query)
         cost *= 1 + MAX_JITTER_RATIO * random_source.random()
+        if query.forecast is not None and state.reports_work:
+            error_ratio = query.forecast.error_ratio
+            cost *= math.exp(
+                REPORT_JITTER_RATIO * random_source.gauss(0.0, error_ratio)
+            )
         if best is None or cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -8,6 +8,10 @@
 from mulberrybay_core.caller_messages import LEAVING_VALUE, HeaderNames
 from mulberrybay_core.fatal_requests import is_proof_of_life
 from mulberrybay_core.load_report import LoadReport
+from mulberrybay_core.overload.load_forecast import (
+    LoadForecast,
+    LoadPrediction,
+)
 from mulberrybay_core.placement import (
     PlacementQuery,
     ServerState,
@@ -61,6 +65,7 @@
         "history",
         "key",
         "on_result",
+        "prediction",
         "retried_service",
         "server",
         "started_at_s",
@@ -89,6 +94,8 @@
         self.exchange: Exchange | None = None
         # The service whose retry budget it was charged to; empty if to none.
         self.retried_service = ""
+        # What was predicted from a report of work; None without one.
+        self.prediction: LoadPrediction | None = None
         # The limit of its server that it was charged to; None if to none.
         self.charged_limit: ServerLimit | None = None
 
@@ -151,6 +158,7 @@
         self._context = context
         self._random = random_source
         self._states: dict[str, ServerState] = {}
+        self.forecast = LoadForecast()
         self._keys = itertools.count()
         self._load_header = context.names.load.lower()
         self._not_run_header = context.names.not_run.lower()
@@ -298,12 +306,20 @@
             ):
                 continue
             candidates.append((server, self._state(server_id)))
-        query = PlacementQuery(
-            now_s, spec.history.typical_latency_s(), context.failure_domain
-        )
+        query = self._make_query(spec.history, now_s)
         chosen = choose_server(candidates, query, self._random)
         return chosen or SendRefusal.FULL
 
+    def _make_query(
+        self, history: RouteHistory, now_s: float
+    ) -> PlacementQuery:
+        return PlacementQuery(
+            now_s,
+            history.typical_latency_s(),
+            self._context.failure_domain,
+            self.forecast,
+        )
+
     def _state(self, server_id: str) -> ServerState:
         state = self._states.get(server_id)
         if state is None:
@@ -348,6 +364,7 @@
         attempt.exchange = exchange
         self.sent_count += 1
         self._charge(attempt, attempt.started_at_s)
+        self._predict(attempt)
         state.in_flight[key] = attempt.started_at_s
         max_idle_s = ANY_IDLE_S if spec.is_retryable else FRESH_IDLE_S
         is_started = self._context.connections.start(
@@ -367,6 +384,16 @@
             return self._refuse(SendRefusal.NOT_ALLOWED)
         return attempt
 
+    def _predict(self, attempt: _Attempt) -> None:
+        """Keeps what the server's last report predicts, to learn from it."""
+        state, history = attempt.state, attempt.history
+        state.record_sent(history.typical_latency_s())
+        if state.reports_work:
+            attempt.prediction = state.predict(
+                max(1, attempt.server.entry.slot_count),
+                self._make_query(history, attempt.started_at_s),
+            )
+
     def _charge(self, attempt: _Attempt, now_s: float) -> bool:
         """Charges an attempt once to the limit that its server has named.
 
@@ -404,9 +431,10 @@
         now_s = read_clock_s()
         age_s = now_s - attempt.started_at_s
         attempt.history.record_latency(age_s)
-        attempt.state.record_abandoned(
-            age_s / attempt.history.typical_latency_s(), now_s
-        )
+        relative_age = age_s / attempt.history.typical_latency_s()
+        attempt.state.record_abandoned(relative_age, now_s)
+        if attempt.prediction is not None:
+            self.forecast.observe_abandoned(attempt.prediction, relative_age)
         self.outcome_counts["cancelled"] += 1
         exchange.cancel()
 
@@ -478,9 +506,10 @@
         if is_success:
             latency_s = now_s - attempt.started_at_s
             attempt.history.record_latency(latency_s)
-            state.record_success(
-                latency_s / attempt.history.typical_latency_s(), now_s
-            )
+            relative_latency = latency_s / attempt.history.typical_latency_s()
+            state.record_success(relative_latency, now_s)
+            if attempt.prediction is not None:
+                self.forecast.observe(attempt.prediction, relative_latency)
             return AttemptResult(AttemptOutcome.OK, server_id, reply, "", True)
         state.record_failure(now_s)
         detail = f"the server answered {reply.status}"
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from mulberrybay_core.overload.load_forecast import AGE_BOUNDS_S
 from mulberrybay_edge.caller_service import LATENCY_BOUNDS_S
 from mulberrybay_edge.metric_sources import MetricSources
 from mulberrybay_runtime.clock import read_clock_s
@@ -98,6 +99,12 @@
     MetricSpec(
         "edge_lacks_servers", "gauge", "1 while no backend server is reached."
     ),
+    MetricSpec(
+        "edge_load_report_weight",
+        "gauge",
+        "How far reports of work predict latencies, by their age.",
+        ("max_age_ms",),
+    ),
     MetricSpec(
         "edge_probes",
         "counter",
@@ -249,6 +256,10 @@
         )
         condemned_count = len(self._sources.crash_watch.requests.condemned)
         yield Sample("edge_condemned_requests", condemned_count)
+        for bound_s in AGE_BOUNDS_S:
+            weight = dispatcher.forecast.weight(bound_s)
+            labels = (f"{bound_s * 1000:.0f}",)
+            yield Sample("edge_load_report_weight", weight, labels)
         yield Sample("edge_lacks_servers", int(self._sources.reach.is_lost))
         yield Sample("edge_probes", self._sources.reach_monitor.probe_count)
         yield from count_samples(
--- a/packages/edge/tests/test_dispatcher.py
+++ b/packages/edge/tests/test_dispatcher.py
@@ -70,15 +70,17 @@
 
 
 class _Setup:
-    """A dispatcher of one service with two servers."""
+    """A dispatcher of one service with two servers, unless told otherwise."""
 
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(
+        self, monkeypatch: pytest.MonkeyPatch, server_count: int = 2
+    ) -> None:
         self.timers = FakeTimers()
         for module in (dispatcher, exchange):
             monkeypatch.setattr(module, "read_clock_s", self.timers.clock)
         servers = [
             PlayedServer(self.timers, "records", number, lambda: 0.1)
-            for number in range(2)
+            for number in range(server_count)
         ]
         node = PlayedNode(self.timers, servers, [ROUTE], 1)
         self.dispatcher: Dispatcher = node.dispatcher
@@ -91,7 +93,9 @@
         self.directory = context.directory
         self.results: list[AttemptResult] = []
 
-    def send(self, *, is_retry: bool = False) -> object:
+    def send(
+        self, *, is_retry: bool = False, tried: TriedServers | None = None
+    ) -> object:
         request = CallerRequest(
             "GET", "/x", "/x", "a.example", (), b"", "id", 0.0, None
         )
@@ -100,7 +104,7 @@
             "records",
             RouteHistory(0.2),
             self.timers.now_s + 2.0,
-            TriedServers(2),
+            tried or TriedServers(2),
             is_retry,
             is_retryable=True,
         )
@@ -266,3 +270,32 @@
 
     (result,) = setup.results
     assert (result.outcome, result.reply) == (AttemptOutcome.LOST, None)
+
+
+def test_hedge_goes_to_the_replica_with_the_shorter_expected_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A hedge at a slow machine uses up the retry budget and comes too late."""
+    setup = _Setup(monkeypatch, server_count=3)
+    tried = TriedServers(2)
+    first: Any = setup.send(tried=tried)
+    tried.record_sent(first.server_id)
+    others = [
+        server.entry.server_id
+        for server in setup.directory.usable("records")
+        if server.entry.server_id != first.server_id
+    ]
+    for server_id, work in zip(others, ("400", "90"), strict=True):
+        reply = HttpReply(200, {"load": f"1,0,2,{work}"}, b"", True)
+        state = setup.dispatcher._state(server_id)
+        setup.dispatcher._record_load(state, server_id, reply, 100.0)
+
+    hedge: Any = setup.send(is_retry=True, tried=tried)
+
+    assert hedge.server_id == others[1]
+    assert hedge.prediction is not None
+    started, _ = setup.connections.started[1]
+    reply = HttpReply(200, {"signature": "s"}, b"", True)
+    error_ratio = setup.dispatcher.forecast.error_ratio
+    started.finish(ExchangeResult(ExchangeOutcome.REPLY, reply))
+    assert setup.dispatcher.forecast.error_ratio != error_ratio
