--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -16,6 +16,7 @@
     EdgeNodeInfo,
     EdgeNodes,
 )
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.request_owner import (
     choose_owner,
@@ -121,6 +122,7 @@
         self._exit_stack = contextlib.ExitStack()
         self._random = random.Random()
         self._counts = RequestCounts()
+        self._answer_reserve = AnswerReserve()
         self._started_at_s = read_clock_s()
         self._stopping_since_s: float | None = None
         self._was_stopped_at_start = False
@@ -134,7 +136,9 @@
         self._faults = FaultLog().register(self)
         self._poller = StreamPoller().register(self)
         self._timers = Timers().register(self)
-        self._streams = Streams(self._poller).register(self)
+        self._streams = Streams(self._poller, self._timers.run_prompt).register(
+            self
+        )
         self._datagrams = Datagrams(self._poller).register(self)
         self._peer_link: PeerLink | None = None
         self._connections = ServerConnections(self._streams, self._timers)
@@ -240,6 +244,7 @@
             self._crash_watch,
             settings.retry_terms.ratio,
             read_clock_s,
+            self._answer_reserve,
         )
         self._service = RoutedService(
             handler_context,
@@ -252,6 +257,7 @@
     def _build_servers(self) -> None:
         settings, paths = self._settings, self._settings.paths
         self._callers = self._make_server(self._service)
+        self._callers.answer_reserve = self._answer_reserve
         self._readiness = self._make_server(
             ReadinessService(paths.readiness, self._is_ready)
         )
@@ -569,6 +575,7 @@
                 connections=self._connections,
                 crash_watch=self._crash_watch,
                 callers=self._callers,
+                answer_reserve=self._answer_reserve,
                 store=self._store,
                 view=self._view,
                 watches=self._watches,
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from mulberrybay_core.overload.load_forecast import AGE_BOUNDS_S
 from mulberrybay_edge.caller_service import LATENCY_BOUNDS_S
 from mulberrybay_edge.metric_sources import MetricSources
 from mulberrybay_runtime.clock import read_clock_s
@@ -38,6 +39,12 @@
         "counter",
         "Shards that answers did not cover.",
     ),
+    MetricSpec(
+        "edge_answer_delay_seconds",
+        "gauge",
+        "Delays that the reserve of answers covers.",
+        ("cause",),
+    ),
     MetricSpec("edge_caller_connections", "gauge", "Connections of callers."),
 )
 SERVER_SPECS: Final = (
@@ -92,6 +99,12 @@
     MetricSpec(
         "edge_lacks_servers", "gauge", "1 while no backend server is reached."
     ),
+    MetricSpec(
+        "edge_load_report_weight",
+        "gauge",
+        "How far reports of work predict latencies, by their age.",
+        ("max_age_ms",),
+    ),
     MetricSpec(
         "edge_probes",
         "counter",
@@ -217,6 +230,9 @@
         for labels, count in counts.outcomes.items():
             yield Sample("edge_runs", count, labels)
         yield from count_samples("edge_refusals", counts.refusals)
+        delays_s = self._sources.answer_reserve.parts_s(read_clock_s())
+        for cause, delay_s in delays_s.items():
+            yield Sample("edge_answer_delay_seconds", delay_s, (cause,))
         yield Sample("edge_callers_gone", counts.disconnected_caller_count)
         yield Sample("edge_missing_shards", counts.missing_shard_count)
         yield Sample(
@@ -240,6 +256,10 @@
         )
         condemned_count = len(self._sources.crash_watch.requests.condemned)
         yield Sample("edge_condemned_requests", condemned_count)
+        for bound_s in AGE_BOUNDS_S:
+            weight = dispatcher.forecast.weight(bound_s)
+            labels = (f"{bound_s * 1000:.0f}",)
+            yield Sample("edge_load_report_weight", weight, labels)
         yield Sample("edge_lacks_servers", int(self._sources.reach.is_lost))
         yield Sample("edge_probes", self._sources.reach_monitor.probe_count)
         yield from count_samples(
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -12,6 +12,7 @@
     CallerRequest,
     HeaderNames,
 )
+from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route, RouteKind, WeightedService
 from mulberrybay_edge.crash_watch import CrashWatch
@@ -65,6 +66,15 @@
         heapq.heappush(self._heap, (due_s, next(self._numbers), timer))
         return timer
 
+    def call_promptly_at(
+        self, due_s: float, callback: Callable[[], None]
+    ) -> Timer:
+        """Schedules a callback like any other."""
+        return self.call_at(due_s, callback)
+
+    def run_prompt(self) -> None:
+        """Does nothing: no callback is late."""
+
     def advance(self, span_s: float) -> None:
         """Advances the clock and fires the timers that become due."""
         end_s = self.now_s + span_s
@@ -260,6 +270,7 @@
             CrashWatch(self.connections, self.timers, log),
             0.2,
             self.timers.clock,
+            AnswerReserve(),
         )
         request = CallerRequest(
             "GET",
