Read tenants and public routes of the configuration, with keys as digests

Operators can list tenants with API keys in the configuration, and nodes ignored that field, so that every caller was served. A node needs the keys of one version in a form that no log line of a request can give away (the object as read stays in the cache that is passed on to other nodes). A malformed tenant or a `public` that is no boolean makes the whole configuration malformed, as other fields do: a string in place of the list of keys would otherwise admit each of its letters. `tenants` absent or null leaves all as it was; an empty list admits no key, since operators can remove the last one. Considered and left: rejecting a key that two tenants have (a mistake there would keep later revocations out as well); the first tenant has it.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -7,6 +7,11 @@
 # Answers with these statuses say that the request was not run.
 REFUSAL_STATUSES: Final = (408, 421, 429, 503)
 BAD_REQUEST: Final = CallerAnswer(400, body=b"the request is not valid HTTP\n")
+UNKNOWN_KEY: Final = CallerAnswer(
+    401,
+    (("WWW-Authenticate", "Bearer"),),
+    b"not run: the request carries no known API key\n",
+)
 NO_ROUTE: Final = CallerAnswer(404, body=b"no route has this host and path\n")
 REQUEST_TIMEOUT: Final = CallerAnswer(
     408, body=b"the request did not arrive in time\n"
--- a/packages/core/mulberrybay_core/caller_messages.py
+++ b/packages/core/mulberrybay_core/caller_messages.py
@@ -40,6 +40,7 @@
         leaving: LEAVING_VALUE in the replies of a backend server that leaves.
         rate_limit: The requests per second that a backend server takes from
             all nodes together.
+        tenant: The name of the tenant whose API key a request carries.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     load: str
     leaving: str
     rate_limit: str
+    tenant: str
 
 
 class CallerRequest(NamedTuple):
--- a/packages/core/mulberrybay_core/routing.py
+++ b/packages/core/mulberrybay_core/routing.py
@@ -3,6 +3,8 @@
 import enum
 from typing import Final, NamedTuple
 
+from mulberrybay_core.tenants.keys import KeyRing, Tenant
+
 
 class RouteKind(enum.Enum):
     """Whether the requests of a route are idempotent.
@@ -40,6 +42,7 @@
         shards: The services, one for each shard of the index.
         top_hit_count: The maximum number of hits in an answer over shards.
         min_coverage: The minimum ratio of shards that an answer must cover.
+        is_public: Whether requests need no API key.
     """
 
     name: str
@@ -54,6 +57,7 @@
     shards: tuple[str, ...] = ()
     top_hit_count: int = 0
     min_coverage: float = 0.0
+    is_public: bool = False
 
 
 class ServiceSettings(NamedTuple):
@@ -84,12 +88,17 @@
 
 
 class RoutingConfiguration(NamedTuple):
-    """One revision of the routes, services and caller limits."""
+    """One revision of the routes, services, caller limits and tenants.
+
+    Attributes:
+        tenants: The tenants; None if requests need no API key at all.
+    """
 
     revision: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSettings, ...]
     limits: CallerLimits
+    tenants: tuple[Tenant, ...] | None = None
 
 
 DEFAULT_CONNECTION_CAP_COUNT: Final = 8
@@ -104,6 +113,13 @@
     def __init__(self, configuration: RoutingConfiguration) -> None:
         self.revision = configuration.revision
         self.limits = configuration.limits
+        self.tenants = configuration.tenants or ()
+        # None if requests need no API key at all.
+        self.key_ring = (
+            None
+            if configuration.tenants is None
+            else KeyRing(configuration.tenants)
+        )
         self._services = {
             service.name: service for service in configuration.services
         }
--- /dev/null
+++ b/packages/core/mulberrybay_core/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: whose requests are served, and how many of them."""
--- a/tests/on_platform/test_store_input.py
+++ b/tests/on_platform/test_store_input.py
@@ -5,12 +5,13 @@
 from typing import Any, Final
 
 import pytest
-from deployment import configuration
+from deployment import configuration, route
 from hypothesis import given, settings, strategies
 
 from mulberrybay_core.errors import Failure
 from mulberrybay_core.routing import RoutingConfiguration
 from mulberrybay_core.store_messages import ObjectList, StoredObject
+from mulberrybay_core.tenants.keys import Tenant, digest_key
 from mulberrybay_deployment.documents import DeploymentDocuments
 from mulberrybay_deployment.store_dialect import DeploymentDialect
 from mulberrybay_runtime.http_exchange import HttpReply
@@ -101,7 +102,9 @@
 @settings(deadline=None, max_examples=300)
 @given(
     changes=strategies.dictionaries(
-        strategies.sampled_from(["revision", "routes", "services", "limits"]),
+        strategies.sampled_from(
+            ["revision", "routes", "services", "limits", "tenants"]
+        ),
         values,
         min_size=1,
     )
@@ -114,6 +117,91 @@
     assert decoded is None or isinstance(decoded, RoutingConfiguration)
 
 
+TENANT: Final[dict[str, Any]] = {"name": "red", "api_keys": ["a", "b"]}
+
+
+def read_fields(**fields: object) -> RoutingConfiguration | None:
+    return DOCUMENTS.read_configuration(
+        StoredObject("", "main", 1, configuration(1, **fields))
+    )
+
+
+@pytest.mark.parametrize(
+    ("fields", "tenant"),
+    [
+        ({}, Tenant("red", (digest_key(b"a"), digest_key(b"b")))),
+        (
+            {
+                "api_keys": ["\xe4"],
+                "priority": 0,
+                "rate_per_s": 2.5,
+                "burst": 7,
+            },
+            Tenant("red", (digest_key("\xe4".encode()),), 0, 2.5, 7),
+        ),
+        (
+            {"api_keys": None, "priority": None, "rate_per_s": None},
+            Tenant("red", ()),
+        ),
+    ],
+)
+def test_tenant_has_digests_in_place_of_its_keys(
+    fields: dict[str, Any], tenant: Tenant
+) -> None:
+    decoded = read_fields(tenants=[{**TENANT, **fields}])
+    assert decoded is not None
+    assert decoded.tenants == (tenant,)
+
+
+@pytest.mark.parametrize(("value", "tenants"), [(None, None), ([], ())])
+def test_configuration_without_any_tenant_left_still_asks_for_keys(
+    value: object, tenants: object
+) -> None:
+    decoded = read_fields(tenants=value)
+    assert decoded is not None
+    assert decoded.tenants == tenants
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"name": ""},
+        {"name": "a\r\nX-Other: b"},
+        {"name": "\ud800"},
+        {"api_keys": "ab"},
+        {"api_keys": {"a": 1}},
+        {"api_keys": [""]},
+        {"api_keys": [7]},
+        {"priority": -1},
+        {"priority": "high"},
+        {"rate_per_s": -1},
+        {"rate_per_s": "1"},
+        {"rate_per_s": True},
+        {"burst": -1},
+    ],
+)
+def test_malformed_tenant_leaves_the_configuration_out(
+    fields: dict[str, Any],
+) -> None:
+    assert read_fields(tenants=[TENANT, {**TENANT, **fields}]) is None
+
+
+@pytest.mark.parametrize("tenants", [{}, {"red": TENANT}, "red", 7, [7], [[]]])
+def test_malformed_list_of_tenants_leaves_the_configuration_out(
+    tenants: object,
+) -> None:
+    assert read_fields(tenants=tenants) is None
+
+
+@pytest.mark.parametrize("value", ["false", 1, [True], {}])
+def test_route_is_public_only_if_that_is_said_plainly(value: object) -> None:
+    decoded = read_fields(
+        tenants=[TENANT],
+        routes=[route("r", "/r/", service="records", public=value)],
+    )
+    assert decoded is None or not decoded.routes[0].is_public
+
+
 @pytest.mark.parametrize(
     "odd",
     ['{"meta":{"name":"b","rev":-1}}', '{"meta":{"name":"b"}}', "17"],
