Serve only requests with a known API key, and tell servers the tenant

With tenants configured, callers were served whatever key they sent, and backend servers got the key and any X-Tenant that a caller made up. A route that isn't public now needs a key of the newest configuration, else 401, after 503 without a configuration and 404 without a route. Servers get no Authorization and no X-Tenant of the caller's but the name of the tenant. A request that is handed to another node keeps its key, and that node judges it again. A request that waits (no room, pause, limit, connection) is judged again by the configuration in force before its first byte is sent; one that may have run goes on. Why it holds: there is one place per handler through which each attempt goes, and the encoder asks once more when there is a connection. Without tenants in the configuration the bytes sent are the same as before.

--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -17,7 +17,9 @@
 from mulberrybay_edge.forward_handler import ForwardHandler
 from mulberrybay_edge.gather_handler import GatherHandler
 from mulberrybay_edge.relay_handler import RelayHandler, RelayTargets
+from mulberrybay_edge.request_access import RequestAccess
 from mulberrybay_edge.request_context import (
+    UNKNOWN_KEY,
     HandlerContext,
     RequestHandler,
     RequestJob,
@@ -107,20 +109,36 @@
             )
             count_and_reply(caller_errors.NO_ROUTE)
             return None
+        access = RequestAccess(request, route, table, self._find_table)
+        if not access.is_admitted():
+            self._context.counts.refusals[UNKNOWN_KEY] += 1
+            self._context.log.log_request_end(
+                request.request_id,
+                "refused",
+                reason=UNKNOWN_KEY,
+                route=route.name,
+                revision=table.revision,
+            )
+            count_and_reply(caller_errors.UNKNOWN_KEY)
+            return None
         job = RequestJob(
             request,
             route,
             self._histories.get(route),
             RequestTemplate(request, self._names),
             end,
+            access,
         )
         handler: RequestHandler
         targets = self._find_relay_targets(job.template.identity)
         if targets is not None and not request.is_relayed:
+            # The other node judges the key again, so it is passed on.
             handler = RelayHandler(self._context, job, targets)
         elif route.shards:
+            access.bind(job.template)
             handler = GatherHandler(self._context, job)
         else:
+            access.bind(job.template)
             handler = ForwardHandler(
                 self._context, job, self._choose_service(route)
             )
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -330,6 +330,8 @@
                 return None
             if not self._context.directory.may_use(server, now_s):
                 return None
+            if spec.may_start is not None and not spec.may_start():
+                return None
             if not self._charge(attempt, now_s):
                 return None
             return spec.template.encode(entry.server_id, time_left_s)
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -64,7 +64,15 @@
             self._last_answer_at_s,
         )
 
+    def _has_started(self) -> bool:
+        return self._may_have_run or any(
+            attempt.is_sent for attempt in self._attempts
+        )
+
     def _send(self) -> bool:
+        if self._is_denied():
+            return False
+        access = self._job.access
         spec = AttemptSpec(
             template=self._job.template,
             service=self._service,
@@ -74,6 +82,7 @@
             is_retry=bool(self._tried.sent_to),
             is_retryable=self._is_retryable,
             avoided_ids=self._avoided_servers(),
+            may_start=access.may_start if access is not None else None,
         )
         attempt = self._context.sender.send(spec, self._on_result)
         if not isinstance(attempt, SendRefusal):
@@ -222,9 +231,7 @@
     # Answers.
 
     def _end_condemned(self) -> None:
-        for attempt in self._attempts:
-            self._may_have_run = self._may_have_run or attempt.is_sent
-        if self._may_have_run:
+        if self._has_started():
             self._answer_failure(CONDEMNED)
         else:
             self._refuse_condemned()
@@ -250,8 +257,7 @@
         """
         if self._has_ended:
             return
-        if any(attempt.is_sent for attempt in self._attempts):
-            self._may_have_run = True
+        self._may_have_run = self._has_started()
         if not self._may_have_run:
             self._refuse(reason, min_delay_s, **self._describe())
             return
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -174,7 +174,16 @@
                 self._may_have_run = self._may_have_run or attempt.is_sent
             shard.attempts.clear()
 
+    def _has_started(self) -> bool:
+        return self._may_have_run or any(
+            attempt.is_sent
+            for shard in self._shards
+            for attempt in shard.attempts
+        )
+
     def _send(self, shard: _Shard, *, is_hedge: bool = False) -> bool:
+        if self._is_denied():
+            return False
         job = self._job
         spec = AttemptSpec(
             template=job.template,
@@ -185,6 +194,7 @@
             is_retry=bool(shard.tried.sent_to),
             is_retryable=True,
             avoided_ids=self._avoided_servers(),
+            may_start=job.access.may_start if job.access is not None else None,
         )
 
         def on_result(result: AttemptResult) -> None:
@@ -396,11 +406,7 @@
         self._finish(answer)
 
     def _end_condemned(self) -> None:
-        if self._may_have_run or any(
-            attempt.is_sent
-            for shard in self._shards
-            for attempt in shard.attempts
-        ):
+        if self._has_started():
             self._fail(caller_errors.TOO_FEW_SHARDS, CONDEMNED)
         else:
             self._refuse_condemned()
@@ -410,11 +416,7 @@
             self._fail(caller_errors.TOO_FEW_SHARDS, EXITING)
 
     def _fail(self, answer: CallerAnswer, reason: str) -> None:
-        if not self._may_have_run and not any(
-            attempt.is_sent
-            for shard in self._shards
-            for attempt in shard.attempts
-        ):
+        if not self._has_started():
             self._refuse(reason)
             return
         self._record_end("failed", reason=reason, **self._describe())
--- a/packages/edge/mulberrybay_edge/relay_handler.py
+++ b/packages/edge/mulberrybay_edge/relay_handler.py
@@ -139,7 +139,11 @@
 
         That it did not run the request says nothing of nodes that had it before.
         """
-        is_refusal = reply.status in caller_errors.REFUSAL_STATUSES
+        is_refusal = reply.status in caller_errors.REFUSAL_STATUSES or (
+            reply.status == caller_errors.UNKNOWN_KEY.status
+            and self._job.access is not None
+            and self._job.access.needs_keys
+        )
         if self._may_have_run and is_refusal:
             self._fail(
                 f"{self._node_name} refused it", caller_errors.INCOMPLETE_REPLY
@@ -171,11 +175,14 @@
 
     def _end_unanswered(self, reason: str, answer: CallerAnswer) -> None:
         """Ends a request before the other node has answered."""
-        if self._may_have_run or self._is_sent():
+        if self._has_started():
             self._fail(reason, answer)
         else:
             self._refuse(reason)
 
+    def _has_started(self) -> bool:
+        return self._may_have_run or self._is_sent()
+
     def _is_sent(self) -> bool:
         exchange = self._exchange
         return exchange is None or exchange.sent_at_s is not None
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/request_access.py
@@ -0,0 +1,91 @@
+"""Whether a caller's request may be sent, by its API key."""
+
+from collections.abc import Callable
+
+from mulberrybay_core.caller_messages import CallerRequest
+from mulberrybay_core.routing import Route, RouteTable
+from mulberrybay_core.tenants.keys import Tenant, read_key_digest
+from mulberrybay_edge.sending import RequestTemplate
+
+
+class RequestAccess:
+    """Judges one request by the configuration in force.
+
+    It is judged again when another configuration is in force, as long as it
+    has not been sent to a backend server.
+    """
+
+    __slots__ = (
+        "_digest",
+        "_find_table",
+        "_has_started",
+        "_is_admitted",
+        "_request",
+        "_route",
+        "_table",
+        "_template",
+        "tenant",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        table: RouteTable,
+        find_table: Callable[[], RouteTable | None],
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._find_table = find_table
+        self._table = table
+        self._template: RequestTemplate | None = None
+        self._digest: bytes | None = None
+        self._has_started = False
+        self._is_admitted = True
+        # The tenant whose key the request carries.
+        self.tenant: Tenant | None = None
+        self._judge(table)
+
+    def bind(self, template: RequestTemplate) -> None:
+        """Sets the request that is sent to servers, which get no key."""
+        self._template = template
+        self._name_tenant()
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether the configuration has tenants."""
+        return self._table.key_ring is not None
+
+    def is_admitted(self) -> bool:
+        """Returns whether the request may be served."""
+        table = self._find_table()
+        if table is not None and table is not self._table:
+            self._table = table
+            self._judge(table)
+            self._name_tenant()
+        return self._is_admitted
+
+    def may_start(self) -> bool:
+        """Returns whether bytes of the request may be sent to a server now.
+
+        A request that has been sent to a server may be repeated there.
+        """
+        self._has_started = self._has_started or self.is_admitted()
+        return self._has_started
+
+    def _judge(self, table: RouteTable) -> None:
+        key_ring = table.key_ring
+        if key_ring is None:
+            self._is_admitted, self.tenant = True, None
+            return
+        if self._digest is None:
+            self._digest = read_key_digest(self._request.headers)
+        route = table.find_route(self._request.host, self._request.path)
+        self._is_admitted, self.tenant = key_ring.judge(
+            self._digest, is_public=(route or self._route).is_public
+        )
+
+    def _name_tenant(self) -> None:
+        if self._template is not None and self.needs_keys:
+            name = self.tenant.name if self.tenant is not None else ""
+            self._template.name_tenant(self._request, name)
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -17,6 +17,7 @@
 from mulberrybay_core.suspect_turns import SuspectTurns
 from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.request_access import RequestAccess
 from mulberrybay_edge.sending import RequestTemplate, Sender
 from mulberrybay_runtime.http_exchange import HttpReply
 from mulberrybay_runtime.timers import Timer
@@ -37,6 +38,8 @@
 MAX_LOGGED_COUNT: Final = 8
 # The reason for refusing a request that is known to crash servers.
 CONDEMNED: Final = "backend servers crashed under this request"
+# The reason for refusing a request without a known API key.
+UNKNOWN_KEY: Final = "no known API key"
 # Why a request ends that is still open when its node must exit.
 EXITING: Final = "this node exits"
 # The last answer is sent this long before the timeout.
@@ -104,6 +107,7 @@
         history: The latencies of that route.
         template: The request as it is sent to backend servers.
         reply: Called with the answer.
+        access: Judges the request by its API key; None to serve any.
     """
 
     request: CallerRequest
@@ -111,6 +115,7 @@
     history: RouteHistory
     template: RequestTemplate
     reply: AnswerHandler
+    access: RequestAccess | None = None
 
     def latency_budget_s(self) -> float:
         """Returns the time within which this node should answer, in seconds.
@@ -251,6 +256,24 @@
         )
         self._finish(caller_errors.not_run(CONDEMNED, delay_s))
 
+    def _is_denied(self) -> bool:
+        """Ends a request that may not be served any more.
+
+        Called before each attempt: a new configuration may have removed its
+        key while it waited. A request that may have run goes on.
+        """
+        access = self._job.access
+        if access is None or access.is_admitted() or self._has_started():
+            return False
+        self._context.counts.refusals[UNKNOWN_KEY] += 1
+        self._record_end("refused", reason=UNKNOWN_KEY)
+        self._finish(caller_errors.UNKNOWN_KEY)
+        return True
+
+    def _has_started(self) -> bool:
+        """Whether a server may be running the request or may have run it."""
+        raise NotImplementedError
+
     def on_crash(self) -> None:
         """Handles that a server crashed; see `RequestInProgress`."""
 
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -4,9 +4,14 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
-from mulberrybay_core.caller_messages import CallerRequest, HeaderNames
+from mulberrybay_core.caller_messages import (
+    CallerRequest,
+    HeaderList,
+    HeaderNames,
+)
 from mulberrybay_core.request_identity import identify_request
 from mulberrybay_core.route_history import RouteHistory
+from mulberrybay_core.tenants.keys import CREDENTIALS_HEADER
 from mulberrybay_runtime.http_exchange import HttpReply
 
 
@@ -63,6 +68,8 @@
         is_retry: Whether the request was sent to the service before.
         is_retryable: Whether it may be retried if the reply is lost.
         avoided_ids: Servers that must not be used now.
+        may_start: Returns whether its first bytes may be sent now, which is
+            asked once there is a connection.
     """
 
     template: "RequestTemplate"
@@ -73,6 +80,7 @@
     is_retry: bool
     is_retryable: bool
     avoided_ids: frozenset[str] = frozenset()
+    may_start: Callable[[], bool] | None = None
 
 
 ResultHandler = Callable[[AttemptResult], None]
@@ -139,6 +147,7 @@
     __slots__ = (
         "_body",
         "_head",
+        "_method",
         "_names",
         "expects_body",
         "identity",
@@ -153,13 +162,36 @@
         self.expects_body = request.method != "HEAD"
         self._names = names
         self._body = request.body
-        lines = [f"{request.method} {request.target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in request.headers]
-        if request.request_id:
-            lines.append(f"{names.request_id}: {request.request_id}")
-        if request.body or request.method not in {"GET", "HEAD", "DELETE"}:
-            lines.append(f"Content-Length: {len(request.body)}")
-        self._head = "\r\n".join(lines)
+        self._method = request.method
+        self._head = self._encode_head(request.headers)
+
+    def _encode_head(self, headers: HeaderList) -> str:
+        lines = [f"{self._method} {self.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if self.request_id:
+            lines.append(f"{self._names.request_id}: {self.request_id}")
+        if self._body or self._method not in {"GET", "HEAD", "DELETE"}:
+            lines.append(f"Content-Length: {len(self._body)}")
+        return "\r\n".join(lines)
+
+    def name_tenant(self, request: CallerRequest, tenant_name: str) -> None:
+        """Sends a tenant's name in place of the caller's credentials.
+
+        Args:
+            request: The request that this was made of.
+            tenant_name: The name; empty to send none.
+        """
+        tenant_header = self._names.tenant
+        dropped = {CREDENTIALS_HEADER, tenant_header.lower()}
+        headers = tuple(
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in dropped
+        )
+        if tenant_name:
+            value = tenant_name.encode().decode("latin-1")
+            headers += ((tenant_header, value),)
+        self._head = self._encode_head(headers)
 
     def encode(self, server_id: str, time_left_s: float) -> bytes:
         """Returns the encoded request for one server."""
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -44,6 +44,7 @@
     load="Load",
     leaving="Leaving",
     rate_limit="Limit",
+    tenant="Tenant",
 )
 
 
--- /dev/null
+++ b/packages/edge/tests/test_request_access.py
@@ -0,0 +1,208 @@
+"""API keys: who is served, and what of a key gets to backend servers."""
+
+from typing import Any
+
+import pytest
+from request_fakes import NAMES, FakeAttempt, RequestHarness
+
+from mulberrybay_core.caller_messages import HeaderList
+from mulberrybay_core.routing import CallerLimits, RouteTable
+from mulberrybay_core.routing import RoutingConfiguration as Configuration
+from mulberrybay_core.tenants.keys import Tenant, digest_key
+from mulberrybay_edge.caller_service import RoutedService
+from mulberrybay_edge.exchange import Exchange
+from mulberrybay_edge.relay_handler import RelayTargets
+
+TENANTS = (
+    Tenant("red", (digest_key(b"key-1"),)),
+    Tenant("blu\xe9", (digest_key(b"key-2"),)),
+)
+GOOD = ("Authorization", "Bearer key-1")
+FORGED = ("TENANT", "blue")
+
+
+class _Service:
+    """A service whose configuration the test replaces."""
+
+    def __init__(self, *, shards: tuple[str, ...] = ()) -> None:
+        self.harness = RequestHarness(shards=shards)
+        self.table: RouteTable | None = None
+        self.targets: Any = None
+        self.service = RoutedService(
+            self.harness.context,
+            NAMES,
+            lambda: self.table,
+            lambda _: self.targets,
+            self.harness.timers.clock,
+        )
+        self.configure(TENANTS)
+
+    def configure(
+        self, tenants: tuple[Tenant, ...] | None, *, is_public: bool = False
+    ) -> None:
+        route = self.harness.route._replace(is_public=is_public)
+        self.table = RouteTable(
+            Configuration(1, (route,), (), CallerLimits(), tenants)
+        )
+
+    def submit(self, headers: HeaderList, **changes: Any) -> None:  # noqa: ANN401
+        request = self.harness.job.request._replace(
+            headers=(("Host", "a.example"), *headers), **changes
+        )
+        self.service.submit(request, self.harness.answers.append)
+
+    def status(self) -> int:
+        return self.harness.answer.status
+
+    def sent_lines(self) -> list[str]:
+        return read_lines(self.harness.sender.attempts[0])
+
+
+def read_lines(attempt: FakeAttempt) -> list[str]:
+    data = attempt.spec.template.encode("server", 1.0)
+    return data.decode().split("\r\n")
+
+
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+@pytest.mark.parametrize(
+    ("headers", "is_public", "tenant_line"),
+    [
+        ((GOOD, FORGED), False, "Tenant: red"),
+        ((GOOD, FORGED), True, "Tenant: red"),
+        ((("Authorization", "Bearer key-2"),), False, "Tenant: blu\xe9"),
+        ((FORGED,), True, None),
+        ((("Authorization", "Bearer other"),), True, None),
+        ((("Authorization", "Basic x"), FORGED), True, None),
+    ],
+)
+def test_server_gets_the_tenants_name_and_never_a_key(
+    shards: tuple[str, ...],
+    headers: HeaderList,
+    is_public: bool,
+    tenant_line: str | None,
+) -> None:
+    service = _Service(shards=shards)
+    service.configure(TENANTS, is_public=is_public)
+
+    service.submit(headers)
+
+    lines = service.sent_lines()
+    named = [line for line in lines if line.lower().startswith("tenant")]
+    assert named == ([tenant_line] if tenant_line else [])
+    assert not [line for line in lines if "authorization" in line.lower()]
+    assert not [line for line in lines if "key" in line.lower()]
+
+
+@pytest.mark.parametrize(
+    "headers", [(), (FORGED,), (("Authorization", "Bearer other"),)]
+)
+def test_unknown_key_is_refused_and_nothing_is_sent(
+    headers: HeaderList,
+) -> None:
+    service = _Service()
+    service.submit(headers)
+    assert service.status() == 401
+    assert service.harness.sender.attempts == []
+
+
+def test_configuration_and_route_are_looked_up_before_the_key() -> None:
+    service = _Service()
+    service.submit((), host="b.example")
+    service.table = None
+    service.submit(())
+    assert [answer.status for answer in service.harness.answers] == [404, 503]
+
+
+def test_credentials_are_passed_on_without_tenants() -> None:
+    service = _Service()
+    service.configure(None)
+    service.submit((GOOD, FORGED))
+    assert "Authorization: Bearer key-1" in service.sent_lines()
+    assert "TENANT: blue" in service.sent_lines()
+
+
+@pytest.mark.parametrize(
+    ("shards", "cause"),
+    [
+        ((), "full"),
+        ((), "pause"),
+        ((), "limit"),
+        (("one", "two"), "full"),
+        (("one", "two"), "pause"),
+    ],
+)
+def test_key_that_is_revoked_while_its_request_waits_runs_nothing(
+    shards: tuple[str, ...], cause: str
+) -> None:
+    service = _Service(shards=shards)
+    sender, now_s = service.harness.sender, service.harness.timers.now_s
+    for name in shards or ("one",):
+        match cause:
+            case "full":
+                sender.full_services.add(name)
+            case "pause":
+                sender.paused_until_s[name] = now_s + 0.02
+            case _:
+                sender.limited_until_s[name] = now_s + 0.02
+    service.submit((GOOD,))
+    assert service.harness.answers == []
+    service.configure(TENANTS[1:])
+    sender.full_services.clear()
+
+    service.harness.timers.advance(0.3)
+
+    assert service.status() == 401
+    assert sender.attempts == []
+
+
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+def test_request_that_was_sent_outlasts_its_key(
+    shards: tuple[str, ...],
+) -> None:
+    service = _Service(shards=shards)
+    service.submit((GOOD,))
+    service.configure(())
+    for attempt in [*service.harness.sender.attempts]:
+        attempt.succeed()
+    assert service.status() == 200
+
+
+def test_key_that_is_revoked_while_a_connection_is_opened_is_not_used() -> None:
+    service = _Service()
+    service.submit((GOOD,))
+    may_start = service.harness.sender.attempts[0].spec.may_start
+    assert may_start is not None
+    service.configure(())
+    assert not may_start()
+
+
+def test_key_that_moved_to_another_tenant_names_the_new_one() -> None:
+    service = _Service()
+    service.harness.sender.full_services.add("one")
+    service.submit((GOOD,))
+    service.configure((Tenant("green", TENANTS[0].key_digests),))
+    service.harness.sender.full_services.clear()
+    service.harness.timers.advance(0.03)
+    assert "Tenant: green" in service.sent_lines()
+
+
+def test_node_that_gets_a_relayed_request_is_sent_its_key() -> None:
+    service = _Service()
+    started: list[Exchange] = []
+
+    class _Connections:
+        def start(self, *arguments: Any, **_: Any) -> bool:  # noqa: ANN401
+            started.append(arguments[2])
+            return True
+
+    info: Any = type("Info", (), {"name": "n", "caller_address": None})()
+    connections: Any = _Connections()
+    service.targets = RelayTargets(
+        connections, lambda _: info, lambda _: True, ""
+    )
+    service.submit((GOOD,))
+    data = started[0].encode(service.harness.timers.now_s)
+    assert data is not None
+    assert b"Authorization: Bearer key-1\r\n" in data
+    service.submit((), is_relayed=False)
+    assert service.status() == 401
--- /dev/null
+++ b/tests/on_platform/test_tenants.py
@@ -0,0 +1,110 @@
+"""API keys at real nodes: open connections, relayed requests, the log."""
+
+import contextlib
+import http.client
+import pathlib
+from collections.abc import Iterator
+from typing import Any, Final
+
+import pytest
+from deployment import RunningNode, configuration
+from linked_deployment import LinkedDeployment
+
+from mulberrybay_testing.http_server import Request
+from mulberrybay_testing.ports import HOST
+from mulberrybay_testing.waiting import wait_until
+
+KEY: Final = "secret-key-of-red"
+TIMEOUT_S: Final = 5.0
+
+
+def tenants(*keys: str) -> list[dict[str, Any]]:
+    return [{"name": "red", "api_keys": [*keys]}]
+
+
+@pytest.fixture
+def linked(tmp_path: pathlib.Path) -> Iterator[LinkedDeployment]:
+    with LinkedDeployment(tmp_path) as deployment:
+        deployment.put("config", "main", configuration(2, tenants=tenants(KEY)))
+        yield deployment
+
+
+def record_headers(deployment: LinkedDeployment) -> list[dict[str, str]]:
+    """Returns the headers of requests for records, as servers get them."""
+    received: list[dict[str, str]] = []
+
+    def record(request: Request) -> bool:
+        received.append(dict(request.headers))
+        return False
+
+    for backend in deployment.backends["records"]:
+        backend.is_fatal = record
+    return received
+
+
+def assert_no_key_was_passed_on(
+    deployment: LinkedDeployment, received: list[dict[str, str]]
+) -> None:
+    assert received
+    for headers in received:
+        assert headers["x-tenant"] == "red"
+        assert "authorization" not in headers
+    for node in deployment.nodes:
+        assert KEY not in str(deployment.log_lines(node))
+
+
+def test_revoked_key_is_not_served_on_a_connection_that_stays_open(
+    linked: LinkedDeployment,
+) -> None:
+    (node,) = linked.start_nodes(1)
+    received = record_headers(linked)
+    caller = http.client.HTTPConnection(HOST, node.callers_port, timeout=5)
+
+    def ask(key: str) -> int:
+        headers = {
+            "Host": "a.example",
+            "Authorization": f"Bearer {key}",
+            "X-Tenant": "blue",
+        }
+        caller.request("GET", "/records/1", None, headers)
+        reply = caller.getresponse()
+        reply.read()
+        return reply.status
+
+    with contextlib.closing(caller):
+        assert ask(KEY) == 200
+        assert ask("other") == 401
+        local_port = caller.sock.getsockname()[1]
+        linked.put("config", "main", configuration(3, tenants=tenants("other")))
+        wait_until(lambda: ask(KEY) == 401, TIMEOUT_S, "the key is revoked")
+        assert ask("other") == 200
+        assert caller.sock.getsockname()[1] == local_port
+    assert_no_key_was_passed_on(linked, received)
+
+
+def test_node_that_gets_a_relayed_request_judges_and_strips_its_key(
+    linked: LinkedDeployment,
+) -> None:
+    cut, *_ = nodes = linked.start_nodes(3)
+
+    def ask(node: RunningNode, key: str) -> int:
+        return node.send_request("/records/1", caller=f"Bearer {key}").status
+
+    for node in nodes:
+        wait_until(
+            lambda node=node: ask(node, KEY) == 200,  # type: ignore[misc]
+            TIMEOUT_S,
+            "the node serves",
+        )
+    linked.set_cut(cut.name, is_cut=True)
+    wait_until(
+        lambda: "no backend server can be reached" in linked.messages(cut),
+        TIMEOUT_S,
+        "the node has lost its servers",
+    )
+    received = record_headers(linked)
+
+    assert ask(cut, KEY) == 200
+    assert ask(cut, "other") == 401
+
+    assert_no_key_was_passed_on(linked, received)
