Let answers leave early enough for callers that look up addresses first

Cause: a caller counts its latency from the moment at which it wants to send, and looks up addresses first if those it has cached expired; no node sees that. Now each node estimates the share of such requests from how often it sees the same callers, and the time from the round trips of near callers. In the time of a lookup before the due time, an answer leaves once the square of its coverage outweighs the callers who would get it late. What no node can observe (2 ms) and what it observes add up instead of taking the larger.

--- a/packages/core/mulberrybay_core/caller_messages.py
+++ b/packages/core/mulberrybay_core/caller_messages.py
@@ -73,6 +73,7 @@
         network_time_s: The part of the caller's latency spent on the network:
             opening the connection, sending the request and the answer.
         is_relayed: Whether another node has handed it to this one.
+        peer_host: The host that the connection comes from.
     """
 
     method: str
@@ -86,6 +87,7 @@
     deadline_s: float | None
     network_time_s: float = 0.0
     is_relayed: bool = False
+    peer_host: str = ""
 
 
 class CallerAnswer(NamedTuple):
--- a/packages/core/mulberrybay_core/overload/answer_reserve.py
+++ b/packages/core/mulberrybay_core/overload/answer_reserve.py
@@ -1,53 +1,52 @@
 """How long before its due time a gathered answer must leave the node."""
 
 import math
-from collections import OrderedDict, deque
-from typing import Final
+from collections import OrderedDict
+from typing import Final, NamedTuple
 
-# The reserve of a node that observes no delay: timers of the poller are rounded
-# up to whole milliseconds, and the caller has to read the answer.
+from mulberrybay_core.overload.caller_lookups import CallerLookups
+from mulberrybay_core.overload.recent_quantile import RecentQuantile
+
+# What no node can observe: the links send the answer's bytes, and the caller has
+# to read it. The observed delays come in addition.
 MIN_RESERVE_S: Final = 0.002
 # The most that is taken from the target latency. Each shard that an early
 # answer leaves out costs the caller coverage.
 MAX_RESERVE_RATIO: Final = 0.15
 # The part of the observed delays that the reserve covers.
 COVERED_RATIO: Final = 0.9
-# Observations count this long, so that the reserve follows the load.
-WINDOW_S: Final = 10.0
-MAX_SAMPLE_COUNT: Final = 128
 # Shard counts of routes whose work is kept.
 MAX_SHARD_COUNT_COUNT: Final = 16
 # Hosts of callers whose last round trip is kept.
 MAX_HOST_COUNT: Final = 256
 
 
-class RecentQuantile:
-    """A quantile of the values of the last WINDOW_S."""
+class AnswerTiming(NamedTuple):
+    """What a request's answer has to allow for.
 
-    def __init__(self, ratio: float) -> None:
-        self._ratio = ratio
-        self._samples: deque[tuple[float, float]] = deque(
-            maxlen=MAX_SAMPLE_COUNT
-        )
-        self._value: float | None = None
-
-    def record(self, value: float, now_s: float) -> None:
-        """Records a value."""
-        self._samples.append((now_s, value))
-        self._value = None
-
-    def value(self, now_s: float) -> float:
-        """Returns the quantile; 0 without a value in the window."""
-        samples = self._samples
-        while samples and samples[0][0] < now_s - WINDOW_S:
-            samples.popleft()
-            self._value = None
-        if not samples:
-            return 0.0
-        if self._value is None:
-            values = sorted(value for _, value in samples)
-            self._value = values[math.ceil(self._ratio * len(values)) - 1]
-        return self._value
+    Attributes:
+        reserve_s: How long before its due time the answer must leave.
+        lookup_s: How long the caller took before, if it looked up addresses.
+        lookup_share: The share of requests before which callers do, 0 to 1.
+    """
+
+    reserve_s: float = MIN_RESERVE_S
+    lookup_s: float = 0.0
+    lookup_share: float = 0.0
+
+    @property
+    def mean_lookup_s(self) -> float:
+        """The time for lookups in the mean of all requests."""
+        return self.lookup_share * self.lookup_s
+
+    def is_worth_leaving(self, coverage: float) -> bool:
+        """Returns whether to answer early, with what is in.
+
+        Leaving now serves all callers with the coverage so far. Waiting serves
+        those with full coverage that did not look up, and the others too late.
+        The value of an answer is the square of its coverage.
+        """
+        return coverage * coverage >= 1 - self.lookup_share
 
 
 class AnswerReserve:
@@ -58,7 +57,13 @@
     combined like independent deviations.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lookups: CallerLookups | None = None) -> None:
+        """Creates an estimate without observations.
+
+        Args:
+            lookups: Estimates the lookups of callers; None if they make none.
+        """
+        self.lookups = lookups or CallerLookups(0.0)
         self._lateness_s = RecentQuantile(COVERED_RATIO)
         self._work_s: OrderedDict[int, RecentQuantile] = OrderedDict()
         self._unsent_s = RecentQuantile(COVERED_RATIO)
@@ -95,6 +100,7 @@
         The difference to the one before shows by how much a request may take
         longer than the round trip that was read for its connection.
         """
+        self.lookups.record_connection(round_trip_s, now_s)
         previous_s = self._round_trips_s.pop(host, None)
         if previous_s is not None:
             increase_s = max(0.0, round_trip_s - previous_s)
@@ -111,6 +117,8 @@
             "work": self._work_of_s(last_count, now_s),
             "unsent": self._unsent_s.value(now_s),
             "network": self._spread_s.value(now_s),
+            "lookup": self.lookups.duration_s(now_s)
+            * self.lookups.share(now_s),
         }
 
     def reserve_s(
@@ -130,4 +138,23 @@
             self._spread_s.value(now_s),
         )
         max_reserve_s = MAX_RESERVE_RATIO * target_latency_s
-        return max(MIN_RESERVE_S, min(work_s + delay_s, max_reserve_s))
+        return max(
+            MIN_RESERVE_S, min(MIN_RESERVE_S + work_s + delay_s, max_reserve_s)
+        )
+
+    def timing(
+        self, shard_count: int, target_latency_s: float, now_s: float
+    ) -> AnswerTiming:
+        """Returns what the answer of a request has to allow for.
+
+        Args:
+            shard_count: The number of replies to merge; 0 if none is merged.
+            target_latency_s: The target latency.
+            now_s: The time.
+        """
+        lookups = self.lookups
+        return AnswerTiming(
+            self.reserve_s(shard_count, target_latency_s, now_s),
+            lookups.duration_s(now_s),
+            lookups.share(now_s),
+        )
--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -71,9 +71,11 @@
         self._round_trip_s = stream.round_trip_s()
         self._opened_since_s = stream.arrival_bounds_s()[0]
         self._accepted_at_s = read_clock_s()
+        self._peer_host = ""
         if server.answer_reserve is not None:
+            self._peer_host = stream.peer.host
             server.answer_reserve.record_round_trip(
-                stream.peer.host, self._round_trip_s, self._accepted_at_s
+                self._peer_host, self._round_trip_s, self._accepted_at_s
             )
         self.last_active_at_s = read_clock_s()
         self.message_started_at_s: float | None = None
@@ -276,6 +278,7 @@
             deadline_s=deadline_s,
             network_time_s=self._network_time_s(),
             is_relayed=is_relayed,
+            peer_host=self._peer_host,
         )
 
     def _network_time_s(self) -> float:
--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -127,7 +127,7 @@
             self._histories.get(route),
             RequestTemplate(request, self._names),
             end,
-            self._context.answer_reserve.reserve_s(
+            self._context.answer_reserve.timing(
                 len(route.shards), route.target_latency_s, self._clock()
             ),
             access,
@@ -139,6 +139,10 @@
             handler = RelayHandler(self._context, job, targets)
         elif route.shards:
             access.bind(job.template)
+            if not request.is_relayed:
+                self._context.answer_reserve.lookups.record_request(
+                    request.peer_host, self._clock()
+                )
             handler = GatherHandler(self._context, job)
         else:
             access.bind(job.template)
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -59,6 +59,8 @@
         self._owner_candidates = OwnerCandidates()
         # Whether this node watches the store on behalf of others.
         self.watches_for_others = False
+        # The nodes among which callers divide their requests.
+        self.advertised_count = 1
 
     @property
     def attempts_per_s(self) -> float:
@@ -111,6 +113,7 @@
 
     def _update_limit_shares(self, now_s: float) -> None:
         advertised = self.choose_advertised()
+        self.advertised_count = len(advertised)
         is_advertised = self._nodes.own_info in advertised
         # A node that has just started has heard few hubs and uses little of the
         # part for advertised nodes.
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from typing import Final
 
 from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import CallerAnswer
@@ -32,6 +33,9 @@
 )
 from mulberrybay_runtime.timers import Timer
 
+# The most of the target latency that is allowed for a caller's lookup.
+MAX_LOOKUP_RATIO: Final = 0.2
+
 
 class _Shard:
     """The state of a query for one shard."""
@@ -71,6 +75,12 @@
             job.request.received_at_s + job.latency_budget_s(),
             self._last_answer_at_s,
         )
+        # From when on the answer may leave, if its coverage outweighs that the
+        # caller may have looked up addresses before.
+        self._early_at_s = self._answer_at_s - min(
+            job.timing.lookup_s if job.timing.lookup_share else 0.0,
+            MAX_LOOKUP_RATIO * job.route.target_latency_s,
+        )
         self._prompt_timers: list[Timer] = []
         self._hedge_count = 0
         # Whether a shard was paused, or the limits of its servers used up.
@@ -276,6 +286,8 @@
             self._answer()
         elif self._context.clock() >= self._answer_at_s:
             self._answer_if_enough()
+        elif self._context.clock() >= self._early_at_s:
+            self._answer_if_early()
         elif self._has_waiting_shard:
             self._check_completion()
         if self._was_careful and not self._has_ended:
@@ -344,6 +356,7 @@
             self._context.timers.call_promptly_at(due_s, callback)
             for due_s, callback in (
                 (self._hedge_at_s, self._observe_hedge_time),
+                (self._early_at_s, self._answer_if_early),
                 (self._answer_at_s, self._on_answer_due),
             )
         ]
@@ -418,6 +431,17 @@
             return True
         return False
 
+    def _answer_if_early(self) -> None:
+        """Answers before the due time if that serves more callers in time."""
+        if self._has_ended:
+            return
+        reply_count = len(self._shards) - self._missing_count
+        coverage = reply_count / len(self._shards)
+        if self._is_enough(reply_count) and self._job.timing.is_worth_leaving(
+            coverage
+        ):
+            self._answer()
+
     def _answer(self) -> None:
         started_at_s = self._context.clock()
         job, names = self._job, self._context.names
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -17,6 +17,7 @@
     EdgeNodes,
 )
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
+from mulberrybay_core.overload.caller_lookups import CallerLookups
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.request_owner import (
     choose_owner,
@@ -122,7 +123,11 @@
         self._exit_stack = contextlib.ExitStack()
         self._random = random.Random()
         self._counts = RequestCounts()
-        self._answer_reserve = AnswerReserve()
+        self._answer_reserve = AnswerReserve(
+            CallerLookups(settings.address_life_s)
+            if settings.addresses.directory is not None
+            else None
+        )
         self._started_at_s = read_clock_s()
         self._stopping_since_s: float | None = None
         self._was_stopped_at_start = False
@@ -488,6 +493,9 @@
         self._nodes.drop_unresponsive(now_s)
         self._crash_watch.expire()
         self._sharing.update()
+        self._answer_reserve.lookups.advertised_count = (
+            self._sharing.advertised_count
+        )
         if self._peer_link is not None:
             self._peer_link.request_missing_changes()
             self._peer_link.request_restored_objects()
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -13,8 +13,8 @@
     HeaderNames,
 )
 from mulberrybay_core.overload.answer_reserve import (
-    MIN_RESERVE_S,
     AnswerReserve,
+    AnswerTiming,
 )
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
@@ -119,7 +119,7 @@
         history: The latencies of that route.
         template: The request as it is sent to backend servers.
         reply: Called with the answer.
-        answer_reserve_s: How long before its due time the answer must leave.
+        timing: What the moment of the answer has to allow for.
         access: Judges the request by its API key; None to serve any.
     """
 
@@ -128,7 +128,7 @@
     history: RouteHistory
     template: RequestTemplate
     reply: AnswerHandler
-    answer_reserve_s: float = MIN_RESERVE_S
+    timing: AnswerTiming = AnswerTiming()
     access: RequestAccess | None = None
 
     def latency_budget_s(self) -> float:
@@ -139,7 +139,7 @@
         """
         target_s = self.route.target_latency_s
         latency_budget_s = (
-            target_s - self.request.network_time_s - self.answer_reserve_s
+            target_s - self.request.network_time_s - self.timing.reserve_s
         )
         return max(latency_budget_s, MIN_LATENCY_BUDGET_RATIO * target_s)
 
@@ -213,7 +213,8 @@
         self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
         self._hedge_at_s = job.request.received_at_s + (
             job.history.hedge_delay_s(
-                context.retry_ratio, job.latency_budget_s()
+                context.retry_ratio,
+                job.latency_budget_s() - job.timing.mean_lookup_s,
             )
         )
 
