Test that uncontrolled callers don't exhaust a node; fail on this code

Callers that send legal bytes made a node hold hundreds of megabytes, and every connection was accepted. The callers, connections and bounds are fixed here, before the product changes: 80 MB (half of the smallest machine) and 400 descriptors in the nodes' settings, of which this code takes no notice.

The tests look at the process, memory, descriptors and one ordinary request afterwards, at no times.

--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -212,6 +212,7 @@
         services: The services that have backend servers from the start.
         contact_ms: The bound that nodes have after a fault.
         config_apply_ms: The bound that they have otherwise.
+        extra_settings: Lines that are added to the nodes' settings.
         choose_program: Returns the program to start for a node's name.
     """
 
@@ -220,6 +221,7 @@
     services: tuple[str, ...] = (*SHARDS, *SINGLE_SERVICES)
     contact_ms: int = 4000
     config_apply_ms: int = 3000
+    extra_settings: str = ""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -373,6 +375,7 @@
         )
         settings.write_text(
             f"bounds = '{bounds}'\n"
+            f"{self.extra_settings}"
             f'node_name = "{name}"\n'
             f'failure_domain = "{zone}"\n'
             "stop_grace_s = 3\n"
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -303,6 +303,7 @@
         echoed_id: The request id that replies echo; empty for the request's
             own id.
         headers: Additional headers of all replies.
+        padding_bytes: Bytes that are appended to the bodies of replies.
         is_fatal: Whether the server crashes under a request.
         crash_after_s: How long such a request runs before.
         restart_after_s: When the server is back after a crash.
@@ -324,6 +325,7 @@
         self.delivery = Delivery.WHOLE
         self.echoed_id = ""
         self.headers: tuple[tuple[str, str], ...] = ()
+        self.padding_bytes = 0
         self.status = 200
         self.arrivals: list[Arrival] = []
         self.open_connection_count = 0
@@ -413,6 +415,7 @@
         body = f"{self.service} {request.path}".encode()
         if self._is_shard:
             body = self.server_id.encode().rjust(16, b"-")
+        body += b" " * self.padding_bytes
         headers = (
             ("X-Server-Stamp", f"{self.server_id}.{request_id}"),
             ("X-Server-Load", "1,0,2"),
