Free requests and replies as they end, not when the collector runs

With 60 callers that got answers of 100 kB and didn't read them, a node took 104 MB although its accounts held 6 MB. A trace of the allocations showed 395 bodies (38 MB) that the parsers of ended replies still referred to: a parser and its library refer to each other, and the collector runs only after 20,000 allocations. A request's handler and its reply function likewise referred to each other, and kept the heads and bodies of ended requests.

Ruled out: unread answers (none were buffered), and the allocator (a fixed mmap threshold left the peak at 104 MB). A parser now drops its reply as it is discarded, and the reply function drops its handler as the request ends. After 100 forwarded and 100 gathered requests, the collector finds no handler any more.

--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -83,13 +83,21 @@
             self._count_answer(request, answer)
             reply(answer)
 
+        # Emptied at the end. Otherwise the handler and its reply function would
+        # refer to each other, and the request, its body included, would be
+        # freed by the cycle collector only.
+        handlers: list[RequestHandler] = []
+
         def end(answer: CallerAnswer) -> None:
-            self._in_progress.discard(handler)
+            self._in_progress.difference_update(handlers)
+            handlers.clear()
             count_and_reply(answer)
 
         def cancel() -> None:
-            self._in_progress.discard(handler)
-            handler.cancel()
+            self._in_progress.difference_update(handlers)
+            for handler in [*handlers]:
+                handler.cancel()
+            handlers.clear()
 
         table = self._find_table()
         if table is None:
@@ -124,6 +132,7 @@
             handler = ForwardHandler(
                 self._context, job, self._choose_service(route)
             )
+        handlers.append(handler)
         self._in_progress.add(handler)
         handler.begin()
         return cancel
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -202,13 +202,14 @@
         return self.reply
 
     def discard(self) -> None:
-        """Frees the bytes of a reply that is given up.
+        """Frees the bytes of a reply that was used or is given up.
 
         The parser of the library refers back to this object, so that only the
         cycle collector would free them.
         """
         self._body = []
         self._headers = {}
+        self.reply = None
 
     def end(self) -> HttpReply | None:
         """Handles the orderly end of the connection.
