Bound the memory and descriptors that callers take from a node

The causes: a list entry for each chunk and each header line, trailers kept with the headers, parsed requests waiting in line, up to 16 MB of unread answers for each connection, and no limit on connections.

What a caller makes a node hold is now charged to its connection and to a budget of a quarter of the node's memory (memory_mb in the settings). If it is short, connections without progress are closed, those of the address that holds most first; else the new bytes are refused with 503 before the request is forwarded. Heads and bodies are one growing buffer each, trailers are counted and dropped, and a caller that pipelines much or doesn't read waits in the kernel's buffers. A body may now take 4 idle timeouts (60 s) as long as it goes on, and the header timeout bounds the head only. Listeners accept connections by max_descriptors; the longest idle one gives way. The port for other nodes takes 64 connections of 2 s and 1 KiB each.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -46,4 +46,9 @@
     )
 
 
+# Connections without progress are closed after a second.
+SHORT_OF_MEMORY_RETRY_S: Final = 1.0
+SHORT_OF_MEMORY: Final = not_run(
+    "this node is short of memory", SHORT_OF_MEMORY_RETRY_S
+)
 STOPPING: Final = not_run("this node stops", STOPPING_RETRY_S)
--- /dev/null
+++ b/packages/core/mulberrybay_core/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on callers that nobody controls; free of sockets and clocks."""
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -25,7 +25,8 @@
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
-from mulberrybay_edge.caller_server import CallerServer
+from mulberrybay_edge.caller_resources import CallerResources
+from mulberrybay_edge.caller_server import make_servers
 from mulberrybay_edge.caller_service import (
     DirectoryService,
     MetricsService,
@@ -251,11 +252,17 @@
 
     def _build_servers(self) -> None:
         settings, paths = self._settings, self._settings.paths
-        self._callers = self._make_server(self._service)
-        self._readiness = self._make_server(
+        self._callers, make_own = make_servers(
+            settings.names,
+            self._service,
+            self._streams,
+            self._timers,
+            CallerResources(settings.machine),
+        )
+        self._readiness = make_own(
             ReadinessService(paths.readiness, self._is_ready)
         )
-        self._directory = self._make_server(
+        self._directory = make_own(
             DirectoryService(
                 paths.directory,
                 self._list_advertised,
@@ -264,15 +271,10 @@
                 ),
             )
         )
-        self._metrics = self._make_server(
+        self._metrics = make_own(
             MetricsService(paths.metrics, self._render_metrics)
         )
 
-    def _make_server(self, service: Any) -> CallerServer:  # noqa: ANN401
-        return CallerServer(
-            self._settings.names, service, self._streams, self._timers
-        )
-
     def __enter__(self) -> Self:
         """Opens the listening sockets and starts to watch the store.
 
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -39,6 +39,23 @@
         "Shards that answers did not cover.",
     ),
     MetricSpec("edge_caller_connections", "gauge", "Connections of callers."),
+    MetricSpec(
+        "edge_callers_refused",
+        "counter",
+        "Requests refused and connections closed to bound callers.",
+        ("reason",),
+    ),
+    MetricSpec(
+        "edge_caller_held_bytes",
+        "gauge",
+        "Memory that callers make the node hold.",
+        ("kind",),
+    ),
+    MetricSpec(
+        "edge_caller_budget_bytes",
+        "gauge",
+        "Memory that all callers together may make the node hold.",
+    ),
 )
 SERVER_SPECS: Final = (
     MetricSpec(
@@ -222,6 +239,13 @@
         yield Sample(
             "edge_caller_connections", self._sources.callers.connection_count
         )
+        resources = self._sources.callers.resources
+        yield from count_samples("edge_callers_refused", resources.counts)
+        for kind, held_bytes in resources.memory.held_by_kind().items():
+            yield Sample(
+                "edge_caller_held_bytes", held_bytes, (kind.name.lower(),)
+            )
+        yield Sample("edge_caller_budget_bytes", resources.memory.budget_bytes)
 
     def _read_servers(self) -> Iterator[Sample]:
         dispatcher, counts = self._sources.dispatcher, self._sources.counts
--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -27,6 +27,7 @@
     FrameTooLongError,
     wrap_frame,
 )
+from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.logs import StructuredLog
 from mulberrybay_runtime.streams import Stream, Streams
 from mulberrybay_runtime.timers import Timer, Timers
@@ -36,6 +37,14 @@
 # connection of a further request, and the peer sends its next request to another
 # node.
 MAX_CONCURRENT_REPLY_COUNT: Final = 4
+# Callers that are no nodes may connect too. A request takes some 40 bytes, and
+# its sender gives up after REQUEST_TIMEOUT_S.
+MAX_REQUEST_BYTES: Final = 1024
+INCOMING_LIFE_S: Final = 2 * REQUEST_TIMEOUT_S
+# Beyond this count, the oldest connection is closed for a new one.
+MAX_INCOMING_COUNT: Final = 64
+# At most one line on unreadable frames in this time.
+LOG_PERIOD_S: Final = 10.0
 # The fastest level, because nodes have little CPU time to spare.
 COMPRESSION_LEVEL: Final = 1
 # Far larger than all objects of one kind together. A frame that decompresses to
@@ -137,37 +146,67 @@
 
 
 class _IncomingConnection:
-    """A connection on which a peer sends requests."""
+    """A connection on which a peer sends a request.
 
-    def __init__(self, exchange: "PeerExchange") -> None:
+    Attributes:
+        stream: The connection.
+        timer: Closes the connection.
+    """
+
+    def __init__(
+        self, exchange: "PeerExchange", stream: Stream, timers: Timers
+    ) -> None:
         self._exchange = exchange
         self._frame_reader = FrameReader()
+        self._received_bytes = 0
+        self.stream = stream
+        stream.read_size_bytes = 2 * MAX_REQUEST_BYTES
+        self.timer = timers.call_later(INCOMING_LIFE_S, self.give_up)
 
     def on_connected(self, stream: Stream) -> None:
         """Does nothing: incoming connections are already open."""
 
     def on_data(self, stream: Stream, data: bytes) -> None:
-        """Replies to requests."""
+        """Replies to a request."""
+        self._received_bytes += len(data)
         try:
+            if self._received_bytes > MAX_REQUEST_BYTES:
+                raise FrameTooLongError("more bytes than a request has")
             requests = [
                 decode_request(payload)
                 for payload in self._frame_reader.feed(data)
             ]
         except _DECODE_ERRORS as error:
             self._exchange.record_unreadable(stream.peer, error)
-            stream.close()
+            self.close()
             return
         for kind_index, since_version in requests:
-            reply = self._exchange.make_reply(kind_index, since_version)
+            reply = None
+            if not stream.unsent:
+                reply = self._exchange.make_reply(kind_index, since_version)
             if reply is None:
-                stream.close()
+                self.close()
                 return
             stream.send(reply)
             self._exchange.add_replying_stream(stream)
 
     def on_closed(self, stream: Stream, reason: str) -> None:
         """Handles the end of the connection, with or without a reply."""
-        self._exchange.remove_replying_stream(stream)
+        self._release()
+
+    def give_up(self) -> None:
+        """Closes a connection whose peer doesn't wait for it any more."""
+        self._exchange.counts["incoming_closed"] += 1
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._release()
+        self.stream.close()
+
+    def _release(self) -> None:
+        self.timer.cancel()
+        self._exchange.remove_incoming(self)
 
 
 class _PendingRequest:
@@ -249,6 +288,9 @@
         self._log = StructuredLog("peers")
         self._pending: dict[int, _PendingRequest] = {}
         self._replying_streams: set[Stream] = set()
+        # In the order of their start.
+        self._incoming: dict[_IncomingConnection, None] = {}
+        self._unreadable_log_at_s = 0.0
         self._encoded_updates: dict[tuple[int, int], tuple[int, bytes]] = {}
         self.counts: Counter[str] = Counter()
 
@@ -264,7 +306,14 @@
         Raises:
             OSError: The address is in use or does not belong to this VM.
         """
-        self._streams.listen(address, lambda _: _IncomingConnection(self))
+        self._streams.listen(address, self._accept)
+
+    def _accept(self, stream: Stream) -> _IncomingConnection:
+        if len(self._incoming) >= MAX_INCOMING_COUNT:
+            next(iter(self._incoming)).give_up()
+        connection = _IncomingConnection(self, stream, self._timers)
+        self._incoming[connection] = None
+        return connection
 
     def request_update(
         self,
@@ -345,9 +394,10 @@
         """Adds a connection on which a reply is being sent."""
         self._replying_streams.add(stream)
 
-    def remove_replying_stream(self, stream: Stream) -> None:
+    def remove_incoming(self, connection: _IncomingConnection) -> None:
         """Removes a connection that has closed."""
-        self._replying_streams.discard(stream)
+        self._incoming.pop(connection, None)
+        self._replying_streams.discard(connection.stream)
 
     def record_update(self, kind_index: int, update: CacheUpdate) -> None:
         """Counts and logs an update that a peer sent."""
@@ -360,6 +410,10 @@
         )
 
     def record_unreadable(self, peer: Address, error: Exception) -> None:
-        """Counts and logs a frame that can't be decoded."""
+        """Counts a frame that can't be decoded; logs some of them."""
         self.counts["unreadable"] += 1
+        now_s = read_clock_s()
+        if now_s < self._unreadable_log_at_s:
+            return
+        self._unreadable_log_at_s = now_s + LOG_PERIOD_S
         self._log.warning("unreadable frame", peer=str(peer), cause=repr(error))
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -1,6 +1,6 @@
 """The settings of an edge node."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import HeaderNames
@@ -48,6 +48,22 @@
     apply_ms: str
 
 
+class MachineLimits(NamedTuple):
+    """What the machine allows the process to use.
+
+    Attributes:
+        memory_mb: The memory, in MB.
+        max_descriptors: The descriptors, 200 of which are for files.
+    """
+
+    memory_mb: float
+    max_descriptors: int
+
+
+# The smallest machine that nodes run on.
+DEFAULT_MACHINE_LIMITS: Final = MachineLimits(160.0, 4_100)
+
+
 class EdgeSettings(NamedTuple):
     """The settings of one node.
 
@@ -67,6 +83,7 @@
         store_address: The address of the platform's store.
         cpu_cores: The CPU seconds that the process can use per second.
         follow_times: How long it counts on a call to the store.
+        machine: What the machine allows the process to use.
     """
 
     node_name: str
@@ -82,3 +99,4 @@
     store_address: Address
     cpu_cores: float
     follow_times: FollowTimes = DEFAULT_FOLLOW_TIMES
+    machine: MachineLimits = DEFAULT_MACHINE_LIMITS
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -10,10 +10,12 @@
 from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 from mulberrybay_edge.settings import (
+    DEFAULT_MACHINE_LIMITS,
     EdgeAddresses,
     EdgeBoundNames,
     EdgePaths,
     EdgeSettings,
+    MachineLimits,
 )
 from mulberrybay_runtime.json_input import decode_json
 
@@ -82,6 +84,14 @@
     )
 
 
+def _parse_machine(document: dict[str, Any]) -> MachineLimits:
+    defaults = DEFAULT_MACHINE_LIMITS
+    return MachineLimits(
+        _get_number(document, "memory_mb", defaults.memory_mb),
+        int(_get_number(document, "max_descriptors", defaults.max_descriptors)),
+    )
+
+
 def parse_edge_settings(
     text: str,
     names: HeaderNames,
@@ -131,6 +141,7 @@
         cpu_cores=_get_number(document, "cpu_share")
         * _get_number(document, "core_speed"),
         follow_times=_parse_follow_times(document, bound_names),
+        machine=_parse_machine(document),
     )
 
 
--- a/packages/edge/tests/test_caller_input.py
+++ b/packages/edge/tests/test_caller_input.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings, strategies
 from request_fakes import NAMES
 
+from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
 from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_runtime.http_exchange import ReplyParser
@@ -46,6 +47,10 @@
 class _Stream:
     """Records what is sent to the caller."""
 
+    peer = Address("127.0.0.1", 1)
+    unsent = b""
+    is_paused = False
+
     def __init__(self) -> None:
         self.sent = b""
         self.is_half_closed = False
@@ -61,6 +66,12 @@
     def half_close_when_sent(self) -> None:
         self.is_half_closed = True
 
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
 
 class _Timers:
     def call_every(self, period_s: float, callback: object) -> None:
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -5,6 +5,7 @@
 import pytest
 from request_fakes import NAMES
 
+from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
 from mulberrybay_edge.caller_server import CallerServer
 
@@ -14,6 +15,10 @@
 class _Stream:
     """Records what is sent to the caller."""
 
+    peer = Address("127.0.0.1", 1)
+    unsent = b""
+    is_paused = False
+
     def __init__(self) -> None:
         self.sent = b""
         self.is_half_closed = False
@@ -28,6 +33,12 @@
     def half_close_when_sent(self) -> None:
         self.is_half_closed = True
 
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
 
 class _Timers:
     def call_every(self, period_s: float, callback: object) -> None:
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -112,6 +112,10 @@
         is_open: Whether the stream was not closed yet.
         half_closes_when_sent: Whether to close the sending side once `unsent`
             is empty.
+        read_size_bytes: How many bytes are read at a time. Other streams get
+            their turn between two reads.
+        sent_callback: Called when the socket has accepted some of `unsent`.
+        is_paused: Whether received bytes are left in the kernel's buffer.
     """
 
     def __init__(
@@ -130,6 +134,9 @@
         self.is_connecting = observer is not None
         self.is_open = True
         self.half_closes_when_sent = False
+        self.read_size_bytes = READ_SIZE_BYTES
+        self.sent_callback: Callable[[], None] | None = None
+        self.is_paused = False
 
     def send(self, data: bytes) -> bool:
         """Sends bytes; buffers those that the socket does not accept yet.
@@ -175,6 +182,18 @@
             return 0.0
         return int(round_trip_us) / 1e6
 
+    def pause_reading(self) -> None:
+        """Reads no more bytes for now; the peer then has to wait.
+
+        Until reading is resumed, it isn't noticed that the peer has closed the
+        connection.
+        """
+        self._owner.set_paused(self, is_paused=True)
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        self._owner.set_paused(self, is_paused=False)
+
     def close(self) -> None:
         """Closes the connection without notifying the observer."""
         self._owner.close_stream(self, reason=None)
@@ -195,7 +214,7 @@
         self._no_socket.close()
         self._undialled: list[tuple[Stream, str]] = []
         self._listeners: dict[
-            socket.socket, Callable[[Stream], StreamObserver]
+            socket.socket, Callable[[Stream], StreamObserver | None]
         ] = {}
 
     def __enter__(self) -> Self:
@@ -207,10 +226,14 @@
         self.stop_listening()
 
     def listen(
-        self, address: Address, accept: Callable[[Stream], StreamObserver]
+        self,
+        address: Address,
+        accept: Callable[[Stream], StreamObserver | None],
     ) -> None:
         """Accepts connections; `accept` returns the observer of each.
 
+        A connection for which it returns None is closed.
+
         Raises:
             OSError: The address is in use or is not an address of this VM.
         """
@@ -318,11 +341,24 @@
             stream.half_close()
         return True
 
+    def set_paused(self, stream: Stream, *, is_paused: bool) -> None:
+        """Stops or resumes reading; see `Stream.pause_reading`."""
+        if stream.is_paused == is_paused or not stream.is_open:
+            return
+        stream.is_paused = is_paused
+        if is_paused:
+            self._poller.removeReader(stream.connection)
+        else:
+            self._poller.addReader(self, stream.connection)
+
     def close_stream(self, stream: Stream, reason: str | None) -> None:
         """Closes a stream; notifies its observer if there is a reason."""
         if not stream.is_open:
             return
         stream.is_open = False
+        # Observers refer to their streams, so that the collector frees these.
+        stream.unsent = bytearray()
+        stream.deferred.clear()
         if stream.connection is not self._no_socket:
             self._streams.pop(stream.connection, None)
             self._poller.discard(stream.connection)
@@ -343,10 +379,10 @@
             self._accept(connection)
             return
         stream = self._streams.get(connection)
-        if stream is None or stream.observer is None:
+        if stream is None or stream.observer is None or stream.is_paused:
             return
         try:
-            data = connection.recv(READ_SIZE_BYTES)
+            data = connection.recv(stream.read_size_bytes)
         except BlockingIOError:
             return
         except OSError as error:
@@ -374,6 +410,9 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(self, connection, Address(*peer[:2]), None)
         stream.observer = self._listeners[listener](stream)
+        if stream.observer is None:
+            connection.close()
+            return
         self._streams[connection] = stream
         self._poller.addReader(self, connection)
 
@@ -386,6 +425,8 @@
             self._finish_dial(stream)
         elif stream.unsent:
             self._send_now(stream, stream.unsent)
+            if stream.sent_callback is not None and stream.is_open:
+                stream.sent_callback()
 
     def _finish_dial(self, stream: Stream) -> None:
         code = _socket_error(stream.connection)
--- a/tests/on_platform/uncontrolled_callers.py
+++ b/tests/on_platform/uncontrolled_callers.py
@@ -102,12 +102,12 @@
 
     Attributes:
         pieces: Makes the bytes of one connection.
-        count: The number of connections.
+        connection_count: The number of connections.
         period_s: The time between two pieces.
     """
 
     pieces: Callable[[], Pieces]
-    count: int
+    connection_count: int
     period_s: float = 0.0
 
 
@@ -172,7 +172,9 @@
 
     def __init__(self, port: int, kinds: list[CallerKind]) -> None:
         self._callers = [
-            _Caller(port, kind) for kind in kinds for _ in range(kind.count)
+            _Caller(port, kind)
+            for kind in kinds
+            for _ in range(kind.connection_count)
         ]
 
     def __enter__(self) -> Self:
