--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -85,10 +85,15 @@
 
 
 def _parse_machine(document: dict[str, Any]) -> MachineLimits:
+    """Returns the machine's limits; 0 stands for one that is not stated."""
     defaults = DEFAULT_MACHINE_LIMITS
+    memory_mb = _get_number(document, "memory_mb", defaults.memory_mb)
+    descriptor_count = _get_number(
+        document, "max_descriptors", defaults.max_descriptors
+    )
     return MachineLimits(
-        _get_number(document, "memory_mb", defaults.memory_mb),
-        int(_get_number(document, "max_descriptors", defaults.max_descriptors)),
+        memory_mb or defaults.memory_mb,
+        int(descriptor_count) or defaults.max_descriptors,
     )
 
 
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -7,6 +7,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
+from mulberrybay_core.callers.memory import HeldKind
 from mulberrybay_edge.caller_server import CallerServer
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n\r\n"
@@ -200,3 +201,96 @@
     assert stream.sent.startswith(b"HTTP/1.1 431 ")
     assert stream.sent.count(b"HTTP/1.1 ") == 1
     assert service.requests == []
+
+
+def connect() -> tuple[CallerServer, _Service, _Stream, Any]:
+    """Returns a server, its service, and a connection with its stream."""
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    return server, service, stream, server._accept(stream)
+
+
+CHUNKED = (
+    b"POST /x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def test_slow_body_inside_the_limits_is_not_cut_off_by_the_header_timeout() -> (
+    None
+):
+    server, service, stream, connection = connect()
+    connection.on_data(stream, CHUNKED + b"6\r\n")
+    started_s = connection.last_active_at_s
+    connection.sweep(started_s + server.limits.header_timeout_s + 1)
+    connection.on_data(stream, b"hello.\r\n0\r\n\r\n")
+    assert stream.sent == b""
+    assert [request.body for request in service.requests] == [b"hello."]
+
+
+@pytest.mark.parametrize(
+    ("data", "timeout"),
+    [
+        (CHUNKED[:-2], "header_timeout_s"),
+        (CHUNKED + b"6\r\nhell", "idle_timeout_s"),
+    ],
+)
+def test_request_that_does_not_arrive_is_refused_as_not_run(
+    data: bytes, timeout: str
+) -> None:
+    server, _, stream, connection = connect()
+    connection.on_data(stream, data)
+    limit_s = getattr(server.limits, timeout)
+    connection.sweep(connection.last_active_at_s + limit_s - 0.5)
+    assert stream.sent == b""
+    connection.sweep(connection.last_active_at_s + limit_s + 1)
+    assert stream.sent.startswith(b"HTTP/1.1 408 ")
+
+
+def test_trailers_are_bounded_with_the_head_and_then_dropped() -> None:
+    server, service, stream, connection = connect()
+    body = b"5\r\nhello\r\n0\r\n"
+    connection.on_data(stream, CHUNKED + body + b"Host: b\r\nX: 1\r\n\r\n")
+    (request,) = service.requests
+    assert request.headers == (("Host", "a.example"),)
+    service.replies[0](CallerAnswer(200))
+    connection.on_data(stream, CHUNKED + body)
+    for _ in range(server.limits.max_header_bytes // 4):
+        connection.on_data(stream, b"a: b\r\n")
+    assert stream.sent.count(b"HTTP/1.1 431 ") == 1
+    assert connection.account.held_bytes == 0
+
+
+def test_requests_inside_the_limits_are_served_however_pipelined() -> None:
+    """The end of a body was counted as the head of the next request."""
+    server, service, stream, connection = connect()
+    body = b"b" * 262_144
+    cookie = b"Cookie: " + b"c" * 16_000 + b"\r\n"
+    head = b"POST /x HTTP/1.1\r\nHost: a.example\r\n" + cookie
+    data = (head + b"Content-Length: 262144\r\n\r\n" + body) * 32
+    for start in range(0, len(data), 32_768):
+        while stream.is_paused:
+            service.replies.pop()(CallerAnswer(200))
+        connection.on_data(stream, data[start : start + 32_768])
+        held_bytes = server.resources.memory.held_bytes
+        assert held_bytes < server.resources.memory.budget_bytes / 8
+    while service.replies:
+        service.replies.pop()(CallerAnswer(200))
+    assert stream.sent.count(b"HTTP/1.1 200 ") == 32
+    assert {request.body for request in service.requests} == {body}
+    assert server.resources.memory.held_bytes == 0
+
+
+def test_request_is_refused_for_memory_only_before_it_is_forwarded() -> None:
+    server, service, stream, connection = connect()
+    connection.on_data(stream, REQUEST)
+    memory = server.resources.memory
+    other = memory.open("10.0.0.1", lambda: None, float("inf"))
+    other.hold(HeldKind.INPUT, memory.budget_bytes)
+    service.replies[0](CallerAnswer(200))
+    connection.on_data(stream, REQUEST)
+    assert stream.sent.startswith(b"HTTP/1.1 200 ")
+    assert stream.sent.count(b"HTTP/1.1 503 ") == 1
+    assert b"Retry-After" in stream.sent
+    other.hold(HeldKind.INPUT, 0)
+    connection.on_data(stream, REQUEST)
+    assert len(service.requests) == 2
--- a/packages/edge/tests/test_edge_settings.py
+++ b/packages/edge/tests/test_edge_settings.py
@@ -17,6 +17,8 @@
 cold_factor = 1.5
 cpu_share = 0.5
 core_speed = 2
+memory_mb = 300
+max_descriptors = 4100
 store_address = "127.0.0.1:1"
 {bounds}
 [listen]
@@ -81,7 +83,9 @@
         settings.stop_grace_s,
         settings.address_life_s,
         *settings.retry_terms,
+        *settings.machine,
     ]
+    assert min(settings.machine) > 0
     assert all(math.isfinite(number) for number in numbers)
 
 
--- a/packages/edge/tests/test_peer_exchange.py
+++ b/packages/edge/tests/test_peer_exchange.py
@@ -11,6 +11,8 @@
 from mulberrybay_edge.heartbeat_codec import PROTOCOL_VERSION, SCHEMA
 from mulberrybay_edge.peer_exchange import (
     MAX_CONCURRENT_REPLY_COUNT,
+    MAX_INCOMING_COUNT,
+    MAX_REQUEST_BYTES,
     PeerExchange,
 )
 from mulberrybay_edge.store_watch import StoreWatch
@@ -238,3 +240,17 @@
     with pytest.raises(ValueError, match="a fault of this node"):
         informed.receive_request(stream.sent[0])
     assert informed.exchange.counts["unreadable"] == 0
+
+
+def test_bytes_that_are_no_request_are_bounded_for_each_connection() -> None:
+    """A frame may announce 8 MiB, which were held until the sender left."""
+    node = _Node(1)
+    frame = wrap_frame(b"x" * 100_000)
+    assert not node.receive_request(frame[:MAX_REQUEST_BYTES]).is_closed
+    assert node.receive_request(frame[: MAX_REQUEST_BYTES + 1]).is_closed
+
+
+def test_oldest_incoming_connection_gives_way_to_a_new_one() -> None:
+    node = _Node(1)
+    streams = [node.receive_request(b"") for _ in range(MAX_INCOMING_COUNT + 1)]
+    assert [stream.is_closed for stream in streams[:2]] == [True, False]
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -451,7 +451,12 @@
                 "ready": f"{HOST}:{self.ready_port}",
                 "directory": f"{HOST}:{free_port()}",
             },
-            "limits": {"cpu_share": 0.537, "cores": 2},
+            "limits": {
+                "cpu_share": 0.537,
+                "cores": 2,
+                "memory_mb": 160,
+                "max_fds": 4100,
+            },
             "bounds": {
                 "grace_s": 6,
                 "ttl_max_s": 5,
