Count queues before the first request, and vary costs with one number

A node that had not sent anything to a server counted its queue there at a fifth, so just after a start requests could go to the longer queue. The cause: the mean work at the server was 0 before the first request. It now counts as that of the request (test_queue_counts_before_this_node_has_sent_a_request).

The random change of costs from reports took two more random numbers and an exponential for each attempt. It is now a larger range of the number that is drawn anyway. Reports are parsed once for each text, weights are computed when they change, and headers over 256 characters count as unreadable, which bounds what the cache holds.

Ruled out: other sizes of the range (docs/design/load-reports.md).

--- a/packages/core/mulberrybay_core/load_report.py
+++ b/packages/core/mulberrybay_core/load_report.py
@@ -1,5 +1,6 @@
 """The load that a backend server names in its replies."""
 
+import functools
 import re
 from typing import Final, NamedTuple, Self
 
@@ -12,6 +13,10 @@
 )
 
 
+# Longer headers are not kept in memory.
+MAX_TEXT_CHARS: Final = 256
+
+
 class LoadReport(NamedTuple):
     """The load that a backend server reports with a reply.
 
@@ -31,6 +36,12 @@
     @classmethod
     def from_header(cls, text: str) -> Self | None:
         """Returns the report in a header; None if it can't be read."""
+        return None if len(text) > MAX_TEXT_CHARS else cls._parse(text)
+
+    # Servers repeat few values.
+    @classmethod
+    @functools.lru_cache(maxsize=512)
+    def _parse(cls, text: str) -> Self | None:
         match = _FIGURES.fullmatch(text)
         if match is None:
             return None
--- a/packages/core/mulberrybay_core/overload/load_forecast.py
+++ b/packages/core/mulberrybay_core/overload/load_forecast.py
@@ -61,6 +61,8 @@
         ]
         self._squares = [ASSUMPTION_WEIGHT] * len(assumed)
         self._products = [ASSUMPTION_WEIGHT * weight for weight in assumed]
+        # The last is that of reports that are too old.
+        self._weights = [*assumed, 0.0]
         # Servers that are busy or slow on the whole are part of what is typical.
         self._mean_difference = 0.0
         self._mean_change = 0.0
@@ -76,19 +78,16 @@
 
         It doesn't rise with the age.
         """
-        count = bisect.bisect_left(AGE_BOUNDS_S, age_s) + 1
-        if count > len(AGE_BOUNDS_S):
-            return 0.0
-        return max(
-            0.0,
-            min(
-                1.0,
-                *(
-                    self._products[index] / self._squares[index]
-                    for index in range(count)
-                ),
-            ),
-        )
+        index = bisect.bisect_left(AGE_BOUNDS_S, age_s)
+        return self._weights[index]
+
+    def _update_weights(self, index: int) -> None:
+        """Computes the weights again, of an age and of greater ones."""
+        weight = self._weights[index - 1] if index else 1.0
+        for later in range(index, len(AGE_BOUNDS_S)):
+            slope = self._products[later] / self._squares[later]
+            weight = max(0.0, min(weight, slope))
+            self._weights[later] = weight
 
     def cost(self, prediction: LoadPrediction) -> float:
         """Returns the expected latency as a multiple of the typical one."""
@@ -139,3 +138,4 @@
                 scale = ASSUMPTION_WEIGHT / 10 / self._squares[index]
                 self._squares[index] *= scale
                 self._products[index] *= scale
+            self._update_weights(index)
--- a/packages/core/mulberrybay_core/placement.py
+++ b/packages/core/mulberrybay_core/placement.py
@@ -43,10 +43,9 @@
 # Random increase of a cost, so that nodes with similar estimates don't all
 # choose the same server.
 MAX_JITTER_RATIO: Final = 0.06
-# Random change of a cost that uses a report of work, as a part of the error of
-# such costs. In trials of 30 nodes, 0.2 gave shorter latencies with two
-# replicas than 0, 0.5 and 1.
-REPORT_JITTER_RATIO: Final = 0.2
+# Added to it for a cost from a report of work, as a part of the error that such
+# costs have: the less reports predict, the more nodes would choose wrongly alike.
+REPORT_JITTER_RATIO: Final = 0.7
 # Weight of one request in the mean work at a server, and the bounds of that
 # mean as a multiple of the work of the request to be sent.
 WORK_WEIGHT_RATIO: Final = 0.1
@@ -59,6 +58,7 @@
 
     Attributes:
         in_flight: When each request in flight was sent, by a key of the sender.
+        last_prediction: What `predict` has last returned.
     """
 
     __slots__ = (
@@ -71,10 +71,12 @@
         "_report_at_s",
         "_sampled_at_s",
         "in_flight",
+        "last_prediction",
     )
 
     def __init__(self) -> None:
         self.in_flight: dict[int, float] = {}
+        self.last_prediction: LoadPrediction | None = None
         # The latency in excess of the typical one, as a multiple of that.
         self._excess_latency_ratio = 0.0
         self._sampled_at_s = 0.0
@@ -153,6 +155,8 @@
 
     def failure_ratio(self, now_s: float) -> float:
         """Returns the expected ratio of requests that fail."""
+        if not self._failure_ratio:
+            return 0.0
         age_s = now_s - self._outcome_at_s
         return self._failure_ratio * math.exp(-age_s / ESTIMATE_DECAY_S)
 
@@ -189,10 +193,12 @@
         """
         report = self._report
         if report is None or report.work_percent is None:
+            self.last_prediction = None
             return None
         own_count = len(self.in_flight)
+        mean_latency_s = self._mean_latency_s or query.typical_latency_s
         work_ratio = min(
-            max(self._mean_latency_s / query.typical_latency_s, MIN_WORK_RATIO),
+            max(mean_latency_s / query.typical_latency_s, MIN_WORK_RATIO),
             MAX_WORK_RATIO,
         )
         total = report.running_count + report.waiting_count
@@ -203,11 +209,12 @@
         without = self.relative_latency(query.now_s) * _queue_factor(
             own_count, slot_count, work_ratio
         )
-        return LoadPrediction(
+        self.last_prediction = LoadPrediction(
             query.now_s - self._report_at_s,
             math.log(with_report),
             math.log(without),
         )
+        return self.last_prediction
 
     def is_stalled(self, now_s: float, typical_latency_s: float) -> bool:
         """Returns whether a request to the server is unusually old.
@@ -291,18 +298,16 @@
     """Returns the server with the lowest cost; None without candidates.
 
     Costs are increased at random by up to MAX_JITTER_RATIO. Those that use a
-    report vary more if reports predict little: other nodes have seen it too.
+    report of work vary more; see REPORT_JITTER_RATIO.
     """
     best: KnownServer | None = None
     best_cost = 0.0
     for server, state in candidates:
         cost = placement_cost(server, state, query)
-        cost *= 1 + MAX_JITTER_RATIO * random_source.random()
+        jitter_ratio = MAX_JITTER_RATIO
         if query.forecast is not None and state.reports_work:
-            error_ratio = query.forecast.error_ratio
-            cost *= math.exp(
-                REPORT_JITTER_RATIO * random_source.gauss(0.0, error_ratio)
-            )
+            jitter_ratio += REPORT_JITTER_RATIO * query.forecast.error_ratio
+        cost *= 1 + jitter_ratio * random_source.random()
         if best is None or cost < best_cost:
             best, best_cost = server, cost
     return best
--- a/packages/core/tests/test_load_reports.py
+++ b/packages/core/tests/test_load_reports.py
@@ -51,6 +51,7 @@
         ("1,0,2, 99.5 , 7, later", LoadReport(1, 0, 2, 99.5)),
         ("1,0,2,0", LoadReport(1, 0, 2)),
         ("1,0,2,fast", None),
+        ("1,0,2,99," + 256 * "9", None),
         ("1,0,2,-5", None),
         ("1,0", None),
     ],
@@ -156,6 +157,19 @@
     assert costs[0] > 1.5 * costs[1]
 
 
+def test_queue_counts_before_this_node_has_sent_a_request() -> None:
+    """A node that starts must not send everything to the longest queue."""
+    states = [ServerState(), ServerState()]
+    states[1].record_sent(TYPICAL_S)
+    for state in states:
+        state.record_load(LoadReport(2, 4, 2, 100.0), 9.999)
+    query = make_query(10.0, LoadForecast())
+
+    costs = [placement_cost(make_server("i"), state, query) for state in states]
+
+    assert costs[0] == costs[1]
+
+
 class _Service:
     """Nodes that share servers, whose machines are slow at times."""
 
@@ -281,6 +295,5 @@
         sorted(s.latencies_s)[int(0.99 * len(s.latencies_s))]
         for s in (before, after)
     ]
-    print(means_s, late_s)
     assert means_s[1] < 0.97 * means_s[0]
     assert late_s[1] < 1.05 * late_s[0]
