Use a reply only if its status is 200 to 599

For status lines of 000, 007 and 099, callers waited until their deadline and got 504: the parser took them for interim replies. For 600 and 999 they got that status. The clients of the store and of nodes with holders took any status for the answer, that of an interim reply included.

Both parsers now refuse a status below 100, above 599, or 101 as the head ends, as they do other bytes that are not HTTP: the connection is closed, the attempt may have run, and the caller gets 502 or the answer of another server. Interim replies are skipped on every path, and count with the reply that follows.

The library already refused statuses of two or four digits, negative ones and words.

--- a/packages/backends/tests/test_connections.py
+++ b/packages/backends/tests/test_connections.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mulberrybay_backends.connections import BackendPool
+from mulberrybay_backends.health import HealthConnections
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.attempts import AttemptKind
 from mulberrybay_core.backend_messages import (
@@ -18,6 +19,7 @@
 from mulberrybay_core.fleet import BackendServer
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timers
+from mulberrybay_testing.status_lines import UNUSABLE_STATUS_LINES
 
 SERVER = BackendServer(
     "vm", "d1", Address("127.0.0.1", 1), "service", 3, 30, "live"
@@ -131,3 +133,31 @@
         pool.run(f"b{index}")
     assert len(pool.streams.dialled) == 1
     assert {result.run_state for result in pool.results} == {RunState.NOT_RUN}
+
+
+@pytest.mark.parametrize("line", UNUSABLE_STATUS_LINES)
+def test_reply_with_unusable_status_may_have_run_and_ends_the_connection(
+    line: bytes,
+) -> None:
+    pool = _PoolUnderTest()
+    pool.run("a")
+    stream = pool.open()
+    reply = (REPLY % b"a").replace(b"HTTP/1.1 200 OK", line)
+    pool.streams.dialled[0][1].on_data(stream, reply)
+    assert [result.outcome for result in pool.results] == [
+        BackendOutcome.BAD_REPLY
+    ]
+    assert pool.results[0].run_state is RunState.UNKNOWN
+    assert stream.is_closed
+
+
+@pytest.mark.parametrize("line", UNUSABLE_STATUS_LINES)
+def test_health_reply_with_unusable_status_is_none(line: bytes) -> None:
+    streams, replies = _FakeStreams(), []
+    HealthConnections(streams).check(SERVER, replies.append)
+    ((stream, observer),) = streams.dialled
+    observer.on_data(
+        stream, line + b'\r\nContent-Length: 17\r\n\r\n{"status":"live"}'
+    )
+    assert replies == []
+    assert stream.is_closed
--- a/packages/edge/tests/test_server_input.py
+++ b/packages/edge/tests/test_server_input.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import given, settings, strategies
 from test_server_connections import ADDRESS, _Streams
 
@@ -12,6 +13,7 @@
 )
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_runtime.timers import Timers
+from mulberrybay_testing.status_lines import UNUSABLE_STATUS_LINES
 
 PARTS = (
     b"HTTP/1.1 200 OK\r\n",
@@ -91,3 +93,19 @@
     assert caller.connections.buffered_bytes == 0
     replies = [result.reply for result in later if result.reply is not None]
     assert all(reply.body == b"ok" for reply in replies)
+
+
+@pytest.mark.parametrize("line", UNUSABLE_STATUS_LINES)
+def test_reply_of_a_server_or_node_with_unusable_status_is_malformed(
+    line: bytes,
+) -> None:
+    """Requests handed to another node use the same connections."""
+    caller = _Caller()
+    (results, (stream,)) = (
+        caller.send(expects_body=True),
+        caller.streams.dialled,
+    )
+    stream.connect()
+    stream.receive(line + b"\r\nContent-Length: 2\r\n\r\nok")
+    assert [result.outcome for result in results] == [ExchangeOutcome.MALFORMED]
+    assert not stream.is_open
--- a/packages/platform/tests/test_client.py
+++ b/packages/platform/tests/test_client.py
@@ -18,6 +18,7 @@
 )
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timer, Timers
+from mulberrybay_testing.status_lines import UNUSABLE_STATUS_LINES
 
 WATCH_TIMEOUT_S = 8.0
 EMPTY_LIST = (
@@ -192,3 +193,17 @@
         self.delays_s.append(due_s - read_clock_s())
         self.callbacks.append(callback)
         return Timer(callback)
+
+
+@pytest.mark.parametrize("line", UNUSABLE_STATUS_LINES)
+def test_answer_of_the_store_with_unusable_status_fails_at_once(
+    line: bytes,
+) -> None:
+    store = _ClientFixture()
+    store.list_kind()
+    answer = EMPTY_LIST.replace(b"HTTP/1.1 200 OK", line)
+    store.streams.reply(0, answer)
+    assert [result.detail for result in store.results] == [
+        "list: malformed reply"
+    ]
+    assert store.streams.dialled[0][0].is_closed
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -17,6 +17,12 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 # Small chunks take up to several times the size of the body that they carry.
 MAX_ENCODED_BYTES: Final = 2 * MAX_REPLY_BYTES
+# Replies below are interim ones.
+MIN_STATUS: Final = 200
+MAX_STATUS: Final = 599
+MIN_INTERIM_STATUS: Final = 100
+# It would change the protocol, which no request asks for.
+SWITCHING_PROTOCOLS_STATUS: Final = 101
 
 
 class HttpReply(NamedTuple):
@@ -89,6 +95,33 @@
     return name.decode("latin-1").lower()
 
 
+def _check_status(status: int) -> None:
+    """Refuses the status of a reply that can't be used.
+
+    Raises:
+        httptools.HttpParserInvalidStatusError: It is below 100, above 599, or
+            101.
+    """
+    if (
+        not MIN_INTERIM_STATUS <= status <= MAX_STATUS
+        or status == SWITCHING_PROTOCOLS_STATUS
+    ):
+        raise httptools.HttpParserInvalidStatusError(f"status {status:03}")
+
+
+def _feed(parser: httptools.HttpResponseParser, data: bytes) -> None:
+    """Parses bytes; names a status that can't be used as the cause.
+
+    Raises:
+        httptools.HttpParserError: The bytes are not HTTP, or a reply has a
+            status that can't be used.
+    """
+    try:
+        parser.feed_data(data)
+    except httptools.HttpParserCallbackError as error:
+        raise error.__context__ or error from None
+
+
 class ReplyParser:
     """Parses the replies received on one connection."""
 
@@ -99,6 +132,8 @@
         self._body_bytes = 0
         self._has_headers = False
         self._size = _ReplySize()
+        # Whether the last reply was an interim one; the next counts with it.
+        self._is_interim = False
         self._finished: list[HttpReply] = []
 
     def feed(self, data: bytes) -> list[HttpReply]:
@@ -109,9 +144,10 @@
 
         Raises:
             ReplyTooLargeError: The reply exceeds the limit.
-            httptools.HttpParserError: The bytes are not HTTP.
+            httptools.HttpParserError: The bytes are not HTTP, or the status is
+                not one of 200 to 599 nor of an interim reply.
         """
-        self._parser.feed_data(data)
+        _feed(self._parser, data)
         self._size.add(
             len(data), self._body_bytes, is_in_head=not self._has_headers
         )
@@ -125,15 +161,23 @@
         self._body = []
         self._body_bytes = 0
         self._has_headers = False
-        self._size = _ReplySize()
+        if not self._is_interim:
+            self._size = _ReplySize()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records a header."""
         self._headers[_lower_name(name)] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Records that the head is complete."""
-        self._has_headers = True
+        """Records that the head is complete.
+
+        Raises:
+            httptools.HttpParserInvalidStatusError: The status can't be used.
+        """
+        status = self._parser.get_status_code()
+        _check_status(status)
+        self._is_interim = status < MIN_STATUS
+        self._has_headers = not self._is_interim
 
     def on_body(self, body: bytes) -> None:
         """Records a chunk of the body."""
@@ -141,7 +185,9 @@
         self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
-        """Finishes a reply."""
+        """Finishes a reply, unless it is an interim reply."""
+        if self._is_interim:
+            return
         self._finished.append(
             HttpReply(
                 status=self._parser.get_status_code(),
@@ -187,10 +233,11 @@
 
         Raises:
             ReplyTooLargeError: The reply exceeds the limit.
-            httptools.HttpParserError: The bytes are not HTTP.
+            httptools.HttpParserError: The bytes are not HTTP, or the status is
+                not one of 200 to 599 nor of an interim reply.
         """
         try:
-            self._parser.feed_data(data)
+            _feed(self._parser, data)
         except httptools.HttpParserError:
             if self.reply is None:
                 raise
@@ -241,9 +288,15 @@
             self._headers[_lower_name(name)] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Records the headers as complete, unless the reply is interim."""
+        """Records the headers as complete, unless the reply is interim.
+
+        Raises:
+            httptools.HttpParserInvalidStatusError: The status can't be used.
+        """
         if self.reply is None:
-            self._has_headers = self._parser.get_status_code() >= 200
+            status = self._parser.get_status_code()
+            _check_status(status)
+            self._has_headers = status >= MIN_STATUS
             if self._has_headers and not self._expects_body:
                 self._finish(keeps_alive=self._parser.should_keep_alive())
 
