Add the interface and a first version of the decisions of rollouts

Callers of a service that an operator moves to another version need a bound on the requests that an unproven version gets. Nothing decided this before. The entry of a server gets a version with a default, so decoders that don't set it stay valid.

--- /dev/null
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -0,0 +1,231 @@
+"""One rollout, as one node sees it."""
+
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+from mulberrybay_core.rollouts.evidence import (
+    NO_COUNTS,
+    Evidence,
+    add_counts,
+    judge,
+    sum_arms,
+)
+from mulberrybay_core.rollouts.exposure import Exposure
+from mulberrybay_core.rollouts.orders import (
+    ArmCounts,
+    ArmKey,
+    RolloutCounts,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    RolloutStep,
+)
+from mulberrybay_core.rollouts.progress import (
+    RolloutProgress,
+    is_certainly_bad,
+    promote_age_s,
+)
+
+# The most routes of which a node keeps counts apart; further ones are counted
+# as one, so that a heartbeat stays small.
+MAX_ROUTE_COUNT: Final = 8
+OTHER_ROUTES: Final = "other"
+
+
+class _PeerCounts(NamedTuple):
+    counts: RolloutCounts
+    received_at_s: float
+
+
+class Rollout:
+    """One rollout: its order and status, this node's and others' counts.
+
+    Attributes:
+        order: The order.
+        status: The status that this node follows; never another one after a
+            final one.
+        exposure: What this node has sent to the new version.
+        is_condemned: Whether the version was judged bad.
+        reason: Why it was.
+        stored: The status in the store; None if it has none.
+    """
+
+    def __init__(
+        self, order: RolloutOrder, exposure: Exposure, now_s: float
+    ) -> None:
+        self.order = order
+        self.exposure = exposure
+        self.status = RolloutStatus(
+            RolloutState.RUNNING, RolloutStep.CANARY, order.target_version
+        )
+        self.stored: RolloutStatus | None = None
+        self.is_condemned = False
+        self.reason = ""
+        self.final_at_s: float | None = None
+        self._step_at_s = now_s
+        self._ordered_at_s = now_s
+        self._arms: dict[ArmKey, ArmCounts] = {}
+        self._peers: dict[tuple[str, int], _PeerCounts] = {}
+        self._in_flight = {False: 0, True: 0}
+        self._own_is_bad = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the rollout has no final state."""
+        return self.status.state is RolloutState.RUNNING
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether this node sends nothing to the new version."""
+        if self.is_running:
+            return self.is_condemned or self._own_is_bad
+        return self.status.state is RolloutState.ROLLED_BACK
+
+    def age_s(self, now_s: float) -> float:
+        """Returns the age of the order, as far as any node knows it."""
+        return now_s - self._ordered_at_s
+
+    def canary_ratio(self, now_s: float) -> float:
+        """Returns how much of the canary's time has passed, 0 to 1."""
+        due_s = promote_age_s(self.order.duration_s)
+        return min(1.0, self.age_s(now_s) / due_s) if due_s > 0 else 1.0
+
+    def follow(self, status: RolloutStatus | None, now_s: float) -> None:
+        """Takes the status from the store, unless this one is final."""
+        self.stored = status
+        if status is None or not self.is_running:
+            return
+        self._know_age(status.age_s, now_s)
+        if status.state is not RolloutState.RUNNING:
+            self.status = status
+            self.final_at_s = now_s
+            return
+        # The store may return from a copy in which the step is an earlier one.
+        if (
+            status.step is RolloutStep.PROMOTE
+            and self.status.step is RolloutStep.CANARY
+        ):
+            self.status = status
+            self._step_at_s = now_s
+
+    def end(self, state: RolloutState, reason: str, now_s: float) -> None:
+        """Ends the rollout at this node without a status from the store."""
+        if self.is_running:
+            self.status = RolloutStatus(
+                state,
+                RolloutStep.DONE,
+                self.order.target_version,
+                self.age_s(now_s),
+                reason,
+            )
+            self.final_at_s = now_s
+
+    def condemn(self, reason: str) -> None:
+        """Records that the version was judged bad."""
+        if not self.is_condemned:
+            self.is_condemned = True
+            self.reason = reason
+
+    # What this node sends and gets.
+
+    def record_sent(self, *, is_new: bool) -> None:
+        """Counts a request that is sent to a server."""
+        self._in_flight[is_new] += 1
+        if is_new:
+            self.exposure.sent_count += 1
+
+    def give_back(self, *, is_new: bool) -> None:
+        """Takes back a request that reached no server."""
+        self._end(is_new)
+        if is_new:
+            self.exposure.sent_count = max(0, self.exposure.sent_count - 1)
+
+    def record_end(self, *, is_new: bool) -> None:
+        """Records that a request ended without evidence."""
+        self._end(is_new)
+        if is_new:
+            self.exposure.reply_count += 1
+
+    def _end(self, is_new: bool) -> None:
+        self._in_flight[is_new] = max(0, self._in_flight[is_new] - 1)
+
+    def record_reply(
+        self, route: str, added: ArmCounts, *, is_new: bool
+    ) -> None:
+        """Counts the end of a request that shows how good the version is."""
+        self.record_end(is_new=is_new)
+        # Both versions are compared over the same time, which begins with the
+        # first reply of the new one.
+        if not is_new and not self.exposure.sent_count:
+            return
+        key = is_new, self._route_key(route)
+        self._arms[key] = add_counts(self._arms.get(key, NO_COUNTS), added)
+        if is_new and not self._own_is_bad and self.is_running:
+            self._own_is_bad = is_certainly_bad(judge(self._arms))
+
+    def _route_key(self, route: str) -> str:
+        routes = {name for _, name in self._arms}
+        if route in routes or len(routes) < MAX_ROUTE_COUNT:
+            return route
+        return OTHER_ROUTES
+
+    # What other nodes report.
+
+    def report(self, now_s: float) -> RolloutCounts:
+        """Returns this node's counts for a heartbeat."""
+        return RolloutCounts(
+            service=self.order.service,
+            target_version=self.order.target_version,
+            age_s=self.age_s(now_s),
+            arms=dict(self._arms),
+            old_in_flight_count=self._in_flight[False],
+            is_condemned=self.is_condemned,
+            sent_count=self.exposure.sent_count,
+        )
+
+    def merge(
+        self, node: tuple[str, int], counts: RolloutCounts, now_s: float
+    ) -> None:
+        """Takes the counts of another node unless newer ones are known."""
+        self._know_age(counts.age_s, now_s)
+        if counts.is_condemned:
+            self.condemn("judged bad by another node")
+        known = self._peers.get(node)
+        if known is None or _total(known.counts) <= _total(counts):
+            self._peers[node] = _PeerCounts(counts, now_s)
+
+    def forget_node(self, node_name: str) -> None:
+        """Forgets that a node has requests in flight; its counts remain."""
+        for key, peer in self._peers.items():
+            if key[0] == node_name:
+                counts = peer.counts._replace(old_in_flight_count=0)
+                self._peers[key] = peer._replace(counts=counts)
+
+    def _know_age(self, age_s: float, now_s: float) -> None:
+        self._ordered_at_s = min(self._ordered_at_s, now_s - age_s)
+
+    def evidence(self) -> Evidence:
+        """Judges the version by the counts of all nodes."""
+        reports = [peer.counts.arms for peer in self._peers.values()]
+        return judge(sum_arms([self._arms, *reports]))
+
+    def progress(self, now_s: float, *, all_have_seen: bool) -> RolloutProgress:
+        """Returns what the next step depends on."""
+        in_flight_count = self._in_flight[False] + sum(
+            peer.counts.old_in_flight_count for peer in self._peers.values()
+        )
+        return RolloutProgress(
+            duration_s=self.order.duration_s,
+            age_s=self.age_s(now_s),
+            step=self.status.step,
+            step_age_s=now_s - self._step_at_s,
+            evidence=self.evidence(),
+            all_have_seen=all_have_seen,
+            old_in_flight_count=in_flight_count,
+        )
+
+
+def _total(counts: RolloutCounts) -> tuple[int, float]:
+    """Returns what only grows between reports of one incarnation."""
+    arms: Iterator[ArmCounts] = iter(counts.arms.values())
+    return sum(arm.reply_count for arm in arms), counts.age_s
--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -29,6 +29,7 @@
         is_leaving: Whether it has announced that it will stop.
         cold_left_s: How long it stays cold after the entry was read.
         started_at_ms: When it started, in Unix milliseconds; 0 if unknown.
+        version: The version of its software; empty if unknown.
     """
 
     server_id: str
@@ -39,6 +40,7 @@
     is_leaving: bool
     cold_left_s: float
     started_at_ms: int
+    version: str = ""
 
 
 class KnownServer:
