Carry the status of store objects, and counts of rollouts in heartbeats

Nodes can't follow a rollout today: a stored object has no status here, nothing writes one, and nodes can't tell each other what they have counted.

Cause: only the spec of an object was read. The status is kept only for kinds that the client is told of, so that other kinds are passed between nodes as before. Both new fields stand at the end of their messages: builds that don't know them ignore them and send none. A heartbeat that would exceed what receivers decode leaves out the last rollouts. A node takes the newest change of each kind that any peer names, since an older build names fewer kinds; the shortest list hid the last kind from all while the builds are mixed.

Evidence: packages/edge/tests and packages/platform/tests pass; the tests of heartbeats with any values now draw rollouts and use them as the writer does. Ruled out: reading the status of every kind, which would add bytes to the exchange between nodes of deployments without rollouts.

--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -12,6 +12,7 @@
 
 import functools
 import hashlib
+import itertools
 import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
@@ -19,6 +20,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import SuspectReport
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
+from mulberrybay_core.rollouts import RolloutCounts
 
 HEARTBEAT_PERIOD_S: Final = 0.4
 # A node counts as unresponsive after this many periods without a heartbeat.
@@ -81,6 +83,7 @@
         is_hub: Whether the node sends heartbeats to all nodes.
         lacks_servers: Whether the node reaches no backend server.
         suspects: Requests under which backend servers have crashed.
+        rollouts: What the node has counted of rollouts.
     """
 
     sender: EdgeNodeInfo
@@ -93,6 +96,7 @@
     is_hub: bool = False
     lacks_servers: bool = False
     suspects: tuple[SuspectReport, ...] = ()
+    rollouts: tuple[RolloutCounts, ...] = ()
 
 
 class _Peer:
@@ -426,7 +430,26 @@
             if peer.heartbeat is not None and self._is_alive(peer, now_s)
         ]
         return tuple(
-            max(versions) for versions in zip(*peer_versions, strict=False)
+            max(versions)
+            for versions in itertools.zip_longest(*peer_versions, fillvalue=0)
+        )
+
+    def all_have_changes(
+        self, kind_index: int, version: int, now_s: float
+    ) -> bool:
+        """Returns whether all running peers know the changes up to a version.
+
+        Args:
+            kind_index: The position of the kind in `changed_versions`.
+            version: The version of the last change of the kind.
+            now_s: The time.
+        """
+        return all(
+            peer.heartbeat is not None
+            and kind_index < len(peer.heartbeat.changed_versions)
+            and peer.heartbeat.changed_versions[kind_index] >= version
+            for peer in self._peers.values()
+            if self._is_alive(peer, now_s)
         )
 
     def choose_newer_peer(
@@ -508,13 +531,16 @@
 
     def _has_recent_store_answer(self, now_s: float) -> bool:
         return any(
-            peer.heartbeat.store_age_s + now_s - peer.last_heartbeat_at_s
-            < self._max_store_age_s
+            self._store_age_s(peer, now_s) < self._max_store_age_s
             for peer in self._peers.values()
-            if peer.heartbeat is not None
-            and peer.last_heartbeat_at_s is not None
         )
 
+    def _store_age_s(self, peer: _Peer, now_s: float) -> float:
+        """Returns how long ago the store has answered a peer, as it told."""
+        if peer.heartbeat is None or peer.last_heartbeat_at_s is None:
+            return math.inf
+        return peer.heartbeat.store_age_s + now_s - peer.last_heartbeat_at_s
+
     # Shares and removals.
 
     def sharing_count(self, now_s: float) -> int:
@@ -553,6 +579,45 @@
             )
         return 1 / share
 
+    def _has_been_hub(self, min_hub_s: float, now_s: float) -> bool:
+        """Whether this node has been a hub for long enough to hear all nodes."""
+        return (
+            self.is_hub(now_s)
+            and self._hub_since_s is not None
+            and now_s - max(self._hub_since_s, self._started_at_s) >= min_hub_s
+        )
+
+    def writes_for_all(
+        self,
+        min_hub_s: float,
+        own_store_age_s: float,
+        max_store_age_s: float,
+        now_s: float,
+    ) -> bool:
+        """Returns whether this node writes what all nodes have found.
+
+        That is the first by name of the running hubs that reach the store, or
+        of all of them if none does.
+
+        Args:
+            min_hub_s: How long it must have been a hub.
+            own_store_age_s: How long ago the store has answered this node.
+            max_store_age_s: How long ago it has answered a node that reaches
+                it, at most.
+            now_s: The time.
+        """
+        if not self._has_been_hub(min_hub_s, now_s):
+            return False
+        hub_names = {info.name for info in self._expected_hubs(now_s)}
+        reaching_names = {
+            name
+            for name in hub_names & self._peers.keys()
+            if self._store_age_s(self._peers[name], now_s) < max_store_age_s
+        }
+        if own_store_age_s < max_store_age_s:
+            reaching_names.add(self.own_info.name)
+        return min(reaching_names or hub_names) == self.own_info.name
+
     def removable_registrations(self, now_s: float) -> list[tuple[str, int]]:
         """Returns the registrations that this node should remove.
 
@@ -562,12 +627,7 @@
         Returns:
             The names and versions of the registrations.
         """
-        if (
-            not self.is_hub(now_s)
-            or self._hub_since_s is None
-            or now_s - max(self._hub_since_s, self._started_at_s)
-            < REMOVAL_DELAY_S
-        ):
+        if not self._has_been_hub(REMOVAL_DELAY_S, now_s):
             return []
         hub_names = [info.name for info in self._expected_hubs(now_s)]
         if min(hub_names) != self.own_info.name:
--- a/packages/core/mulberrybay_core/node_checks.py
+++ b/packages/core/mulberrybay_core/node_checks.py
@@ -6,10 +6,15 @@
 
 import functools
 import math
+from typing import Final
 
 from mulberrybay_core.addresses import Address, parse_ipv4_address
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
 from mulberrybay_core.fatal_requests import SuspectReport
+from mulberrybay_core.rollouts import RolloutCounts
+
+# The most rollouts that a heartbeat reports on.
+MAX_ROLLOUT_COUNT: Final = 8
 
 
 @functools.lru_cache(maxsize=2048)
@@ -45,6 +50,18 @@
         raise ValueError("a time of a suspected request is not finite")
 
 
+def _check_rollout(counts: RolloutCounts) -> None:
+    if not counts.service or not counts.target_version:
+        raise ValueError("a rollout has no service or no version")
+    _check_quantity("age_s", counts.age_s)
+    for (_, route), arm in counts.arms.items():
+        if arm.bad_count > arm.reply_count:
+            raise ValueError(f"{route}: more bad replies than replies")
+        if not math.isfinite(arm.log_latency_sum):
+            raise ValueError(f"{route}: a latency is not finite")
+        _check_quantity(route, arm.log_latency_square_sum)
+
+
 def check_heartbeat(heartbeat: EdgeHeartbeat) -> EdgeHeartbeat:
     """Returns a heartbeat if all its values can be used.
 
@@ -58,4 +75,8 @@
         raise ValueError(f"store_age_s: {heartbeat.store_age_s} is no time")
     for report in heartbeat.suspects:
         _check_report(report)
+    if len(heartbeat.rollouts) > MAX_ROLLOUT_COUNT:
+        raise ValueError(f"{len(heartbeat.rollouts)} rollouts")
+    for counts in heartbeat.rollouts:
+        _check_rollout(counts)
     return heartbeat
--- a/packages/core/mulberrybay_core/object_cache.py
+++ b/packages/core/mulberrybay_core/object_cache.py
@@ -188,7 +188,7 @@
         self._objects = {}
         for stored in objects.items:
             old = previous.get(stored.name)
-            if old is None or old.value != stored.value:
+            if old is None or old[3:] != stored[3:]:
                 self._objects[stored.name] = stored._replace(version=position)
                 self.changed_version = position
             else:
--- a/packages/core/mulberrybay_core/store_messages.py
+++ b/packages/core/mulberrybay_core/store_messages.py
@@ -25,12 +25,14 @@
         name: Unique within the kind.
         version: Increases with every write; a position, see `store_position`.
         value: The content.
+        status: What the system reports of the object; None if there is none.
     """
 
     kind: str
     name: str
     version: int
     value: JsonObject
+    status: JsonObject | None = None
 
 
 class ObjectList(NamedTuple):
@@ -111,6 +113,16 @@
         An expected version of 0 means that the object must not exist.
         """
 
+    def write_status(
+        self,
+        kind: str,
+        name: str,
+        status: JsonObject,
+        expected_version: int,
+        reply: WriteHandler,
+    ) -> None:
+        """Writes an object's status if its version is the expected one."""
+
     def delete(
         self, kind: str, name: str, expected_version: int, reply: WriteHandler
     ) -> None:
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -22,6 +22,7 @@
   isHub @15 :Bool;
   lacksServers @16 :Bool;
   suspects @17 :List(SuspectReport);
+  rollouts @18 :List(RolloutCounts);
 }
 
 # A request under which backend servers have crashed. Times are seconds before
@@ -41,6 +42,29 @@
   crashedAgoS @3 :Float32;
 }
 
+# What the node has counted of a rollout since the order.
+struct RolloutCounts {
+  service @0 :Text;
+  targetVersion @1 :Text;
+  ageS @2 :Float64;
+  arms @3 :List(RolloutArm);
+  oldInFlightCount @4 :UInt32;
+  isCondemned @5 :Bool;
+  sentCount @6 :UInt32;
+}
+
+# The replies of the old or of the new version on one route. The sums are of
+# logarithms of latencies relative to the typical one.
+struct RolloutArm {
+  isNew @0 :Bool;
+  route @1 :Text;
+  replyCount @2 :UInt32;
+  badCount @3 :UInt32;
+  latencyCount @4 :UInt32;
+  logLatencySum @5 :Float64;
+  logLatencySquareSum @6 :Float64;
+}
+
 # Requests the objects of one kind that changed after a version. Kinds are
 # numbered from 0, in the same order at every node.
 struct UpdateRequest {
@@ -54,6 +78,8 @@
   version @1 :UInt64;
   # A JSON object.
   value @2 :Text;
+  # A JSON object; empty if there is none.
+  status @3 :Text;
 }
 
 # The reply to an UpdateRequest: the names of all objects of the kind, and the
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -9,7 +9,8 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
-from mulberrybay_core.node_checks import check_heartbeat
+from mulberrybay_core.node_checks import MAX_ROLLOUT_COUNT, check_heartbeat
+from mulberrybay_core.rollouts import ArmCounts, RolloutCounts
 
 PROTOCOL_VERSION: Final = 2
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name("edge.capnp")))
@@ -30,6 +31,15 @@
     the traffic between failure domains. Cap'n Proto's packed encoding would
     also be small, but decoding a malformed packed message ends the process.
     """
+    data = _encode_message(heartbeat)
+    while len(data) > MAX_HEARTBEAT_BYTES and heartbeat.rollouts:
+        # Receivers reject a longer message as a whole.
+        heartbeat = heartbeat._replace(rollouts=heartbeat.rollouts[:-1])
+        data = _encode_message(heartbeat)
+    return zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def _encode_message(heartbeat: EdgeHeartbeat) -> bytes:
     sender = heartbeat.sender
     message = SCHEMA.EdgeHeartbeat.new_message(
         version=PROTOCOL_VERSION,
@@ -51,7 +61,56 @@
         lacksServers=heartbeat.lacks_servers,
         suspects=[_encode_report(report) for report in heartbeat.suspects],
     )
-    return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
+    if heartbeat.rollouts:
+        message.rollouts = [
+            _encode_rollout(counts)
+            for counts in heartbeat.rollouts[:MAX_ROLLOUT_COUNT]
+        ]
+    return bytes(message.to_bytes())
+
+
+def _encode_rollout(counts: RolloutCounts) -> dict[str, Any]:
+    return {
+        "service": counts.service,
+        "targetVersion": counts.target_version,
+        "ageS": counts.age_s,
+        "arms": [
+            {
+                "isNew": is_new,
+                "route": route,
+                "replyCount": arm.reply_count,
+                "badCount": arm.bad_count,
+                "latencyCount": arm.latency_count,
+                "logLatencySum": arm.log_latency_sum,
+                "logLatencySquareSum": arm.log_latency_square_sum,
+            }
+            for (is_new, route), arm in counts.arms.items()
+        ],
+        "oldInFlightCount": counts.old_in_flight_count,
+        "isCondemned": counts.is_condemned,
+        "sentCount": counts.sent_count,
+    }
+
+
+def _decode_rollout(counts: Any) -> RolloutCounts:  # noqa: ANN401
+    return RolloutCounts(
+        counts.service,
+        counts.targetVersion,
+        counts.ageS,
+        {
+            (arm.isNew, arm.route): ArmCounts(
+                arm.replyCount,
+                arm.badCount,
+                arm.logLatencySum,
+                arm.logLatencySquareSum,
+                arm.latencyCount,
+            )
+            for arm in counts.arms
+        },
+        counts.oldInFlightCount,
+        counts.isCondemned,
+        counts.sentCount,
+    )
 
 
 def _encode_report(report: SuspectReport) -> dict[str, Any]:
@@ -124,6 +183,7 @@
                 message.isHub,
                 message.lacksServers,
                 tuple(_decode_report(report) for report in message.suspects),
+                tuple(_decode_rollout(counts) for counts in message.rollouts),
             )
         return check_heartbeat(heartbeat)
     except (
--- a/packages/edge/mulberrybay_edge/peer_exchange.py
+++ b/packages/edge/mulberrybay_edge/peer_exchange.py
@@ -12,14 +12,14 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Sequence
-from typing import Final, Self
+from typing import Any, Final, Self
 
 import capnp
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.decode_errors import DECODE_ERRORS
 from mulberrybay_core.object_cache import CacheUpdate
-from mulberrybay_core.store_messages import StoredObject
+from mulberrybay_core.store_messages import JsonObject, StoredObject
 from mulberrybay_edge.heartbeat_codec import PROTOCOL_VERSION, SCHEMA
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_nodes.frames import (
@@ -92,18 +92,29 @@
         storeVersion=update.store_version,
         names=list(update.names),
         hasKeptObjects=update.has_kept_objects,
-        items=[
-            {
-                "name": stored.name,
-                "version": stored.version,
-                "value": json.dumps(stored.value),
-            }
-            for stored in update.items
-        ],
+        items=[_encode_object(stored) for stored in update.items],
     )
     return wrap_frame(zlib.compress(message.to_bytes(), COMPRESSION_LEVEL))
 
 
+def _encode_object(stored: StoredObject) -> dict[str, Any]:
+    item = {
+        "name": stored.name,
+        "version": stored.version,
+        "value": json.dumps(stored.value),
+    }
+    if stored.status is not None:
+        item["status"] = json.dumps(stored.status)
+    return item
+
+
+def _decode_json_object(text: str) -> JsonObject:
+    value = json.loads(text)
+    if not isinstance(value, dict):
+        raise ExchangeMessageError("an object's value is not a JSON object")
+    return value
+
+
 def decode_update(payload: bytes) -> tuple[int, CacheUpdate]:
     """Returns the kind's number and the update from a frame's payload.
 
@@ -120,14 +131,16 @@
     ) as message:
         if message.version != PROTOCOL_VERSION:
             raise ExchangeMessageError(f"unsupported version {message.version}")
-        items = []
-        for item in message.items:
-            value = json.loads(item.value)
-            if not isinstance(value, dict):
-                raise ExchangeMessageError(
-                    "an object's value is not a JSON object"
-                )
-            items.append(StoredObject("", item.name, item.version, value))
+        items = [
+            StoredObject(
+                "",
+                item.name,
+                item.version,
+                _decode_json_object(item.value),
+                _decode_json_object(item.status) if item.status else None,
+            )
+            for item in message.items
+        ]
         return message.kindIndex, CacheUpdate(
             message.storeVersion,
             tuple(message.names),
--- a/packages/edge/tests/test_peer_input.py
+++ b/packages/edge/tests/test_peer_input.py
@@ -1,6 +1,7 @@
 """What other nodes say of themselves, with any content."""
 
 import math
+import random
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +19,16 @@
 )
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
 from mulberrybay_core.object_cache import CacheUpdate
+from mulberrybay_core.rollouts import (
+    ArmCounts,
+    NodeRollouts,
+    RolloutCounts,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    RolloutStep,
+    RolloutTerms,
+)
 from mulberrybay_core.store_messages import ObjectList, StoredObject
 from mulberrybay_edge.heartbeat_codec import (
     HeartbeatError,
@@ -40,17 +51,27 @@
 ADDRESS = Address("127.0.0.1", 9)
 INFO = EdgeNodeInfo("node-2", 7, "zone-b", ADDRESS, ADDRESS)
 HEARTBEAT = EdgeHeartbeat(INFO, True, 1, (3,), 1.0, 0.5)
+COUNTS = RolloutCounts("records", "v2", 1.0, {})
+
+
+def with_arm(arm: ArmCounts) -> RolloutCounts:
+    """Returns what a node counts of the new version on one route."""
+    return COUNTS._replace(arms={(True, "record"): arm})
+
+
 floats = strategies.floats(width=32)
 hosts = strategies.sampled_from(
     ["127.0.0.1", "", "localhost", "1.2.3", "a.." + "b" * 70, "\u0130", "::1"]
 )
 ports = strategies.integers(0, 65535)
+counts = strategies.integers(0, 2**32 - 1)
+texts = strategies.text(
+    max_size=8, alphabet=strategies.characters(exclude_categories=["Cs"])
+)
 addresses = strategies.builds(Address, hosts, ports)
 infos = strategies.builds(
     EdgeNodeInfo,
-    strategies.text(
-        max_size=8, alphabet=strategies.characters(exclude_categories=["Cs"])
-    ),
+    texts,
     strategies.integers(0, 2**64 - 1),
     strategies.sampled_from(["", "zone-a"]),
     addresses,
@@ -82,6 +103,25 @@
         ),
         max_size=2,
     ).map(tuple),
+    rollouts=strategies.lists(
+        strategies.builds(
+            RolloutCounts,
+            strategies.sampled_from(["records", ""]),
+            strategies.sampled_from(["v2", ""]),
+            floats,
+            strategies.dictionaries(
+                strategies.tuples(strategies.booleans(), texts),
+                strategies.builds(
+                    ArmCounts, counts, counts, floats, floats, counts
+                ),
+                max_size=3,
+            ),
+            counts,
+            strategies.booleans(),
+            counts,
+        ),
+        max_size=3,
+    ).map(tuple),
 )
 
 
@@ -91,6 +131,7 @@
     nodes.put_registered(info, 1)
     if heartbeat is not None:
         nodes.record_heartbeat(heartbeat, 1.0)
+        use_rollouts(heartbeat.rollouts)
     count = count_advertised(nodes.attempts_per_s(1.0), 2, 2)
     choose_advertised([*nodes.serving(1.0), INFO, info], min(count, 4))
     nodes.should_watch(1.0)
@@ -103,6 +144,20 @@
         assert address.port
 
 
+def use_rollouts(reports: tuple[RolloutCounts, ...]) -> None:
+    """Does with a node's counts what the writer does in each period."""
+    rollouts = NodeRollouts(RolloutTerms(0.1, 50.0, 5.0), random.Random(1))
+    rollouts.finish_first_list()
+    order = RolloutOrder("records", "v2", 30.0, 1)
+    for step in RolloutStep.CANARY, RolloutStep.PROMOTE:
+        status = RolloutStatus(RolloutState.RUNNING, step, "v2")
+        rollouts.set_order(order, status, 1.0)
+        rollouts.merge("node-2", 1, reports, 2.0)
+        for _, due in rollouts.due_statuses(3.0, lambda _: True):
+            assert math.isfinite(due.age_s)
+        assert all(math.isfinite(s.age_s) for s in rollouts.summaries(3.0))
+
+
 @settings(max_examples=400, deadline=None, derandomize=True, database=None)
 @given(heartbeat=heartbeats)
 def test_heartbeat_with_any_values_is_rejected_or_usable(
@@ -128,6 +183,12 @@
         {"sender": INFO._replace(name="")},
         {"suspects": (SuspectReport(b"", (), math.nan, 0.0),)},
         {"suspects": (SuspectReport(b"", (), None, math.inf),)},
+        {"rollouts": (COUNTS._replace(service=""),)},
+        {"rollouts": (COUNTS._replace(target_version=""),)},
+        {"rollouts": (COUNTS._replace(age_s=math.nan),)},
+        {"rollouts": (with_arm(ArmCounts(1, 2)),)},
+        {"rollouts": (with_arm(ArmCounts(1, 1, math.inf)),)},
+        {"rollouts": (with_arm(ArmCounts(1, 1, 0.0, -1.0)),)},
         {
             "suspects": (
                 SuspectReport(b"", (Crash(1, True, 0.0, math.nan),), None, 0.0),
@@ -228,6 +289,7 @@
                     strategies.sampled_from(["i-1", "i-2", ""]),
                     strategies.integers(0, 2**64 - 1),
                     strategies.sampled_from([{}, {"a": math.nan}, [], None]),
+                    strategies.sampled_from([{}, {"a": math.nan}, [], None]),
                 ),
                 max_size=2,
             ).map(tuple),
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -66,12 +66,15 @@
         first_timeout_s: The timeout of calls before any has ended; None for the
             usual one. A process that starts while the store is unresponsive
             then notices its return sooner.
+        status_kinds: The kinds whose objects' status is read. That of others is
+            left out, so that nodes don't pass it on.
     """
 
     address: Address
     timeout_s: float = 1.0
     detects_silence: bool = False
     first_timeout_s: float | None = None
+    status_kinds: frozenset[str] = frozenset()
 
 
 class _Call:
@@ -273,7 +276,7 @@
                 reply(complete_list)
 
         def on_result(result: HttpResult) -> None:
-            page = self._decode_list(result)
+            page = self._decode_list(kind, result)
             if isinstance(page, Failure):
                 reply(page)
             else:
@@ -305,6 +308,29 @@
             self._dialect.write(kind, name, value, version), on_result
         )
 
+    def write_status(
+        self,
+        kind: str,
+        name: str,
+        status: JsonObject,
+        expected_version: int,
+        reply: WriteHandler,
+    ) -> None:
+        """Writes an object's status if it has the expected version."""
+        if self._is_of_older_era(expected_version):
+            reply(_make_failure("write: the version is of an older era"))
+            return
+
+        def on_result(result: HttpResult) -> None:
+            reply(self._decode_write(result))
+
+        version = version_of(expected_version)
+        call = self._dialect.write_status(kind, name, status, version)
+        if call is None:
+            reply(_make_failure("write: objects have no status"))
+            return
+        self._request(call, on_result)
+
     def delete(
         self, kind: str, name: str, expected_version: int, reply: WriteHandler
     ) -> None:
@@ -334,13 +360,18 @@
         self.era = max(self.era, era)
         return era
 
-    def _decode_list(self, result: HttpResult) -> ObjectList | Failure:
+    def _decode_list(
+        self, kind: str, result: HttpResult
+    ) -> ObjectList | Failure:
         if isinstance(result, Failure):
             return result
         era = self._note_era(result)
         objects = self._dialect.decode_list(result)
         if isinstance(objects, Failure):
             return objects
+        if kind not in self._settings.status_kinds:
+            items = (stored._replace(status=None) for stored in objects.items)
+            objects = objects._replace(items=tuple(items))
         return place_list(objects, era)
 
     def _decode_write(self, result: HttpResult) -> WriteResult | Failure:
@@ -366,7 +397,7 @@
         """
 
         def on_result(result: HttpResult) -> None:
-            reply(self._decode_list(result))
+            reply(self._decode_list(kind, result))
 
         spec = self._dialect.watch(kind, version_of(after_version), timeout_s)
         call = self._make_call(
--- a/packages/platform/mulberrybay_platform/dialect.py
+++ b/packages/platform/mulberrybay_platform/dialect.py
@@ -58,6 +58,14 @@
     ) -> StoreCall:
         """Returns the call that writes an object; version 0 creates it."""
 
+    def write_status(
+        self, kind: str, name: str, status: JsonObject, expected_version: int
+    ) -> StoreCall | None:
+        """Returns the call that writes an object's status.
+
+        None if the API's objects have no status.
+        """
+
     def delete(self, kind: str, name: str, expected_version: int) -> StoreCall:
         """Returns the call that deletes an object."""
 
--- a/packages/platform/mulberrybay_platform/object_codec.py
+++ b/packages/platform/mulberrybay_platform/object_codec.py
@@ -148,6 +148,12 @@
             json.dumps(value).encode(),
         )
 
+    def write_status(
+        self, kind: str, name: str, status: JsonObject, expected_version: int
+    ) -> StoreCall | None:
+        """Returns None: the objects of this API have no status."""
+        return None
+
     def delete(self, kind: str, name: str, expected_version: int) -> StoreCall:
         """Returns the call that deletes an object."""
         return StoreCall(
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -105,6 +105,11 @@
         body = self._objects.get(kind, {}).get(name)
         return None if body is None else body["spec"]
 
+    def status_of(self, kind: str, name: str) -> Any:  # noqa: ANN401
+        """Returns an object's status; None if it has none."""
+        body = self._objects.get(kind, {}).get(name)
+        return None if body is None else body["status"]
+
     async def put(self, kind: str, name: str, spec: object) -> None:
         """Writes an object, as the operator or a backend server would."""
         self._write(kind, name, spec)
@@ -154,12 +159,18 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _write(self, kind: str, name: str, spec: object) -> dict[str, Any]:
+    def _write(
+        self,
+        kind: str,
+        name: str,
+        spec: object,
+        status: object = None,
+    ) -> dict[str, Any]:
         self._revision += 1
         body = {
             "meta": {"name": name, "rev": self._revision, "finalizers": []},
             "spec": spec,
-            "status": None,
+            "status": status,
         }
         self._objects.setdefault(kind, {})[name] = body
         self._changes.append(_Change(self._revision, kind, body, False))
@@ -257,13 +268,16 @@
             return json_response(409, existing)
         return json_response(200, self._write(kind, name, body["spec"]))
 
-    def _replace(self, kind: str, name: str, body: dict[str, Any]) -> Response:
+    def _replace(self, kind: str, path: str, body: dict[str, Any]) -> Response:
+        name, _, part = path.partition("/")
         existing = self._objects.get(kind, {}).get(name)
         if existing is None:
             return Response(404)
         if body["meta"].get("rev") != existing["meta"]["rev"]:
             return json_response(409, existing)
-        return json_response(200, self._write(kind, name, body["spec"]))
+        written = {part or "spec": body[part or "spec"]}
+        fields = {key: existing[key] for key in ("spec", "status")} | written
+        return json_response(200, self._write(kind, name, **fields))
 
     def _delete(self, kind: str, name: str, query: dict[str, str]) -> Response:
         existing = self._objects.get(kind, {}).get(name)
@@ -295,6 +309,7 @@
     Attributes:
         delay_s: The processing time of a request.
         delivery: How replies are written to the connection.
+        version: The version of its software.
         status: The status of replies; 503 also states that the request was
             not executed.
         arrivals: The requests received.
@@ -317,6 +332,7 @@
     ) -> None:
         self.service = service
         self.zone = zone
+        self.version = "v1"
         self.server_id = f"i-{next(self._numbers):04d}"
         self.port = free_port()
         self.connect_port = self.port
@@ -346,7 +362,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.connect_port}",
             "zone": self.zone,
-            "revision": "v1",
+            "revision": self.version,
             "concurrency": 2,
             "state": "ready",
             "warmup_left_ms": 0,
