--- a/packages/core/mulberrybay_core/platform_documents.py
+++ b/packages/core/mulberrybay_core/platform_documents.py
@@ -5,9 +5,10 @@
 
 from typing import NamedTuple, Protocol
 
+from mulberrybay_core.rollouts import RolloutOrder, RolloutStatus
 from mulberrybay_core.routing import RoutingConfiguration
 from mulberrybay_core.server_directory import ServerEntry
-from mulberrybay_core.store_messages import StoredObject
+from mulberrybay_core.store_messages import JsonObject, StoredObject
 
 
 class DocumentKinds(NamedTuple):
@@ -19,12 +20,26 @@
         out_domains: One entry for each failure domain that is out of service.
         configuration_name: The name of the only object of the configurations
             that is in force.
+        rollouts: One order for each service that is to run another version.
     """
 
     servers: str
     configurations: str
     out_domains: str
     configuration_name: str
+    rollouts: str
+
+
+class RolloutDocument(NamedTuple):
+    """An order to move a service to another version, and its status.
+
+    Attributes:
+        order: What an operator has ordered.
+        status: What this system has written of it; None if nothing readable.
+    """
+
+    order: RolloutOrder
+    status: RolloutStatus | None
 
 
 class PlatformDocuments(Protocol):
@@ -44,3 +59,9 @@
         self, stored: StoredObject
     ) -> RoutingConfiguration | None:
         """Returns the configuration that operators set."""
+
+    def read_rollout(self, stored: StoredObject) -> RolloutDocument | None:
+        """Returns the order of a rollout and its status."""
+
+    def encode_rollout_status(self, status: RolloutStatus) -> JsonObject:
+        """Returns the status of a rollout as it is written to the store."""
--- a/packages/core/mulberrybay_core/restore_rules.py
+++ b/packages/core/mulberrybay_core/restore_rules.py
@@ -3,7 +3,8 @@
 Operators and backend servers write again what the copy lacks. Until then, a
 node keeps what it knows to be newer: the configuration with the higher
 revision, the entry of the same or a later start of a backend server, the
-removal of an entry, and any failure domain that was taken out of service.
+removal of an entry, the orders of rollouts and their status, and any failure
+domain that was taken out of service.
 """
 
 from typing import Final
@@ -28,6 +29,16 @@
     return restored.known or restored.copied
 
 
+def keep_known_order(restored: RestoredObject) -> StoredObject | None:
+    """Keeps the order of a rollout as it was last known, or its removal.
+
+    The copy is older and may say that a finished rollout still runs.
+    """
+    if restored.known is None and restored.removed is not None:
+        return None
+    return restored.known or restored.copied
+
+
 def make_configuration_rule(documents: PlatformDocuments) -> RestoreRule:
     """Returns the rule that keeps the configuration of higher revision."""
 
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -5,6 +5,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
+from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 
 
@@ -67,6 +68,7 @@
         store_address: The address of the platform's store.
         cpu_cores: The CPU seconds that the process can use per second.
         follow_times: How long it counts on a call to the store.
+        rollouts: The bounds of rollouts; None if nodes take no part in them.
     """
 
     node_name: str
@@ -82,3 +84,4 @@
     store_address: Address
     cpu_cores: float
     follow_times: FollowTimes = DEFAULT_FOLLOW_TIMES
+    rollouts: RolloutTerms | None = None
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -8,6 +8,7 @@
 from mulberrybay_core.addresses import MAX_PORT, Address, parse_address
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import FollowTimes
+from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 from mulberrybay_edge.settings import (
     EdgeAddresses,
@@ -82,6 +83,18 @@
     )
 
 
+def _parse_rollout_terms(document: dict[str, Any]) -> RolloutTerms | None:
+    """Returns the bounds of rollouts; None if the table is absent."""
+    if "rollouts" not in document:
+        return None
+    table = _get_table(document, "rollouts")
+    return RolloutTerms(
+        expose_share=_get_number(table, "expose_share"),
+        expose_slack_count=_get_number(table, "expose_slack"),
+        rollback_s=_get_number(table, "rollback_ms") / 1000,
+    )
+
+
 def parse_edge_settings(
     text: str,
     names: HeaderNames,
@@ -131,6 +144,7 @@
         cpu_cores=_get_number(document, "cpu_share")
         * _get_number(document, "core_speed"),
         follow_times=_parse_follow_times(document, bound_names),
+        rollouts=_parse_rollout_terms(document),
     )
 
 
