Let nodes take part in rollouts: first end-to-end working state

With [rollouts] in the settings, a node watches the orders, restricts each attempt to the versions that the decisions allow, records what becomes of it, tells its counts in heartbeats, and one hub writes the status.

Attempts are charged when a server is chosen, checked again when the connection is open, and given back if no byte was sent, so hedges, retries, relayed and gathered requests all count. A caller's request counts once, when a server has got it, so refused requests don't raise the bound. In the promote step an old server is used only if no new one can be. The writer is the first by name of the running hubs that reach the store; a conflict is read back before the next write.

Ruled out: counting callers' requests on arrival, since requests that find all servers full would raise the exposure.

--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -1,8 +1,10 @@
 """Sends requests to backend servers: selection, limits and outcomes."""
 
+import functools
 import itertools
 import random
 from collections import Counter
+from collections.abc import Sequence
 from typing import Final, NamedTuple
 
 from mulberrybay_core.caller_messages import LEAVING_VALUE, HeaderNames
@@ -27,6 +29,7 @@
     ExchangeOutcome,
     ExchangeResult,
 )
+from mulberrybay_edge.rollout_traffic import RolloutAttempt, RolloutTraffic
 from mulberrybay_edge.sending import (
     AttemptOutcome,
     AttemptResult,
@@ -62,6 +65,7 @@
         "key",
         "on_result",
         "retried_service",
+        "rollout",
         "server",
         "started_at_s",
         "state",
@@ -91,6 +95,8 @@
         self.retried_service = ""
         # The limit of its server that it was charged to; None if to none.
         self.charged_limit: ServerLimit | None = None
+        # What rollouts need to know of it; None if the node takes no part.
+        self.rollout: RolloutAttempt | None = None
 
     @property
     def server_id(self) -> str:
@@ -128,6 +134,7 @@
         log: The log of changes of this node's view.
         reach: Whether any backend server can be reached.
         crash_watch: Notices servers that crash under requests.
+        rollouts: The use of new versions; None without rollouts.
     """
 
     directory: ServerDirectory
@@ -140,6 +147,7 @@
     log: DecisionLog
     reach: ServerReach
     crash_watch: CrashWatch
+    rollouts: RolloutTraffic | None = None
 
 
 class Dispatcher:
@@ -263,10 +271,19 @@
     def _choose(
         self, spec: AttemptSpec, now_s: float
     ) -> KnownServer | SendRefusal:
-        context = self._context
-        servers = context.directory.usable(
+        directory, rollouts = self._context.directory, self._context.rollouts
+        servers: Sequence[KnownServer] = directory.usable(
             spec.service
-        ) or context.directory.last_resort(spec.service, now_s)
+        ) or directory.last_resort(spec.service, now_s)
+        if rollouts is None:
+            return self._choose_of(spec, now_s, servers)
+        choose_of = functools.partial(self._choose_of, spec, now_s)
+        return rollouts.choose(spec.service, servers, now_s, choose_of)
+
+    def _choose_of(
+        self, spec: AttemptSpec, now_s: float, servers: Sequence[KnownServer]
+    ) -> KnownServer | SendRefusal:
+        context = self._context
         allowed = [
             server
             for server in servers
@@ -298,6 +315,10 @@
             ):
                 continue
             candidates.append((server, self._state(server_id)))
+        if context.rollouts is not None:
+            candidates = context.rollouts.narrow(
+                spec.service, candidates, now_s
+            )
         query = PlacementQuery(
             now_s, spec.history.typical_latency_s(), context.failure_domain
         )
@@ -321,6 +342,9 @@
         )
         if spec.is_retry:
             attempt.retried_service = spec.service
+        rollouts = self._context.rollouts
+        if rollouts is not None:
+            attempt.rollout = rollouts.start(spec, server, attempt.started_at_s)
 
         def encode(now_s: float) -> bytes | None:
             # The process may have been paused, or the connection may have
@@ -330,6 +354,8 @@
                 return None
             if not self._context.directory.may_use(server, now_s):
                 return None
+            if attempt.rollout and not attempt.rollout.may_send(now_s):
+                return None
             if not self._charge(attempt, now_s):
                 return None
             return spec.template.encode(entry.server_id, time_left_s)
@@ -391,6 +417,8 @@
         if attempt.charged_limit is not None:
             attempt.charged_limit.give_back()
             attempt.charged_limit = None
+        if attempt.rollout is not None:
+            attempt.rollout.give_back()
 
     def cancel(self, attempt: _Attempt) -> None:
         """Cancels an attempt; see `AttemptHandle`."""
@@ -407,6 +435,8 @@
         attempt.state.record_abandoned(
             age_s / attempt.history.typical_latency_s(), now_s
         )
+        if attempt.rollout is not None:
+            attempt.rollout.record_end(None, now_s)
         self.outcome_counts["cancelled"] += 1
         exchange.cancel()
 
@@ -423,6 +453,8 @@
         attempt_result = self._read_result(attempt, result)
         if not attempt_result.has_arrived:
             self._give_back(attempt)
+        if attempt.rollout is not None:
+            attempt.rollout.record_end(attempt_result.outcome, read_clock_s())
         self.outcome_counts[attempt_result.outcome.value] += 1
         attempt.on_result(attempt_result)
 
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -74,6 +74,7 @@
             is_retry=bool(self._tried.sent_to),
             is_retryable=self._is_retryable,
             avoided_ids=self._avoided_servers(),
+            route_name=self._job.route.name,
         )
         attempt = self._context.sender.send(spec, self._on_result)
         if not isinstance(attempt, SendRefusal):
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -185,6 +185,7 @@
             is_retry=bool(shard.tried.sent_to),
             is_retryable=True,
             avoided_ids=self._avoided_servers(),
+            route_name=job.route.name,
         )
 
         def on_result(result: AttemptResult) -> None:
--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -13,6 +13,7 @@
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.reach_monitor import ReachMonitor
 from mulberrybay_edge.request_context import RequestCounts
+from mulberrybay_edge.rollout_control import RolloutControl
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_platform.client import PlatformClient
@@ -28,6 +29,7 @@
     Attributes:
         find_peer_link: Returns the link to the other nodes; None until it is
             opened, shortly after the start of the node.
+        rollouts: This node's part in rollouts; None if it takes none.
     """
 
     service: RoutedService
@@ -45,3 +47,4 @@
     decisions: DecisionLog
     faults: FaultLog
     find_peer_link: Callable[[], "PeerLink | None"]
+    rollouts: RolloutControl | None
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -5,9 +5,9 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from types import TracebackType
-from typing import TYPE_CHECKING, Any, Final, NamedTuple, Self
+from typing import TYPE_CHECKING, Any, Final, Self
 
 from circuits import BaseComponent, handler
 
@@ -16,7 +16,6 @@
     EdgeNodeInfo,
     EdgeNodes,
 )
-from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.request_owner import (
     choose_owner,
     find_owned,
@@ -38,6 +37,7 @@
 from mulberrybay_edge.fleet_sharing import FleetSharing
 from mulberrybay_edge.metric_sources import MetricSources
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
+from mulberrybay_edge.platform_adapter import PlatformAdapter
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.reach_monitor import ReachMonitor
 from mulberrybay_edge.relay_handler import (
@@ -46,12 +46,12 @@
     RelayTargets,
 )
 from mulberrybay_edge.request_context import HandlerContext, RequestCounts
+from mulberrybay_edge.rollout_control import make_rollout_control
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
 from mulberrybay_edge.settings_watch import SettingsWatch
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
-from mulberrybay_platform.dialect import StoreDialect
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.datagrams import Datagrams
 from mulberrybay_runtime.faults import FaultLog
@@ -82,28 +82,6 @@
 MAX_PEER_WAIT_S: Final = 1.0
 
 
-class PlatformAdapter(NamedTuple):
-    """The platform's formats and calls, as an edge node uses them.
-
-    Attributes:
-        dialect: Encodes calls to the store and decodes its replies.
-        documents: Decodes objects of the store.
-        encode_addresses: Encodes a reply of the directory, from addresses and
-            the seconds for which callers may cache it.
-        load_settings: Reads the settings file again.
-        settings_path: The path of the settings file.
-        signals_blocked_at_s: When the entry point blocked the signals that a
-            node handles.
-    """
-
-    dialect: StoreDialect
-    documents: PlatformDocuments
-    encode_addresses: Callable[[list[str], float], bytes]
-    load_settings: Callable[[], EdgeSettings]
-    settings_path: str
-    signals_blocked_at_s: float
-
-
 class EdgeNode(BaseComponent):
     """One edge node; a context manager that opens and closes its sockets."""
 
@@ -163,11 +141,23 @@
                 STORE_TIMEOUT_S,
                 detects_silence=True,
                 first_timeout_s=FIRST_STORE_TIMEOUT_S,
+                status_kinds=frozenset(
+                    [self._adapter.documents.kinds.rollouts]
+                    if settings.rollouts
+                    else []
+                ),
             ),
             self._streams,
             self._timers,
             self._adapter.dialect,
         )
+        self._rollouts = make_rollout_control(
+            settings,
+            self._adapter.documents,
+            self._store,
+            self._nodes,
+            self._decisions,
+        )
         self._view = PlatformView(
             self._store,
             self._timers,
@@ -175,6 +165,7 @@
             self._decisions,
             self._apply_route_table,
             settings.leaving_service_s,
+            rollout_listener=self._rollouts,
         )
         self._registry = NodeRegistry(
             self._store, self._timers, self._nodes, self._crash_watch
@@ -186,7 +177,13 @@
             self._registry,
             has_bound=False,
         )
-        self._watches = [*self._view.watches, self._node_watch]
+        self._watches = [
+            *self._view.watches,
+            self._node_watch,
+            *self._view.late_watches,
+        ]
+        if self._rollouts is not None:
+            self._rollouts.attach(self._watches)
 
     def _build_dispatch(self) -> None:
         settings = self._settings
@@ -206,6 +203,7 @@
                 self._decisions,
                 self._reach,
                 self._crash_watch,
+                self._rollouts.traffic if self._rollouts else None,
             ),
             self._random,
         )
@@ -426,6 +424,7 @@
                 self._decisions,
                 self._make_heartbeat,
                 self._crash_watch.merge,
+                self._rollouts.merge if self._rollouts else None,
             )
         )
 
@@ -436,13 +435,18 @@
             self._view.route_table.revision if self._view.route_table else 0,
             tuple(watch.changed_version for watch in self._watches),
             self._sharing.attempts_per_s,
-            max(watch.age_s(read_clock_s()) for watch in self._view.watches),
+            self._store_age_s(),
             any(watch.is_restoring for watch in self._watches),
             self._nodes.is_hub(read_clock_s()),
             self._reach.is_lost,
             self._crash_watch.reports(),
+            self._rollouts.reports() if self._rollouts else (),
         )
 
+    def _store_age_s(self) -> float:
+        now_s = read_clock_s()
+        return max(watch.age_s(now_s) for watch in self._view.watches)
+
     def _send_heartbeats(self) -> None:
         if self._peer_link is not None:
             self._peer_link.send_heartbeats()
@@ -482,6 +486,7 @@
         self._nodes.drop_unresponsive(now_s)
         self._crash_watch.expire()
         self._sharing.update()
+        self._update_rollouts()
         if self._peer_link is not None:
             self._peer_link.request_missing_changes()
             self._peer_link.request_restored_objects()
@@ -493,6 +498,17 @@
         else:
             self._stop_when_idle(now_s - self._stopping_since_s)
 
+    def _update_rollouts(self) -> None:
+        if self._rollouts is None:
+            return
+        table = self._view.route_table
+        self._rollouts.update(
+            self._request_dispatcher.share_divisor,
+            table.service_names() if table else None,
+        )
+        if self._stopping_since_s is None:
+            self._rollouts.write_due(self._store_age_s())
+
     def _apply_settings(self, settings: EdgeSettings) -> None:
         """Applies the settings that can change while the process runs."""
         self._settings = self._settings._replace(
@@ -576,6 +592,7 @@
                 decisions=self._decisions,
                 faults=self._faults,
                 find_peer_link=lambda: self._peer_link,
+                rollouts=self._rollouts,
             )
             self._metrics_page = MetricsPage(EdgeMetrics(sources))
         return CONTENT_TYPE, self._metrics_page.render()
--- a/packages/edge/mulberrybay_edge/peer_link.py
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -39,6 +39,7 @@
         log: DecisionLog,
         make_heartbeat: Callable[[], EdgeHeartbeat],
         on_suspects: Callable[[Sequence[SuspectReport]], None],
+        on_rollouts: Callable[[EdgeHeartbeat], None] | None = None,
     ) -> None:
         self._nodes = nodes
         self._watches = watches
@@ -47,6 +48,7 @@
         self._log = log
         self._make_heartbeat = make_heartbeat
         self._on_suspects = on_suspects
+        self._on_rollouts = on_rollouts
         self._exchange = PeerExchange(streams, timers, watches)
         self._sent_versions: tuple[int, ...] = ()
         self.unreadable_count = 0
@@ -101,6 +103,8 @@
         is_first = self._nodes.record_heartbeat(heartbeat, read_clock_s())
         if heartbeat.suspects:
             self._on_suspects(heartbeat.suspects)
+        if heartbeat.rollouts and self._on_rollouts is not None:
+            self._on_rollouts(heartbeat)
         if is_first and self._is_restoring():
             # The peer has started since the store returned from an older copy.
             data = encode_heartbeat(self._make_heartbeat())
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -10,6 +10,7 @@
 from mulberrybay_core.configuration_order import ConfigurationOrder
 from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.restore_rules import (
+    keep_known_order,
     keep_out_of_service,
     make_configuration_rule,
     make_server_rule,
@@ -22,7 +23,7 @@
     StoredObject,
 )
 from mulberrybay_edge.decision_log import DecisionLog
-from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.store_watch import StoreWatch, WatchListener
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.timers import Timers
 
@@ -123,6 +124,8 @@
     """Watches the platform's store and provides what was read last.
 
     Attributes:
+        rollout_watch: The watch of orders of rollouts; None if this node takes
+            no part in rollouts.
         route_table: The routes of the configuration in force; None before
             the first configuration.
         unreadable_count: Objects that were left out as malformed.
@@ -137,6 +140,7 @@
         on_route_table: Callable[[RouteTable], None],
         leaving_service_s: float,
         clock: Callable[[], float] = read_clock_s,
+        rollout_listener: WatchListener | None = None,
     ) -> None:
         self.clock = clock
         self.documents = documents
@@ -174,6 +178,17 @@
             ),
         }
 
+        self.rollout_watch: StoreWatch | None = None
+        if rollout_listener is not None:
+            self.rollout_watch = StoreWatch(
+                store,
+                timers,
+                kinds.rollouts,
+                rollout_listener,
+                clock,
+                restore_rule=keep_known_order,
+            )
+
     @property
     def is_loaded(self) -> bool:
         """Whether requests can be routed.
@@ -183,12 +198,20 @@
         """
         return self.route_table is not None and all(
             watch.version is not None or watch.is_failing
-            for watch in self._watches.values()
+            for watch in [*self._watches.values(), *self.late_watches]
         )
 
+    @property
+    def late_watches(self) -> list[StoreWatch]:
+        """The watches of kinds that a part of the nodes may not know.
+
+        They come last in the order of all watches, which heartbeats use.
+        """
+        return [] if self.rollout_watch is None else [self.rollout_watch]
+
     @property
     def watches(self) -> list[StoreWatch]:
-        """The watches of all kinds, in the same order at every node."""
+        """The watches that every node has, in the same order at each."""
         return [*self._watches.values()]
 
     def check(self) -> None:
@@ -196,7 +219,7 @@
 
         Calls the store where no reply can be counted on, see `StoreWatch`.
         """
-        for watch in self._watches.values():
+        for watch in [*self._watches.values(), *self.late_watches]:
             watch.check()
         self._check_configuration()
 
@@ -204,7 +227,9 @@
     def failing_kinds(self) -> list[str]:
         """The kinds whose last call to the store failed."""
         return [
-            kind for kind, watch in self._watches.items() if watch.is_failing
+            watch.kind
+            for watch in [*self._watches.values(), *self.late_watches]
+            if watch.is_failing
         ]
 
     def _answer_age_s(self) -> float:
--- /dev/null
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -0,0 +1,180 @@
+"""How attempts at backend servers take part in rollouts."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from mulberrybay_core.placement import ServerState
+from mulberrybay_core.rollouts import NodeRollouts
+from mulberrybay_core.server_directory import KnownServer
+from mulberrybay_edge.sending import AttemptOutcome, AttemptSpec, SendRefusal
+
+Candidate = tuple[KnownServer, ServerState]
+
+# A latency that says nothing of the version of the server.
+NO_LATENCY_RATIO: Final = 0.0
+
+
+class RolloutAttempt:
+    """One attempt, for which a rollout is charged until it has ended."""
+
+    __slots__ = (
+        "_history",
+        "_is_charged",
+        "_is_cold",
+        "_is_retry",
+        "_rollouts",
+        "_route_name",
+        "_service",
+        "_started_at_s",
+        "_version",
+    )
+
+    def __init__(
+        self,
+        rollouts: NodeRollouts,
+        spec: AttemptSpec,
+        server: KnownServer,
+        now_s: float,
+    ) -> None:
+        self._rollouts = rollouts
+        self._service = spec.service
+        self._route_name = spec.route_name
+        self._history = spec.history
+        self._started_at_s = now_s
+        self._is_retry = spec.is_retry
+        # The server's entry may change while the attempt is in progress.
+        self._version = server.entry.version
+        self._is_cold = now_s < server.cold_until_s
+        self._is_charged = True
+        rollouts.record_sent(self._service, self._version, now_s)
+
+    def may_send(self, now_s: float) -> bool:
+        """Returns whether it may be sent now that its connection is open.
+
+        The version may have been rolled back since the server was chosen.
+        """
+        self.give_back()
+        if not self._rollouts.may_send(self._service, self._version, now_s):
+            return False
+        self._rollouts.record_sent(self._service, self._version, now_s)
+        self._is_charged = True
+        return True
+
+    def give_back(self) -> None:
+        """Takes back what was charged, as it has reached no server."""
+        if self._is_charged:
+            self._is_charged = False
+            self._rollouts.give_back(self._service, self._version)
+
+    def _latency_ratio(self, now_s: float) -> float:
+        """Returns its age as a multiple of the typical latency."""
+        if self._is_cold:
+            return NO_LATENCY_RATIO
+        return (now_s - self._started_at_s) / self._history.typical_latency_s()
+
+    def record_end(self, outcome: AttemptOutcome | None, now_s: float) -> None:
+        """Records how it ended, unless it was taken back.
+
+        Args:
+            outcome: The outcome; None if it was cancelled. That a request was
+                not run, as the server is full or is another one, says nothing
+                of the version.
+            now_s: The time.
+        """
+        if not self._is_charged:
+            return
+        self._is_charged = False
+        # A caller's request counts once, and only if a server got it.
+        if not self._is_retry:
+            self._rollouts.record_request(self._service, now_s)
+        attempt = self._service, self._version, self._route_name
+        if outcome is None:
+            self._rollouts.record_abandoned(
+                *attempt, self._latency_ratio(now_s), now_s
+            )
+        elif outcome is AttemptOutcome.NOT_RUN:
+            self._rollouts.record_abandoned(*attempt, NO_LATENCY_RATIO, now_s)
+        else:
+            self._rollouts.record_reply(
+                *attempt,
+                outcome is not AttemptOutcome.OK,
+                self._latency_ratio(now_s),
+                now_s,
+            )
+
+
+class RolloutTraffic:
+    """Restricts attempts to the versions that rollouts allow.
+
+    Attributes:
+        target_versions: The new version of each service whose rollout runs.
+        promoted_services: The services whose rollout is in the promote step.
+    """
+
+    def __init__(self, rollouts: NodeRollouts) -> None:
+        self._rollouts = rollouts
+        self.target_versions: dict[str, str] = {}
+        self.promoted_services: set[str] = set()
+
+    def forget(self, service: str) -> None:
+        """Records that no rollout of a service runs."""
+        self.target_versions.pop(service, None)
+        self.promoted_services.discard(service)
+
+    def choose(
+        self,
+        service: str,
+        servers: Sequence[KnownServer],
+        now_s: float,
+        choose_of: Callable[[Sequence[KnownServer]], KnownServer | SendRefusal],
+    ) -> KnownServer | SendRefusal:
+        """Chooses a server of a version that an attempt may use.
+
+        In the promote step, an old one is chosen only if no new one can be. So
+        is one of the only old version while that is not known for long, as
+        after a start during a rollout.
+
+        Args:
+            service: The service.
+            servers: All its servers that may get requests.
+            now_s: The time.
+            choose_of: Chooses one of several servers.
+        """
+        selected = self._rollouts.select(service, servers, now_s)
+        chosen = choose_of(selected)
+        target_version = self.target_versions.get(service)
+        if not isinstance(chosen, SendRefusal) or target_version is None:
+            return chosen
+        old = [
+            server
+            for server in servers
+            if server.entry.version != target_version
+            and self._rollouts.may_send(service, server.entry.version, now_s)
+        ]
+        if service not in self.promoted_services and (
+            selected or len({server.entry.version for server in old}) != 1
+        ):
+            return chosen
+        second = choose_of(old)
+        return chosen if isinstance(second, SendRefusal) else second
+
+    def narrow(
+        self, service: str, candidates: list[Candidate], now_s: float
+    ) -> list[Candidate]:
+        """Chooses between the versions of the servers that have room."""
+        servers = [server for server, _ in candidates]
+        kept = self._rollouts.narrow(service, servers, now_s)
+        if len(kept) == len(servers):
+            return candidates
+        kept_ids = {server.entry.server_id for server in kept}
+        return [
+            candidate
+            for candidate in candidates
+            if candidate[0].entry.server_id in kept_ids
+        ]
+
+    def start(
+        self, spec: AttemptSpec, server: KnownServer, now_s: float
+    ) -> RolloutAttempt:
+        """Charges an attempt that is about to be sent to a server."""
+        return RolloutAttempt(self._rollouts, spec, server, now_s)
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -63,6 +63,7 @@
         is_retry: Whether the request was sent to the service before.
         is_retryable: Whether it may be retried if the reply is lost.
         avoided_ids: Servers that must not be used now.
+        route_name: The route, by which replies are counted during a rollout.
     """
 
     template: "RequestTemplate"
@@ -73,6 +74,7 @@
     is_retry: bool
     is_retryable: bool
     avoided_ids: frozenset[str] = frozenset()
+    route_name: str = ""
 
 
 ResultHandler = Callable[[AttemptResult], None]
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -212,6 +212,7 @@
         services: The services that have backend servers from the start.
         contact_ms: The bound that nodes have after a fault.
         config_apply_ms: The bound that they have otherwise.
+        rollout_bounds: The lines of the settings on rollouts; none if empty.
         choose_program: Returns the program to start for a node's name.
     """
 
@@ -220,6 +221,7 @@
     services: tuple[str, ...] = (*SHARDS, *SINGLE_SERVICES)
     contact_ms: int = 4000
     config_apply_ms: int = 3000
+    rollout_bounds: str = ""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -300,12 +302,13 @@
         return port
 
     def add_backend(
-        self, service: str, *, zone: str = "zone-a"
+        self, service: str, *, zone: str = "zone-a", version: str = "v1"
     ) -> BackendStandIn:
         """Starts a backend server and registers it in the store."""
         backend = BackendStandIn(
             service, is_shard=service in self.shards, zone=zone
         )
+        backend.version = version
         backend.connect_port = self._add_link(backend.server_id, backend.port)
 
         async def on_running(is_running: bool) -> None:
@@ -389,7 +392,8 @@
             f'directory = "{HOST}:{ports[3]}"\n'
             f"metrics_port = {ports[4]}\n"
             "[repeats]\n"
-            "ratio = 0.2\nwindow_s = 10\nslack_count = 56\n",
+            "ratio = 0.2\nwindow_s = 10\nslack_count = 56\n"
+            f"{self.rollout_bounds}",
             encoding="utf-8",
         )
         self._start_count += 1
