Round the canary's share at random and judge rollouts by calibrated evidence

With many nodes, parts of the bound below one request were lost to rounding. Routes now need two bad replies and a higher weight, bad versions are modelled at two levels, the parts are rounded at random, a restarted node gets no slack, and a store that returns from an older copy doesn't begin an ended rollout again.

--- a/packages/core/mulberrybay_core/rollouts/evidence.py
+++ b/packages/core/mulberrybay_core/rollouts/evidence.py
@@ -5,17 +5,25 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 from mulberrybay_core.rollouts.orders import ArmCounts, ArmKey
 
 # The expected ratio of bad replies: of the old version, and of a new one that
-# is worse. Parameters of beta distributions: bad and good replies.
+# is worse by much or by little. Parameters of beta distributions: bad and good
+# replies.
 OLD_PRIOR: Final = (0.2, 20.0)
-BAD_PRIOR: Final = (1.0, 6.0)
+BAD_PRIORS: Final = ((2.0, 14.0), (4.0, 60.0))
+# The replies as on all routes together that are assumed of the old version on
+# one route.
+ROUTE_PRIOR_COUNT: Final = 20.0
+# The bad replies on one route without which the others decide.
+MIN_ROUTE_BAD_COUNT: Final = 2
 # A bad version takes at least this multiple of the time.
 BAD_LATENCY_RATIO: Final = 2.0
+# A higher difference than this multiple of the threshold counts as this.
+MAX_THRESHOLD_RATIO: Final = 1.5
 # Standard deviation of the logarithm of a latency before any is known, and its
 # weight in latencies.
 PRIOR_LOG_LATENCY_SD: Final = 0.5
@@ -23,7 +31,11 @@
 # Standard deviation of the difference between servers of the same version.
 SERVER_LOG_LATENCY_SD: Final = 0.15
 MIN_LATENCY_COUNT: Final = 3
+# Latencies as typical for the route that are assumed of the old version, which
+# has few replies when the request rate is low.
+OLD_PRIOR_LATENCY_COUNT: Final = 2
 
+ALL_ROUTES: Final = "all routes"
 NO_COUNTS: Final = ArmCounts()
 
 
@@ -62,40 +74,63 @@
     )
 
 
-def sum_arms(
-    reports: Iterable[Mapping[ArmKey, ArmCounts]],
-) -> dict[ArmKey, ArmCounts]:
-    """Returns the counts of several nodes together."""
-    total: dict[ArmKey, ArmCounts] = {}
-    for arms in reports:
-        for key, counts in arms.items():
-            total[key] = add_counts(total.get(key, NO_COUNTS), counts)
-    return total
+def replace_counts(
+    total: dict[ArmKey, ArmCounts],
+    known: Mapping[ArmKey, ArmCounts],
+    newer: Mapping[ArmKey, ArmCounts],
+) -> None:
+    """Replaces the counts of one node in the total of all."""
+    for key, counts in newer.items():
+        added = _subtract(counts, known.get(key, NO_COUNTS))
+        total[key] = add_counts(total.get(key, NO_COUNTS), added)
+
+
+def _subtract(first: ArmCounts, second: ArmCounts) -> ArmCounts:
+    return ArmCounts(
+        first.reply_count - second.reply_count,
+        first.bad_count - second.bad_count,
+        first.log_latency_sum - second.log_latency_sum,
+        first.log_latency_square_sum - second.log_latency_square_sum,
+        first.latency_count - second.latency_count,
+    )
 
 
 def judge(arms: Mapping[ArmKey, ArmCounts]) -> Evidence:
     """Compares the new version with the old one."""
     new = old = NO_COUNTS
-    failure = latency = -math.inf
-    failure_route = latency_route = ""
-    for is_new, route in sorted(arms):
-        if not is_new:
-            old = add_counts(old, arms[is_new, route])
-            continue
-        new = add_counts(new, arms[True, route])
-        pair = arms[True, route], arms.get((False, route), NO_COUNTS)
-        weight = failure_weight(*pair)
-        if weight > failure:
-            failure, failure_route = weight, route
-        weight = latency_weight(*pair)
+    for (is_new, _), counts in arms.items():
+        if is_new:
+            new = add_counts(new, counts)
+        else:
+            old = add_counts(old, counts)
+    failure, failure_route = failure_weight(new, old, OLD_PRIOR), ALL_ROUTES
+    latency, latency_route = latency_weight(new, old), ALL_ROUTES
+    routes = [route for is_new, route in sorted(arms) if is_new]
+    if len(routes) < 2:
+        routes = []
+    old_bad_ratio = (old.bad_count + OLD_PRIOR[0]) / (
+        old.reply_count + sum(OLD_PRIOR)
+    )
+    route_prior = (
+        ROUTE_PRIOR_COUNT * old_bad_ratio,
+        ROUTE_PRIOR_COUNT * (1 - old_bad_ratio),
+    )
+    for route in routes:
+        # The fault may be on any of the routes, which makes it less likely that
+        # it is on this one.
+        penalty = math.log(len(routes))
+        counts, old_counts = (
+            arms[True, route],
+            arms.get((False, route), NO_COUNTS),
+        )
+        if counts.bad_count >= MIN_ROUTE_BAD_COUNT:
+            weight = failure_weight(counts, old_counts, route_prior) - penalty
+            if weight > failure:
+                failure, failure_route = weight, route
+        # Servers differ on single routes more than on all of them.
+        weight = latency_weight(counts, old_counts) - 2 * penalty
         if weight > latency:
             latency, latency_route = weight, route
-    weight = failure_weight(new, old)
-    if weight >= failure:
-        failure, failure_route = weight, "all routes"
-    weight = latency_weight(new, old)
-    if weight >= latency:
-        latency, latency_route = weight, "all routes"
     if failure >= latency:
         reason = f"bad replies, {failure_route}"
     else:
@@ -103,31 +138,45 @@
     return Evidence(failure, latency, new, old, reason)
 
 
-def failure_weight(new: ArmCounts, old: ArmCounts) -> float:
-    """Compares the ratios of bad replies."""
-    old_bad, old_good = OLD_PRIOR
+def failure_weight(
+    new: ArmCounts, old: ArmCounts, old_prior: tuple[float, float]
+) -> float:
+    """Compares the ratios of bad replies.
+
+    Args:
+        new: The counts of the new version.
+        old: The counts of the old version.
+        old_prior: The bad and good replies that are assumed of the old version.
+    """
     bad_count, good_count = new.bad_count, new.reply_count - new.bad_count
-    old_bad += old.bad_count
-    old_good += old.reply_count - old.bad_count
+    old_bad = old_prior[0] + old.bad_count
+    old_good = old_prior[1] + old.reply_count - old.bad_count
     as_old = _log_beta(old_bad + bad_count, old_good + good_count) - _log_beta(
         old_bad, old_good
     )
-    prior_bad, prior_good = BAD_PRIOR
-    as_bad = _log_beta(
-        prior_bad + bad_count, prior_good + good_count
-    ) - _log_beta(prior_bad, prior_good)
-    return as_bad - as_old
+    as_bad = sum(
+        math.exp(
+            _log_beta(prior_bad + bad_count, prior_good + good_count)
+            - _log_beta(prior_bad, prior_good)
+            - as_old
+        )
+        for prior_bad, prior_good in BAD_PRIORS
+    )
+    return math.log(as_bad / len(BAD_PRIORS))
 
 
 def latency_weight(new: ArmCounts, old: ArmCounts) -> float:
     """Compares the means of the logarithms of the latencies."""
-    if min(new.latency_count, old.latency_count) < MIN_LATENCY_COUNT:
+    if new.latency_count < MIN_LATENCY_COUNT:
         return 0.0
+    old = old._replace(
+        latency_count=old.latency_count + OLD_PRIOR_LATENCY_COUNT
+    )
     new_mean, new_error = _log_latency(new)
     old_mean, old_error = _log_latency(old)
     threshold = math.log(BAD_LATENCY_RATIO)
-    # More than the threshold speaks against the version as the threshold does.
-    difference = min(new_mean - old_mean, threshold)
+    # A few very slow replies don't decide.
+    difference = min(new_mean - old_mean, MAX_THRESHOLD_RATIO * threshold)
     variance = new_error + old_error + SERVER_LOG_LATENCY_SD**2
     return threshold * (difference - threshold / 2) / variance
 
--- a/packages/core/mulberrybay_core/rollouts/exposure.py
+++ b/packages/core/mulberrybay_core/rollouts/exposure.py
@@ -1,9 +1,12 @@
 """How many requests this node may send to a version that is not yet judged.
 
 Each node uses a fixed part of the bound for all nodes, so the nodes keep to it
-without messages.
+without messages. Most parts are fractions of a request when there are many
+nodes. They are rounded at random, so that the parts of all nodes add up to the
+bound; the unused ratio of the bound covers the deviation.
 """
 
+import random
 from typing import Final
 
 from mulberrybay_core.rollouts.orders import RolloutTerms
@@ -11,7 +14,7 @@
 
 # The part of the slack that the canary uses. The rest is for the requests that
 # are sent to the new version between the promote step and a fault seen then.
-CANARY_SLACK_RATIO: Final = 0.5
+CANARY_SLACK_RATIO: Final = 0.65
 # The part of the canary's slack that may be used at once; the rest becomes
 # available evenly until the promote step, so that faults that appear later are
 # seen too.
@@ -35,6 +38,7 @@
     """
 
     __slots__ = (
+        "_rounding_count",
         "_terms",
         "_used_divisor",
         "has_slack",
@@ -43,8 +47,15 @@
         "sent_count",
     )
 
-    def __init__(self, terms: RolloutTerms, *, has_slack: bool) -> None:
+    def __init__(
+        self,
+        terms: RolloutTerms,
+        random_source: random.Random,
+        *,
+        has_slack: bool,
+    ) -> None:
         self._terms = terms
+        self._rounding_count = random_source.random()
         self._used_divisor = 1.0
         self.has_slack = has_slack
         self.request_count = 0
@@ -70,7 +81,7 @@
             released_ratio += (1 - FIRST_SLACK_RATIO) * progress_ratio
             slack_count = self._terms.expose_slack_count * CANARY_SLACK_RATIO
             count += slack_count * released_ratio / self._used_divisor
-        return count * USED_SHARE_RATIO
+        return count * USED_SHARE_RATIO + self._rounding_count
 
     def may_send(self, progress_ratio: float) -> bool:
         """Returns whether the canary may send one more request now."""
--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -27,6 +27,7 @@
 )
 from mulberrybay_core.rollouts.rollout import Rollout
 from mulberrybay_core.rollouts.versions import ServerT, ServiceVersions
+from mulberrybay_core.store_position import era_of
 
 # The servers of the new version that the canary uses at a time, so that they
 # get a load as after the rollout.
@@ -44,7 +45,9 @@
 # An order for the same version that returns this soon after its removal keeps
 # the counts of what was sent.
 REORDER_S: Final = 60.0
-REMOVED_REASON: Final = "order removed"
+# After a complete first list of orders, which may be stale, changes that it
+# lacks arrive within this time.
+STALE_LIST_S: Final = 3.0
 
 
 class NodeRollouts:
@@ -70,6 +73,7 @@
         self.services: frozenset[str] | None = None
         self._random = random_source
         self._has_orders = False
+        self._first_list_at_s = math.inf
         self._rollouts: dict[str, Rollout] = {}
         self._versions: dict[str, ServiceVersions] = {}
         # What was sent for orders that were removed or replaced, by service and
@@ -78,13 +82,15 @@
 
     # Orders and their status.
 
-    def finish_first_list(self) -> None:
+    def finish_first_list(self, now_s: float = -math.inf) -> None:
         """Records that all orders of the first complete list were set.
 
-        Orders that are set before this get no slack: this node may have used
-        its part before it started.
+        Orders that are set before this or shortly after get no slack: this node
+        may have used its part before it started, and the first list may lack
+        the last changes.
         """
         self._has_orders = True
+        self._first_list_at_s = now_s
         for versions in self._versions.values():
             versions.has_orders = True
 
@@ -95,19 +101,22 @@
 
         Call it for each change of the object, also of its status only.
         """
-        known = self._rollouts.get(order.service)
         if status is not None and (
             status.target_version != order.target_version
         ):
             status = None
-        if (
-            known is None
-            or known.order.target_version != order.target_version
-            or known.reason == REMOVED_REASON
-        ):
-            if known is not None:
+        known = self._rollouts.get(order.service)
+        if known is None:
+            known = self._start(order, now_s)
+        elif _is_new_order(known, order):
+            is_copy = _is_of_later_era(known.order, order) and (
+                self._service(order.service).is_banned(order.target_version)
+            )
+            if not known.is_removed:
                 self._end(known, "replaced by another order", now_s)
             known = self._start(order, now_s)
+            if is_copy:
+                self._end(known, "ended before the store returned", now_s)
         known.order = order
         was_running = known.is_running
         known.follow(status, now_s)
@@ -119,20 +128,25 @@
         known = self._rollouts.get(service)
         if known is None:
             return
-        self._end(known, REMOVED_REASON, now_s)
-        known.reason = REMOVED_REASON
-        known.stored = known.status
+        self._end(known, "order removed", now_s)
+        known.is_removed = True
 
     def _start(self, order: RolloutOrder, now_s: float) -> Rollout:
         ended = self._ended.pop((order.service, order.target_version), None)
-        sent_count = self._service(order.service).start(order.target_version)
+        sent = self._service(order.service).start(order.target_version, now_s)
         if ended is not None and now_s - ended[1] < REORDER_S:
             exposure = ended[0]
         else:
-            exposure = Exposure(self.terms, has_slack=self._has_orders)
-            exposure.sent_count = exposure.reply_count = sent_count
+            exposure = Exposure(
+                self.terms,
+                self._random,
+                has_slack=self._has_orders
+                and now_s - self._first_list_at_s >= STALE_LIST_S,
+            )
+            exposure.sent_count = exposure.reply_count = sent.sent_count
         exposure.set_divisor(self.share_divisor)
         rollout = Rollout(order, exposure, now_s)
+        rollout.is_in_use = sent.is_in_use
         self._rollouts[order.service] = rollout
         return rollout
 
@@ -185,6 +199,8 @@
         if not servers:
             return servers
         versions = self._service(service)
+        if versions.has_only_version_of(servers):
+            return servers
         versions.observe((server.entry.version for server in servers), now_s)
         old = versions.old_servers(servers, now_s)
         target_version = versions.target_version
@@ -198,8 +214,11 @@
         rollout = self._rollouts[service]
         if not new or rollout.is_stopped:
             return old
-        if rollout.status.step is RolloutStep.PROMOTE:
-            return new
+        if rollout.is_promoted:
+            # Cold servers accept few requests.
+            if any(now_s >= server.cold_until_s for server in new):
+                return new
+            return new + old
         rollout.exposure.set_divisor(self.share_divisor)
         if not rollout.exposure.may_send(rollout.canary_ratio(now_s)):
             return old
@@ -226,6 +245,8 @@
         new = [s for s in servers if s.entry.version == target_version]
         if not new or len(new) == len(servers):
             return servers
+        if rollout.is_promoted:
+            return new
         is_scarce = rollout.exposure.sent_count < MIN_REPLY_COUNT
         if is_scarce or self._random.random() < CANARY_ATTEMPT_RATIO:
             return new
@@ -246,9 +267,8 @@
         rollout = self._rollouts[service]
         if rollout.is_stopped:
             return False
-        return (
-            rollout.status.step is RolloutStep.PROMOTE
-            or rollout.exposure.may_send(rollout.canary_ratio(now_s))
+        return rollout.is_promoted or rollout.exposure.may_send(
+            rollout.canary_ratio(now_s)
         )
 
     def record_request(self, service: str, now_s: float) -> None:
@@ -389,14 +409,14 @@
         """
         for rollout in [*self._rollouts.values()]:
             order, status = rollout.order, rollout.status
-            if rollout.reason == REMOVED_REASON or (
+            if rollout.is_removed or (
                 self.services is not None and order.service not in self.services
             ):
                 continue
+            stored = rollout.stored
             if not rollout.is_running:
-                if rollout.stored is None or rollout.stored.state != (
-                    status.state
-                ):
+                # A final state in the store is never replaced.
+                if stored is None or stored.state is RolloutState.RUNNING:
                     yield order, status
                 continue
             progress = rollout.progress(
@@ -418,7 +438,7 @@
                 )
             elif due is not None:
                 yield order, due
-            elif rollout.stored is None or rollout.stored.step != status.step:
+            elif stored is None or stored.step is not status.step:
                 yield order, status._replace(age_s=progress.age_s)
 
     def summaries(self, now_s: float) -> Iterator[RolloutSummary]:
@@ -445,6 +465,20 @@
             )
 
 
+def _is_new_order(known: Rollout, order: RolloutOrder) -> bool:
+    """Returns whether an order begins another rollout.
+
+    A store that returns from an older copy shows removed objects again.
+    """
+    if known.order.target_version != order.target_version:
+        return True
+    return known.is_removed and not _is_of_later_era(known.order, order)
+
+
+def _is_of_later_era(known: RolloutOrder, order: RolloutOrder) -> bool:
+    return era_of(order.object_version) > era_of(known.object_version)
+
+
 def _latency_counts(latency_ratio: float) -> ArmCounts:
     log_latency = math.log(
         min(max(latency_ratio, 1 / MAX_LATENCY_RATIO), MAX_LATENCY_RATIO)
--- a/packages/core/mulberrybay_core/rollouts/progress.py
+++ b/packages/core/mulberrybay_core/rollouts/progress.py
@@ -15,19 +15,23 @@
 # to about half a second. Each is at most a part of the duration.
 PROMOTE_LEAD_S: Final = 3.4
 MAX_PROMOTE_LEAD_RATIO: Final = 0.4
-SEEN_COMPLETE_LEAD_S: Final = 1.6
+SEEN_COMPLETE_LEAD_S: Final = 1.4
 COMPLETE_LEAD_S: Final = 1.2
 MAX_COMPLETE_LEAD_RATIO: Final = 0.15
-# The time that nodes get to learn of the promote step, if it begins after it
-# was due.
+# A promote step that this node learns of this long after it was due is late:
+# nodes get the time below to learn of it.
+MAX_PROMOTE_DELAY_S: Final = 1.5
 LATE_PROMOTE_S: Final = 2.2
 # The replies without which a version can't be judged.
 MIN_REPLY_COUNT: Final = 8
 # Logarithms of Bayes factors. A fault is certain enough at any time from the
-# first on, with at least two bad replies; when the step is due, from the second
-# on, since a missed bad version costs more than a good one that is rolled back.
-CERTAIN_WEIGHT: Final = math.log(20)
-DUE_WEIGHT: Final = math.log(3)
+# first on, with at least two bad replies. When the step is due, less is enough,
+# since a missed bad version costs more than a good one that is rolled back.
+CERTAIN_WEIGHT: Final = math.log(50)
+# Failures need more evidence if the old version has them too.
+DUE_LATENCY_WEIGHT: Final = math.log(4)
+DUE_FAILURE_WEIGHT: Final = math.log(2)
+DUE_LONE_FAILURE_WEIGHT: Final = math.log(1.5)
 MIN_BAD_COUNT: Final = 2
 MIN_SLOW_COUNT: Final = 6
 
@@ -94,6 +98,16 @@
     )
 
 
+def _is_suspect(evidence: Evidence) -> bool:
+    needed_weight = DUE_LONE_FAILURE_WEIGHT
+    if evidence.old.bad_count:
+        needed_weight = DUE_FAILURE_WEIGHT
+    return (
+        evidence.failure_weight >= needed_weight
+        or evidence.latency_weight >= DUE_LATENCY_WEIGHT
+    )
+
+
 def next_status(
     progress: RolloutProgress, target_version: str
 ) -> RolloutStatus | None:
@@ -101,7 +115,7 @@
     evidence, age_s = progress.evidence, progress.age_s
     is_due = age_s >= promote_age_s(progress.duration_s)
     if is_certainly_bad(evidence) or (
-        is_due and _is_enough(evidence) and evidence.weight >= DUE_WEIGHT
+        is_due and _is_enough(evidence) and _is_suspect(evidence)
     ):
         return RolloutStatus(
             RolloutState.ROLLED_BACK,
@@ -121,13 +135,12 @@
         progress.duration_s, all_have_seen=is_clear
     )
     # A promote step that came late gets its time, whatever the deadline.
-    has_had_time = is_clear or progress.step_age_s >= min(
-        LATE_PROMOTE_S,
-        max(
-            0.0,
-            complete_age_s(progress.duration_s, all_have_seen=False)
-            - promote_age_s(progress.duration_s),
-        ),
+    began_at_age_s = age_s - progress.step_age_s
+    is_late = began_at_age_s > promote_age_s(progress.duration_s) + (
+        MAX_PROMOTE_DELAY_S
+    )
+    has_had_time = (
+        not is_late or is_clear or progress.step_age_s >= LATE_PROMOTE_S
     )
     if not is_over or not has_had_time:
         return None
--- a/packages/core/mulberrybay_core/rollouts/rollout.py
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -1,14 +1,14 @@
 """One rollout, as one node sees it."""
 
 from collections.abc import Iterator
-from typing import Final, NamedTuple
+from typing import Final
 
 from mulberrybay_core.rollouts.evidence import (
     NO_COUNTS,
     Evidence,
     add_counts,
     judge,
-    sum_arms,
+    replace_counts,
 )
 from mulberrybay_core.rollouts.exposure import Exposure
 from mulberrybay_core.rollouts.orders import (
@@ -30,11 +30,9 @@
 # as one, so that a heartbeat stays small.
 MAX_ROUTE_COUNT: Final = 8
 OTHER_ROUTES: Final = "other"
-
-
-class _PeerCounts(NamedTuple):
-    counts: RolloutCounts
-    received_at_s: float
+# A node that learns of an order this much later than another one may have been
+# restarted since the order.
+LATE_ORDER_S: Final = 3.0
 
 
 class Rollout:
@@ -46,7 +44,10 @@
             final one.
         exposure: What this node has sent to the new version.
         is_condemned: Whether the version was judged bad.
-        reason: Why it was.
+        reason: Why it was, or how the order ended without a final status.
+        is_in_use: Whether the version was in use before it was ordered.
+        is_removed: Whether the order was removed.
+        final_at_s: When this node learned of the final state; None before.
         stored: The status in the store; None if it has none.
     """
 
@@ -61,11 +62,14 @@
         self.stored: RolloutStatus | None = None
         self.is_condemned = False
         self.reason = ""
+        self.is_in_use = False
+        self.is_removed = False
         self.final_at_s: float | None = None
         self._step_at_s = now_s
         self._ordered_at_s = now_s
         self._arms: dict[ArmKey, ArmCounts] = {}
-        self._peers: dict[tuple[str, int], _PeerCounts] = {}
+        self._total_arms: dict[ArmKey, ArmCounts] = {}
+        self._peers: dict[tuple[str, int], RolloutCounts] = {}
         self._in_flight = {False: 0, True: 0}
         self._own_is_bad = False
 
@@ -81,6 +85,11 @@
             return self.is_condemned or self._own_is_bad
         return self.status.state is RolloutState.ROLLED_BACK
 
+    @property
+    def is_promoted(self) -> bool:
+        """Whether requests go to the new version without a bound."""
+        return self.is_in_use or self.status.step is RolloutStep.PROMOTE
+
     def age_s(self, now_s: float) -> float:
         """Returns the age of the order, as far as any node knows it."""
         return now_s - self._ordered_at_s
@@ -159,8 +168,10 @@
         if not is_new and not self.exposure.sent_count:
             return
         key = is_new, self._route_key(route)
-        self._arms[key] = add_counts(self._arms.get(key, NO_COUNTS), added)
-        if is_new and not self._own_is_bad and self.is_running:
+        for arms in (self._arms, self._total_arms):
+            arms[key] = add_counts(arms.get(key, NO_COUNTS), added)
+        is_against = added.bad_count > 0 or added.log_latency_sum > 0
+        if is_new and is_against and not self._own_is_bad:
             self._own_is_bad = is_certainly_bad(judge(self._arms))
 
     def _route_key(self, route: str) -> str:
@@ -187,32 +198,35 @@
         self, node: tuple[str, int], counts: RolloutCounts, now_s: float
     ) -> None:
         """Takes the counts of another node unless newer ones are known."""
+        if counts.age_s - self.age_s(now_s) > LATE_ORDER_S:
+            self.exposure.has_slack = False
         self._know_age(counts.age_s, now_s)
         if counts.is_condemned:
             self.condemn("judged bad by another node")
         known = self._peers.get(node)
-        if known is None or _total(known.counts) <= _total(counts):
-            self._peers[node] = _PeerCounts(counts, now_s)
+        if known is not None and _total(counts) < _total(known):
+            return
+        known_arms = {} if known is None else known.arms
+        replace_counts(self._total_arms, known_arms, counts.arms)
+        self._peers[node] = counts
 
     def forget_node(self, node_name: str) -> None:
         """Forgets that a node has requests in flight; its counts remain."""
-        for key, peer in self._peers.items():
+        for key, counts in self._peers.items():
             if key[0] == node_name:
-                counts = peer.counts._replace(old_in_flight_count=0)
-                self._peers[key] = peer._replace(counts=counts)
+                self._peers[key] = counts._replace(old_in_flight_count=0)
 
     def _know_age(self, age_s: float, now_s: float) -> None:
         self._ordered_at_s = min(self._ordered_at_s, now_s - age_s)
 
     def evidence(self) -> Evidence:
         """Judges the version by the counts of all nodes."""
-        reports = [peer.counts.arms for peer in self._peers.values()]
-        return judge(sum_arms([self._arms, *reports]))
+        return judge(self._total_arms)
 
     def progress(self, now_s: float, *, all_have_seen: bool) -> RolloutProgress:
         """Returns what the next step depends on."""
         in_flight_count = self._in_flight[False] + sum(
-            peer.counts.old_in_flight_count for peer in self._peers.values()
+            counts.old_in_flight_count for counts in self._peers.values()
         )
         return RolloutProgress(
             duration_s=self.order.duration_s,
--- a/packages/core/mulberrybay_core/rollouts/versions.py
+++ b/packages/core/mulberrybay_core/rollouts/versions.py
@@ -1,7 +1,8 @@
 """The versions of a service that this node knows, and which it may use."""
 
+import math
 from collections.abc import Iterable, Sequence
-from typing import Final, TypeVar
+from typing import Final, NamedTuple, TypeVar
 
 from mulberrybay_core.rollouts.orders import RolloutServer
 
@@ -14,9 +15,25 @@
 # Entries of old servers may arrive for this long after a rollout is completed.
 COMPLETED_GRACE_S: Final = 5.0
 
+# A version that got requests for this long without an order is not new.
+USED_VERSION_S: Final = 60.0
+
 ServerT = TypeVar("ServerT", bound=RolloutServer)
 
 
+class SentBefore(NamedTuple):
+    """What was sent to a version before it was ordered.
+
+    Attributes:
+        sent_count: The requests.
+        is_in_use: Whether it has been in use for so long that the order does
+            not make it a new version.
+    """
+
+    sent_count: int
+    is_in_use: bool
+
+
 class _Version:
     __slots__ = ("absent_since_s", "first_seen_s", "sent_count")
 
@@ -39,7 +56,12 @@
         self.has_orders = False
         self.target_version: str | None = None
         self._versions: dict[str, _Version] = {}
+        # Versions that were rolled back, and those that another one replaced.
+        # Servers of the latter that are started again may be used.
         self._banned: set[str] = set()
+        self._replaced: set[str] = set()
+        # The version of all servers, if there is only one and it may be used.
+        self._only_version: str | None = None
         # Versions other than this are banned when they are first seen before
         # the time.
         self._completed: tuple[str, float] | None = None
@@ -47,32 +69,41 @@
     def ban(self, version: str) -> None:
         """Excludes a version until it is ordered again."""
         self._banned.add(version)
-
-    def permit(self, version: str) -> None:
-        """Ends the exclusion of a version."""
-        self._banned.discard(version)
+        self._only_version = None
+        known = self._versions.get(version)
+        if known is not None:
+            known.sent_count = 0
 
     def is_banned(self, version: str) -> bool:
         """Returns whether no request may go to a version."""
-        return version in self._banned
+        return version in self._banned or version in self._replaced
 
     def complete(self, version: str, now_s: float) -> None:
         """Excludes all versions but one."""
         self._banned.discard(version)
-        self._banned.update(name for name in self._versions if name != version)
+        for name, known in self._versions.items():
+            if name != version:
+                self._replaced.add(name)
+                known.sent_count = 0
+        self._only_version = None
         self._completed = version, now_s + COMPLETED_GRACE_S
 
-    def start(self, version: str) -> int:
-        """Permits the target of a new order.
-
-        Returns:
-            The requests that were sent to it since it was first seen.
-        """
+    def start(self, version: str, now_s: float) -> SentBefore:
+        """Permits the target of a new order."""
         self.target_version = version
+        self._only_version = None
         self._completed = None
-        self.permit(version)
+        self._banned.discard(version)
+        self._replaced.discard(version)
         known = self._versions.get(version)
-        return known.sent_count if known is not None else 0
+        if known is None:
+            return SentBefore(0, is_in_use=False)
+        is_in_use = (
+            known.absent_since_s is None
+            and known.sent_count > 0
+            and now_s - known.first_seen_s >= USED_VERSION_S
+        )
+        return SentBefore(known.sent_count, is_in_use)
 
     def record_sent(self, version: str) -> None:
         """Counts a request, in case the version is ordered only later."""
@@ -80,23 +111,39 @@
         if known is not None:
             known.sent_count += 1
 
+    def has_only_version_of(self, servers: Sequence[RolloutServer]) -> bool:
+        """Returns whether all servers are of the one version in use."""
+        only_version = self._only_version
+        return only_version is not None and all(
+            server.entry.version == only_version for server in servers
+        )
+
     def observe(self, versions: Iterable[str], now_s: float) -> None:
         """Records the versions of the servers that can be used."""
         known = self._versions
         present = set(versions)
         is_first = not known
+        for version, item in [*known.items()]:
+            absent_since_s = item.absent_since_s
+            if (
+                absent_since_s is not None
+                and now_s - absent_since_s >= FORGOTTEN_VERSION_S
+            ):
+                del known[version]
+                self._replaced.discard(version)
         for version in present:
-            item = known.get(version)
-            if item is not None and item.absent_since_s is not None:
-                if now_s - item.absent_since_s >= FORGOTTEN_VERSION_S:
-                    item = None
-                else:
-                    item.absent_since_s = None
-            if item is None:
-                item = known[version] = _Version(now_s)
-                if is_first and len(present) == 1:
-                    item.first_seen_s = -NEW_VERSION_WAIT_S
-                self._ban_old(version, now_s)
+            if version in known:
+                known[version].absent_since_s = None
+                continue
+            known[version] = _Version(now_s)
+            if is_first and len(present) == 1:
+                known[version].first_seen_s = -math.inf
+            self._ban_old(version, now_s)
+        self._only_version = None
+        if len(present) == 1 and len(known) == 1:
+            version = next(iter(present))
+            if not self.is_banned(version):
+                self._only_version = version
         if len(present) == len(known):
             return
         for version, item in known.items():
@@ -108,7 +155,7 @@
             return
         kept, until_s = self._completed
         if version != kept and now_s < until_s:
-            self._banned.add(version)
+            self._replaced.add(version)
 
     def old_servers(
         self, servers: Sequence[ServerT], now_s: float
@@ -122,7 +169,7 @@
             server
             for server in servers
             if server.entry.version != self.target_version
-            and server.entry.version not in self._banned
+            and not self.is_banned(server.entry.version)
         ]
         settled = [
             server
