Keep the final state of a removed order when an older copy of the store has it

An operator would have seen a completed rollout run again, and a rolled back one without a status, once the store returned from a copy with the removed order. The order was taken for a new one, or skipped as removed. Found by taking out checks by hand, one at a time: two of them changed no test. The same order of a later era now keeps the state that the node knows, and the writer writes it again; the new cases fail without either line.

--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -106,9 +106,15 @@
         ):
             status = None
         known = self._rollouts.get(order.service)
+        is_same = known is not None and (
+            known.order.target_version == order.target_version
+        )
         if known is None:
             known = self._start(order, now_s)
-        elif _is_new_order(known, order):
+        elif is_same and _is_of_later_era(known.order, order):
+            # A store that returns from an older copy may have the order again.
+            known.is_removed = False
+        elif not is_same or known.is_removed:
             is_copy = _is_of_later_era(known.order, order) and (
                 self._service(order.service).is_banned(order.target_version)
             )
@@ -465,16 +471,6 @@
             )
 
 
-def _is_new_order(known: Rollout, order: RolloutOrder) -> bool:
-    """Returns whether an order begins another rollout.
-
-    A store that returns from an older copy shows removed objects again.
-    """
-    if known.order.target_version != order.target_version:
-        return True
-    return known.is_removed and not _is_of_later_era(known.order, order)
-
-
 def _is_of_later_era(known: RolloutOrder, order: RolloutOrder) -> bool:
     return era_of(order.object_version) > era_of(known.object_version)
 
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -356,20 +356,28 @@
     node.set_order(ORDER, COMPLETED, 2.0)
 
     assert due(node, 2.0) == []
+    (summary,) = node.summaries(2.0)
+    assert summary.state is RolloutState.ROLLED_BACK
 
 
-def test_order_that_was_removed_stays_rolled_back_until_ordered_again() -> None:
+@pytest.mark.parametrize(
+    ("final", "state", "expected"),
+    [(None, "rolled_back", {OLD}), (COMPLETED, "completed", {NEW})],
+)
+def test_order_that_was_removed_does_not_run_again_from_an_older_copy(
+    final: RolloutStatus | None, state: str, expected: set[str]
+) -> None:
     node = make_node()
-    node.set_order(ORDER, None, 1.0)
+    node.set_order(ORDER, final, 1.0)
     reply(node, NEW, 40)
     node.remove_order(SERVICE, 2.0)
 
-    assert selected(node, 3.0, OLD, NEW) == {OLD}
+    assert selected(node, 3.0, OLD, NEW) == expected
     assert due(node, 3.0) == []
-    # A copy of the store from before the removal.
     copy = ORDER._replace(object_version=make_position(1, 2))
     node.set_order(copy, None, 4.0)
-    assert selected(node, 4.0, OLD, NEW) == {OLD}
+    assert selected(node, 4.0, OLD, NEW) == expected
+    assert due(node, 4.0) == [(state, "done")]
 
 
 @pytest.mark.parametrize("gap_s", [1.0, 100.0])
