Show rollouts in the metrics, the log and the operators' pages

Operators saw only the object's status in the store. A node now shows the state and step of each rollout, the replies and bad replies of both versions, what it has sent of what the canary allows, and the writes of the status by outcome; the log has a line for each step with the reason, and for what the next one waits for. Labels are fixed words and at most 8 services, unfinished rollouts first. No command of mulberrybay reaches edge nodes, so metrics and logs have to do.

--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -46,7 +46,10 @@
     RelayTargets,
 )
 from mulberrybay_edge.request_context import HandlerContext, RequestCounts
-from mulberrybay_edge.rollout_control import make_rollout_control
+from mulberrybay_edge.rollout_control import (
+    find_status_kinds,
+    make_rollout_control,
+)
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
 from mulberrybay_edge.settings_watch import SettingsWatch
@@ -141,10 +144,8 @@
                 STORE_TIMEOUT_S,
                 detects_silence=True,
                 first_timeout_s=FIRST_STORE_TIMEOUT_S,
-                status_kinds=frozenset(
-                    [self._adapter.documents.kinds.rollouts]
-                    if settings.rollouts
-                    else []
+                status_kinds=find_status_kinds(
+                    settings, self._adapter.documents
                 ),
             ),
             self._streams,
@@ -361,10 +362,8 @@
         )
 
     def _list_advertised(self) -> list[str]:
-        addresses = [
-            str(node.caller_address)
-            for node in self._sharing.choose_advertised()
-        ]
+        advertised = self._sharing.choose_advertised()
+        addresses = [str(node.caller_address) for node in advertised]
         self._random.shuffle(addresses)
         return addresses
 
@@ -435,7 +434,7 @@
             self._view.route_table.revision if self._view.route_table else 0,
             tuple(watch.changed_version for watch in self._watches),
             self._sharing.attempts_per_s,
-            self._store_age_s(),
+            self._view.store_age_s,
             any(watch.is_restoring for watch in self._watches),
             self._nodes.is_hub(read_clock_s()),
             self._reach.is_lost,
@@ -443,10 +442,6 @@
             self._rollouts.reports() if self._rollouts else (),
         )
 
-    def _store_age_s(self) -> float:
-        now_s = read_clock_s()
-        return max(watch.age_s(now_s) for watch in self._view.watches)
-
     def _send_heartbeats(self) -> None:
         if self._peer_link is not None:
             self._peer_link.send_heartbeats()
@@ -486,7 +481,10 @@
         self._nodes.drop_unresponsive(now_s)
         self._crash_watch.expire()
         self._sharing.update()
-        self._update_rollouts()
+        if self._rollouts is not None:
+            self._rollouts.update(
+                self._request_dispatcher.share_divisor, self._view.route_table
+            )
         if self._peer_link is not None:
             self._peer_link.request_missing_changes()
             self._peer_link.request_restored_objects()
@@ -495,20 +493,11 @@
         if self._stopping_since_s is None:
             self._registry.remove_unresponsive(now_s)
             self._registry.update()
+            if self._rollouts is not None:
+                self._rollouts.write_due(self._view.store_age_s)
         else:
             self._stop_when_idle(now_s - self._stopping_since_s)
 
-    def _update_rollouts(self) -> None:
-        if self._rollouts is None:
-            return
-        table = self._view.route_table
-        self._rollouts.update(
-            self._request_dispatcher.share_divisor,
-            table.service_names() if table else None,
-        )
-        if self._stopping_since_s is None:
-            self._rollouts.write_due(self._store_age_s())
-
     def _apply_settings(self, settings: EdgeSettings) -> None:
         """Applies the settings that can change while the process runs."""
         self._settings = self._settings._replace(
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -1,10 +1,14 @@
 """The metrics of an edge node; docs/OPERATIONS.md lists the same ones."""
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
+from mulberrybay_core.node_checks import MAX_ROLLOUT_COUNT
+from mulberrybay_core.rollouts import RolloutState
 from mulberrybay_edge.caller_service import LATENCY_BOUNDS_S
 from mulberrybay_edge.metric_sources import MetricSources
+from mulberrybay_edge.rollout_control import RolloutControl
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.metrics import (
     HistogramValue,
@@ -189,10 +193,56 @@
 )
 
 
+ROLLOUT_SPECS: Final = (
+    MetricSpec(
+        "edge_rollouts",
+        "gauge",
+        "Rollouts that are known.",
+        ("state", "step"),
+    ),
+    MetricSpec(
+        "edge_rollout_replies",
+        "gauge",
+        "Replies since the order, at all nodes heard.",
+        ("service", "version"),
+    ),
+    MetricSpec(
+        "edge_rollout_bad_replies",
+        "gauge",
+        "Failed and lost ones among them.",
+        ("service", "version"),
+    ),
+    MetricSpec(
+        "edge_rollout_sent",
+        "gauge",
+        "Requests that this node has sent to the new version.",
+        ("service",),
+    ),
+    MetricSpec(
+        "edge_rollout_allowed",
+        "gauge",
+        "Requests that the canary of this node may have sent by now.",
+        ("service",),
+    ),
+    MetricSpec(
+        "edge_rollout_writes",
+        "counter",
+        "Writes of a rollout's status by this node.",
+        ("outcome",),
+    ),
+)
+
+
 class EdgeMetrics(SampleSource):
     """Reads the metrics of a node from its components."""
 
-    specs = (*CALLER_SPECS, *SERVER_SPECS, *VIEW_SPECS, *NODE_SPECS)
+    specs = (
+        *CALLER_SPECS,
+        *SERVER_SPECS,
+        *VIEW_SPECS,
+        *NODE_SPECS,
+        *ROLLOUT_SPECS,
+    )
 
     def __init__(self, sources: MetricSources) -> None:
         self._sources = sources
@@ -203,6 +253,29 @@
         yield from self._read_servers()
         yield from self._read_view()
         yield from self._read_nodes()
+        if self._sources.rollouts is not None:
+            yield from self._read_rollouts(self._sources.rollouts)
+
+    def _read_rollouts(self, rollouts: RolloutControl) -> Iterator[Sample]:
+        summaries = [*rollouts.summaries()]
+        counts = Counter((s.state.value, s.step.value) for s in summaries)
+        for labels, count in counts.items():
+            yield Sample("edge_rollouts", count, labels)
+        # Unfinished ones first, so that the labels are bounded.
+        summaries.sort(key=lambda s: s.state is not RolloutState.RUNNING)
+        for summary in summaries[:MAX_ROLLOUT_COUNT]:
+            service = summary.order.service
+            for version, arm in (("new", summary.new), ("old", summary.old)):
+                labels = (service, version)
+                yield Sample("edge_rollout_replies", arm.reply_count, labels)
+                yield Sample("edge_rollout_bad_replies", arm.bad_count, labels)
+            yield Sample("edge_rollout_sent", summary.sent_count, (service,))
+            allowed_count = summary.allowed_count
+            yield Sample("edge_rollout_allowed", allowed_count, (service,))
+        yield from count_samples("edge_rollout_writes", rollouts.write_counts)
+        yield Sample(
+            "edge_unreadable", rollouts.unreadable_count, ("rollouts",)
+        )
 
     def _read_callers(self) -> Iterator[Sample]:
         service, counts = self._sources.service, self._sources.counts
--- a/packages/edge/mulberrybay_edge/platform_view.py
+++ b/packages/edge/mulberrybay_edge/platform_view.py
@@ -223,6 +223,15 @@
             watch.check()
         self._check_configuration()
 
+    @property
+    def store_age_s(self) -> float:
+        """How long ago the store has answered, for the kind it is longest for.
+
+        Of the kinds that every node follows.
+        """
+        now_s = self.clock()
+        return max(watch.age_s(now_s) for watch in self.watches)
+
     @property
     def failing_kinds(self) -> list[str]:
         """The kinds whose last call to the store failed."""
--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -26,6 +26,7 @@
     RolloutStep,
     RolloutSummary,
 )
+from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.store_messages import (
     JsonObject,
     ObjectHandler,
@@ -50,8 +51,6 @@
 # How long after a failed write, or one whose effect isn't seen, the next one is
 # sent.
 REWRITE_DELAY_S: Final = 0.6
-# How long a first list that may be stale can lack an order that the store had.
-MAX_STALE_LIST_S: Final = 5.0
 # Judging costs processor time at each node, for each node that reports.
 LOG_PERIOD_S: Final = 1.0
 NODES_PER_LOG_PERIOD: Final = 300
@@ -107,9 +106,8 @@
         self._context = context
         self._rollouts = rollouts
         self.traffic = RolloutTraffic(rollouts)
-        self._watch: StoreWatch | None = None
         self._kind_index = 0
-        self._listed_at_s: float | None = None
+        self._is_listed = False
         self._has_orders = False
         # By service: the last document that was applied, when the next write
         # may be sent, and the reason that was logged last.
@@ -122,10 +120,9 @@
         self.write_counts = dict.fromkeys(("written", "conflict", "failed"), 0)
 
     def attach(self, watches: Sequence[StoreWatch]) -> None:
-        """Finds the watch of orders and its place among all watches."""
+        """Finds the place of the watch of orders among all watches."""
         kind = self._context.documents.kinds.rollouts
         self._kind_index = [watch.kind for watch in watches].index(kind)
-        self._watch = watches[self._kind_index]
 
     # Orders and their status; see `WatchListener`.
 
@@ -136,8 +133,7 @@
         for stored in objects.items:
             self._apply(stored, now_s)
         self._remove(self._documents.keys() - names, now_s)
-        if self._listed_at_s is None:
-            self._listed_at_s = now_s
+        self._is_listed = True
 
     def on_changes(self, changes: ObjectList) -> None:
         """Applies orders that were written or removed."""
@@ -241,19 +237,17 @@
 
     # Periodic maintenance and the status.
 
-    def update(
-        self, share_divisor: float, services: Collection[str] | None
-    ) -> None:
+    def update(self, share_divisor: float, table: RouteTable | None) -> None:
         """Does what is due by the time alone; called periodically.
 
         Args:
             share_divisor: A limit is divided by it to get this node's share.
-            services: The services of the configuration; None before it.
+            table: The routes of the configuration; None before it.
         """
         now_s = self._context.clock()
         self._rollouts.share_divisor = share_divisor
-        if services is not None:
-            self._rollouts.services = frozenset(services)
+        if table is not None:
+            self._rollouts.services = frozenset(table.service_names())
         self._check_first_list(now_s)
         if not self._documents:
             return
@@ -266,25 +260,18 @@
             )
 
     def _check_first_list(self, now_s: float) -> None:
-        """Notices that no order is unknown that was there at the start.
+        """Notices that the orders that were there at the start are known.
 
-        A node has a part of the slack only for orders that come later. A first
-        list may be stale, and without registrations this node doesn't know
-        by how many nodes the slack is divided.
+        A node has a part of the slack only for orders that come later. Without
+        registrations it doesn't know by how many nodes the slack is divided.
         """
         if (
-            self._has_orders
-            or self._listed_at_s is None
-            or self._watch is None
-            or not self._context.nodes.has_registrations
-        ):
-            return
-        if (
-            math.isfinite(self._watch.age_s(now_s))
-            or now_s - self._listed_at_s >= MAX_STALE_LIST_S
+            self._is_listed
+            and not self._has_orders
+            and self._context.nodes.has_registrations
         ):
             self._has_orders = True
-            self._rollouts.finish_first_list()
+            self._rollouts.finish_first_list(now_s)
 
     def _log_reasons(self, now_s: float) -> None:
         for summary in self._rollouts.summaries(now_s):
@@ -419,6 +406,15 @@
             self._apply_document(document, self._context.clock())
 
 
+def find_status_kinds(
+    settings: EdgeSettings, documents: PlatformDocuments
+) -> frozenset[str]:
+    """Returns the kinds whose objects have a status that a node reads."""
+    if settings.rollouts is None:
+        return frozenset()
+    return frozenset({documents.kinds.rollouts})
+
+
 def make_rollout_control(
     settings: EdgeSettings,
     documents: PlatformDocuments,
