Keep a service without old servers within the bound, and use old ones at a start

Callers were sent to a new version without a bound once its servers had been the only ones for 5 s: the short path for services with a single version took it for the one in use. The target of an order is never the single version, and the eldest other version is used at once. Both new tests failed before; waiting longer was ruled out, since the order is known in both cases.

--- a/packages/core/mulberrybay_core/rollouts/versions.py
+++ b/packages/core/mulberrybay_core/rollouts/versions.py
@@ -142,7 +142,7 @@
         self._only_version = None
         if len(present) == 1 and len(known) == 1:
             version = next(iter(present))
-            if not self.is_banned(version):
+            if version != self.target_version and not self.is_banned(version):
                 self._only_version = version
         if len(present) == len(known):
             return
@@ -176,12 +176,8 @@
             for server in old
             if not self._waits(server.entry.version, now_s)
         ]
-        if settled or any(
-            server.entry.version == self.target_version for server in servers
-        ):
+        if settled or not old:
             return settled
-        if not old:
-            return old
         eldest = min(old, key=self._seniority).entry.version
         return [server for server in old if server.entry.version == eldest]
 
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -199,6 +199,17 @@
     reply(node, NEW, 50)
 
     assert selected(node, 2.0, NEW) == set()
+    # The old version is forgotten by then.
+    assert selected(node, 9.0, NEW) == set()
+    assert selected(node, 9.1, NEW) == set()
+
+
+def test_node_that_starts_in_a_rollout_uses_the_old_servers_at_once() -> None:
+    node = NodeRollouts(TERMS, random.Random(0))
+    node.set_order(ORDER, None, 1.0)
+    reply(node, NEW, 20)
+
+    assert selected(node, 1.0, OLD, NEW) == {OLD}
 
 
 def test_order_for_the_version_in_use_does_not_refuse_requests() -> None:
