Judge the last seconds of a rollout apart

The last two to four seconds are now compared too, with the old version in the same time or, when all requests go to the new one, with all its replies.

--- a/packages/core/mulberrybay_core/rollouts/evidence.py
+++ b/packages/core/mulberrybay_core/rollouts/evidence.py
@@ -74,18 +74,8 @@
     )
 
 
-def replace_counts(
-    total: dict[ArmKey, ArmCounts],
-    known: Mapping[ArmKey, ArmCounts],
-    newer: Mapping[ArmKey, ArmCounts],
-) -> None:
-    """Replaces the counts of one node in the total of all."""
-    for key, counts in newer.items():
-        added = _subtract(counts, known.get(key, NO_COUNTS))
-        total[key] = add_counts(total.get(key, NO_COUNTS), added)
-
-
-def _subtract(first: ArmCounts, second: ArmCounts) -> ArmCounts:
+def subtract_counts(first: ArmCounts, second: ArmCounts) -> ArmCounts:
+    """Returns what one count has more than an earlier one."""
     return ArmCounts(
         first.reply_count - second.reply_count,
         first.bad_count - second.bad_count,
--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -326,6 +326,7 @@
         rollout.record_reply(
             route,
             latency._replace(reply_count=1, bad_count=int(is_bad)),
+            now_s,
             is_new=version == rollout.order.target_version,
         )
 
@@ -359,7 +360,7 @@
             rollout.record_end(is_new=is_new)
             return
         added = _latency_counts(ABANDONED_LATENCY_RATIO * latency_ratio)
-        rollout.record_reply(route, added, is_new=is_new)
+        rollout.record_reply(route, added, now_s, is_new=is_new)
 
     # Other nodes.
 
--- a/packages/core/mulberrybay_core/rollouts/rollout.py
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -4,16 +4,12 @@
 from typing import Final
 
 from mulberrybay_core.rollouts.evidence import (
-    NO_COUNTS,
     Evidence,
-    add_counts,
-    judge,
-    replace_counts,
 )
 from mulberrybay_core.rollouts.exposure import Exposure
+from mulberrybay_core.rollouts.observed import ObservedArms
 from mulberrybay_core.rollouts.orders import (
     ArmCounts,
-    ArmKey,
     RolloutCounts,
     RolloutOrder,
     RolloutState,
@@ -67,8 +63,8 @@
         self.final_at_s: float | None = None
         self._step_at_s = now_s
         self._ordered_at_s = now_s
-        self._arms: dict[ArmKey, ArmCounts] = {}
-        self._total_arms: dict[ArmKey, ArmCounts] = {}
+        self._own = ObservedArms()
+        self._all = ObservedArms()
         self._peers: dict[tuple[str, int], RolloutCounts] = {}
         self._in_flight = {False: 0, True: 0}
         self._own_is_bad = False
@@ -159,7 +155,7 @@
         self._in_flight[is_new] = max(0, self._in_flight[is_new] - 1)
 
     def record_reply(
-        self, route: str, added: ArmCounts, *, is_new: bool
+        self, route: str, added: ArmCounts, now_s: float, *, is_new: bool
     ) -> None:
         """Counts the end of a request that shows how good the version is."""
         self.record_end(is_new=is_new)
@@ -168,14 +164,14 @@
         if not is_new and not self.exposure.sent_count:
             return
         key = is_new, self._route_key(route)
-        for arms in (self._arms, self._total_arms):
-            arms[key] = add_counts(arms.get(key, NO_COUNTS), added)
+        for arms in (self._own, self._all):
+            arms.add(key, added)
         is_against = added.bad_count > 0 or added.log_latency_sum > 0
         if is_new and is_against and not self._own_is_bad:
-            self._own_is_bad = is_certainly_bad(judge(self._arms))
+            self._own_is_bad = is_certainly_bad(self._own.judge(now_s))
 
     def _route_key(self, route: str) -> str:
-        routes = {name for _, name in self._arms}
+        routes = {name for _, name in self._own.total}
         if route in routes or len(routes) < MAX_ROUTE_COUNT:
             return route
         return OTHER_ROUTES
@@ -188,7 +184,7 @@
             service=self.order.service,
             target_version=self.order.target_version,
             age_s=self.age_s(now_s),
-            arms=dict(self._arms),
+            arms=dict(self._own.total),
             old_in_flight_count=self._in_flight[False],
             is_condemned=self.is_condemned,
             sent_count=self.exposure.sent_count,
@@ -207,7 +203,7 @@
         if known is not None and _total(counts) < _total(known):
             return
         known_arms = {} if known is None else known.arms
-        replace_counts(self._total_arms, known_arms, counts.arms)
+        self._all.replace(known_arms, counts.arms)
         self._peers[node] = counts
 
     def forget_node(self, node_name: str) -> None:
@@ -219,9 +215,9 @@
     def _know_age(self, age_s: float, now_s: float) -> None:
         self._ordered_at_s = min(self._ordered_at_s, now_s - age_s)
 
-    def evidence(self) -> Evidence:
+    def evidence(self, now_s: float) -> Evidence:
         """Judges the version by the counts of all nodes."""
-        return judge(self._total_arms)
+        return self._all.judge(now_s)
 
     def progress(self, now_s: float, *, all_have_seen: bool) -> RolloutProgress:
         """Returns what the next step depends on."""
@@ -233,7 +229,7 @@
             age_s=self.age_s(now_s),
             step=self.status.step,
             step_age_s=now_s - self._step_at_s,
-            evidence=self.evidence(),
+            evidence=self.evidence(now_s),
             all_have_seen=all_have_seen,
             old_in_flight_count=in_flight_count,
         )
--- a/packages/core/tests/test_rollout_simulation.py
+++ b/packages/core/tests/test_rollout_simulation.py
@@ -318,8 +318,17 @@
         (Load(bad_ratio=0.3, bad_route="a"), 0.9),
         (Load(bad_ratio=0.3, fault_at_s=6.0), 0.9),
         (Load(latency_ratio=3.0, bad_route="a"), 0.9),
+        (Load(bad_ratio=0.3, fault_at_s=9.0), 0.85),
+        (Load(latency_ratio=3.0, fault_at_s=9.0), 0.75),
+    ],
+    ids=[
+        "5 % bad",
+        "bad on a route",
+        "bad from second 6",
+        "slow on a route",
+        "bad after the canary",
+        "slow after the canary",
     ],
-    ids=["5 % bad", "bad on a route", "bad from second 6", "slow on a route"],
 )
 def test_lesser_faults_are_found_at_a_usual_rate(
     load: Load, min_ratio: float
