Place the canary's servers in two failure domains

The loss of a failure domain takes replies of both versions. With both servers of the canary in that domain, all of the new version's replies would have been lost, which looks like a fault of the version and rolls a good one back. The second server is now the first by name of another domain, if there is one; all nodes still choose the same two. The new test failed before. Spreading over all servers was ruled out, since faults under load would then be seen only later.

--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -488,8 +488,15 @@
 
 
 def _canary_servers(servers: list[ServerT], now_s: float) -> list[ServerT]:
-    """Returns the servers that the canary uses, the same on every node."""
+    """Returns the servers that the canary uses, the same on every node.
+
+    They are in different failure domains if possible, so that the loss of one
+    doesn't look like a fault of the version.
+    """
     servers.sort(
         key=lambda server: (now_s < server.cold_until_s, server.entry.server_id)
     )
-    return servers[:CANARY_SERVER_COUNT]
+    domain = servers[0].entry.failure_domain
+    rest = servers[1:]
+    rest.sort(key=lambda server: server.entry.failure_domain == domain)
+    return [servers[0], *rest[: CANARY_SERVER_COUNT - 1]]
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -193,6 +193,21 @@
     assert selected(node, 2.0, OLD, NEW) == {OLD}
 
 
+def test_canary_survives_the_loss_of_a_failure_domain() -> None:
+    node = make_node()
+    node.set_order(ORDER, None, 1.0)
+    servers = servers_of(NEW)
+    for server, domain in zip(servers, "aab", strict=True):
+        server.entry = server.entry._replace(failure_domain=domain)
+
+    chosen = node.select(SERVICE, servers_of(OLD) + servers, 2.0)
+
+    assert {server.entry.server_id for server in chosen[3:]} == {
+        f"{NEW}-0",
+        f"{NEW}-2",
+    }
+
+
 def test_service_without_old_servers_keeps_to_the_bound() -> None:
     node = make_node()
     node.set_order(ORDER, None, 1.0)
