--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -326,6 +326,7 @@
         rollout.record_reply(
             route,
             latency._replace(reply_count=1, bad_count=int(is_bad)),
+            now_s,
             is_new=version == rollout.order.target_version,
         )
 
@@ -359,7 +360,7 @@
             rollout.record_end(is_new=is_new)
             return
         added = _latency_counts(ABANDONED_LATENCY_RATIO * latency_ratio)
-        rollout.record_reply(route, added, is_new=is_new)
+        rollout.record_reply(route, added, now_s, is_new=is_new)
 
     # Other nodes.
 
@@ -487,8 +488,15 @@
 
 
 def _canary_servers(servers: list[ServerT], now_s: float) -> list[ServerT]:
-    """Returns the servers that the canary uses, the same on every node."""
+    """Returns the servers that the canary uses, the same on every node.
+
+    They are in different failure domains if possible, so that the loss of one
+    doesn't look like a fault of the version.
+    """
     servers.sort(
         key=lambda server: (now_s < server.cold_until_s, server.entry.server_id)
     )
-    return servers[:CANARY_SERVER_COUNT]
+    domain = servers[0].entry.failure_domain
+    rest = servers[1:]
+    rest.sort(key=lambda server: server.entry.failure_domain == domain)
+    return [servers[0], *rest[: CANARY_SERVER_COUNT - 1]]
