--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -161,8 +161,7 @@
         known = self._documents.get(order.service)
         self._documents[order.service] = document
         if known is None or known.order.target_version != order.target_version:
-            self.traffic.forget(order.service)
-            self.traffic.target_versions[order.service] = order.target_version
+            self.traffic.promoted_versions.pop(order.service, None)
             self._logged_reasons.pop(order.service, None)
             self._context.log.log_view_change(
                 "rollout ordered",
@@ -176,9 +175,9 @@
         if status is None or status.target_version != order.target_version:
             return
         if status.state is not RolloutState.RUNNING:
-            self.traffic.forget(order.service)
+            self.traffic.promoted_versions.pop(order.service, None)
         elif status.step is RolloutStep.PROMOTE:
-            self.traffic.promoted_services.add(order.service)
+            self.traffic.promoted_versions[order.service] = order.target_version
         if (
             known is None
             or known.status is None
@@ -199,7 +198,7 @@
         for service in services:
             if self._documents.pop(service, None) is None:
                 continue
-            self.traffic.forget(service)
+            self.traffic.promoted_versions.pop(service, None)
             self._next_write_at_s.pop(service, None)
             self._logged_reasons.pop(service, None)
             self._rollouts.remove_order(service, now_s)
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -107,19 +107,13 @@
     """Restricts attempts to the versions that rollouts allow.
 
     Attributes:
-        target_versions: The new version of each service whose rollout runs.
-        promoted_services: The services whose rollout is in the promote step.
+        promoted_versions: The new version of each service whose rollout is in
+            the promote step.
     """
 
     def __init__(self, rollouts: NodeRollouts) -> None:
         self._rollouts = rollouts
-        self.target_versions: dict[str, str] = {}
-        self.promoted_services: set[str] = set()
-
-    def forget(self, service: str) -> None:
-        """Records that no rollout of a service runs."""
-        self.target_versions.pop(service, None)
-        self.promoted_services.discard(service)
+        self.promoted_versions: dict[str, str] = {}
 
     def choose(
         self,
@@ -130,9 +124,7 @@
     ) -> KnownServer | SendRefusal:
         """Chooses a server of a version that an attempt may use.
 
-        In the promote step, an old one is chosen only if no new one can be. So
-        is one of the only old version while that is not known for long, as
-        after a start during a rollout.
+        In the promote step, an old one is chosen only if no new one can be.
 
         Args:
             service: The service.
@@ -140,21 +132,16 @@
             now_s: The time.
             choose_of: Chooses one of several servers.
         """
-        selected = self._rollouts.select(service, servers, now_s)
-        chosen = choose_of(selected)
-        target_version = self.target_versions.get(service)
-        if not isinstance(chosen, SendRefusal) or target_version is None:
+        chosen = choose_of(self._rollouts.select(service, servers, now_s))
+        promoted_version = self.promoted_versions.get(service)
+        if not isinstance(chosen, SendRefusal) or promoted_version is None:
             return chosen
         old = [
             server
             for server in servers
-            if server.entry.version != target_version
+            if server.entry.version != promoted_version
             and self._rollouts.may_send(service, server.entry.version, now_s)
         ]
-        if service not in self.promoted_services and (
-            selected or len({server.entry.version for server in old}) != 1
-        ):
-            return chosen
         second = choose_of(old)
         return chosen if isinstance(second, SendRefusal) else second
 
