Test how nodes take part in rollouts

Two of the tests were seen to fail without their change: the kind that an older build doesn't name, and an object whose status alone differs after a restore.

--- a/packages/core/tests/test_edge_nodes.py
+++ b/packages/core/tests/test_edge_nodes.py
@@ -297,6 +297,18 @@
     assert nodes.choose_newer_peer(1, 7, UNRESPONSIVE_AFTER_S + 1) is None
 
 
+def test_kind_that_an_older_build_does_not_name_is_still_followed() -> None:
+    """Guards against one older build that hides a kind from all nodes."""
+    nodes = EdgeNodes(info("node-1"), 0.0)
+    nodes.record_heartbeat(heartbeat("node-2", versions=(3, 9)), 0.0)
+    nodes.record_heartbeat(heartbeat("node-3", versions=(4,)), 0.0)
+    assert nodes.newest_changed_versions(0.1) == (4, 9)
+    assert nodes.all_have_changes(0, 3, 0.1)
+    assert not nodes.all_have_changes(0, 4, 0.1)
+    assert not nodes.all_have_changes(1, 9, 0.1)
+    assert nodes.all_have_changes(1, 9, UNRESPONSIVE_AFTER_S + 1)
+
+
 def test_peers_with_newer_changes_are_chosen_in_turn_own_domain_first() -> None:
     nodes = EdgeNodes(info("node-1"), 0.0)
     for number, version in ((2, 3), (3, 4), (4, 5)):
--- a/packages/core/tests/test_object_cache.py
+++ b/packages/core/tests/test_object_cache.py
@@ -3,7 +3,10 @@
 Answers come from the store and from peers, in any order.
 """
 
-from mulberrybay_core.object_cache import ObjectCache
+import pytest
+
+from mulberrybay_core.object_cache import ObjectCache, RestoredObject
+from mulberrybay_core.restore_rules import keep_known_order
 from mulberrybay_core.store_messages import ObjectList, StoredObject
 
 
@@ -91,3 +94,30 @@
     assert changes.removed_names == ()
     assert version_by_name(cache) == {"a": 9}
     assert cache.replace(ObjectList((), 10)).removed_names == ("a",)
+
+
+def test_object_whose_status_alone_differs_is_passed_on_again() -> None:
+    """Guards against a peer that keeps the status of before a restore."""
+    cache = ObjectCache()
+    cache.replace(ObjectList((stored("a", 1),), 5))
+    cache.reset(ObjectList((stored("a", 1)._replace(status={"state": 1}),), 9))
+    assert (cache.changed_version, version_by_name(cache)) == (9, {"a": 9})
+
+
+ORDER = stored("web", 5)
+
+
+@pytest.mark.parametrize(
+    ("restored", "kept"),
+    [
+        (RestoredObject(ORDER, None, stored("web", 3)), ORDER),
+        (RestoredObject(ORDER, None, None), ORDER),
+        (RestoredObject(None, None, ORDER), ORDER),
+        (RestoredObject(None, ORDER, stored("web", 3)), None),
+    ],
+)
+def test_order_of_a_rollout_is_kept_as_it_was_last_known(
+    restored: RestoredObject, kept: StoredObject | None
+) -> None:
+    """Guards against a finished rollout that an older copy starts again."""
+    assert keep_known_order(restored) == kept
--- a/packages/edge/tests/test_dispatcher.py
+++ b/packages/edge/tests/test_dispatcher.py
@@ -69,7 +69,7 @@
         return True
 
 
-class _Setup:
+class DispatchSetup:
     """A dispatcher of one service with two servers."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -91,7 +91,7 @@
         self.directory = context.directory
         self.results: list[AttemptResult] = []
 
-    def send(self, *, is_retry: bool = False) -> object:
+    def send(self, *, is_retry: bool = False, route_name: str = "") -> object:
         request = CallerRequest(
             "GET", "/x", "/x", "a.example", (), b"", "id", 0.0, None
         )
@@ -103,6 +103,7 @@
             TriedServers(2),
             is_retry,
             is_retryable=True,
+            route_name=route_name,
         )
         return self.dispatcher.send(spec, self.results.append)
 
@@ -113,7 +114,7 @@
 def test_retry_that_reaches_no_server_is_given_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     count = setup.available_count()
     setup.send(is_retry=True)
     assert setup.available_count() == count - 1
@@ -128,7 +129,7 @@
 def test_retry_that_reached_a_server_stays_charged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     count = setup.available_count()
     setup.send(is_retry=True)
 
@@ -142,7 +143,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The conditions are checked again at the moment of sending."""
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     setup.connections.is_open = True
     count = setup.available_count()
     monkeypatch.setattr(setup.directory, "may_use", lambda *_: False)
@@ -154,7 +155,7 @@
 def test_attempt_whose_connection_is_not_open_has_not_been_sent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     attempt: Any = setup.send()
     assert not attempt.is_sent
 
@@ -174,7 +175,7 @@
     keeps_idle: bool,
 ) -> None:
     """The idle connections of many nodes would use up a server's cap."""
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     setup.dispatcher.is_advertised = is_advertised
     setup.dispatcher.share_divisor = share_divisor
     setup.send()
@@ -182,7 +183,7 @@
     assert setup.connections.started[0][1] is keeps_idle
 
 
-def name_limits(setup: _Setup, per_s: float) -> None:
+def name_limits(setup: DispatchSetup, per_s: float) -> None:
     for server in setup.directory.usable("records"):
         server.limit = ServerLimit(0.0, setup.timers.now_s)
         server.limit.name(per_s, setup.timers.now_s)
@@ -191,7 +192,7 @@
 def test_attempt_that_waits_for_a_connection_keeps_to_a_limit_named_meanwhile(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     setup.send()
     started, _ = setup.connections.started[0]
 
@@ -204,7 +205,7 @@
 def test_hedges_and_retries_are_charged_to_the_limit_too(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     name_limits(setup, 1.0)
     setup.timers.advance(1.1)
 
@@ -216,7 +217,7 @@
 def test_attempt_that_is_cancelled_before_it_is_sent_uses_up_no_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     name_limits(setup, 1.0)
     setup.timers.advance(1.1)
     attempts: list[Any] = [setup.send(), setup.send()]
@@ -235,7 +236,7 @@
 def test_limit_holds_until_a_reply_to_a_later_request_names_none(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     server, other = setup.directory.usable("records")
     setup.directory.drop(other.entry.server_id)
     for _ in range(2):
@@ -257,7 +258,7 @@
 def test_success_of_a_program_that_is_no_backend_server_is_not_used(
     monkeypatch: pytest.MonkeyPatch, headers: dict[str, str]
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = DispatchSetup(monkeypatch)
     setup.send()
     started, _ = setup.connections.started[0]
 
--- a/packages/edge/tests/test_edge_settings.py
+++ b/packages/edge/tests/test_edge_settings.py
@@ -1,14 +1,18 @@
 """The settings of an edge node."""
 
 import math
+import pathlib
+from typing import Final
 
 import pytest
 
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
+from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_edge.settings import EdgeBoundNames, EdgePaths, EdgeSettings
 from mulberrybay_edge.settings_file import parse_edge_settings
 
+ROOT: Final = pathlib.Path(__file__).parents[3]
 TEXT = """
 node_name = "node-1"
 failure_domain = "zone-a"
@@ -55,6 +59,42 @@
         parse_times(f"bounds = '{bounds}'")
 
 
+ROLLOUTS = """
+[rollouts]
+expose_share = 0.1
+expose_slack = 50
+rollback_ms = 5000
+"""
+
+
+def test_rollouts_are_off_without_their_table() -> None:
+    text = TEXT.format(bounds="")
+    assert parse_text(text).rollouts is None
+    assert parse_text(text + ROLLOUTS).rollouts == RolloutTerms(0.1, 50.0, 5.0)
+
+
+@pytest.mark.parametrize("line", ROLLOUTS.strip().splitlines()[1:])
+def test_bound_of_rollouts_that_lacks_or_is_no_number_is_rejected(
+    line: str,
+) -> None:
+    """Guards against an exposure that is bounded by half of the bounds."""
+    text = TEXT.format(bounds="") + ROLLOUTS
+    for other in ("", f"{line.partition(' = ')[0]} = -1"):
+        with pytest.raises(ValueError, match=line.partition(" = ")[0]):
+            parse_text(text.replace(line, other))
+
+
+def test_template_has_the_table_only_if_the_share_is_present() -> None:
+    template = (ROOT / "deploy" / "settings.toml.template").read_text()
+    start = template.index("{{#bounds.expose_share}}")
+    end = template.index("{{/bounds.expose_share}}")
+    section = template[start:end]
+    assert "[rollouts]" not in template[:start] + template[end:]
+    for line in ROLLOUTS.strip().splitlines()[1:]:
+        name = line.partition(" = ")[0]
+        assert f"{name} = {{{{bounds.{name}}}}}" in section
+
+
 LINES = [line for line in TEXT.splitlines() if " = " in line]
 VALUES = ["nan", "inf", "-1", "[]", "{}", "true", "''", "'x'", "70000", "1e400"]
 
--- a/packages/edge/tests/test_heartbeat_codec.py
+++ b/packages/edge/tests/test_heartbeat_codec.py
@@ -14,6 +14,7 @@
     SuspectReport,
 )
 from mulberrybay_core.request_identity import IDENTITY_BYTES
+from mulberrybay_core.rollouts import ArmCounts, RolloutCounts
 from mulberrybay_edge.heartbeat_codec import (
     MAX_HEARTBEAT_BYTES,
     HeartbeatError,
@@ -53,17 +54,44 @@
 )
 
 
+def make_rollouts(count: int, route_count: int) -> tuple[RolloutCounts, ...]:
+    arm = ArmCounts(2**32 - 1, 3, -12.5, 45.625, 1200)
+    arms = {
+        (is_new, f"route-{number}"): arm
+        for is_new in (False, True)
+        for number in range(route_count)
+    }
+    return tuple(
+        RolloutCounts(f"service-{number}", "v2", 31.5, arms, 3, True, 40)
+        for number in range(count)
+    )
+
+
 @pytest.mark.parametrize("lacks_servers", [False, True])
 @pytest.mark.parametrize("suspects", [(), REPORTS])
+@pytest.mark.parametrize("rollouts", [(), make_rollouts(2, 3)])
 def test_decoded_heartbeat_equals_encoded_one(
-    lacks_servers: bool, suspects: tuple[SuspectReport, ...]
+    lacks_servers: bool,
+    suspects: tuple[SuspectReport, ...],
+    rollouts: tuple[RolloutCounts, ...],
 ) -> None:
     heartbeat = HEARTBEAT._replace(
-        lacks_servers=lacks_servers, suspects=suspects
+        lacks_servers=lacks_servers, suspects=suspects, rollouts=rollouts
     )
     assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
 
 
+@pytest.mark.parametrize("count", [8, 20])
+def test_rollouts_that_do_not_fit_are_left_out_from_the_end(count: int) -> None:
+    """Guards against heartbeats that receivers reject as too long."""
+    rollouts = make_rollouts(count, 9)
+    heartbeat = HEARTBEAT._replace(suspects=REPORTS, rollouts=rollouts)
+    decoded = decode_heartbeat(encode_heartbeat(heartbeat))
+    assert decoded.suspects == REPORTS
+    assert 0 < len(decoded.rollouts) < 8
+    assert decoded.rollouts == rollouts[: len(decoded.rollouts)]
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/packages/edge/tests/test_message_versions.py
+++ b/packages/edge/tests/test_message_versions.py
@@ -7,12 +7,16 @@
 import capnp
 import pytest
 
+from mulberrybay_core.object_cache import CacheUpdate
+from mulberrybay_core.store_messages import StoredObject
 from mulberrybay_edge import heartbeat_codec
 from mulberrybay_edge.heartbeat_codec import (
     PROTOCOL_VERSION,
     HeartbeatError,
     decode_heartbeat,
 )
+from mulberrybay_edge.peer_exchange import decode_update, encode_update
+from mulberrybay_nodes.frames import FrameReader
 
 SCHEMA_TEXT = (
     pathlib.Path(heartbeat_codec.__file__)
@@ -82,6 +86,26 @@
     assert heartbeat.rollouts == ()
 
 
+def test_object_of_an_older_release_has_no_status(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against nodes that can't learn objects from older ones."""
+    text = SCHEMA_TEXT.replace("  status @3 :Text;\n", "")
+    older = load(tmp_path / "older.capnp", text, "@0xb3f1d9c26a7e405c;")
+    item = {"name": "a", "version": 1, "value": "{}"}
+    message = older.Update.new_message(
+        version=PROTOCOL_VERSION, storeVersion=1, names=["a"], items=[item]
+    )
+    _, update = decode_update(zlib.compress(message.to_bytes()))
+    assert update.items == (StoredObject("", "a", 1, {}),)
+
+    stored = StoredObject("", "a", 1, {}, {"state": "running"})
+    frame = encode_update(0, CacheUpdate(1, ("a",), (stored,)))
+    (payload,) = FrameReader().feed(frame)
+    with older.Update.from_bytes(zlib.decompress(payload)) as read:
+        assert [item.value for item in read.items] == ["{}"]
+
+
 def test_heartbeat_of_another_protocol_version_is_rejected(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/packages/edge/tests/test_peer_exchange.py
+++ b/packages/edge/tests/test_peer_exchange.py
@@ -12,9 +12,11 @@
 from mulberrybay_edge.peer_exchange import (
     MAX_CONCURRENT_REPLY_COUNT,
     PeerExchange,
+    decode_update,
+    encode_update,
 )
 from mulberrybay_edge.store_watch import StoreWatch
-from mulberrybay_nodes.frames import wrap_frame
+from mulberrybay_nodes.frames import FrameReader, wrap_frame
 from mulberrybay_runtime.timers import Timers
 
 PEER = Address("127.0.0.1", 1)
@@ -115,6 +117,17 @@
     assert stream.is_closed
 
 
+def test_status_of_an_object_is_passed_on() -> None:
+    """Guards against nodes that learn a rollout's order but not its state."""
+    items = (
+        StoredObject("rollouts", "a", 1, VALUE, {"state": "completed"}),
+        StoredObject("rollouts", "b", 2, VALUE),
+    )
+    frame = encode_update(0, CacheUpdate(2, ("a", "b"), items))
+    _, update = decode_update(FrameReader().feed(frame)[0])
+    assert [item[1:] for item in update.items] == [item[1:] for item in items]
+
+
 def test_reply_is_compressed_below_quarter_of_object_size() -> None:
     """Guards against large replies, which take the link from callers."""
     informed, lagging = _Node(400), _Node()
--- a/tests/on_platform/test_store_input.py
+++ b/tests/on_platform/test_store_input.py
@@ -1,6 +1,7 @@
 """Whatever the store's replies hold, they give values or one kind of failure."""
 
 import json
+import math
 import time
 from typing import Any, Final
 
@@ -9,6 +10,12 @@
 from hypothesis import given, settings, strategies
 
 from mulberrybay_core.errors import Failure
+from mulberrybay_core.rollouts import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    RolloutStep,
+)
 from mulberrybay_core.routing import RoutingConfiguration
 from mulberrybay_core.store_messages import ObjectList, StoredObject
 from mulberrybay_deployment.documents import DeploymentDocuments
@@ -114,6 +121,83 @@
     assert decoded is None or isinstance(decoded, RoutingConfiguration)
 
 
+ORDER: Final[dict[str, Any]] = {
+    "service": "records",
+    "target_version": "v2",
+    "duration_s": 30,
+}
+STATUS: Final = RolloutStatus(
+    RolloutState.ROLLED_BACK, RolloutStep.DONE, "v2", 2.5, "latency"
+)
+
+
+@settings(deadline=None, max_examples=300)
+@given(
+    changes=strategies.dictionaries(
+        strategies.sampled_from([*ORDER, "more"]), values
+    ),
+    status=strategies.none()
+    | strategies.dictionaries(
+        strategies.sampled_from([*DOCUMENTS.encode_rollout_status(STATUS)]),
+        values | strategies.sampled_from(["v2", "running", "promote"]),
+    ),
+)
+def test_any_rollout_is_decoded_or_left_out(
+    changes: dict[str, Any], status: dict[str, Any] | None
+) -> None:
+    stored = StoredObject("", "records", 7, {**ORDER, **changes}, status)
+    document = DOCUMENTS.read_rollout(stored)
+    if document is not None:
+        assert document.order.service == "records"
+        assert 0 < document.order.duration_s < math.inf
+        document.order.target_version.encode()
+    if document is not None and document.status is not None:
+        assert 0 <= document.status.age_s < math.inf
+        json.dumps(DOCUMENTS.encode_rollout_status(document.status))
+
+
+@pytest.mark.parametrize(
+    ("value", "status"),
+    [
+        (DOCUMENTS.encode_rollout_status(STATUS), STATUS),
+        (
+            {"state": "running", "target_version": "v2", "step": "unknown"},
+            RolloutStatus(RolloutState.RUNNING, RolloutStep.CANARY, "v2"),
+        ),
+        (
+            {"state": "completed", "target_version": "v2"},
+            RolloutStatus(RolloutState.COMPLETED, RolloutStep.DONE, "v2"),
+        ),
+        ({"state": "halted", "target_version": "v2"}, None),
+        ({"state": "running"}, None),
+    ],
+)
+def test_status_is_read_as_it_was_written(
+    value: dict[str, Any], status: RolloutStatus | None
+) -> None:
+    """Guards against a status of another build that ends a rollout."""
+    text = json.dumps({"meta": {"name": "records", "rev": 7}, "spec": ORDER})
+    body = json.loads(text) | {"status": value}
+    stored = DIALECT.decode_object(make_reply(json.dumps(body).encode()))
+    assert isinstance(stored, StoredObject)
+    document = DOCUMENTS.read_rollout(stored)
+    assert document is not None
+    assert document.status == status
+    assert document.order == RolloutOrder("records", "v2", 30.0, 7)
+
+
+def test_status_is_written_under_the_revision() -> None:
+    call = DIALECT.write_status("rollouts", "a/b", {"state": "running"}, 7)
+    assert (call.method, call.path) == (
+        "PUT",
+        "/api/objects/rollouts/a%2Fb/status",
+    )
+    assert json.loads(call.body) == {
+        "meta": {"name": "a/b", "rev": 7},
+        "status": {"state": "running"},
+    }
+
+
 @pytest.mark.parametrize(
     "odd",
     ['{"meta":{"name":"b","rev":-1}}', '{"meta":{"name":"b"}}', "17"],
