--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -322,6 +322,7 @@
         crash_after_s: How long such a request runs before.
         restart_after_s: When the server is back after a crash.
         crashed_at_s: When it crashed.
+        is_failing: Whether the server answers a request with 500.
         on_running: Called with whether it runs, as that changes.
     """
 
@@ -345,6 +346,7 @@
         self.open_connection_count = 0
         self.is_fatal: Callable[[Request], bool] = lambda _: False
         self.crash_after_s = 0.02
+        self.is_failing: Callable[[Request], bool] = lambda _: False
         self.restart_after_s = 1.5
         self.crashed_at_s: list[float] = []
         self.server: HttpServer | None = None
@@ -436,7 +438,8 @@
         )
         if not self._is_shard:
             headers = (*headers, ("X-Request-Id", self.echoed_id or request_id))
-        return Response(self.status, body, headers, self.delivery)
+        status = 500 if self.is_failing(request) else self.status
+        return Response(status, body, headers, self.delivery)
 
 
 async def serve(
