Send hedges and retries to the old version during a canary

In the canary step a hedge or retry now goes to an old server if one can be used; the evidence loses only replies to requests that had failed or were late already. Ruled out: no hedges during a canary, which would cost callers more. In the promote step nothing changes: old servers are used there only if no new one can be. The new test fails without the change.

--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -316,9 +316,7 @@
                 continue
             candidates.append((server, self._state(server_id)))
         if context.rollouts is not None:
-            candidates = context.rollouts.narrow(
-                spec.service, candidates, now_s
-            )
+            candidates = context.rollouts.narrow(spec, candidates, now_s)
         query = PlacementQuery(
             now_s, spec.history.typical_latency_s(), context.failure_domain
         )
--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -161,7 +161,7 @@
         known = self._documents.get(order.service)
         self._documents[order.service] = document
         if known is None or known.order.target_version != order.target_version:
-            self.traffic.promoted_versions.pop(order.service, None)
+            self.traffic.begin(order.service, order.target_version)
             self._logged_reasons.pop(order.service, None)
             self._context.log.log_view_change(
                 "rollout ordered",
@@ -175,9 +175,9 @@
         if status is None or status.target_version != order.target_version:
             return
         if status.state is not RolloutState.RUNNING:
-            self.traffic.promoted_versions.pop(order.service, None)
+            self.traffic.end(order.service)
         elif status.step is RolloutStep.PROMOTE:
-            self.traffic.promoted_versions[order.service] = order.target_version
+            self.traffic.promote(order.service, order.target_version)
         if (
             known is None
             or known.status is None
@@ -198,7 +198,7 @@
         for service in services:
             if self._documents.pop(service, None) is None:
                 continue
-            self.traffic.promoted_versions.pop(service, None)
+            self.traffic.end(service)
             self._next_write_at_s.pop(service, None)
             self._logged_reasons.pop(service, None)
             self._rollouts.remove_order(service, now_s)
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -107,14 +107,31 @@
     """Restricts attempts to the versions that rollouts allow.
 
     Attributes:
-        promoted_versions: The new version of each service whose rollout is in
-            the promote step.
+        canary_versions: The new version of each service whose rollout is in
+            the canary step.
+        promoted_versions: The same for the promote step.
     """
 
     def __init__(self, rollouts: NodeRollouts) -> None:
         self._rollouts = rollouts
+        self.canary_versions: dict[str, str] = {}
         self.promoted_versions: dict[str, str] = {}
 
+    def begin(self, service: str, version: str) -> None:
+        """Records that a rollout was ordered."""
+        self.end(service)
+        self.canary_versions[service] = version
+
+    def promote(self, service: str, version: str) -> None:
+        """Records that a rollout has reached the promote step."""
+        self.end(service)
+        self.promoted_versions[service] = version
+
+    def end(self, service: str) -> None:
+        """Records that a rollout has ended."""
+        self.canary_versions.pop(service, None)
+        self.promoted_versions.pop(service, None)
+
     def choose(
         self,
         service: str,
@@ -146,9 +163,22 @@
         return chosen if isinstance(second, SendRefusal) else second
 
     def narrow(
-        self, service: str, candidates: list[Candidate], now_s: float
+        self, spec: AttemptSpec, candidates: list[Candidate], now_s: float
     ) -> list[Candidate]:
-        """Chooses between the versions of the servers that have room."""
+        """Chooses between the versions of the servers that have room.
+
+        In the canary step, a hedge or retry goes to an old server if it can:
+        the request may have failed since the version is bad.
+        """
+        service = spec.service
+        canary_version = self.canary_versions.get(service)
+        if spec.is_retry and canary_version is not None:
+            old = [
+                candidate
+                for candidate in candidates
+                if candidate[0].entry.version != canary_version
+            ]
+            return old or candidates
         servers = [server for server, _ in candidates]
         kept = self._rollouts.narrow(service, servers, now_s)
         if len(kept) == len(servers):
--- a/packages/edge/tests/test_rollout_traffic.py
+++ b/packages/edge/tests/test_rollout_traffic.py
@@ -208,7 +208,21 @@
     )
     setup.directory.pause(new, setup.timers.now_s + 5)
     assert setup.send_to("v2") is SendRefusal.PAUSED
-    setup.traffic.promoted_versions["records"] = "v2"
+    setup.traffic.promote("records", "v2")
     assert setup.send_to("v2").server_id != new.entry.server_id
     setup.rollouts.forbidden = {"v1"}
     assert setup.send_to("v2") is SendRefusal.PAUSED
+
+
+@pytest.mark.parametrize(("promoted", "version"), [(False, "v1"), (True, "v2")])
+def test_retry_goes_to_an_old_server_in_the_canary_step(
+    setup: _Setup, promoted: bool, version: str
+) -> None:
+    """Guards against requests that fail as all their attempts are the canary."""
+    setup.traffic.begin("records", "v2")
+    if promoted:
+        setup.traffic.promote("records", "v2")
+        setup.rollouts.selected = {"v2"}
+    for _ in range(20):
+        server_id = setup.send(is_retry=True).server_id
+        assert server_id == ("records-0" if version == "v1" else "records-1")
