Write the status again at once after the store returned from an older copy

Nodes keep the object as they knew it for 10 s, so the writer believed that the store had it, and for an order that still ran it wrote under a version that the store never gave. Now the status of a kept order counts as not written; the write conflicts, the object is read back, and is written under the store's own revision.

A reply's latency counts from when its request is sent, not with the time to open a connection, which new servers need more often.

Ruled out: to trust the copy at once, which other kinds must not do either.

--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -106,6 +106,7 @@
         self._context = context
         self._rollouts = rollouts
         self.traffic = RolloutTraffic(rollouts)
+        self._watch: StoreWatch | None = None
         self._kind_index = 0
         self._is_listed = False
         self._has_orders = False
@@ -120,9 +121,10 @@
         self.write_counts = dict.fromkeys(("written", "conflict", "failed"), 0)
 
     def attach(self, watches: Sequence[StoreWatch]) -> None:
-        """Finds the place of the watch of orders among all watches."""
+        """Finds the watch of orders and its place among all watches."""
         kind = self._context.documents.kinds.rollouts
         self._kind_index = [watch.kind for watch in watches].index(kind)
+        self._watch = watches[self._kind_index]
 
     # Orders and their status; see `WatchListener`.
 
@@ -134,6 +136,10 @@
             self._apply(stored, now_s)
         self._remove(self._documents.keys() - names, now_s)
         self._is_listed = True
+        if self._watch is not None and self._watch.is_restoring:
+            # The list holds what this node has kept, and the store may lack it.
+            for order, _ in self._documents.values():
+                self._rollouts.set_order(order, None, now_s)
 
     def on_changes(self, changes: ObjectList) -> None:
         """Applies orders that were written or removed."""
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -56,6 +56,8 @@
         self.give_back()
         if not self._rollouts.may_send(self._service, self._version, now_s):
             return False
+        # New servers get more requests on connections that were just opened.
+        self._started_at_s = now_s
         self._rollouts.record_sent(self._service, self._version, now_s)
         self._is_charged = True
         return True
--- a/packages/edge/tests/test_rollout_control.py
+++ b/packages/edge/tests/test_rollout_control.py
@@ -80,6 +80,11 @@
         self.writes.append((status["status"], expected_version, reply))
 
 
+class _Watch:
+    kind = "rollouts"
+    is_restoring = False
+
+
 def _info(name: str) -> EdgeNodeInfo:
     return EdgeNodeInfo(name, 1, "zone-a", ADDRESS, ADDRESS)
 
@@ -108,6 +113,9 @@
             ),
             self.rollouts,
         )
+        self.watch = _Watch()
+        watches: Any = [self.watch]
+        self.control.attach(watches)
 
     def hear(self, name: str, store_age_s: float) -> None:
         beat = EdgeHeartbeat(_info(name), True, 1, (), store_age_s=store_age_s)
@@ -211,6 +219,18 @@
     assert node.update() == [(RolloutState.RUNNING, copied_version)]
 
 
+def test_final_state_that_the_copy_lacks_is_written_again(
+    node: _Node,
+) -> None:
+    """Guards against a final state that is missing for as long as nodes keep it."""
+    node.put(6, COMPLETED)
+    assert node.update() == []
+    node.watch.is_restoring = True
+    kept = make_order(make_position(1, 9), COMPLETED)
+    node.control.on_list(ObjectList((kept,), kept.version))
+    assert node.update() == [(RolloutState.COMPLETED, kept.version)]
+
+
 @pytest.mark.parametrize(
     ("peer", "store_age_s", "writes"),
     [
--- a/packages/edge/tests/test_rollout_traffic.py
+++ b/packages/edge/tests/test_rollout_traffic.py
@@ -181,6 +181,16 @@
     assert setup.rollouts.calls[-1][-1] == 0.0
 
 
+def test_time_to_open_a_connection_is_no_latency_of_the_version(
+    setup: _Setup,
+) -> None:
+    """Guards against new servers that look slow since connections are new."""
+    setup.send_to("v2")
+    setup.timers.now_s += 0.5
+    setup.end(_reply(200, OK), after_s=0.02)
+    assert setup.rollouts.calls[-1][-1] < 0.5
+
+
 def test_request_counts_once_whatever_is_sent_for_it(setup: _Setup) -> None:
     """Guards against retries that raise the bound of the new version."""
     setup.send_to("v1", is_retry=True)
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -335,6 +335,11 @@
 
         self._loop.run(stop())
 
+    def stop_at_once(self, backend: BackendStandIn) -> None:
+        """Ends a backend server for good, without its entry."""
+        self.remove("servers", backend.server_id)
+        self._loop.run(backend.stop_at_once())
+
     def crash(self, backend: BackendStandIn) -> None:
         """Ends a backend server, which starts again by itself."""
         self._loop.run(backend.crash())
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -25,6 +25,7 @@
 T = TypeVar("T")
 PAGE_COUNT: Final = 5
 OBJECTS_PATH: Final = "/api/objects/"
+NOT_FOUND: Final = Response(404)
 NOT_EXECUTED_503: Final = Response(503, b"", (("X-Not-Executed", "1"),))
 
 
@@ -215,6 +216,9 @@
         match request.method:
             case "GET" if "watch" in request.query:
                 return await self._watch(kind, request.query)
+            case "GET" if name:
+                existing = self._objects.get(kind, {}).get(name)
+                return json_response(200, existing) if existing else NOT_FOUND
             case "GET":
                 return self._list(kind, request.query)
             case "POST":
@@ -397,6 +401,13 @@
             self.restart_after_s, lambda: loop.create_task(self._start_again())
         )
 
+    async def stop_at_once(self) -> None:
+        """Ends all connections and refuses new ones for good."""
+        if self.server is not None:
+            self.server.stop_listening()
+        for connection in [*self._connections]:
+            connection.close()
+
     async def _start_again(self) -> None:
         if self.server is not None:
             await self.server.listen()
