--- a/packages/core/mulberrybay_core/rollouts/evidence.py
+++ b/packages/core/mulberrybay_core/rollouts/evidence.py
@@ -15,9 +15,9 @@
 # replies.
 OLD_PRIOR: Final = (0.2, 20.0)
 BAD_PRIORS: Final = ((2.0, 14.0), (4.0, 60.0))
-# The replies as on all routes together that are assumed of the old version on
-# one route.
-ROUTE_PRIOR_COUNT: Final = 20.0
+# The replies as of all the old version's that are assumed on one route, or in the
+# last seconds.
+PART_PRIOR_COUNT: Final = 20.0
 # The bad replies on one route without which the others decide.
 MIN_ROUTE_BAD_COUNT: Final = 2
 # A bad version takes at least this multiple of the time.
@@ -28,8 +28,9 @@
 # weight in latencies.
 PRIOR_LOG_LATENCY_SD: Final = 0.5
 PRIOR_LATENCY_COUNT: Final = 4.0
-# Standard deviation of the difference between servers of the same version.
-SERVER_LOG_LATENCY_SD: Final = 0.15
+# Standard deviation of the difference between the few servers of the canary and
+# the old ones, if the versions are the same.
+SERVER_LOG_LATENCY_SD: Final = 0.2
 MIN_LATENCY_COUNT: Final = 3
 # Latencies as typical for the route that are assumed of the old version, which
 # has few replies when the request rate is low.
@@ -85,26 +86,38 @@
     )
 
 
-def judge(arms: Mapping[ArmKey, ArmCounts]) -> Evidence:
-    """Compares the new version with the old one."""
+def prior_of(
+    old: ArmCounts, old_prior: tuple[float, float] = OLD_PRIOR
+) -> tuple[float, float]:
+    """Returns what the counts of the old version let expect of a part of it."""
+    bad_ratio = (old.bad_count + old_prior[0]) / (
+        old.reply_count + sum(old_prior)
+    )
+    return PART_PRIOR_COUNT * bad_ratio, PART_PRIOR_COUNT * (1 - bad_ratio)
+
+
+def judge(
+    arms: Mapping[ArmKey, ArmCounts],
+    old_prior: tuple[float, float] = OLD_PRIOR,
+) -> Evidence:
+    """Compares the new version with the old one.
+
+    Args:
+        arms: The counts by version and route.
+        old_prior: The bad and good replies that are assumed of the old version.
+    """
     new = old = NO_COUNTS
     for (is_new, _), counts in arms.items():
         if is_new:
             new = add_counts(new, counts)
         else:
             old = add_counts(old, counts)
-    failure, failure_route = failure_weight(new, old, OLD_PRIOR), ALL_ROUTES
+    failure, failure_route = failure_weight(new, old, old_prior), ALL_ROUTES
     latency, latency_route = latency_weight(new, old), ALL_ROUTES
     routes = [route for is_new, route in sorted(arms) if is_new]
     if len(routes) < 2:
         routes = []
-    old_bad_ratio = (old.bad_count + OLD_PRIOR[0]) / (
-        old.reply_count + sum(OLD_PRIOR)
-    )
-    route_prior = (
-        ROUTE_PRIOR_COUNT * old_bad_ratio,
-        ROUTE_PRIOR_COUNT * (1 - old_bad_ratio),
-    )
+    route_prior = prior_of(old, old_prior)
     for route in routes:
         # The fault may be on any of the routes, which makes it less likely that
         # it is on this one.
--- a/packages/core/mulberrybay_core/rollouts/observed.py
+++ b/packages/core/mulberrybay_core/rollouts/observed.py
@@ -14,6 +14,7 @@
     Evidence,
     add_counts,
     judge,
+    prior_of,
     subtract_counts,
 )
 from mulberrybay_core.rollouts.orders import ArmCounts, ArmKey
@@ -27,7 +28,7 @@
 MIN_BAD_COUNT: Final = 2
 MIN_LATENCY_COUNT: Final = 6
 # The fault may have appeared at any time, which makes this one less likely.
-WINDOW_PENALTY: Final = math.log(2)
+WINDOW_PENALTY: Final = math.log(6)
 
 
 class ObservedArms:
@@ -62,7 +63,7 @@
         while len(marks) > 1 and now_s - marks[1][0] >= WINDOW_S:
             marks.popleft()
         whole = judge(self.total)
-        recent = judge(self._since(marks[0][1]))
+        recent = judge(self._since(marks[0][1]), prior_of(whole.old))
         failure = latency = -math.inf
         if recent.new.bad_count >= MIN_BAD_COUNT:
             failure = recent.failure_weight - WINDOW_PENALTY
