Keep the age of an order in its status up to date

The writer now writes the status of the canary step again once the age in it is 3 s old, or a tenth of the duration. In the promote step nothing is added, since each write has to be seen by all nodes before the rollout can be completed. Evidence: the new test fails without the change. Ruled out: the time of the order by the wall clock, which may jump.

Attempts at services without a rollout skip the choice between versions.

--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -51,6 +51,11 @@
 # How long after a failed write, or one whose effect isn't seen, the next one is
 # sent.
 REWRITE_DELAY_S: Final = 0.6
+# Nodes know the age of an order from each other, and those that start when all
+# were killed from the status alone. The age in it is at most this old, or this
+# part of the duration if that is more.
+MAX_STORED_AGE_S: Final = 3.0
+MAX_STORED_AGE_RATIO: Final = 0.1
 # Judging costs processor time at each node, for each node that reports.
 LOG_PERIOD_S: Final = 1.0
 NODES_PER_LOG_PERIOD: Final = 300
@@ -115,6 +120,8 @@
         self._documents: dict[str, RolloutDocument] = {}
         self._next_write_at_s: dict[str, float] = {}
         self._logged_reasons: dict[str, str] = {}
+        # When each order was given, by the clock of this node.
+        self._ordered_at_s: dict[str, float] = {}
         self._log_at_s = 0.0
         self._reporters: set[str] = set()
         self.unreadable_count = 0
@@ -168,6 +175,7 @@
         self._documents[order.service] = document
         if known is None or known.order.target_version != order.target_version:
             self.traffic.begin(order.service, order.target_version)
+            self._ordered_at_s.pop(order.service, None)
             self._logged_reasons.pop(order.service, None)
             self._context.log.log_view_change(
                 "rollout ordered",
@@ -206,6 +214,7 @@
                 continue
             self.traffic.end(service)
             self._next_write_at_s.pop(service, None)
+            self._ordered_at_s.pop(service, None)
             self._logged_reasons.pop(service, None)
             self._rollouts.remove_order(service, now_s)
             self._context.log.log_view_change(
@@ -281,6 +290,7 @@
     def _log_reasons(self, now_s: float) -> None:
         for summary in self._rollouts.summaries(now_s):
             service = summary.order.service
+            self._ordered_at_s[service] = now_s - summary.age_s
             if (
                 summary.state is RolloutState.RUNNING
                 and self._logged_reasons.get(service, "") != summary.reason
@@ -322,9 +332,34 @@
         for order, status in self._rollouts.due_statuses(
             now_s, self._all_have_seen
         ):
-            if now_s >= self._next_write_at_s.get(order.service, 0.0):
-                self._next_write_at_s[order.service] = math.inf
-                self._write(order, status)
+            self._write_once(order, status, now_s)
+        for order, known in [*self._documents.values()]:
+            if known is not None and self._has_old_age(order, known, now_s):
+                age_s = now_s - self._ordered_at_s[order.service]
+                self._write_once(order, known._replace(age_s=age_s), now_s)
+
+    def _has_old_age(
+        self, order: RolloutOrder, status: RolloutStatus, now_s: float
+    ) -> bool:
+        """Whether a stored status of the canary step gives too low an age."""
+        if status[:3] != (
+            RolloutState.RUNNING,
+            RolloutStep.CANARY,
+            order.target_version,
+        ):
+            return False
+        age_s = now_s - self._ordered_at_s.get(order.service, now_s)
+        return age_s - status.age_s >= max(
+            MAX_STORED_AGE_S, MAX_STORED_AGE_RATIO * order.duration_s
+        )
+
+    def _write_once(
+        self, order: RolloutOrder, status: RolloutStatus, now_s: float
+    ) -> None:
+        """Writes a status unless another write for the order is in progress."""
+        if now_s >= self._next_write_at_s.get(order.service, 0.0):
+            self._next_write_at_s[order.service] = math.inf
+            self._write(order, status)
 
     def _all_have_seen(self, order: RolloutOrder) -> bool:
         return self._context.nodes.all_have_changes(
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -174,7 +174,9 @@
         """
         service = spec.service
         canary_version = self.canary_versions.get(service)
-        if spec.is_retry and canary_version is not None:
+        if canary_version is None and service not in self.promoted_versions:
+            return candidates
+        if canary_version is not None and spec.is_retry:
             old = [
                 candidate
                 for candidate in candidates
--- a/packages/edge/tests/test_rollout_control.py
+++ b/packages/edge/tests/test_rollout_control.py
@@ -167,13 +167,27 @@
 def test_writer_follows_its_status_before_its_watch(node: _Node) -> None:
     """Guards against a second write while the watch is slow."""
     assert node.update() == [(RolloutState.RUNNING, 5)]
+    on_written = node.store.writes[0][2]
+    assert node.update(1.0) == []
+    on_written(WriteResult(WriteOutcome.WRITTEN, 6))
+    assert node.update(1.0) == []
+
+
+@pytest.mark.parametrize(
+    ("status", "writes"), [(CANARY, True), (PROMOTE, False)]
+)
+def test_age_in_the_status_is_kept_up_to_date_in_the_canary_step(
+    node: _Node, status: RolloutStatus, writes: bool
+) -> None:
+    """Guards against a deadline that is missed once all nodes were killed."""
+    node.put(6, status)
     assert node.update() == []
-    node.timers.now_s += 0.1
-    # The reply of the first write, of which the test still has the handler.
-    node.put(5)
-    assert node.update() == [(RolloutState.RUNNING, 5)]
-    node.store.writes[0][2](WriteResult(WriteOutcome.WRITTEN, 6))
-    assert node.update(5.0) == []
+    assert node.update(2.5) == []
+    assert bool(node.update(1.0)) is writes
+    if writes:
+        written, version, _ = node.store.writes[0]
+        assert (written[:3], version) == (CANARY[:3], 6)
+        assert written.age_s >= 3.5
 
 
 def test_failed_write_is_sent_again_later(node: _Node) -> None:
--- a/tests/on_platform/rollout_play.py
+++ b/tests/on_platform/rollout_play.py
@@ -35,12 +35,14 @@
         name: Its name.
         fail_ratio: The ratio of its replies that are failures.
         delay_s: The processing time of a request.
+        base_delay_s: The same while it has no faults.
         good_for_s: How long after the order it has no faults.
     """
 
     name: str = "v2"
     fail_ratio: float = 0.0
     delay_s: float = 0.0
+    base_delay_s: float = 0.0
     good_for_s: float = 0.0
 
     @property
@@ -127,9 +129,10 @@
         """Follows the status as the platform does."""
         while not self._stopping.wait(POLL_S):
             for server in self.new:
-                server.delay_s = (
-                    self._version.delay_s if self._has_faults() else 0.0
-                )
+                delay_s = self._version.base_delay_s
+                if self._has_faults():
+                    delay_s = max(delay_s, self._version.delay_s)
+                server.delay_s = delay_s
             state = self.status.get("state", "")
             if not self._states or self._states[-1] != state:
                 self._states.append(state)
--- a/tests/on_platform/test_rollouts.py
+++ b/tests/on_platform/test_rollouts.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 import pytest
-from deployment import Deployment
+from deployment import Deployment, fetch
 from rollout_play import BOUNDS, RolloutPlay, Version
 
 from mulberrybay_testing.waiting import wait_until
@@ -117,3 +117,24 @@
     version = Version(delay_s=0.05)
     statuses = _play(deployment, version, service="shard-1", path="/search/")
     assert {*statuses} == {200}
+
+
+def test_node_without_the_settings_takes_no_part(
+    deployment: Deployment,
+) -> None:
+    """Guards against another choice of servers, or more calls, without them."""
+    deployment.rollout_bounds = ""
+    (node,) = deployment.start_nodes(1)
+    with RolloutPlay(deployment, SERVICE, Version(), 1.0) as play:
+        wait_until(
+            lambda: (
+                node.send_request("/records/1").status == 200
+                and play.arrival_times(play.new) != []
+            ),
+            5.0,
+            "the new version gets requests",
+        )
+    page = fetch(node.metrics_port, "/metrics").body.decode()
+    assert 'kind="servers"' in page
+    assert 'kind="rollouts"' not in page
+    assert play.status == {}
