Test that nodes without the settings take no part in rollouts

Guards deployments without the bounds: no watch of rollouts, no status, and a version that the bound would hold back gets requests as any server does. The first form of the test waited for requests at new servers beside old ones; the present choice of servers keeps to those it knows to be fast, so it now removes the old servers.

--- a/tests/on_platform/test_rollouts.py
+++ b/tests/on_platform/test_rollouts.py
@@ -126,6 +126,8 @@
     deployment.rollout_bounds = ""
     (node,) = deployment.start_nodes(1)
     with RolloutPlay(deployment, SERVICE, Version(), 1.0) as play:
+        for server in play.old:
+            deployment.remove("servers", server.server_id)
         wait_until(
             lambda: (
                 node.send_request("/records/1").status == 200
