--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -83,6 +83,7 @@
             is_retryable=self._is_retryable,
             avoided_ids=self._avoided_servers(),
             may_start=access.may_start if access is not None else None,
+            route_name=self._job.route.name,
         )
         attempt = self._context.sender.send(spec, self._on_result)
         if not isinstance(attempt, SendRefusal):
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -217,6 +217,7 @@
             is_retryable=True,
             avoided_ids=self._avoided_servers(),
             may_start=job.access.may_start if job.access is not None else None,
+            route_name=job.route.name,
         )
 
         def on_result(result: AttemptResult) -> None:
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -5,9 +5,9 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from types import TracebackType
-from typing import TYPE_CHECKING, Any, Final, NamedTuple, Self
+from typing import TYPE_CHECKING, Any, Final, Self
 
 from circuits import BaseComponent, handler
 
@@ -18,7 +18,6 @@
 )
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.overload.caller_lookups import CallerLookups
-from mulberrybay_core.platform_documents import PlatformDocuments
 from mulberrybay_core.request_owner import (
     choose_owner,
     find_owned,
@@ -41,6 +40,7 @@
 from mulberrybay_edge.fleet_sharing import FleetSharing
 from mulberrybay_edge.metric_sources import MetricSources
 from mulberrybay_edge.node_registry import NODE_KIND, NodeRegistry
+from mulberrybay_edge.platform_adapter import PlatformAdapter
 from mulberrybay_edge.platform_view import PlatformView
 from mulberrybay_edge.reach_monitor import ReachMonitor
 from mulberrybay_edge.relay_handler import (
@@ -49,12 +49,15 @@
     RelayTargets,
 )
 from mulberrybay_edge.request_context import HandlerContext, RequestCounts
+from mulberrybay_edge.rollout_control import (
+    find_status_kinds,
+    make_rollout_control,
+)
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.settings import EdgeSettings
 from mulberrybay_edge.settings_watch import SettingsWatch
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
-from mulberrybay_platform.dialect import StoreDialect
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.datagrams import Datagrams
 from mulberrybay_runtime.faults import FaultLog
@@ -85,28 +88,6 @@
 MAX_PEER_WAIT_S: Final = 1.0
 
 
-class PlatformAdapter(NamedTuple):
-    """The platform's formats and calls, as an edge node uses them.
-
-    Attributes:
-        dialect: Encodes calls to the store and decodes its replies.
-        documents: Decodes objects of the store.
-        encode_addresses: Encodes a reply of the directory, from addresses and
-            the seconds for which callers may cache it.
-        load_settings: Reads the settings file again.
-        settings_path: The path of the settings file.
-        signals_blocked_at_s: When the entry point blocked the signals that a
-            node handles.
-    """
-
-    dialect: StoreDialect
-    documents: PlatformDocuments
-    encode_addresses: Callable[[list[str], float], bytes]
-    load_settings: Callable[[], EdgeSettings]
-    settings_path: str
-    signals_blocked_at_s: float
-
-
 class EdgeNode(BaseComponent):
     """One edge node; a context manager that opens and closes its sockets."""
 
@@ -173,11 +154,21 @@
                 STORE_TIMEOUT_S,
                 detects_silence=True,
                 first_timeout_s=FIRST_STORE_TIMEOUT_S,
+                status_kinds=find_status_kinds(
+                    settings, self._adapter.documents
+                ),
             ),
             self._streams,
             self._timers,
             self._adapter.dialect,
         )
+        self._rollouts = make_rollout_control(
+            settings,
+            self._adapter.documents,
+            self._store,
+            self._nodes,
+            self._decisions,
+        )
         self._view = PlatformView(
             self._store,
             self._timers,
@@ -185,6 +176,7 @@
             self._decisions,
             self._apply_route_table,
             settings.leaving_service_s,
+            rollout_listener=self._rollouts,
         )
         self._registry = NodeRegistry(
             self._store, self._timers, self._nodes, self._crash_watch
@@ -196,7 +188,13 @@
             self._registry,
             has_bound=False,
         )
-        self._watches = [*self._view.watches, self._node_watch]
+        self._watches = [
+            *self._view.watches,
+            self._node_watch,
+            *self._view.late_watches,
+        ]
+        if self._rollouts is not None:
+            self._rollouts.attach(self._watches)
 
     def _build_dispatch(self) -> None:
         settings = self._settings
@@ -216,6 +214,7 @@
                 self._decisions,
                 self._reach,
                 self._crash_watch,
+                self._rollouts.traffic if self._rollouts else None,
             ),
             self._random,
         )
@@ -376,10 +375,8 @@
         )
 
     def _list_advertised(self) -> list[str]:
-        addresses = [
-            str(node.caller_address)
-            for node in self._sharing.choose_advertised()
-        ]
+        advertised = self._sharing.choose_advertised()
+        addresses = [str(node.caller_address) for node in advertised]
         self._random.shuffle(addresses)
         return addresses
 
@@ -439,6 +436,7 @@
                 self._decisions,
                 self._make_heartbeat,
                 self._crash_watch.merge,
+                self._rollouts.merge if self._rollouts else None,
             )
         )
 
@@ -449,11 +447,12 @@
             self._view.route_table.revision if self._view.route_table else 0,
             tuple(watch.changed_version for watch in self._watches),
             self._sharing.attempts_per_s,
-            max(watch.age_s(read_clock_s()) for watch in self._view.watches),
+            self._view.store_age_s,
             any(watch.is_restoring for watch in self._watches),
             self._nodes.is_hub(read_clock_s()),
             self._reach.is_lost,
             self._crash_watch.reports(),
+            self._rollouts.reports() if self._rollouts else (),
         )
 
     def _send_heartbeats(self) -> None:
@@ -498,6 +497,10 @@
         self._answer_reserve.lookups.advertised_count = (
             self._sharing.advertised_count
         )
+        if self._rollouts is not None:
+            self._rollouts.update(
+                self._request_dispatcher.share_divisor, self._view.route_table
+            )
         if self._peer_link is not None:
             self._peer_link.request_missing_changes()
             self._peer_link.request_restored_objects()
@@ -506,6 +509,8 @@
         if self._stopping_since_s is None:
             self._registry.remove_unresponsive(now_s)
             self._registry.update()
+            if self._rollouts is not None:
+                self._rollouts.write_due(self._view.store_age_s)
         else:
             self._stop_when_idle(now_s - self._stopping_since_s)
 
@@ -593,6 +598,7 @@
                 decisions=self._decisions,
                 faults=self._faults,
                 find_peer_link=lambda: self._peer_link,
+                rollouts=self._rollouts,
             )
             self._metrics_page = MetricsPage(EdgeMetrics(sources))
         return CONTENT_TYPE, self._metrics_page.render()
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -70,6 +70,7 @@
         avoided_ids: Servers that must not be used now.
         may_start: Returns whether its first bytes may be sent now, which is
             asked once there is a connection.
+        route_name: The route, by which replies are counted during a rollout.
     """
 
     template: "RequestTemplate"
@@ -81,6 +82,7 @@
     is_retryable: bool
     avoided_ids: frozenset[str] = frozenset()
     may_start: Callable[[], bool] | None = None
+    route_name: str = ""
 
 
 ResultHandler = Callable[[AttemptResult], None]
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -5,6 +5,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
+from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 
 
@@ -84,6 +85,7 @@
         cpu_cores: The CPU seconds that the process can use per second.
         follow_times: How long it counts on a call to the store.
         machine: What the machine allows the process to use.
+        rollouts: The bounds of rollouts; None if nodes take no part in them.
     """
 
     node_name: str
@@ -100,3 +102,4 @@
     cpu_cores: float
     follow_times: FollowTimes = DEFAULT_FOLLOW_TIMES
     machine: MachineLimits = DEFAULT_MACHINE_LIMITS
+    rollouts: RolloutTerms | None = None
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -8,6 +8,7 @@
 from mulberrybay_core.addresses import MAX_PORT, Address, parse_address
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import FollowTimes
+from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 from mulberrybay_edge.settings import (
     DEFAULT_MACHINE_LIMITS,
@@ -97,6 +98,18 @@
     )
 
 
+def _parse_rollout_terms(document: dict[str, Any]) -> RolloutTerms | None:
+    """Returns the bounds of rollouts; None if the table is absent."""
+    if "rollouts" not in document:
+        return None
+    table = _get_table(document, "rollouts")
+    return RolloutTerms(
+        expose_share=_get_number(table, "expose_share"),
+        expose_slack_count=_get_number(table, "expose_slack"),
+        rollback_s=_get_number(table, "rollback_ms") / 1000,
+    )
+
+
 def parse_edge_settings(
     text: str,
     names: HeaderNames,
@@ -147,6 +160,7 @@
         * _get_number(document, "core_speed"),
         follow_times=_parse_follow_times(document, bound_names),
         machine=_parse_machine(document),
+        rollouts=_parse_rollout_terms(document),
     )
 
 
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -213,6 +213,7 @@
         contact_ms: The bound that nodes have after a fault.
         config_apply_ms: The bound that they have otherwise.
         extra_settings: Lines that are added to the nodes' settings.
+        rollout_bounds: The lines of the settings on rollouts; none if empty.
         choose_program: Returns the program to start for a node's name.
     """
 
@@ -222,6 +223,7 @@
     contact_ms: int = 4000
     config_apply_ms: int = 3000
     extra_settings: str = ""
+    rollout_bounds: str = ""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -302,12 +304,13 @@
         return port
 
     def add_backend(
-        self, service: str, *, zone: str = "zone-a"
+        self, service: str, *, zone: str = "zone-a", version: str = "v1"
     ) -> BackendStandIn:
         """Starts a backend server and registers it in the store."""
         backend = BackendStandIn(
             service, is_shard=service in self.shards, zone=zone
         )
+        backend.version = version
         backend.connect_port = self._add_link(backend.server_id, backend.port)
 
         async def on_running(is_running: bool) -> None:
@@ -334,6 +337,11 @@
 
         self._loop.run(stop())
 
+    def stop_at_once(self, backend: BackendStandIn) -> None:
+        """Ends a backend server for good, without its entry."""
+        self.remove("servers", backend.server_id)
+        self._loop.run(backend.stop_at_once())
+
     def crash(self, backend: BackendStandIn) -> None:
         """Ends a backend server, which starts again by itself."""
         self._loop.run(backend.crash())
@@ -392,7 +400,8 @@
             f'directory = "{HOST}:{ports[3]}"\n'
             f"metrics_port = {ports[4]}\n"
             "[repeats]\n"
-            "ratio = 0.2\nwindow_s = 10\nslack_count = 56\n",
+            "ratio = 0.2\nwindow_s = 10\nslack_count = 56\n"
+            f"{self.rollout_bounds}",
             encoding="utf-8",
         )
         self._start_count += 1
--- a/tests/on_platform/standins.py
+++ b/tests/on_platform/standins.py
@@ -25,6 +25,7 @@
 T = TypeVar("T")
 PAGE_COUNT: Final = 5
 OBJECTS_PATH: Final = "/api/objects/"
+NOT_FOUND: Final = Response(404)
 NOT_EXECUTED_503: Final = Response(503, b"", (("X-Not-Executed", "1"),))
 
 
@@ -105,6 +106,11 @@
         body = self._objects.get(kind, {}).get(name)
         return None if body is None else body["spec"]
 
+    def status_of(self, kind: str, name: str) -> Any:  # noqa: ANN401
+        """Returns an object's status; None if it has none."""
+        body = self._objects.get(kind, {}).get(name)
+        return None if body is None else body["status"]
+
     async def put(self, kind: str, name: str, spec: object) -> None:
         """Writes an object, as the operator or a backend server would."""
         self._write(kind, name, spec)
@@ -154,12 +160,18 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _write(self, kind: str, name: str, spec: object) -> dict[str, Any]:
+    def _write(
+        self,
+        kind: str,
+        name: str,
+        spec: object,
+        status: object = None,
+    ) -> dict[str, Any]:
         self._revision += 1
         body = {
             "meta": {"name": name, "rev": self._revision, "finalizers": []},
             "spec": spec,
-            "status": None,
+            "status": status,
         }
         self._objects.setdefault(kind, {})[name] = body
         self._changes.append(_Change(self._revision, kind, body, False))
@@ -204,6 +216,9 @@
         match request.method:
             case "GET" if "watch" in request.query:
                 return await self._watch(kind, request.query)
+            case "GET" if name:
+                existing = self._objects.get(kind, {}).get(name)
+                return json_response(200, existing) if existing else NOT_FOUND
             case "GET":
                 return self._list(kind, request.query)
             case "POST":
@@ -257,13 +272,16 @@
             return json_response(409, existing)
         return json_response(200, self._write(kind, name, body["spec"]))
 
-    def _replace(self, kind: str, name: str, body: dict[str, Any]) -> Response:
+    def _replace(self, kind: str, path: str, body: dict[str, Any]) -> Response:
+        name, _, part = path.partition("/")
         existing = self._objects.get(kind, {}).get(name)
         if existing is None:
             return Response(404)
         if body["meta"].get("rev") != existing["meta"]["rev"]:
             return json_response(409, existing)
-        return json_response(200, self._write(kind, name, body["spec"]))
+        written = {part or "spec": body[part or "spec"]}
+        fields = {key: existing[key] for key in ("spec", "status")} | written
+        return json_response(200, self._write(kind, name, **fields))
 
     def _delete(self, kind: str, name: str, query: dict[str, str]) -> Response:
         existing = self._objects.get(kind, {}).get(name)
@@ -295,6 +313,7 @@
     Attributes:
         delay_s: The processing time of a request.
         delivery: How replies are written to the connection.
+        version: The version of its software.
         status: The status of replies; 503 also states that the request was
             not executed.
         arrivals: The requests received.
@@ -308,6 +327,7 @@
         crash_after_s: How long such a request runs before.
         restart_after_s: When the server is back after a crash.
         crashed_at_s: When it crashed.
+        is_failing: Whether the server answers a request with 500.
         on_running: Called with whether it runs, as that changes.
     """
 
@@ -318,6 +338,7 @@
     ) -> None:
         self.service = service
         self.zone = zone
+        self.version = "v1"
         self.server_id = f"i-{next(self._numbers):04d}"
         self.port = free_port()
         self.connect_port = self.port
@@ -331,6 +352,7 @@
         self.open_connection_count = 0
         self.is_fatal: Callable[[Request], bool] = lambda _: False
         self.crash_after_s = 0.02
+        self.is_failing: Callable[[Request], bool] = lambda _: False
         self.restart_after_s = 1.5
         self.crashed_at_s: list[float] = []
         self.server: HttpServer | None = None
@@ -348,7 +370,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.connect_port}",
             "zone": self.zone,
-            "revision": "v1",
+            "revision": self.version,
             "concurrency": 2,
             "state": "ready",
             "warmup_left_ms": 0,
@@ -381,6 +403,13 @@
             self.restart_after_s, lambda: loop.create_task(self._start_again())
         )
 
+    async def stop_at_once(self) -> None:
+        """Ends all connections and refuses new ones for good."""
+        if self.server is not None:
+            self.server.stop_listening()
+        for connection in [*self._connections]:
+            connection.close()
+
     async def _start_again(self) -> None:
         if self.server is not None:
             await self.server.listen()
@@ -423,7 +452,8 @@
         )
         if not self._is_shard:
             headers = (*headers, ("X-Request-Id", self.echoed_id or request_id))
-        return Response(self.status, body, headers, self.delivery)
+        status = 500 if self.is_failing(request) else self.status
+        return Response(status, body, headers, self.delivery)
 
 
 async def serve(
