Admit requests of tenants by a quota that the nodes share

Operators' rates and bursts of tenants were read and not enforced. A fixed share for each node refuses callers below the quota, since the callers of a tenant use few nodes and move. Each node fills a bucket at a part of the quota's rate that follows the demand which nodes tell each other, and may use its fixed share of the room that the window has by all that was told. Heartbeats carry at most 16 tenants (key, demand, requests of the window, the same for all nodes heard); a refusal for a demand that others don't know of sends one to the hubs at once, at least 0.2 s apart. A request is charged before its first attempt and given back if nothing was sent, while it waits, or if servers said that it did not run; retries, hedges and shards don't count again. Beyond the quota: 429 with a time one after the other for callers that are refused together. Off without quota_window_s among the bounds or without tenants: heartbeats then name no tenant.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -51,4 +51,19 @@
     )
 
 
+def over_quota(retry_after_s: float) -> CallerAnswer:
+    """Returns the refusal of a request beyond its tenant's quota.
+
+    No backend server has processed it.
+
+    Args:
+        retry_after_s: The delay after which it can be served.
+    """
+    return CallerAnswer(
+        429,
+        (("Retry-After", f"{retry_after_s:.3f}"),),
+        b"not run: the quota of the tenant is used up\n",
+    )
+
+
 STOPPING: Final = not_run("this node stops", STOPPING_RETRY_S)
--- a/packages/core/mulberrybay_core/edge_nodes.py
+++ b/packages/core/mulberrybay_core/edge_nodes.py
@@ -19,6 +19,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.fatal_requests import SuspectReport
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES
+from mulberrybay_core.tenants.quotas import TenantDemand
 
 HEARTBEAT_PERIOD_S: Final = 0.4
 # A node counts as unresponsive after this many periods without a heartbeat.
@@ -81,6 +82,7 @@
         is_hub: Whether the node sends heartbeats to all nodes.
         lacks_servers: Whether the node reaches no backend server.
         suspects: Requests under which backend servers have crashed.
+        tenants: The demand of the tenants that use most of their quota.
     """
 
     sender: EdgeNodeInfo
@@ -93,6 +95,7 @@
     is_hub: bool = False
     lacks_servers: bool = False
     suspects: tuple[SuspectReport, ...] = ()
+    tenants: tuple[TenantDemand, ...] = ()
 
 
 class _Peer:
@@ -231,16 +234,18 @@
 
     def heartbeat_addresses(self, now_s: float) -> list[Address]:
         """Returns the addresses to which this node sends heartbeats."""
-        if self.is_hub(now_s):
-            peers = [*self._peers.values()]
-        else:
-            hub_names = {info.name for info in self._expected_hubs(now_s)}
-            peers = [
-                peer
-                for name, peer in self._peers.items()
-                if name in hub_names or self._is_heard_hub(peer, now_s)
-            ]
-        return [peer.info.peer_address for peer in peers]
+        if not self.is_hub(now_s):
+            return self.hub_addresses(now_s)
+        return [peer.info.peer_address for peer in self._peers.values()]
+
+    def hub_addresses(self, now_s: float) -> list[Address]:
+        """Returns the addresses of the other nodes that hear all nodes."""
+        hub_names = {info.name for info in self._expected_hubs(now_s)}
+        return [
+            peer.info.peer_address
+            for name, peer in self._peers.items()
+            if name in hub_names or self._is_heard_hub(peer, now_s)
+        ]
 
     def _is_alive(self, peer: _Peer, now_s: float) -> bool:
         if peer.last_heartbeat_at_s is None or peer.heartbeat is None:
--- a/packages/core/mulberrybay_core/node_checks.py
+++ b/packages/core/mulberrybay_core/node_checks.py
@@ -56,6 +56,9 @@
     _check_quantity("attempts_per_s", heartbeat.attempts_per_s)
     if math.isnan(heartbeat.store_age_s) or heartbeat.store_age_s < 0:
         raise ValueError(f"store_age_s: {heartbeat.store_age_s} is no time")
+    for demand in heartbeat.tenants:
+        for quantity in demand[1:]:
+            _check_quantity("tenants", quantity)
     for report in heartbeat.suspects:
         _check_report(report)
     return heartbeat
--- /dev/null
+++ b/packages/core/tests/test_tenant_quotas.py
@@ -0,0 +1,116 @@
+"""Quotas that nodes share: the sum in any window, and refusals below the quota."""
+
+import random
+
+import pytest
+from quota_fleet import TERMS, QuotaFleet
+
+from mulberrybay_core.tenants.keys import Tenant
+
+TENANT_COUNT = 83
+ALL_PER_S = 300.0
+WARM_UP_S = 16.0
+HOT_S = 20.0
+HOT_FACTOR = 7.5
+# How long a caller stays with a node.
+MEAN_STAY_S = 8.0
+# The ratio of callers that use a node that isn't advertised.
+PLAIN_NODE_RATIO = 0.02
+# Callers of one tenant, at most.
+MAX_CALLER_COUNT = 8
+
+
+class _Load:
+    """Callers of tenants of very uneven size, who stay with a node for a while."""
+
+    def __init__(
+        self, count: int, seed: int, limit_ratio: float, burst_s: float
+    ) -> None:
+        self.random = random.Random(seed)
+        weights = [1 / (number + 1) for number in range(TENANT_COUNT)]
+        scale = ALL_PER_S / sum(weights)
+        self.usual_per_s = {
+            f"tenant-{number}": weight * scale
+            for number, weight in enumerate(weights)
+        }
+        self.factors = dict.fromkeys(self.usual_per_s, 1.0)
+        self.fleet = QuotaFleet(
+            count,
+            [
+                Tenant(name, (), None, per_s * limit_ratio, per_s * burst_s)
+                for name, per_s in self.usual_per_s.items()
+            ],
+            self.random,
+        )
+        # Nodes that have just started don't count on room in a window.
+        self.fleet.advance(TERMS.window_s + 1)
+        for name, per_s in self.usual_per_s.items():
+            caller_count = max(2, min(MAX_CALLER_COUNT, int(per_s)))
+            for _ in range(caller_count):
+                self._call(name, per_s / caller_count)
+
+    def _call(self, name: str, per_s: float) -> None:
+        fleet, rng = self.fleet, self.random
+        node = 0
+
+        def move() -> None:
+            nonlocal node
+            is_plain = rng.random() < PLAIN_NODE_RATIO
+            count = fleet.count if is_plain else fleet.advertised_count
+            node = rng.randrange(count)
+            fleet.call_later(rng.expovariate(1 / MEAN_STAY_S), move)
+
+        def arrive() -> None:
+            fleet.submit(node, name)
+            wait()
+
+        def wait() -> None:
+            rate_per_s = per_s * self.factors[name]
+            fleet.call_later(rng.expovariate(rate_per_s), arrive)
+
+        move()
+        wait()
+
+
+@pytest.mark.parametrize(
+    ("count", "hot", "limit_ratio", "burst_s", "loss_ratio", "max_below_ratio"),
+    [
+        (6, "tenant-0", 2.0, 0.0, 0.0, 0.005),
+        (6, "tenant-20", 1.3, 1.0, 0.2, 0.02),
+        (82, "tenant-2", 2.0, 0.0, 0.0, 0.02),
+        (82, "tenant-0", 1.3, 1.0, 0.2, 0.04),
+        (300, "tenant-2", 2.0, 0.0, 0.0, 0.02),
+    ],
+)
+def test_hot_tenant_stays_near_its_quota_and_others_are_hardly_refused(
+    count: int,
+    hot: str,
+    limit_ratio: float,
+    burst_s: float,
+    loss_ratio: float,
+    max_below_ratio: float,
+) -> None:
+    load = _Load(count, 1, limit_ratio, burst_s)
+    fleet = load.fleet
+    fleet.loss_ratio = loss_ratio
+    fleet.advance(WARM_UP_S)
+    fleet.served.clear()
+    fleet.refused_below.clear()
+    load.factors[hot] = HOT_FACTOR
+    fleet.advance(HOT_S)
+
+    runs = fleet.runs(hot)
+    limit_count = fleet.limits[hot]
+    others = [name for name in load.usual_per_s if name != hot]
+    served_count = sum(fleet.served[name] for name in others)
+    below_count = sum(fleet.refused_below[name] for name in others)
+    print(
+        f"{count} nodes, loss {loss_ratio}: {hot} of {limit_count:.0f} in a "
+        f"window: {runs}; of {served_count + below_count} requests of the "
+        f"others, {below_count} refused below their quotas; told at once "
+        f"{fleet.told_at_once_count} times"
+    )
+    fleet.assert_in_bounds()
+    assert below_count <= max_below_ratio * (served_count + below_count)
+    window_count = HOT_S / TERMS.window_s
+    assert runs.served_count >= 0.9 * limit_count * window_count
--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -25,6 +25,7 @@
     RequestJob,
 )
 from mulberrybay_edge.sending import RequestTemplate
+from mulberrybay_edge.tenant_gate import TenantGate
 
 # A starting node reads its configuration within a few round trips.
 STARTING_RETRY_S: Final = 0.25
@@ -53,6 +54,7 @@
         find_table: Callable[[], RouteTable | None],
         find_relay_targets: Callable[[bytes], RelayTargets | None],
         clock: Callable[[], float],
+        gate: TenantGate,
     ) -> None:
         """Creates the service.
 
@@ -63,12 +65,14 @@
             find_relay_targets: Returns the other nodes if only these may send
                 a request of an identity; else None.
             clock: Returns the time in seconds.
+            gate: Admits the requests of tenants by their quotas.
         """
         self._context = context
         self._find_relay_targets = find_relay_targets
         self._names = names
         self._find_table = find_table
         self._clock = clock
+        self._gate = gate
         self._histories = RouteHistories()
         self._round_robins: dict[str, WeightedRoundRobin] = {}
         self._in_progress: set[RequestHandler] = set()
@@ -109,7 +113,9 @@
             )
             count_and_reply(caller_errors.NO_ROUTE)
             return None
-        access = RequestAccess(request, route, table, self._find_table)
+        access = RequestAccess(
+            request, route, table, self._find_table, self._gate
+        )
         if not access.is_admitted():
             self._context.counts.refusals[UNKNOWN_KEY] += 1
             self._context.log.log_request_end(
--- a/packages/edge/mulberrybay_edge/edge.capnp
+++ b/packages/edge/mulberrybay_edge/edge.capnp
@@ -22,6 +22,17 @@
   isHub @15 :Bool;
   lacksServers @16 :Bool;
   suspects @17 :List(SuspectReport);
+  tenants @18 :List(TenantDemand);
+}
+
+# The requests of a tenant: their rate, with the refused ones, and the number sent
+# in the last window; at the sender, and at all nodes that it hears of.
+struct TenantDemand {
+  key @0 :UInt64;
+  ownPerS @1 :Float32;
+  ownCount @2 :Float32;
+  allPerS @3 :Float32;
+  allCount @4 :Float32;
 }
 
 # A request under which backend servers have crashed. Times are seconds before
--- a/packages/edge/mulberrybay_edge/fleet_sharing.py
+++ b/packages/edge/mulberrybay_edge/fleet_sharing.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from mulberrybay_core.edge_nodes import (
+    ADVERTISED_NODES_RATIO,
     MAX_ALL_WATCHING_COUNT,
     EdgeNodeInfo,
     EdgeNodes,
@@ -16,12 +17,14 @@
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
 from mulberrybay_core.smoothed_rate import SmoothedRate
+from mulberrybay_core.tenants.quotas import Contact
 from mulberrybay_edge.dispatcher import Dispatcher
 from mulberrybay_edge.store_watch import (
     SHARED_WATCH_TIMEOUT_S,
     UNBOUNDED_WAIT_S,
     StoreWatch,
 )
+from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_runtime.clock import read_clock_s
 
 # The most nodes that a reply of the directory lists.
@@ -45,7 +48,9 @@
         is_ready: Callable[[], bool],
         reach: ServerReach,
         follow_times: FollowTimes,
+        gate: TenantGate,
     ) -> None:
+        self._gate = gate
         self._follow_times = follow_times
         self._nodes = nodes
         self._directory = directory
@@ -127,6 +132,24 @@
             1 / share_divisor if self._nodes.has_registrations else 0.0
         )
         self._cold_limit.node_count = self._nodes.sharing_count(now_s)
+        self._update_contact(self._directory.limit_share_ratio, now_s)
+
+    def _update_contact(self, own_share: float, now_s: float) -> None:
+        """Tells the quotas which part of the fleet this node hears."""
+        if self._gate.quotas is None:
+            return
+        names = self._nodes.alive_names(now_s)
+        part = 0.0
+        if self._nodes.has_registrations:
+            # What the only advertised node would use, and the others' part of
+            # the rest.
+            part = 1 / self._nodes.share_divisor(True, 1, now_s)
+            rest_ratio = (1 - ADVERTISED_NODES_RATIO) * (len(names) - 1)
+            part += rest_ratio / self._nodes.sharing_count(now_s)
+        is_hub = self._nodes.is_hub(now_s)
+        self._gate.set_contact(
+            Contact(part, own_share, is_hub, frozenset(names))
+        )
 
     def _update_watching(self, now_s: float) -> None:
         alive_count = len(self._nodes.alive_names(now_s))
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -95,6 +95,7 @@
         self._refusal = attempt
         if self._attempts:
             return False
+        self._give_back_unsent()
         if attempt is SendRefusal.NO_SERVER:
             self._answer_failure("the service has no backend server to use")
         elif attempt is SendRefusal.PAUSED:
@@ -152,6 +153,8 @@
         self._end_turn()
         if self._has_ended:
             return
+        if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
+            self._may_have_run = True
         if result.outcome is AttemptOutcome.OK and result.reply is not None:
             self._record_end(
                 "served", server=result.server_id, **self._describe()
@@ -159,10 +162,8 @@
             self._finish(self._to_caller_answer(result.reply))
             return
         self._failures.append(f"{result.server_id}: {result.detail}")
-        if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
-            self._may_have_run = True
-            if result.outcome is AttemptOutcome.FAILED:
-                self._keep_failure(result.reply)
+        if result.has_arrived and result.outcome is AttemptOutcome.FAILED:
+            self._keep_failure(result.reply)
         may_retry = self._is_retryable or not self._may_have_run
         if may_retry and self._may_send() and not self._must_wait():
             self._send()
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -10,6 +10,7 @@
 from mulberrybay_core.edge_nodes import EdgeHeartbeat, EdgeNodeInfo
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
 from mulberrybay_core.node_checks import check_heartbeat
+from mulberrybay_core.tenants.quotas import TenantDemand
 
 PROTOCOL_VERSION: Final = 2
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name("edge.capnp")))
@@ -51,6 +52,17 @@
         lacksServers=heartbeat.lacks_servers,
         suspects=[_encode_report(report) for report in heartbeat.suspects],
     )
+    if heartbeat.tenants:
+        message.tenants = [
+            {
+                "key": demand.key,
+                "ownPerS": demand.own_per_s,
+                "ownCount": demand.own_count,
+                "allPerS": demand.all_per_s,
+                "allCount": demand.all_count,
+            }
+            for demand in heartbeat.tenants
+        ]
     return zlib.compress(message.to_bytes(), COMPRESSION_LEVEL)
 
 
@@ -124,6 +136,16 @@
                 message.isHub,
                 message.lacksServers,
                 tuple(_decode_report(report) for report in message.suspects),
+                tuple(
+                    TenantDemand(
+                        demand.key,
+                        demand.ownPerS,
+                        demand.ownCount,
+                        demand.allPerS,
+                        demand.allCount,
+                    )
+                    for demand in message.tenants
+                ),
             )
         return check_heartbeat(heartbeat)
     except (
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -50,6 +50,7 @@
 from mulberrybay_edge.settings import EdgeSettings
 from mulberrybay_edge.settings_watch import SettingsWatch
 from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
 from mulberrybay_platform.dialect import StoreDialect
 from mulberrybay_runtime.clock import read_clock_s
@@ -191,6 +192,7 @@
     def _build_dispatch(self) -> None:
         settings = self._settings
         self._peer_connections = ServerConnections(self._streams, self._timers)
+        self._gate = TenantGate(settings.quotas, read_clock_s)
         self._reach = ServerReach(read_clock_s())
         self._retry_budget = RetryBudget(settings.retry_terms)
         self._cold_limit = ColdServerRateLimit()
@@ -230,6 +232,7 @@
             self._is_ready,
             self._reach,
             settings.follow_times,
+            self._gate,
         )
         handler_context = HandlerContext(
             self._request_dispatcher,
@@ -247,6 +250,7 @@
             lambda: self._view.route_table,
             self._find_relay_targets,
             read_clock_s,
+            self._gate,
         )
 
     def _build_servers(self) -> None:
@@ -334,6 +338,7 @@
     def _apply_route_table(self, table: RouteTable) -> None:
         self._request_dispatcher.table = table
         self._callers.limits = table.limits
+        self._gate.set_tenants(table.tenants)
         if self._nodes.some_lack_servers(read_clock_s()):
             # They hand no request to nodes that may have an older configuration.
             self._send_heartbeats()
@@ -426,6 +431,7 @@
                 self._decisions,
                 self._make_heartbeat,
                 self._crash_watch.merge,
+                self._gate,
             )
         )
 
@@ -441,6 +447,7 @@
             self._nodes.is_hub(read_clock_s()),
             self._reach.is_lost,
             self._crash_watch.reports(),
+            self._gate.tell(),
         )
 
     def _send_heartbeats(self) -> None:
--- a/packages/edge/mulberrybay_edge/peer_link.py
+++ b/packages/edge/mulberrybay_edge/peer_link.py
@@ -20,6 +20,7 @@
 )
 from mulberrybay_edge.peer_exchange import PeerExchange
 from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.datagrams import Datagrams
 from mulberrybay_runtime.streams import Streams
@@ -39,7 +40,9 @@
         log: DecisionLog,
         make_heartbeat: Callable[[], EdgeHeartbeat],
         on_suspects: Callable[[Sequence[SuspectReport]], None],
+        gate: TenantGate,
     ) -> None:
+        self._gate = gate
         self._nodes = nodes
         self._watches = watches
         self._datagrams = datagrams
@@ -57,6 +60,7 @@
         Raises:
             OSError: The address is in use or does not belong to this VM.
         """
+        self._gate.tell_hubs = self._tell_hubs
         address = self._nodes.own_info.peer_address
         self._datagrams.listen(address, self._on_datagram)
         self._exchange.listen(address)
@@ -85,6 +89,17 @@
             return
         heartbeat = self._make_heartbeat()
         self._sent_versions = heartbeat.changed_versions
+        self._send(heartbeat, addresses)
+
+    def _tell_hubs(self) -> None:
+        """Sends a heartbeat only to the peers that hear all nodes."""
+        addresses = self._nodes.hub_addresses(read_clock_s())
+        if addresses:
+            self._send(self._make_heartbeat(), addresses)
+
+    def _send(
+        self, heartbeat: EdgeHeartbeat, addresses: Sequence[Address]
+    ) -> None:
         data = encode_heartbeat(heartbeat)
         for address in addresses:
             self._datagrams.send(data, address)
@@ -99,6 +114,7 @@
             )
             return
         is_first = self._nodes.record_heartbeat(heartbeat, read_clock_s())
+        self._gate.merge(heartbeat, is_first=is_first)
         if heartbeat.suspects:
             self._on_suspects(heartbeat.suspects)
         if is_first and self._is_restoring():
--- a/packages/edge/mulberrybay_edge/request_access.py
+++ b/packages/edge/mulberrybay_edge/request_access.py
@@ -1,4 +1,4 @@
-"""Whether a caller's request may be sent, by its API key."""
+"""Whether a caller's request may be sent, by its API key and its quota."""
 
 from collections.abc import Callable
 
@@ -6,6 +6,7 @@
 from mulberrybay_core.routing import Route, RouteTable
 from mulberrybay_core.tenants.keys import Tenant, read_key_digest
 from mulberrybay_edge.sending import RequestTemplate
+from mulberrybay_edge.tenant_gate import TenantGate
 
 
 class RequestAccess:
@@ -16,10 +17,13 @@
     """
 
     __slots__ = (
+        "_charged_name",
         "_digest",
         "_find_table",
+        "_gate",
         "_has_started",
         "_is_admitted",
+        "_is_recorded",
         "_request",
         "_route",
         "_table",
@@ -33,10 +37,15 @@
         route: Route,
         table: RouteTable,
         find_table: Callable[[], RouteTable | None],
+        gate: TenantGate,
     ) -> None:
         self._request = request
         self._route = route
         self._find_table = find_table
+        self._gate = gate
+        # The tenant whose quota the request is charged to; empty if to none.
+        self._charged_name = ""
+        self._is_recorded = False
         self._table = table
         self._template: RequestTemplate | None = None
         self._digest: bytes | None = None
@@ -73,6 +82,33 @@
         self._has_started = self._has_started or self.is_admitted()
         return self._has_started
 
+    # The quota of the tenant.
+
+    def charge(self) -> bool:
+        """Charges the request once; returns whether the quota allows it."""
+        if self.tenant is None or self._charged_name:
+            return True
+        name = self.tenant.name
+        if not self._is_recorded:
+            self._is_recorded = True
+            self._gate.record_request(name)
+        if not self._gate.take(name):
+            return False
+        self._charged_name = name
+        return True
+
+    def give_back(self) -> None:
+        """Takes back the charge of a request that no server has run."""
+        if self._charged_name:
+            self._gate.give_back(self._charged_name)
+            self._charged_name = ""
+
+    def retry_after_s(self) -> float:
+        """Returns when the quota allows the request, in seconds from now."""
+        if self.tenant is None:
+            return 0.0
+        return self._gate.retry_after_s(self.tenant.name)
+
     def _judge(self, table: RouteTable) -> None:
         key_ring = table.key_ring
         if key_ring is None:
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -40,6 +40,8 @@
 CONDEMNED: Final = "backend servers crashed under this request"
 # The reason for refusing a request without a known API key.
 UNKNOWN_KEY: Final = "no known API key"
+# The reason for refusing a request beyond the quota of its tenant.
+OVER_QUOTA: Final = "the quota of the tenant is used up"
 # Why a request ends that is still open when its node must exit.
 EXITING: Final = "this node exits"
 # The last answer is sent this long before the timeout.
@@ -263,13 +265,29 @@
         key while it waited. A request that may have run goes on.
         """
         access = self._job.access
-        if access is None or access.is_admitted() or self._has_started():
+        if access is None:
             return False
-        self._context.counts.refusals[UNKNOWN_KEY] += 1
-        self._record_end("refused", reason=UNKNOWN_KEY)
-        self._finish(caller_errors.UNKNOWN_KEY)
+        if not access.is_admitted():
+            reason, answer = UNKNOWN_KEY, caller_errors.UNKNOWN_KEY
+        elif access.charge():
+            return False
+        else:
+            reason = OVER_QUOTA
+            answer = caller_errors.over_quota(access.retry_after_s())
+        if self._has_started():
+            return False
+        self._context.counts.refusals[reason] += 1
+        tenant = access.tenant.name if access.tenant is not None else ""
+        self._record_end("refused", reason=reason, tenant=tenant)
+        self._finish(answer)
         return True
 
+    def _give_back_unsent(self) -> None:
+        """Frees the quota for others while the request waits."""
+        access = self._job.access
+        if access is not None and not self._has_started():
+            access.give_back()
+
     def _has_started(self) -> bool:
         """Whether a server may be running the request or may have run it."""
         raise NotImplementedError
@@ -341,6 +359,7 @@
 
     def _close(self) -> None:
         self._has_ended = True
+        self._give_back_unsent()
         self._context.crash_watch.release(self._identity, self)
         if self._timer is not None:
             self._timer.cancel()
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -6,6 +6,7 @@
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
+from mulberrybay_core.tenants.quotas import QuotaTerms
 
 
 class EdgeAddresses(NamedTuple):
@@ -42,10 +43,16 @@
         contact_ms: After a fault, the time within which a node must know all
             changes again.
         apply_ms: The time within which a change must be in force otherwise.
+        quota_window_s: The sliding window of the tenants' quotas.
+        quota_excess: How far all nodes together may exceed a quota.
+        quota_slack: The requests allowed beyond that.
     """
 
     contact_ms: str
     apply_ms: str
+    quota_window_s: str
+    quota_excess: str
+    quota_slack: str
 
 
 class EdgeSettings(NamedTuple):
@@ -67,6 +74,7 @@
         store_address: The address of the platform's store.
         cpu_cores: The CPU seconds that the process can use per second.
         follow_times: How long it counts on a call to the store.
+        quotas: The bounds on the quotas of tenants; None to enforce none.
     """
 
     node_name: str
@@ -82,3 +90,4 @@
     store_address: Address
     cpu_cores: float
     follow_times: FollowTimes = DEFAULT_FOLLOW_TIMES
+    quotas: QuotaTerms | None = None
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -9,6 +9,7 @@
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.shared_limits import RetryBudgetSettings
+from mulberrybay_core.tenants.quotas import QuotaTerms
 from mulberrybay_edge.settings import (
     EdgeAddresses,
     EdgeBoundNames,
@@ -66,16 +67,37 @@
     return value
 
 
-def _parse_follow_times(
-    document: dict[str, Any], names: EdgeBoundNames
-) -> FollowTimes:
-    """Returns the times that follow from the bounds, a JSON object as text."""
+def _read_bounds(document: dict[str, Any]) -> dict[str, Any]:
+    """Returns the bounds, which are a JSON object as text."""
     text = document.get("bounds", "{}")
     if not isinstance(text, str):
         raise ValueError("bounds: not a string")
     bounds = decode_json(text.encode())
     if not isinstance(bounds, dict):
         raise ValueError("bounds: not a JSON object")
+    return bounds
+
+
+def _parse_quotas(
+    bounds: dict[str, Any], names: EdgeBoundNames
+) -> QuotaTerms | None:
+    """Returns the bounds on quotas; None without a window."""
+    if names.quota_window_s not in bounds:
+        return None
+    window_s = _get_number(bounds, names.quota_window_s)
+    if window_s <= 0:
+        raise ValueError(f"{names.quota_window_s}: {window_s!r} is not above 0")
+    return QuotaTerms(
+        window_s,
+        _get_number(bounds, names.quota_excess, 0.0),
+        _get_number(bounds, names.quota_slack, 0.0),
+    )
+
+
+def _parse_follow_times(
+    bounds: dict[str, Any], names: EdgeBoundNames
+) -> FollowTimes:
+    """Returns the times that follow from the bounds."""
     return FollowTimes.from_bounds(
         _get_number(bounds, names.contact_ms, DEFAULT_CONTACT_MS) / 1000,
         _get_number(bounds, names.apply_ms, DEFAULT_APPLY_MS) / 1000,
@@ -98,6 +120,7 @@
     listen = _get_table(document, "listen")
     retry_budget = _get_table(document, "repeats")
     host = _get_string(listen, "host")
+    bounds = _read_bounds(document)
     return EdgeSettings(
         node_name=_get_string(document, "node_name"),
         failure_domain=_get_string(document, "failure_domain"),
@@ -130,7 +153,8 @@
         store_address=parse_address(_get_string(document, "store_address")),
         cpu_cores=_get_number(document, "cpu_share")
         * _get_number(document, "core_speed"),
-        follow_times=_parse_follow_times(document, bound_names),
+        follow_times=_parse_follow_times(bounds, bound_names),
+        quotas=_parse_quotas(bounds, bound_names),
     )
 
 
--- a/packages/edge/tests/test_edge_settings.py
+++ b/packages/edge/tests/test_edge_settings.py
@@ -35,7 +35,7 @@
         text,
         HeaderNames(*["x"] * len(HeaderNames._fields)),
         EdgePaths("/a", "/b", "/c"),
-        EdgeBoundNames("contact", "apply"),
+        EdgeBoundNames("contact", "apply", "window", "excess", "slack"),
     )
 
 
--- a/packages/edge/tests/test_fleet_sharing.py
+++ b/packages/edge/tests/test_fleet_sharing.py
@@ -21,6 +21,7 @@
 )
 from mulberrybay_edge import fleet_sharing
 from mulberrybay_edge.fleet_sharing import FleetSharing
+from mulberrybay_edge.tenant_gate import TenantGate
 
 NODE_COUNT = 195
 DOMAIN_COUNT = 5
@@ -72,6 +73,7 @@
             lambda: True,
             self.reach,
             DEFAULT_FOLLOW_TIMES,
+            TenantGate(None, lambda: self.now_s),
         )
         self.now_s += 0.5
         self.sharing.update()
--- a/packages/edge/tests/test_heartbeat_codec.py
+++ b/packages/edge/tests/test_heartbeat_codec.py
@@ -14,6 +14,10 @@
     SuspectReport,
 )
 from mulberrybay_core.request_identity import IDENTITY_BYTES
+from mulberrybay_core.tenants.quotas import (
+    MAX_TOLD_COUNT as MAX_TOLD_TENANT_COUNT,
+)
+from mulberrybay_core.tenants.quotas import TenantDemand
 from mulberrybay_edge.heartbeat_codec import (
     MAX_HEARTBEAT_BYTES,
     HeartbeatError,
@@ -53,13 +57,22 @@
 )
 
 
+DEMANDS = tuple(
+    TenantDemand(2**64 - 1 - number, 12.5, 3.0, 0.5, number)
+    for number in range(MAX_TOLD_TENANT_COUNT)
+)
+
+
 @pytest.mark.parametrize("lacks_servers", [False, True])
 @pytest.mark.parametrize("suspects", [(), REPORTS])
+@pytest.mark.parametrize("tenants", [(), DEMANDS])
 def test_decoded_heartbeat_equals_encoded_one(
-    lacks_servers: bool, suspects: tuple[SuspectReport, ...]
+    lacks_servers: bool,
+    suspects: tuple[SuspectReport, ...],
+    tenants: tuple[TenantDemand, ...],
 ) -> None:
     heartbeat = HEARTBEAT._replace(
-        lacks_servers=lacks_servers, suspects=suspects
+        lacks_servers=lacks_servers, suspects=suspects, tenants=tenants
     )
     assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
 
--- a/packages/edge/tests/test_message_versions.py
+++ b/packages/edge/tests/test_message_versions.py
@@ -20,7 +20,7 @@
     .read_text(encoding="utf-8")
 )
 FILE_ID = "@0xb3f1d9c26a7e4058;"
-LAST_FIELD = "  suspects @17 :List(SuspectReport);\n"
+LAST_FIELD = "  tenants @18 :List(TenantDemand);\n"
 FIELDS = {
     "version": PROTOCOL_VERSION,
     "name": "node-2",
@@ -52,7 +52,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     text = SCHEMA_TEXT.replace(
-        LAST_FIELD, f"{LAST_FIELD}  added @18 :Text;\n  rate @19 :Float64;\n"
+        LAST_FIELD, f"{LAST_FIELD}  added @19 :Text;\n  rate @20 :Float64;\n"
     )
     newer = load(tmp_path / "newer.capnp", text, "@0xb3f1d9c26a7e4059;")
 
@@ -79,6 +79,7 @@
     assert not heartbeat.is_hub
     assert not heartbeat.lacks_servers
     assert heartbeat.suspects == ()
+    assert heartbeat.tenants == ()
 
 
 def test_heartbeat_of_another_protocol_version_is_rejected(
--- a/packages/edge/tests/test_peer_input.py
+++ b/packages/edge/tests/test_peer_input.py
@@ -19,6 +19,7 @@
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
 from mulberrybay_core.object_cache import CacheUpdate
 from mulberrybay_core.store_messages import ObjectList, StoredObject
+from mulberrybay_core.tenants.quotas import TenantDemand
 from mulberrybay_edge.heartbeat_codec import (
     HeartbeatError,
     decode_heartbeat,
@@ -64,6 +65,14 @@
     floats,
     floats,
 )
+demands = strategies.builds(
+    TenantDemand,
+    strategies.integers(0, 2**64 - 1),
+    floats,
+    floats,
+    floats,
+    floats,
+)
 heartbeats = strategies.builds(
     EdgeHeartbeat,
     infos,
@@ -82,6 +91,7 @@
         ),
         max_size=2,
     ).map(tuple),
+    tenants=strategies.lists(demands, max_size=2).map(tuple),
 )
 
 
@@ -128,6 +138,9 @@
         {"sender": INFO._replace(name="")},
         {"suspects": (SuspectReport(b"", (), math.nan, 0.0),)},
         {"suspects": (SuspectReport(b"", (), None, math.inf),)},
+        {"tenants": (TenantDemand(1, math.inf, 1.0, 1.0, 1.0),)},
+        {"tenants": (TenantDemand(1, 1.0, -1.0, 1.0, 1.0),)},
+        {"tenants": (TenantDemand(1, 1.0, 1.0, 1.0, math.nan),)},
         {
             "suspects": (
                 SuspectReport(b"", (Crash(1, True, 0.0, math.nan),), None, 0.0),
--- a/packages/edge/tests/test_peer_link.py
+++ b/packages/edge/tests/test_peer_link.py
@@ -12,6 +12,7 @@
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.peer_link import PeerLink
 from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_runtime.timers import Timers
 
 NOW_S = 100.0
@@ -60,6 +61,7 @@
         DecisionLog(lambda: NOW_S),
         lambda: heartbeat,
         lambda _: None,
+        TenantGate(None, lambda: NOW_S),
     )
     return link, streams
 
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -6,12 +6,15 @@
 from request_fakes import NAMES, FakeAttempt, RequestHarness
 
 from mulberrybay_core.caller_messages import HeaderList
-from mulberrybay_core.routing import CallerLimits, RouteTable
+from mulberrybay_core.routing import CallerLimits, RouteKind, RouteTable
 from mulberrybay_core.routing import RoutingConfiguration as Configuration
 from mulberrybay_core.tenants.keys import Tenant, digest_key
+from mulberrybay_core.tenants.quotas import Contact, QuotaTerms
 from mulberrybay_edge.caller_service import RoutedService
 from mulberrybay_edge.exchange import Exchange
 from mulberrybay_edge.relay_handler import RelayTargets
+from mulberrybay_edge.sending import AttemptOutcome
+from mulberrybay_edge.tenant_gate import TenantGate
 
 TENANTS = (
     Tenant("red", (digest_key(b"key-1"),)),
@@ -24,8 +27,16 @@
 class _Service:
     """A service whose configuration the test replaces."""
 
-    def __init__(self, *, shards: tuple[str, ...] = ()) -> None:
-        self.harness = RequestHarness(shards=shards)
+    def __init__(
+        self,
+        *,
+        shards: tuple[str, ...] = (),
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+        terms: QuotaTerms | None = None,
+    ) -> None:
+        self.harness = RequestHarness(shards=shards, kind=kind)
+        self.gate = TenantGate(terms, self.harness.timers.clock)
+        self.gate.set_contact(Contact(1.0, 1.0, is_hub=True, names=frozenset()))
         self.table: RouteTable | None = None
         self.targets: Any = None
         self.service = RoutedService(
@@ -34,6 +45,7 @@
             lambda: self.table,
             lambda _: self.targets,
             self.harness.timers.clock,
+            self.gate,
         )
         self.configure(TENANTS)
 
@@ -44,10 +56,13 @@
         self.table = RouteTable(
             Configuration(1, (route,), (), CallerLimits(), tenants)
         )
+        self.gate.set_tenants(self.table.tenants)
 
     def submit(self, headers: HeaderList, **changes: Any) -> None:  # noqa: ANN401
         request = self.harness.job.request._replace(
-            headers=(("Host", "a.example"), *headers), **changes
+            headers=(("Host", "a.example"), *headers),
+            received_at_s=self.harness.timers.now_s,
+            **changes,
         )
         self.service.submit(request, self.harness.answers.append)
 
@@ -206,3 +221,90 @@
     assert b"Authorization: Bearer key-1\r\n" in data
     service.submit((), is_relayed=False)
     assert service.status() == 401
+
+
+# Of one request in any window, and one more as the slack.
+ONE = QuotaTerms(5.0, 0.0, 1.0)
+LIMITED = (TENANTS[0]._replace(rate_per_s=0.2),)
+
+
+class _LimitedService(_Service):
+    """A service whose tenant may send two requests in a window."""
+
+    def __init__(self, **options: Any) -> None:  # noqa: ANN401
+        super().__init__(terms=ONE, **options)
+        self.configure(LIMITED)
+        self.harness.timers.advance(5.0)
+
+    def use_up(self) -> None:
+        """Sends requests until one is refused, and forgets their answers."""
+        for _ in range(4):
+            self.submit((GOOD,))
+        assert 429 in [answer.status for answer in self.harness.answers]
+        self.harness.answers.clear()
+
+
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+def test_request_beyond_the_quota_is_refused_with_a_time_and_not_run(
+    shards: tuple[str, ...],
+) -> None:
+    service = _LimitedService(shards=shards)
+    service.use_up()
+    sent_count = len(service.harness.sender.attempts)
+    assert 1 <= sent_count / max(1, len(shards)) <= 2
+
+    service.submit((GOOD,))
+
+    assert service.status() == 429
+    assert 0 < float(service.harness.header("Retry-After") or 0) <= 5.0
+    assert len(service.harness.sender.attempts) == sent_count
+    service.harness.answers.clear()
+    service.harness.timers.advance(6.0)
+    service.submit((GOOD,))
+    assert len(service.harness.sender.attempts) > sent_count
+
+
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+@pytest.mark.parametrize("end", ["full", "not run", "not sent"])
+def test_request_that_did_not_run_does_not_use_the_quota(
+    shards: tuple[str, ...], end: str
+) -> None:
+    service = _LimitedService(shards=shards)
+    sender = service.harness.sender
+    sender.is_connecting = end == "not sent"
+    for _ in range(5):
+        sender.full_services.update(shards or ("one",) if end == "full" else ())
+        service.submit((GOOD,))
+        for _ in range(100):
+            for attempt in [a for a in sender.attempts if not a.is_finished]:
+                attempt.end(
+                    AttemptOutcome.NOT_RUN, has_arrived=end == "not run"
+                )
+            service.harness.timers.advance(0.02)
+    statuses = {answer.status for answer in service.harness.answers}
+    assert statuses == {503}
+    service.harness.answers.clear()
+    sender.full_services.clear()
+    service.submit((GOOD,))
+    assert service.harness.answers == []
+
+
+def test_retries_and_hedges_do_not_use_the_quota_again() -> None:
+    service = _LimitedService()
+    service.use_up()
+    attempt = service.harness.sender.attempts[-1]
+    attempt.end(AttemptOutcome.LOST)
+    retry = service.harness.sender.attempts[-1]
+    assert retry is not attempt
+    retry.succeed()
+    assert service.status() == 200
+
+
+def test_request_that_is_served_stays_counted() -> None:
+    service = _LimitedService()
+    service.use_up()
+    for attempt in [*service.harness.sender.attempts]:
+        attempt.succeed()
+    service.harness.answers.clear()
+    service.submit((GOOD,))
+    assert service.status() == 429
