Give each request the priority of its tenant, if that has one

A tenant's priority goes before that of the route, and nothing on the way to the handlers said which one counts for a request. `RequestJob.priority` returns it, by the newest configuration that judged the request; nothing reads it yet, it is for the order under overload. Three cases (no priority, 0, a lower one than the route's) are tested. An absent priority leaves the route's, and 0 is the highest one, not an absent one.

--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -119,6 +119,14 @@
     reply: AnswerHandler
     access: RequestAccess | None = None
 
+    @property
+    def priority(self) -> int:
+        """The tenant's priority if it has one, else the route's."""
+        tenant = self.access.tenant if self.access is not None else None
+        if tenant is not None and tenant.priority is not None:
+            return tenant.priority
+        return self.route.priority
+
     def latency_budget_s(self) -> float:
         """Returns the time within which this node should answer, in seconds.
 
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -13,6 +13,7 @@
 from mulberrybay_edge.caller_service import RoutedService
 from mulberrybay_edge.exchange import Exchange
 from mulberrybay_edge.relay_handler import RelayTargets
+from mulberrybay_edge.request_access import RequestAccess
 from mulberrybay_edge.sending import AttemptOutcome
 from mulberrybay_edge.tenant_gate import TenantGate
 
@@ -308,3 +309,22 @@
     service.harness.answers.clear()
     service.submit((GOOD,))
     assert service.status() == 429
+
+
+@pytest.mark.parametrize(
+    ("tenant_priority", "priority"), [(None, 3), (0, 0), (7, 7)]
+)
+def test_priority_of_the_tenant_goes_before_that_of_the_route(
+    tenant_priority: int | None, priority: int
+) -> None:
+    service = _Service()
+    tenant = TENANTS[0]._replace(priority=tenant_priority)
+    service.configure((tenant,))
+    assert service.table is not None
+    job = service.harness.job
+    request = job.request._replace(headers=(GOOD,))
+    access = RequestAccess(
+        request, job.route, service.table, lambda: None, service.gate
+    )
+    route = job.route._replace(priority=3)
+    assert job._replace(route=route, access=access).priority == priority
