Show refusals, quotas and the worst-served tenants in the metrics

Operators saw that requests were refused and not whose, nor how close tenants are to their quotas. Three metrics: refusals by tenant and reason (the first 16 tenants that are refused have a label, the others share one, so that no counter falls), the served part of the requests of the worst-served tenth of the tenants, and the 16 largest uses of quotas by all nodes. The log line of a refusal by quota or revoked key names the tenant. All are read when the page is asked for; a request costs two or three additions.

--- a/packages/core/mulberrybay_core/tenants/quotas.py
+++ b/packages/core/mulberrybay_core/tenants/quotas.py
@@ -426,6 +426,19 @@
         return self._promised_at_s - now_s
 
 
+class QuotaUse(NamedTuple):
+    """How much of its quota a tenant uses, as this node knows.
+
+    Attributes:
+        name: The tenant.
+        used_ratio: The requests of the last window at all nodes, as a ratio of
+            the quota.
+    """
+
+    name: str
+    used_ratio: float
+
+
 class NodeQuotas:
     """This node's part of the quotas of all tenants.
 
@@ -492,6 +505,21 @@
         quota = self._quotas.get(name)
         return 0.0 if quota is None else quota.promise_s(self._contact, now_s)
 
+    def uses(self, now_s: float) -> list[QuotaUse]:
+        """Returns the use of the quotas, the most used first."""
+        uses = [
+            QuotaUse(
+                quota.tenant.name,
+                (
+                    quota.own_count(now_s)
+                    + quota.others_count(self._contact, now_s)
+                )
+                / quota.limit_count,
+            )
+            for quota in self._quotas.values()
+        ]
+        return sorted(uses, key=lambda use: use.used_ratio, reverse=True)
+
     # Other nodes.
 
     def set_contact(self, contact: Contact, now_s: float) -> None:
--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -15,6 +15,7 @@
 from mulberrybay_edge.request_context import RequestCounts
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_platform.client import PlatformClient
 from mulberrybay_runtime.faults import FaultLog
 
@@ -37,6 +38,7 @@
     reach_monitor: ReachMonitor
     connections: ServerConnections
     crash_watch: CrashWatch
+    gate: TenantGate
     callers: CallerServer
     store: PlatformClient
     view: PlatformView
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -575,6 +575,7 @@
                 reach_monitor=self._reach_monitor,
                 connections=self._connections,
                 crash_watch=self._crash_watch,
+                gate=self._gate,
                 callers=self._callers,
                 store=self._store,
                 view=self._view,
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from mulberrybay_core.tenants.service_counts import MAX_LABEL_COUNT
 from mulberrybay_edge.caller_service import LATENCY_BOUNDS_S
 from mulberrybay_edge.metric_sources import MetricSources
 from mulberrybay_runtime.clock import read_clock_s
@@ -38,6 +39,23 @@
         "counter",
         "Shards that answers did not cover.",
     ),
+    MetricSpec(
+        "edge_tenant_refusals",
+        "counter",
+        "Requests of tenants that were not run; some tenants share a label.",
+        ("tenant", "reason"),
+    ),
+    MetricSpec(
+        "edge_worst_tenants_served_ratio",
+        "gauge",
+        "Served part of the requests of the worst-served tenth of tenants.",
+    ),
+    MetricSpec(
+        "edge_quota_used_ratio",
+        "gauge",
+        "Requests of the last window at all nodes, as a part of the quota.",
+        ("tenant",),
+    ),
     MetricSpec("edge_caller_connections", "gauge", "Connections of callers."),
 )
 SERVER_SPECS: Final = (
@@ -219,10 +237,24 @@
         yield from count_samples("edge_refusals", counts.refusals)
         yield Sample("edge_callers_gone", counts.disconnected_caller_count)
         yield Sample("edge_missing_shards", counts.missing_shard_count)
+        yield from self._read_tenants()
         yield Sample(
             "edge_caller_connections", self._sources.callers.connection_count
         )
 
+    def _read_tenants(self) -> Iterator[Sample]:
+        counts = self._sources.counts.tenants
+        for labels, count in counts.refused.items():
+            yield Sample("edge_tenant_refusals", count, labels)
+        served_ratio = counts.worst_served_ratio()
+        if served_ratio is not None:
+            yield Sample("edge_worst_tenants_served_ratio", served_ratio)
+        quotas = self._sources.gate.quotas
+        if quotas is not None:
+            uses = quotas.uses(read_clock_s())
+            for name, used_ratio in uses[:MAX_LABEL_COUNT]:
+                yield Sample("edge_quota_used_ratio", used_ratio, (name,))
+
     def _read_servers(self) -> Iterator[Sample]:
         dispatcher, counts = self._sources.dispatcher, self._sources.counts
         yield from count_samples("edge_attempts", dispatcher.outcome_counts)
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -15,6 +15,7 @@
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
 from mulberrybay_core.suspect_turns import SuspectTurns
+from mulberrybay_core.tenants.service_counts import TenantCounts
 from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.request_access import RequestAccess
@@ -65,6 +66,7 @@
         hedge_win_count: Hedges whose reply arrived first.
         missing_shard_count: Shards missing in answers.
         disconnected_caller_count: Callers that disconnected before the answer.
+        tenants: Requests by tenant.
     """
 
     def __init__(self) -> None:
@@ -74,6 +76,7 @@
         self.hedge_win_count = 0
         self.missing_shard_count = 0
         self.disconnected_caller_count = 0
+        self.tenants = TenantCounts()
 
 
 class HandlerContext(NamedTuple):
@@ -257,7 +260,7 @@
         Unlike other refusals, that may be after the caller's deadline: a
         repeat within it is refused too.
         """
-        self._context.counts.refusals[CONDEMNED] += 1
+        self._count_refusal(CONDEMNED)
         self._record_end(
             "refused", reason=CONDEMNED, identity=self._identity.hex()
         )
@@ -284,9 +287,8 @@
             answer = caller_errors.over_quota(access.retry_after_s())
         if self._has_started():
             return False
-        self._context.counts.refusals[reason] += 1
-        tenant = access.tenant.name if access.tenant is not None else ""
-        self._record_end("refused", reason=reason, tenant=tenant)
+        self._count_refusal(reason)
+        self._record_end("refused", reason=reason, tenant=self._tenant_name())
         self._finish(answer)
         return True
 
@@ -356,13 +358,32 @@
             min_delay_s: The time until it can be served, if it is known.
             **fields: Additional fields of the log line.
         """
-        self._context.counts.refusals[reason] += 1
+        self._count_refusal(reason)
         self._record_end("refused", reason=reason, **fields)
         delay_s = retry_after_s(self._job, self._context.clock(), min_delay_s)
         self._finish(caller_errors.not_run(reason, delay_s))
 
+    def _tenant_name(self) -> str:
+        """Returns the name of the request's tenant; empty if it has none."""
+        access = self._job.access
+        if access is None or access.tenant is None:
+            return ""
+        return access.tenant.name
+
+    def _count_refusal(self, reason: str) -> None:
+        """Counts a request that is not run."""
+        self._context.counts.refusals[reason] += 1
+        name = self._tenant_name()
+        if name:
+            self._context.counts.tenants.record_refusal(name, reason)
+
     def _finish(self, answer: CallerAnswer) -> None:
         self._close()
+        name = self._tenant_name()
+        if name:
+            self._context.counts.tenants.record_end(
+                name, is_served=200 <= answer.status < 300
+            )
         self._job.reply(with_request_id(answer, self._job, self._context.names))
 
     def _close(self) -> None:
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -10,10 +10,16 @@
 from mulberrybay_core.routing import RoutingConfiguration as Configuration
 from mulberrybay_core.tenants.keys import Tenant, digest_key
 from mulberrybay_core.tenants.quotas import Contact, QuotaTerms
+from mulberrybay_core.tenants.service_counts import (
+    MAX_LABEL_COUNT,
+    OTHERS_LABEL,
+    TenantCounts,
+)
 from mulberrybay_edge.caller_service import RoutedService
 from mulberrybay_edge.exchange import Exchange
 from mulberrybay_edge.relay_handler import RelayTargets
 from mulberrybay_edge.request_access import RequestAccess
+from mulberrybay_edge.request_context import OVER_QUOTA
 from mulberrybay_edge.sending import AttemptOutcome
 from mulberrybay_edge.tenant_gate import TenantGate
 
@@ -311,6 +317,28 @@
     assert service.status() == 429
 
 
+def test_refusals_and_served_requests_are_counted_by_tenant() -> None:
+    service = _LimitedService()
+    service.use_up()
+    for attempt in [*service.harness.sender.attempts]:
+        attempt.succeed()
+    counts = service.harness.context.counts.tenants
+    served_count = len(service.harness.answers)
+    refused_count = counts.refused["red", OVER_QUOTA]
+    assert served_count + refused_count == 4
+    for _ in range(4):
+        service.submit((GOOD,))
+    assert counts.worst_served_ratio() == served_count / 8
+
+
+def test_only_a_few_tenants_have_a_label_in_the_metrics() -> None:
+    counts = TenantCounts()
+    for number in range(100):
+        counts.record_refusal(f"tenant-{number}", "reason")
+    assert len(counts.refused) == MAX_LABEL_COUNT + 1
+    assert counts.refused[OTHERS_LABEL, "reason"] == 100 - MAX_LABEL_COUNT
+
+
 @pytest.mark.parametrize(
     ("tenant_priority", "priority"), [(None, 3), (0, 0), (7, 7)]
 )
