Test a quota over two real nodes, and the settings that enable it

The quota was tested on simulated nodes only: codec, heartbeats, settings and refusals of a process were not. A test sends as fast as two nodes answer for 0.9 of a window: all answers are 200 or 429 with a time within a window, as many requests reach servers as got 200, and their number is between half the quota and the bound. It would fail if each node let the tenant use all of it and the rate of sending is enough.

--- a/packages/edge/tests/test_edge_settings.py
+++ b/packages/edge/tests/test_edge_settings.py
@@ -6,6 +6,7 @@
 
 from mulberrybay_core.caller_messages import HeaderNames
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
+from mulberrybay_core.tenants.quotas import QuotaTerms
 from mulberrybay_edge.settings import EdgeBoundNames, EdgePaths, EdgeSettings
 from mulberrybay_edge.settings_file import parse_edge_settings
 
@@ -49,6 +50,16 @@
     assert parse_times("") == DEFAULT_FOLLOW_TIMES
 
 
+def test_quotas_are_enforced_only_with_a_window_among_the_bounds() -> None:
+    bounds = """bounds = '{"window": 5, "excess": 0.1, "slack": 20}'"""
+    quotas = parse_text(TEXT.format(bounds=bounds)).quotas
+    assert quotas == QuotaTerms(5, 0.1, 20)
+    for text in ("", """bounds = '{"excess": 0.1, "slack": 20}'"""):
+        assert parse_text(TEXT.format(bounds=text)).quotas is None
+    with pytest.raises(ValueError, match="window"):
+        parse_text(TEXT.format(bounds="""bounds = '{"window": 0}'"""))
+
+
 @pytest.mark.parametrize("bounds", ["[]", "no JSON", '{"contact": "soon"}'])
 def test_bounds_that_can_not_be_read_are_rejected(bounds: str) -> None:
     with pytest.raises(ValueError, match=r"JSON|number|Expecting"):
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -7,7 +7,7 @@
 import re
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple, Self
 
 from standins import (
@@ -212,6 +212,7 @@
         services: The services that have backend servers from the start.
         contact_ms: The bound that nodes have after a fault.
         config_apply_ms: The bound that they have otherwise.
+        more_bounds: Further bounds in their settings.
         choose_program: Returns the program to start for a node's name.
     """
 
@@ -220,6 +221,7 @@
     services: tuple[str, ...] = (*SHARDS, *SINGLE_SERVICES)
     contact_ms: int = 4000
     config_apply_ms: int = 3000
+    more_bounds: Mapping[str, float] = {}
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -369,6 +371,7 @@
             {
                 "contact_ms": self.contact_ms,
                 "config_apply_ms": self.config_apply_ms,
+                **self.more_bounds,
             }
         )
         settings.write_text(
--- a/tests/on_platform/test_tenants.py
+++ b/tests/on_platform/test_tenants.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import pathlib
+import time
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -108,3 +109,38 @@
     assert ask(cut, "other") == 401
 
     assert_no_key_was_passed_on(linked, received)
+
+
+def test_quota_holds_over_two_nodes_and_refusals_have_not_run(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against nodes that each let a tenant use the whole quota."""
+    rate_per_s, window_s, slack_count = 20, 5, 20
+    bound_count = rate_per_s * window_s * 1.1 + slack_count
+
+    class _Quotas(LinkedDeployment):
+        more_bounds = {
+            "quota_window_s": window_s,
+            "quota_excess": 0.1,
+            "quota_slack": slack_count,
+        }
+
+    with _Quotas(tmp_path) as deployment:
+        limited = [{**tenants(KEY)[0], "rate_per_s": rate_per_s}]
+        deployment.put("config", "main", configuration(2, tenants=limited))
+        nodes = deployment.start_nodes(2)
+        statuses: list[int] = []
+        began_at_s = time.monotonic()
+        # A little less than a window, so that all count in the same one.
+        while time.monotonic() < began_at_s + 0.9 * window_s:
+            node = nodes[len(statuses) % 2]
+            answer = node.send_request("/records/1", caller=f"Bearer {KEY}")
+            statuses.append(answer.status)
+            if answer.status == 429:
+                assert 0 < float(answer.headers["retry-after"]) <= window_s
+        run_count = sum(
+            len(backend.arrivals) for backend in deployment.backends["records"]
+        )
+    assert {*statuses} == {200, 429}
+    assert run_count == statuses.count(200)
+    assert 0.5 * rate_per_s * window_s <= run_count <= bound_count
