--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -51,6 +51,21 @@
     )
 
 
+def over_quota(retry_after_s: float) -> CallerAnswer:
+    """Returns the refusal of a request beyond its tenant's quota.
+
+    No backend server has processed it.
+
+    Args:
+        retry_after_s: The delay after which it can be served.
+    """
+    return CallerAnswer(
+        429,
+        (("Retry-After", f"{retry_after_s:.3f}"),),
+        b"not run: the quota of the tenant is used up\n",
+    )
+
+
 # Connections without progress are closed after a second.
 SHORT_OF_MEMORY_RETRY_S: Final = 1.0
 SHORT_OF_MEMORY: Final = not_run(
--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -11,6 +11,7 @@
 from mulberrybay_core.fatal_requests import Crash, SuspectReport
 from mulberrybay_core.node_checks import MAX_ROLLOUT_COUNT, check_heartbeat
 from mulberrybay_core.rollouts import ArmCounts, RolloutCounts
+from mulberrybay_core.tenants.quotas import TenantDemand
 
 PROTOCOL_VERSION: Final = 2
 SCHEMA: Final = capnp.load(str(pathlib.Path(__file__).with_name("edge.capnp")))
@@ -66,6 +67,17 @@
             _encode_rollout(counts)
             for counts in heartbeat.rollouts[:MAX_ROLLOUT_COUNT]
         ]
+    if heartbeat.tenants:
+        message.tenants = [
+            {
+                "key": demand.key,
+                "ownPerS": demand.own_per_s,
+                "ownCount": demand.own_count,
+                "allPerS": demand.all_per_s,
+                "allCount": demand.all_count,
+            }
+            for demand in heartbeat.tenants
+        ]
     return bytes(message.to_bytes())
 
 
@@ -184,6 +196,16 @@
                 message.lacksServers,
                 tuple(_decode_report(report) for report in message.suspects),
                 tuple(_decode_rollout(counts) for counts in message.rollouts),
+                tuple(
+                    TenantDemand(
+                        demand.key,
+                        demand.ownPerS,
+                        demand.ownCount,
+                        demand.allPerS,
+                        demand.allCount,
+                    )
+                    for demand in message.tenants
+                ),
             )
         return check_heartbeat(heartbeat)
     except (
--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -17,6 +17,7 @@
 from mulberrybay_edge.rollout_control import RolloutControl
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_edge.store_watch import StoreWatch
+from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_platform.client import PlatformClient
 from mulberrybay_runtime.faults import FaultLog
 
@@ -40,6 +41,7 @@
     reach_monitor: ReachMonitor
     connections: ServerConnections
     crash_watch: CrashWatch
+    gate: TenantGate
     callers: CallerServer
     answer_reserve: AnswerReserve
     store: PlatformClient
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -19,6 +19,7 @@
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route
 from mulberrybay_core.suspect_turns import SuspectTurns
+from mulberrybay_core.tenants.service_counts import TenantCounts
 from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.request_access import RequestAccess
@@ -42,6 +43,8 @@
 CONDEMNED: Final = "backend servers crashed under this request"
 # The reason for refusing a request without a known API key.
 UNKNOWN_KEY: Final = "no known API key"
+# The reason for refusing a request beyond the quota of its tenant.
+OVER_QUOTA: Final = "the quota of the tenant is used up"
 # Why a request ends that is still open when its node must exit.
 EXITING: Final = "this node exits"
 # The last answer is sent this long before the timeout.
@@ -73,6 +76,7 @@
         hedge_win_count: Hedges whose reply arrived first.
         missing_shard_count: Shards missing in answers.
         disconnected_caller_count: Callers that disconnected before the answer.
+        tenants: Requests by tenant.
     """
 
     def __init__(self) -> None:
@@ -82,6 +86,7 @@
         self.hedge_win_count = 0
         self.missing_shard_count = 0
         self.disconnected_caller_count = 0
+        self.tenants = TenantCounts()
 
 
 class HandlerContext(NamedTuple):
@@ -131,6 +136,14 @@
     timing: AnswerTiming = AnswerTiming()
     access: RequestAccess | None = None
 
+    @property
+    def priority(self) -> int:
+        """The tenant's priority if it has one, else the route's."""
+        tenant = self.access.tenant if self.access is not None else None
+        if tenant is not None and tenant.priority is not None:
+            return tenant.priority
+        return self.route.priority
+
     def latency_budget_s(self) -> float:
         """Returns the time within which this node should answer, in seconds.
 
@@ -262,7 +275,7 @@
         Unlike other refusals, that may be after the caller's deadline: a
         repeat within it is refused too.
         """
-        self._context.counts.refusals[CONDEMNED] += 1
+        self._count_refusal(CONDEMNED)
         self._record_end(
             "refused", reason=CONDEMNED, identity=self._identity.hex()
         )
@@ -278,13 +291,28 @@
         key while it waited. A request that may have run goes on.
         """
         access = self._job.access
-        if access is None or access.is_admitted() or self._has_started():
+        if access is None:
+            return False
+        if not access.is_admitted():
+            reason, answer = UNKNOWN_KEY, caller_errors.UNKNOWN_KEY
+        elif access.charge():
             return False
-        self._context.counts.refusals[UNKNOWN_KEY] += 1
-        self._record_end("refused", reason=UNKNOWN_KEY)
-        self._finish(caller_errors.UNKNOWN_KEY)
+        else:
+            reason = OVER_QUOTA
+            answer = caller_errors.over_quota(access.retry_after_s())
+        if self._has_started():
+            return False
+        self._count_refusal(reason)
+        self._record_end("refused", reason=reason, tenant=self._tenant_name())
+        self._finish(answer)
         return True
 
+    def _give_back_unsent(self) -> None:
+        """Frees the quota for others while the request waits."""
+        access = self._job.access
+        if access is not None and not self._has_started():
+            access.give_back()
+
     def _has_started(self) -> bool:
         """Whether a server may be running the request or may have run it."""
         raise NotImplementedError
@@ -345,17 +373,37 @@
             min_delay_s: The time until it can be served, if it is known.
             **fields: Additional fields of the log line.
         """
-        self._context.counts.refusals[reason] += 1
+        self._count_refusal(reason)
         self._record_end("refused", reason=reason, **fields)
         delay_s = retry_after_s(self._job, self._context.clock(), min_delay_s)
         self._finish(caller_errors.not_run(reason, delay_s))
 
+    def _tenant_name(self) -> str:
+        """Returns the name of the request's tenant; empty if it has none."""
+        access = self._job.access
+        if access is None or access.tenant is None:
+            return ""
+        return access.tenant.name
+
+    def _count_refusal(self, reason: str) -> None:
+        """Counts a request that is not run."""
+        self._context.counts.refusals[reason] += 1
+        name = self._tenant_name()
+        if name:
+            self._context.counts.tenants.record_refusal(name, reason)
+
     def _finish(self, answer: CallerAnswer) -> None:
         self._close()
+        name = self._tenant_name()
+        if name:
+            self._context.counts.tenants.record_end(
+                name, is_served=200 <= answer.status < 300
+            )
         self._job.reply(with_request_id(answer, self._job, self._context.names))
 
     def _close(self) -> None:
         self._has_ended = True
+        self._give_back_unsent()
         self._context.crash_watch.release(self._identity, self)
         if self._timer is not None:
             self._timer.cancel()
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -7,6 +7,7 @@
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
 from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
+from mulberrybay_core.tenants.quotas import QuotaTerms
 
 
 class EdgeAddresses(NamedTuple):
@@ -43,10 +44,16 @@
         contact_ms: After a fault, the time within which a node must know all
             changes again.
         apply_ms: The time within which a change must be in force otherwise.
+        quota_window_s: The sliding window of the tenants' quotas.
+        quota_excess: How far all nodes together may exceed a quota.
+        quota_slack: The requests allowed beyond that.
     """
 
     contact_ms: str
     apply_ms: str
+    quota_window_s: str
+    quota_excess: str
+    quota_slack: str
 
 
 class MachineLimits(NamedTuple):
@@ -86,6 +93,7 @@
         follow_times: How long it counts on a call to the store.
         machine: What the machine allows the process to use.
         rollouts: The bounds of rollouts; None if nodes take no part in them.
+        quotas: The bounds on the quotas of tenants; None to enforce none.
     """
 
     node_name: str
@@ -103,3 +111,4 @@
     follow_times: FollowTimes = DEFAULT_FOLLOW_TIMES
     machine: MachineLimits = DEFAULT_MACHINE_LIMITS
     rollouts: RolloutTerms | None = None
+    quotas: QuotaTerms | None = None
--- a/packages/edge/tests/test_peer_input.py
+++ b/packages/edge/tests/test_peer_input.py
@@ -30,6 +30,7 @@
     RolloutTerms,
 )
 from mulberrybay_core.store_messages import ObjectList, StoredObject
+from mulberrybay_core.tenants.quotas import TenantDemand
 from mulberrybay_edge.heartbeat_codec import (
     HeartbeatError,
     decode_heartbeat,
@@ -85,6 +86,14 @@
     floats,
     floats,
 )
+demands = strategies.builds(
+    TenantDemand,
+    strategies.integers(0, 2**64 - 1),
+    floats,
+    floats,
+    floats,
+    floats,
+)
 heartbeats = strategies.builds(
     EdgeHeartbeat,
     infos,
@@ -122,6 +131,7 @@
         ),
         max_size=3,
     ).map(tuple),
+    tenants=strategies.lists(demands, max_size=2).map(tuple),
 )
 
 
@@ -189,6 +199,9 @@
         {"rollouts": (with_arm(ArmCounts(1, 2)),)},
         {"rollouts": (with_arm(ArmCounts(1, 1, math.inf)),)},
         {"rollouts": (with_arm(ArmCounts(1, 1, 0.0, -1.0)),)},
+        {"tenants": (TenantDemand(1, math.inf, 1.0, 1.0, 1.0),)},
+        {"tenants": (TenantDemand(1, 1.0, -1.0, 1.0, 1.0),)},
+        {"tenants": (TenantDemand(1, 1.0, 1.0, 1.0, math.nan),)},
         {
             "suspects": (
                 SuspectReport(b"", (Crash(1, True, 0.0, math.nan),), None, 0.0),
--- a/tests/on_platform/deployment.py
+++ b/tests/on_platform/deployment.py
@@ -7,7 +7,7 @@
 import re
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple, Self
 
 from standins import (
@@ -214,6 +214,7 @@
         config_apply_ms: The bound that they have otherwise.
         extra_settings: Lines that are added to the nodes' settings.
         rollout_bounds: The lines of the settings on rollouts; none if empty.
+        more_bounds: Further bounds in their settings.
         choose_program: Returns the program to start for a node's name.
     """
 
@@ -224,6 +225,7 @@
     config_apply_ms: int = 3000
     extra_settings: str = ""
     rollout_bounds: str = ""
+    more_bounds: Mapping[str, float] = {}
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -379,6 +381,7 @@
             {
                 "contact_ms": self.contact_ms,
                 "config_apply_ms": self.config_apply_ms,
+                **self.more_bounds,
             }
         )
         settings.write_text(
