Leave the quota to others while a query waits for servers

A query whose shards all had no room kept its tenant's quota until its deadline, while other requests of that tenant were refused with 429. Cause: only requests at one server gave the charge back while they wait; for queries it was given back at their end. It is now given back whenever no attempt of the query is in progress and none has run, and taken again before the next attempt. The test over shards failed before (use of 1.0 while it waits) and passes; all tests of packages/edge and test_tenants.py pass. A query with replies or attempts keeps its charge.

--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -331,6 +331,8 @@
         """Schedules the next check for attempts or an answer that is due."""
         if self._has_ended:
             return
+        if not any(shard.attempts for shard in self._shards):
+            self._give_back_unsent()
         now_s = self._context.clock()
         due_s = self._last_answer_at_s
         if now_s < self._answer_at_s:
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -356,3 +356,21 @@
     )
     route = job.route._replace(priority=3)
     assert job._replace(route=route, access=access).priority == priority
+
+
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+def test_request_that_waits_for_a_server_leaves_the_quota_to_others(
+    shards: tuple[str, ...],
+) -> None:
+    service = _LimitedService(shards=shards)
+    service.harness.sender.full_services.update(shards or ("one",))
+    service.submit((GOOD,))
+    quotas, timers = service.gate.quotas, service.harness.timers
+    assert quotas is not None
+    for _ in range(2):
+        assert service.harness.answers == []
+        assert quotas.uses(timers.now_s)[0].used_ratio == 0
+        timers.advance(0.015)
+    service.harness.sender.full_services.clear()
+    timers.advance(0.015)
+    assert quotas.uses(timers.now_s)[0].used_ratio > 0
