Let uncontrolled callers connect during soaks

Soaks had faults of nodes, servers, links and the store, but no callers that send exhausting bytes. A tenth of the injected faults now comes with callers of one of six kinds at one node, whose requests never become complete, so that the checks on servers see the soak's own requests alone. Nodes of soaks have the tests' settings (80 MB, 400 descriptors), and one that takes more memory is a violation.

--- a/tests/on_platform/faulty_deployment.py
+++ b/tests/on_platform/faulty_deployment.py
@@ -6,6 +6,7 @@
 from deployment import START_TIMEOUT_S, RunningNode
 from linked_deployment import LinkedDeployment
 from standins import BackendStandIn
+from uncontrolled_callers import SETTINGS
 
 from mulberrybay_testing.proxy_link import ProxySettings
 from mulberrybay_testing.tcp_proxy import Proxy
@@ -26,6 +27,7 @@
     """
 
     zones = ZONES
+    extra_settings = SETTINGS
 
     def __init__(self, folder: pathlib.Path) -> None:
         super().__init__(folder)
--- a/tests/on_platform/fleet_faults.py
+++ b/tests/on_platform/fleet_faults.py
@@ -10,6 +10,7 @@
 
 from deployment import RunningNode, configuration, route
 from faulty_deployment import STORE, ZONES, FaultyDeployment
+from fleet_callers import CallerFaults
 from fleet_checks import CONFIG_APPLY_S
 from fleet_history import FleetHistory, NamedLimit, Withdrawal
 from standins import BackendStandIn, StoreCopy
@@ -105,6 +106,7 @@
         self._deployment = deployment
         self._history = history
         self._random = random.Random(seed)
+        self._caller_faults = CallerFaults(seed)
         self._scheduled: list[_ScheduledUndo] = []
         self._numbers = itertools.count()
         self._disrupted: set[str] = set()
@@ -147,6 +149,8 @@
             kinds = (self._silence_store,)
             if self._returns_store:
                 kinds = (self._silence_store, self._return_store)
+        elif self._caller_faults.is_due():
+            self._send_as_callers()
         self._random.choice(kinds)()
 
     def tick(self) -> None:
@@ -252,6 +256,20 @@
 
         self._schedule(undo, self._duration_s(MAX_PAUSE_S))
 
+    def _send_as_callers(self) -> None:
+        nodes = self._deployment.nodes
+        node = next((n for n in nodes if n.name not in self._disrupted), None)
+        if node is None:
+            return
+        fault = self._caller_faults.start(node)
+        self._begin(node.name, fault.name)
+
+        def undo() -> None:
+            self.problems += fault.end()
+            self._end(node.name, fault.name)
+
+        self._schedule(undo, MAX_FAULT_S)
+
     def _reload(self) -> None:
         node = self._pick_node()
         if node is not None and node.handles_signals():
--- a/tests/on_platform/test_uncontrolled_callers.py
+++ b/tests/on_platform/test_uncontrolled_callers.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import pathlib
-import re
 import socket
 from collections.abc import Iterator
 from typing import Any, Final
@@ -12,27 +11,26 @@
 from uncontrolled_callers import (
     KINDS,
     MAX_BODY_BYTES,
+    MAX_DESCRIPTORS,
     MAX_HEADER_BYTES,
+    MEMORY_MB,
     PEER_KINDS,
+    SETTINGS,
     SILENT_KINDS,
     CallerKind,
     UncontrolledCallers,
+    peak_memory_mb,
 )
 
 from mulberrybay_testing.ports import HOST
 from mulberrybay_testing.waiting import wait_until
 
-# Half of what the smallest machine has.
-MEMORY_MB: Final = 80
-MAX_DESCRIPTORS: Final = 400
 ANSWER_BYTES: Final = 100_000
 ANSWER_TIMEOUT_S: Final = 20.0
 
 
 class _LimitedDeployment(Deployment):
-    extra_settings = (
-        f"memory_mb = {MEMORY_MB}\nmax_descriptors = {MAX_DESCRIPTORS}\n"
-    )
+    extra_settings = SETTINGS
 
     def first_configuration(self) -> dict[str, Any]:
         limits = {
@@ -64,13 +62,6 @@
     return False
 
 
-def peak_memory_mb(node: RunningNode) -> float:
-    text = pathlib.Path(f"/proc/{node.process.pid}/status").read_text("ascii")
-    match = re.search(r"^VmHWM:\s+(\d+) kB", text, re.M)
-    assert match is not None
-    return int(match[1]) / 1024
-
-
 def count_descriptors(node: RunningNode) -> int:
     with contextlib.suppress(OSError):
         return len([*pathlib.Path(f"/proc/{node.process.pid}/fd").iterdir()])
@@ -85,7 +76,7 @@
 
 def check(node: RunningNode, port: int, kinds: list[CallerKind]) -> None:
     """Lets callers send, then checks the node while they stay connected."""
-    before_mb = peak_memory_mb(node)
+    before_mb = peak_memory_mb(node.process.pid)
     counts = []
     with UncontrolledCallers(port, kinds) as callers:
         callers.send(lambda: counts.append(count_descriptors(node)))
@@ -94,7 +85,7 @@
             ANSWER_TIMEOUT_S,
             "an ordinary request is served",
         )
-    peak_mb = peak_memory_mb(node)
+    peak_mb = peak_memory_mb(node.process.pid)
     print(f"{before_mb:.0f} MB, then {peak_mb:.0f}; {max(counts)} open")
     assert node.process.returncode is None
     assert peak_mb < MEMORY_MB
--- a/tests/on_platform/uncontrolled_callers.py
+++ b/tests/on_platform/uncontrolled_callers.py
@@ -1,6 +1,8 @@
 """Callers that send legal but exhausting bytes to a node."""
 
 import contextlib
+import pathlib
+import re
 import selectors
 import socket
 import struct
@@ -11,6 +13,13 @@
 from mulberrybay_nodes.frames import MAX_FRAME_BYTES
 from mulberrybay_testing.ports import HOST
 
+# The settings of nodes that meet these callers: half of what the smallest machine
+# has, and few descriptors.
+MEMORY_MB: Final = 80
+MAX_DESCRIPTORS: Final = 400
+SETTINGS: Final = (
+    f"memory_mb = {MEMORY_MB}\nmax_descriptors = {MAX_DESCRIPTORS}\n"
+)
 # The limits of the configuration that these callers are made for.
 MAX_HEADER_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 262_144
@@ -97,6 +106,14 @@
         yield bytes([number])
 
 
+def peak_memory_mb(process_id: int) -> float:
+    """Returns the most memory that a process has had, in MB."""
+    text = pathlib.Path(f"/proc/{process_id}/status").read_text("ascii")
+    match = re.search(r"^VmHWM:\s+(\d+) kB", text, re.M)
+    assert match is not None
+    return int(match[1]) / 1024
+
+
 class CallerKind(NamedTuple):
     """Callers that send the same bytes.
 
@@ -176,6 +193,7 @@
             for kind in kinds
             for _ in range(kind.connection_count)
         ]
+        self._is_stopped = False
 
     def __enter__(self) -> Self:
         return self
@@ -184,6 +202,10 @@
         for caller in self._callers:
             caller.socket.close()
 
+    def stop(self) -> None:
+        """Makes `send` return soon; for other threads."""
+        self._is_stopped = True
+
     def send(self, observe: Callable[[], None]) -> None:
         """Sends until nothing more is taken, or for a time.
 
@@ -196,7 +218,7 @@
         with selectors.DefaultSelector() as selector:
             for caller in self._callers:
                 selector.register(caller.socket, selectors.EVENT_WRITE, caller)
-            while True:
+            while not self._is_stopped:
                 now_s = time.monotonic()
                 if now_s - observed_s > OBSERVATION_PERIOD_S:
                     observe()
