Relate the latencies of a rollout to one latency per route

Cause: latencies were relative to the route's typical latency at their time. A node that has just started assumes a quarter of the target for its first 32 replies, here 75 ms, and 2 ms after them. The early replies, nearly all of old servers, so counted as a twelfth and the later ones, all of new servers, as a half of the typical latency. Each node now keeps one reference for each route from the order on: the typical latency if it has enough samples, else its first reply's.

--- a/packages/core/mulberrybay_core/route_history.py
+++ b/packages/core/mulberrybay_core/route_history.py
@@ -30,6 +30,11 @@
         """Records the latency of a reply or the age of an abandoned attempt."""
         self._quantiles.on_latency(latency_s)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether there are enough samples for the typical latency."""
+        return self._quantiles.median_s() is not None
+
     def typical_latency_s(self) -> float:
         """Returns the median latency of a reply.
 
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -5,6 +5,7 @@
 
 from mulberrybay_core.placement import ServerState
 from mulberrybay_core.rollouts import NodeRollouts
+from mulberrybay_core.route_history import MIN_TYPICAL_LATENCY_S
 from mulberrybay_core.server_directory import KnownServer
 from mulberrybay_edge.sending import AttemptOutcome, AttemptSpec, SendRefusal
 
@@ -14,17 +15,53 @@
 NO_LATENCY_RATIO: Final = 0.0
 
 
+class LatencyReferences:
+    """The latencies to which those of a rollout are relative at this node.
+
+    They stay the same during a rollout. The typical latency of a route may
+    change by a factor as samples are added, and the version that got more of
+    its requests later would seem to be slower.
+    """
+
+    def __init__(self) -> None:
+        self._by_route: dict[tuple[str, str], float] = {}
+
+    def forget(self, service: str) -> None:
+        """Forgets the latencies of a service, as another rollout begins."""
+        for key in [key for key in self._by_route if key[0] == service]:
+            del self._by_route[key]
+
+    def find(
+        self, spec: AttemptSpec, latency_s: float, *, is_reply: bool
+    ) -> float:
+        """Returns the latency to compare another one with.
+
+        Without enough samples of the route, it is that of the first reply.
+        """
+        key = spec.service, spec.route_name
+        reference_s = self._by_route.get(key)
+        if reference_s is not None:
+            return reference_s
+        reference_s = spec.history.typical_latency_s()
+        if is_reply and not spec.history.is_known:
+            reference_s = max(latency_s, MIN_TYPICAL_LATENCY_S)
+        if is_reply or spec.history.is_known:
+            self._by_route[key] = reference_s
+        return reference_s
+
+
 class RolloutAttempt:
     """One attempt, for which a rollout is charged until it has ended."""
 
     __slots__ = (
-        "_history",
         "_is_charged",
         "_is_cold",
         "_is_retry",
+        "_references",
         "_rollouts",
         "_route_name",
         "_service",
+        "_spec",
         "_started_at_s",
         "_version",
     )
@@ -32,6 +69,7 @@
     def __init__(
         self,
         rollouts: NodeRollouts,
+        references: LatencyReferences,
         spec: AttemptSpec,
         server: KnownServer,
         now_s: float,
@@ -39,7 +77,8 @@
         self._rollouts = rollouts
         self._service = spec.service
         self._route_name = spec.route_name
-        self._history = spec.history
+        self._spec = spec
+        self._references = references
         self._started_at_s = now_s
         self._is_retry = spec.is_retry
         # The server's entry may change while the attempt is in progress.
@@ -68,11 +107,14 @@
             self._is_charged = False
             self._rollouts.give_back(self._service, self._version)
 
-    def _latency_ratio(self, now_s: float) -> float:
-        """Returns its age as a multiple of the typical latency."""
+    def _latency_ratio(self, now_s: float, *, is_reply: bool) -> float:
+        """Returns its age as a multiple of the latency to compare with."""
         if self._is_cold:
             return NO_LATENCY_RATIO
-        return (now_s - self._started_at_s) / self._history.typical_latency_s()
+        latency_s = now_s - self._started_at_s
+        return latency_s / self._references.find(
+            self._spec, latency_s, is_reply=is_reply
+        )
 
     def record_end(self, outcome: AttemptOutcome | None, now_s: float) -> None:
         """Records how it ended, unless it was taken back.
@@ -92,15 +134,16 @@
         attempt = self._service, self._version, self._route_name
         if outcome is None:
             self._rollouts.record_abandoned(
-                *attempt, self._latency_ratio(now_s), now_s
+                *attempt, self._latency_ratio(now_s, is_reply=False), now_s
             )
         elif outcome is AttemptOutcome.NOT_RUN:
             self._rollouts.record_abandoned(*attempt, NO_LATENCY_RATIO, now_s)
         else:
+            is_ok = outcome is AttemptOutcome.OK
             self._rollouts.record_reply(
                 *attempt,
-                outcome is not AttemptOutcome.OK,
-                self._latency_ratio(now_s),
+                not is_ok,
+                self._latency_ratio(now_s, is_reply=is_ok),
                 now_s,
             )
 
@@ -116,12 +159,14 @@
 
     def __init__(self, rollouts: NodeRollouts) -> None:
         self._rollouts = rollouts
+        self._references = LatencyReferences()
         self.canary_versions: dict[str, str] = {}
         self.promoted_versions: dict[str, str] = {}
 
     def begin(self, service: str, version: str) -> None:
         """Records that a rollout was ordered."""
         self.end(service)
+        self._references.forget(service)
         self.canary_versions[service] = version
 
     def promote(self, service: str, version: str) -> None:
@@ -198,4 +243,6 @@
         self, spec: AttemptSpec, server: KnownServer, now_s: float
     ) -> RolloutAttempt:
         """Charges an attempt that is about to be sent to a server."""
-        return RolloutAttempt(self._rollouts, spec, server, now_s)
+        return RolloutAttempt(
+            self._rollouts, self._references, spec, server, now_s
+        )
