Answer all requests that were read before a node stops

Callers that pipelined requests to a stopping node got one answer with "Connection: close" and none to the other requests that the node had read; a caller that read a large answer slowly lost its end.

Cause: the first answer during a stop ended the connection and dropped the requests that waited on it; and a connection whose answer was partly unsent counted as idle, so that the node closed it or exited. Evidence: the new tests, which fail without the change. Ruled out: a caller that pipelines on and on can't delay the stop, as the node refuses requests in the end and exits at the limit of the stop.

The connection now ends with the last request that was read, refused ones included, and a node waits for unsent answers within the limit of its stop. Bytes that were not read yet are still left, as before: nothing of them ran.

--- a/packages/edge/mulberrybay_edge/caller_connection.py
+++ b/packages/edge/mulberrybay_edge/caller_connection.py
@@ -130,6 +130,11 @@
             and self._reader.message_started_at_s is None
         )
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer waits for the caller to read."""
+        return bool(self._stream.unsent)
+
     @property
     def is_ending(self) -> bool:
         """Whether the last answer of the connection has been written."""
@@ -264,8 +269,10 @@
                 return
             self._waiting_bytes -= received.held_bytes
             if self._server.is_refusing:
-                self._answer(caller_errors.STOPPING, keeps_alive=False)
-                return
+                self._answer(
+                    caller_errors.STOPPING, keeps_alive=received.keeps_alive
+                )
+                continue
             if not self._admit(received):
                 self._answer(
                     caller_errors.SHORT_OF_MEMORY,
@@ -330,7 +337,9 @@
     def _answer(
         self, answer: CallerAnswer, *, keeps_alive: bool, has_body: bool = True
     ) -> None:
-        closes = not keeps_alive or self._server.is_stopping
+        # Requests that were read whole are answered, also during a stop.
+        is_last = self._server.is_stopping and not self._pending
+        closes = not keeps_alive or is_last
         self.last_active_at_s = read_clock_s()
         self._stream.send(
             encode_answer(answer, closes=closes, has_body=has_body)
--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/edge/mulberrybay_edge/caller_server.py
@@ -124,14 +124,19 @@
     def close_idle(self) -> None:
         """Closes the connections without a request in progress."""
         for connection in [*self._connections]:
-            if connection.is_idle and not connection.is_ending:
+            if (
+                connection.is_idle
+                and not connection.is_ending
+                and not connection.has_unsent
+            ):
                 connection.close()
 
     @property
     def busy_count(self) -> int:
-        """Number of connections with a request in progress."""
+        """Number of connections with a request or an answer in progress."""
         return sum(
-            not connection.is_idle and not connection.is_ending
+            connection.has_unsent
+            or (not connection.is_idle and not connection.is_ending)
             for connection in self._connections
         )
 
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -1,5 +1,6 @@
 """Connections of callers whose bytes can't be parsed."""
 
+import re
 from typing import Any
 
 import pytest
@@ -348,3 +349,43 @@
     other.hold(HeldKind.INPUT, 0)
     connection.on_data(stream, REQUEST)
     assert len(service.requests) == 2
+
+
+@pytest.mark.parametrize("is_refusing", [False, True])
+def test_requests_that_were_read_are_all_answered_during_a_stop(
+    is_refusing: bool,
+) -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    connection.on_data(stream, 3 * REQUEST)
+
+    server.is_stopping = True
+    server.is_refusing = is_refusing
+    for reply in service.replies:
+        assert not stream.is_half_closed
+        reply(CallerAnswer(200, (), b"own"))
+
+    second = b"503" if is_refusing else b"200"
+    statuses = re.findall(rb"HTTP/1.1 (\d+) ", stream.sent)
+    assert statuses == [b"200", second, second]
+    assert stream.sent.count(b"Connection: close") == 1
+    assert stream.is_half_closed
+
+
+def test_node_does_not_stop_while_an_answer_is_being_sent() -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    connection.on_data(stream, REQUEST)
+    server.is_stopping = True
+    stream.unsent = b"rest of the answer"
+    service.replies[0](CallerAnswer(200, (), b"own"))
+
+    assert server.busy_count == 1
+    server.close_idle()
+    assert server.connection_count == 1
+
+    stream.unsent = b""
+    connection._on_sent()
+    assert server.busy_count == 0
