Name the tenant in repeats of a request whose key was revoked

A server that got a hedge or a retry of a request whose key had been removed meanwhile got it without X-Tenant, and the metrics counted it for nobody.

Cause: judged by the new configuration, the request lost its tenant, and the request as sent to servers was encoded again without a name. A request that has been sent to a server goes on, so that was sent. Evidence: the new tests, which fail without the change. Ruled out: the key itself didn't reach a server in this case.

A refused request now keeps the tenant that it had when last admitted. One that was not sent yet is refused as before, and counted for that tenant.

--- a/packages/edge/mulberrybay_edge/request_access.py
+++ b/packages/edge/mulberrybay_edge/request_access.py
@@ -51,7 +51,7 @@
         self._digest: bytes | None = None
         self._has_started = False
         self._is_admitted = True
-        # The tenant whose key the request carries.
+        # The tenant whose key the request carries, or carried when last admitted.
         self.tenant: Tenant | None = None
         self._judge(table)
 
@@ -117,9 +117,13 @@
         if self._digest is None:
             self._digest = read_key_digest(self._request.headers)
         route = table.find_route(self._request.host, self._request.path)
-        self._is_admitted, self.tenant = key_ring.judge(
+        verdict = key_ring.judge(
             self._digest, is_public=(route or self._route).is_public
         )
+        self._is_admitted = verdict.is_admitted
+        if verdict.is_admitted:
+            # A refused request that has started goes on for its tenant.
+            self.tenant = verdict.tenant
 
     def _name_tenant(self) -> None:
         if self._template is not None and self.needs_keys:
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -189,6 +189,26 @@
     assert service.status() == 200
 
 
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+def test_hedge_and_retry_of_a_sent_request_keep_its_tenant_without_its_key(
+    shards: tuple[str, ...],
+) -> None:
+    service = _Service(shards=shards)
+    service.submit((GOOD, FORGED))
+    attempts = service.harness.sender.attempts
+    sent_count = len(attempts)
+    service.configure(TENANTS[1:])
+
+    attempts[0].end(AttemptOutcome.LOST)
+
+    assert len(attempts) == sent_count + 1
+    lines = read_lines(attempts[-1])
+    assert [line for line in lines if "tenant" in line.lower()] == [
+        "Tenant: red"
+    ]
+    assert not [line for line in lines if "authorization" in line.lower()]
+
+
 def test_key_that_is_revoked_while_a_connection_is_opened_is_not_used() -> None:
     service = _Service()
     service.submit((GOOD,))
