Cancel the request of a caller that leaves while it is not read

Servers went on with a request, and got the pipelined ones after it, although the caller had disconnected.

Cause: a connection with more than 64 KiB of waiting requests isn't read, and without unsent bytes it isn't watched by the poller at all, so that neither the end of the connection nor a reset was noticed. Evidence: the new tests on loopback connections, which fail without the change. Ruled out: a connection with unsent bytes is watched, as it is written.

It costs one system call for each connection that is not read.

--- a/packages/edge/mulberrybay_edge/caller_connection.py
+++ b/packages/edge/mulberrybay_edge/caller_connection.py
@@ -390,7 +390,10 @@
         self._stream.half_close_when_sent()
 
     def sweep(self, now_s: float) -> None:
-        """Closes the connection if a timeout has passed."""
+        """Closes the connection if a timeout has passed or the caller left."""
+        if self._stream.is_paused and not self._stream.unsent:
+            # The poller doesn't watch it while a request is in progress.
+            self._stream.close_if_disconnected()
         limits = self._server.limits
         inactive_s = now_s - self.last_active_at_s
         started_at_s = self._reader.message_started_at_s
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -1,6 +1,8 @@
 """Connections of callers whose bytes can't be parsed."""
 
 import re
+import socket
+import struct
 from typing import Any
 
 import pytest
@@ -12,6 +14,9 @@
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_edge import caller_connection, connection_timing
 from mulberrybay_edge.caller_server import CallerServer
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.streams import Stream, StreamPoller, Streams
+from mulberrybay_testing.waiting import wait_until
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n\r\n"
 
@@ -62,6 +67,7 @@
     def __init__(self) -> None:
         self.replies: list[Any] = []
         self.requests: list[CallerRequest] = []
+        self.cancelled: list[CallerRequest] = []
         self.error: Exception | None = None
 
     def submit(self, request: CallerRequest, reply: Any) -> object:  # noqa: ANN401
@@ -69,7 +75,7 @@
             raise self.error
         self.requests.append(request)
         self.replies.append(reply)
-        return lambda: None
+        return lambda: self.cancelled.append(request)
 
 
 def test_bytes_that_can_not_be_parsed_get_one_error_answer() -> None:
@@ -389,3 +395,36 @@
     stream.unsent = b""
     connection._on_sent()
     assert server.busy_count == 0
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_caller_that_leaves_while_it_is_not_read_has_its_request_cancelled(
+    is_reset: bool,
+) -> None:
+    """The poller watches no socket that is neither read nor written."""
+    service, streams = _Service(), Streams(StreamPoller())
+    server = CallerServer(NAMES, service, None, _Timers())
+    with socket.create_server(("127.0.0.1", 0)) as listener, streams:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, peer = listener.accept()
+        stream = Stream(streams, accepted, Address(*peer), None)
+        connection = stream.observer = server._accept(stream)
+        connection.on_data(stream, REQUEST)
+        large = CHUNKED + b"11000\r\n" + b"b" * 0x11000 + b"\r\n0\r\n\r\n"
+        connection.on_data(stream, large)
+        connection.sweep(read_clock_s())
+        assert stream.is_paused
+        assert service.cancelled == []
+
+        if is_reset:
+            option = struct.pack("ii", 1, 0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        caller.close()
+
+        def has_cancelled() -> bool:
+            connection.sweep(read_clock_s())
+            return service.cancelled == service.requests[:1]
+
+        wait_until(has_cancelled, 5.0, "the request is cancelled")
+    assert len(service.requests) == 1
+    assert server.connection_count == 0
--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -34,6 +34,8 @@
 # The offset of tcpi_rtt, in microseconds, in struct tcp_info of Linux.
 _RTT_OFFSET_BYTES: Final = 68
 _TCP_INFO_BYTES: Final = 104
+# The values of tcpi_state, the first byte, after the peer's end or a reset.
+_CLOSED_TCP_STATES: Final = frozenset({7, 8})
 
 
 class streams_ready(Event):  # noqa: N801
@@ -213,8 +215,8 @@
     def pause_reading(self) -> None:
         """Reads no more bytes for now; the peer then has to wait.
 
-        Until reading is resumed, it isn't noticed that the peer has closed the
-        connection.
+        Until reading is resumed, only `close_if_disconnected` notices that the
+        peer has closed the connection.
         """
         self._owner.set_paused(self, is_paused=True)
 
@@ -222,6 +224,17 @@
         """Reads again."""
         self._owner.set_paused(self, is_paused=False)
 
+    def close_if_disconnected(self) -> None:
+        """Closes the connection as a read would if the peer has closed it."""
+        try:
+            state = self.connection.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1
+            )[0]
+        except OSError:
+            return
+        if state in _CLOSED_TCP_STATES:
+            self._owner.close_stream(self, "the peer closed the connection")
+
     def close(self) -> None:
         """Closes the connection without notifying the observer."""
         self._owner.close_stream(self, reason=None)
