Keep a fault of one answer's timer from ending another query's start

If the answer of a query failed by a fault of the program, another query that was just being sent got 502, and was left with attempts but without timers; sockets that were ready in this turn of the loop weren't read.

Cause: prompt timers run between the attempts of a query and between reads, and an exception passed through to what ran them. Evidence: the new test, which fails without the change. Ruled out: timers run by the event loop itself already raised theirs at the end.

The exception is now raised by the event loop as its next timer, so that it is still reported once, and the other prompt timers run.

--- a/packages/runtime/mulberrybay_runtime/timers.py
+++ b/packages/runtime/mulberrybay_runtime/timers.py
@@ -82,10 +82,22 @@
         self._is_running_prompt = True
         try:
             while heap and now_s - STANDSTILL_S <= heap[0][0] <= now_s:
-                heapq.heappop(heap)[2].fire()
+                timer = heapq.heappop(heap)[2]
+                try:
+                    timer.fire()
+                except Exception as error:
+                    self._raise_later(error)
         finally:
             self._is_running_prompt = False
 
+    def _raise_later(self, error: Exception) -> None:
+        """Raises an exception in the event loop, not in an unrelated task."""
+
+        def raise_error() -> None:
+            raise error
+
+        self.call_at(read_clock_s(), raise_error)
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
         """Schedules a callback after a delay."""
         return self.call_at(read_clock_s() + delay_s, callback)
--- a/packages/runtime/tests/test_timers.py
+++ b/packages/runtime/tests/test_timers.py
@@ -91,3 +91,21 @@
     loop.generate_events()
     loop.generate_events()
     assert loop.fired == ["prompt 10.1", "prompt 10.5"]
+
+
+def test_fault_of_a_prompt_timer_does_not_end_the_task_that_runs_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """That task handles another request; the event loop reports the fault."""
+    loop = _Loop(monkeypatch)
+
+    def fail() -> None:
+        raise ValueError("a fault")
+
+    loop.timers.call_promptly_at(10.0, fail)
+    loop.timers.call_promptly_at(10.0, lambda: loop.fired.append("next"))
+    loop.timers.run_prompt()
+
+    assert loop.fired == ["next"]
+    with pytest.raises(ValueError, match="a fault"):
+        loop.generate_events()
