End a request whose start fails by a fault of the program

A caller got 502, as it should, but the node kept the request and its body, as well as its part of the tenant's quota, until it stopped.

Cause: a handler that fails while it starts has no timer yet, and nothing else ended it. Evidence: the new test, which fails without the change. Ruled out: a fault after the answer isn't affected, as the handler is gone then.

The handler is now cancelled before the exception is passed on. Attempts that were sent are cancelled too, and then the charge stays. Such a request counts as one whose caller has disconnected.

--- a/packages/edge/mulberrybay_edge/caller_service.py
+++ b/packages/edge/mulberrybay_edge/caller_service.py
@@ -165,7 +165,12 @@
             )
         handlers.append(handler)
         self._in_progress.add(handler)
-        handler.begin()
+        try:
+            handler.begin()
+        except Exception:
+            # Without a timer, nothing else would end it.
+            cancel()
+            raise
         return cancel
 
     def give_up(self) -> None:
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -394,3 +394,22 @@
     service.harness.sender.full_services.clear()
     timers.advance(0.015)
     assert quotas.uses(timers.now_s)[0].used_ratio > 0
+
+
+@pytest.mark.parametrize("shards", [(), ("one", "two")])
+def test_request_whose_start_fails_leaves_no_handler_and_no_charge(
+    monkeypatch: pytest.MonkeyPatch, shards: tuple[str, ...]
+) -> None:
+    service = _LimitedService(shards=shards)
+
+    def fail(*_: object) -> None:
+        raise OSError("no address")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(service.harness.sender, "send", fail)
+        for _ in range(4):
+            with pytest.raises(OSError, match="no address"):
+                service.submit((GOOD,))
+    assert service.service._in_progress == set()
+    service.submit((GOOD,))
+    assert service.harness.answers == []
