Don't pass on 413 or 431 for a relayed request that may have run

A caller whose request was handed to a second node, as the first had stopped to run, could get the second one's 413 or 431, which say that nothing has run.

Cause: only 408, 421, 429 and 503 counted as refusals of the other node. Evidence: the new cases of the test, which fail without the change. Ruled out: a request that only one node got; its refusal is still passed on.

Such a request now gets 502, as with the other refusals. What a server itself answers with 413 or 431 to a forwarded request is passed on as before.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -6,6 +6,8 @@
 
 # Answers with these statuses say that the request was not run.
 REFUSAL_STATUSES: Final = (408, 421, 429, 503)
+# So do these if a node itself answers, whose limits the request exceeds.
+NODE_REFUSAL_STATUSES: Final = (*REFUSAL_STATUSES, 413, 431)
 BAD_REQUEST: Final = CallerAnswer(400, body=b"the request is not valid HTTP\n")
 UNKNOWN_KEY: Final = CallerAnswer(
     401,
--- a/packages/edge/mulberrybay_edge/relay_handler.py
+++ b/packages/edge/mulberrybay_edge/relay_handler.py
@@ -139,7 +139,7 @@
 
         That it did not run the request says nothing of nodes that had it before.
         """
-        is_refusal = reply.status in caller_errors.REFUSAL_STATUSES or (
+        is_refusal = reply.status in caller_errors.NODE_REFUSAL_STATUSES or (
             reply.status == caller_errors.UNKNOWN_KEY.status
             and self._job.access is not None
             and self._job.access.needs_keys
--- a/packages/edge/tests/test_relay_handler.py
+++ b/packages/edge/tests/test_relay_handler.py
@@ -1,5 +1,6 @@
 """Requests that a node without backend servers hands to another node."""
 
+import itertools
 from typing import Any
 
 import pytest
@@ -178,7 +179,7 @@
 
 @pytest.mark.parametrize(
     ("is_sent", "status"),
-    [(True, 200), (False, 200), (True, 503), (False, 503)],
+    list(itertools.product((True, False), (200, 413, 429, 431, 503))),
 )
 def test_request_at_a_node_that_stands_still_does_not_wait_for_its_deadline(
     monkeypatch: pytest.MonkeyPatch, is_sent: bool, status: int
@@ -188,7 +189,7 @@
     relay.finish(ExchangeOutcome.REPLY, HttpReply(status, {}, b"", True))
 
     assert [name for name, _ in relay.connections.started] == ["a", "b"]
-    may_have_run = is_sent and status == 503
+    may_have_run = is_sent and status != 200
     assert relay.harness.answer.status == (502 if may_have_run else status)
 
 
