--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -1,5 +1,8 @@
 """Connections of callers whose bytes can't be parsed."""
 
+import re
+import socket
+import struct
 from typing import Any
 
 import pytest
@@ -11,6 +14,9 @@
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_edge import caller_connection, connection_timing
 from mulberrybay_edge.caller_server import CallerServer
+from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.streams import Stream, StreamPoller, Streams
+from mulberrybay_testing.waiting import wait_until
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n\r\n"
 
@@ -61,6 +67,7 @@
     def __init__(self) -> None:
         self.replies: list[Any] = []
         self.requests: list[CallerRequest] = []
+        self.cancelled: list[CallerRequest] = []
         self.error: Exception | None = None
 
     def submit(self, request: CallerRequest, reply: Any) -> object:  # noqa: ANN401
@@ -68,7 +75,7 @@
             raise self.error
         self.requests.append(request)
         self.replies.append(reply)
-        return lambda: None
+        return lambda: self.cancelled.append(request)
 
 
 def test_bytes_that_can_not_be_parsed_get_one_error_answer() -> None:
@@ -348,3 +355,76 @@
     other.hold(HeldKind.INPUT, 0)
     connection.on_data(stream, REQUEST)
     assert len(service.requests) == 2
+
+
+@pytest.mark.parametrize("is_refusing", [False, True])
+def test_requests_that_were_read_are_all_answered_during_a_stop(
+    is_refusing: bool,
+) -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    connection.on_data(stream, 3 * REQUEST)
+
+    server.is_stopping = True
+    server.is_refusing = is_refusing
+    for reply in service.replies:
+        assert not stream.is_half_closed
+        reply(CallerAnswer(200, (), b"own"))
+
+    second = b"503" if is_refusing else b"200"
+    statuses = re.findall(rb"HTTP/1.1 (\d+) ", stream.sent)
+    assert statuses == [b"200", second, second]
+    assert stream.sent.count(b"Connection: close") == 1
+    assert stream.is_half_closed
+
+
+def test_node_does_not_stop_while_an_answer_is_being_sent() -> None:
+    service, stream = _Service(), _Stream()
+    server = CallerServer(NAMES, service, None, _Timers())
+    connection = server._accept(stream)
+    connection.on_data(stream, REQUEST)
+    server.is_stopping = True
+    stream.unsent = b"rest of the answer"
+    service.replies[0](CallerAnswer(200, (), b"own"))
+
+    assert server.busy_count == 1
+    server.close_idle()
+    assert server.connection_count == 1
+
+    stream.unsent = b""
+    connection._on_sent()
+    assert server.busy_count == 0
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_caller_that_leaves_while_it_is_not_read_has_its_request_cancelled(
+    is_reset: bool,
+) -> None:
+    """The poller watches no socket that is neither read nor written."""
+    service, streams = _Service(), Streams(StreamPoller())
+    server = CallerServer(NAMES, service, None, _Timers())
+    with socket.create_server(("127.0.0.1", 0)) as listener, streams:
+        caller = socket.create_connection(listener.getsockname())
+        accepted, peer = listener.accept()
+        stream = Stream(streams, accepted, Address(*peer), None)
+        connection = stream.observer = server._accept(stream)
+        connection.on_data(stream, REQUEST)
+        large = CHUNKED + b"11000\r\n" + b"b" * 0x11000 + b"\r\n0\r\n\r\n"
+        connection.on_data(stream, large)
+        connection.sweep(read_clock_s())
+        assert stream.is_paused
+        assert service.cancelled == []
+
+        if is_reset:
+            option = struct.pack("ii", 1, 0)
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        caller.close()
+
+        def has_cancelled() -> bool:
+            connection.sweep(read_clock_s())
+            return service.cancelled == service.requests[:1]
+
+        wait_until(has_cancelled, 5.0, "the request is cancelled")
+    assert len(service.requests) == 1
+    assert server.connection_count == 0
