Use a release that followed a completed rollout at nodes that start later

Callers of a node that started after a completed rollout to v2 and a later release of v3 without an order got 503: the node had no server to use, for as long as it ran. The completed order stays in the store, and the node took v3, which it had seen first or within 5 s of the order, for the version before the rollout. Ruled out: the wait for orders of new versions, which ends after 1.2 s.

The exclusion of replaced versions now ends once the completed version has not been seen for 5 s, and at least 5 s after the node learned of the state. Old servers stop when a rollout is completed, so those that are in use then are of a later release.

--- a/packages/core/mulberrybay_core/rollouts/versions.py
+++ b/packages/core/mulberrybay_core/rollouts/versions.py
@@ -139,6 +139,7 @@
             if is_first and len(present) == 1:
                 known[version].first_seen_s = -math.inf
             self._ban_old(version, now_s)
+        self._end_completed(now_s)
         self._only_version = None
         if len(present) == 1 and len(known) == 1:
             version = next(iter(present))
@@ -157,6 +158,19 @@
         if version != kept and now_s < until_s:
             self._replaced.add(version)
 
+    def _end_completed(self, now_s: float) -> None:
+        """Permits what replaced the version of a completed rollout.
+
+        A node that starts later reads the completed order, and takes the
+        version of a later release for the one before the rollout.
+        """
+        if self._completed is None:
+            return
+        kept, until_s = self._completed
+        if now_s >= until_s and kept not in self._versions:
+            self._completed = None
+            self._replaced.clear()
+
     def old_servers(
         self, servers: Sequence[ServerT], now_s: float
     ) -> list[ServerT]:
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -458,3 +458,15 @@
     assert {item.service for item in reports[:6]} == {
         f"s{index}" for index in range(6, 12)
     }
+
+
+def test_later_release_is_used_by_nodes_that_start_after_a_rollout() -> None:
+    # The completed order of v2 remains in the store while all servers are v3.
+    node = NodeRollouts(TERMS, random.Random(0))
+    selected(node, 0.0, "v3")
+    node.set_order(ORDER, COMPLETED, 0.1)
+    node.finish_first_list(0.1)
+
+    assert selected(node, 1.0, "v3") == set()
+    assert selected(node, 6.0, "v3") == {"v3"}
+    assert selected(node, 7.0, NEW, "v3") == {"v3"}
