Write no status of a rollout where it has no effect

Operators would see a call to the store each 3 s, or a tenth of the duration, for as long as an order without servers of its version existed, also for a service that the configuration had dropped, and a conflict and a read each 0.6 s after an order was overwritten by one that can't be read.

Cause: the age was written without regard to the deadline and the configuration, and an unreadable order left the earlier revision in use, which no write can match. Evidence: the three new cases, which failed before. The age now stays as it is after the deadline, when it decides nothing, and nothing is written until the order can be read again or is removed.

--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -122,6 +122,8 @@
         self._logged_reasons: dict[str, str] = {}
         # When each order was given, by the clock of this node.
         self._ordered_at_s: dict[str, float] = {}
+        # The services whose order was replaced by one that can't be read.
+        self._unreadable: set[str] = set()
         self._log_at_s = 0.0
         self._reporters: set[str] = set()
         self.unreadable_count = 0
@@ -158,8 +160,10 @@
     def _apply(self, stored: StoredObject, now_s: float) -> None:
         document = self._context.documents.read_rollout(stored)
         if document is None:
-            # What is known of the service stays in force.
+            # What is known of the service stays in force. A status can't be
+            # written, as the revision of the known order is not the object's.
             self.unreadable_count += 1
+            self._unreadable.add(stored.name)
             self._context.log.log_view_change(
                 "unreadable rollout left out", service=stored.name
             )
@@ -173,6 +177,7 @@
         order, status = document
         known = self._documents.get(order.service)
         self._documents[order.service] = document
+        self._unreadable.discard(order.service)
         if known is None or known.order.target_version != order.target_version:
             self.traffic.begin(order.service, order.target_version)
             self._ordered_at_s.pop(order.service, None)
@@ -210,6 +215,7 @@
 
     def _remove(self, services: Collection[str], now_s: float) -> None:
         for service in services:
+            self._unreadable.discard(service)
             if self._documents.pop(service, None) is None:
                 continue
             self.traffic.end(service)
@@ -341,11 +347,20 @@
     def _has_old_age(
         self, order: RolloutOrder, status: RolloutStatus, now_s: float
     ) -> bool:
-        """Whether a stored status of the canary step gives too low an age."""
-        if status[:3] != (
-            RolloutState.RUNNING,
-            RolloutStep.CANARY,
-            order.target_version,
+        """Whether a stored status of the canary step gives too low an age.
+
+        After the deadline, the age decides nothing more.
+        """
+        services = self._rollouts.services
+        if (
+            status[:3]
+            != (
+                RolloutState.RUNNING,
+                RolloutStep.CANARY,
+                order.target_version,
+            )
+            or status.age_s >= order.duration_s
+            or (services is not None and order.service not in services)
         ):
             return False
         age_s = now_s - self._ordered_at_s.get(order.service, now_s)
@@ -357,6 +372,8 @@
         self, order: RolloutOrder, status: RolloutStatus, now_s: float
     ) -> None:
         """Writes a status unless another write for the order is in progress."""
+        if order.service in self._unreadable:
+            return
         if now_s >= self._next_write_at_s.get(order.service, 0.0):
             self._next_write_at_s[order.service] = math.inf
             self._write(order, status)
--- a/packages/edge/tests/test_rollout_control.py
+++ b/packages/edge/tests/test_rollout_control.py
@@ -293,3 +293,28 @@
     node.put(7, CANARY)
     assert node.control.traffic.promoted_versions == {"web": "v2"}
     assert node.update() == []
+
+
+@pytest.mark.parametrize("cause", ["service removed", "deadline over"])
+def test_age_is_not_written_where_it_decides_nothing(
+    node: _Node, cause: str
+) -> None:
+    """Guards against a write each 3 s for as long as an order waits."""
+    if cause == "service removed":
+        node.put(6, CANARY)
+        node.rollouts.services = frozenset({"other"})
+    else:
+        node.put(6, CANARY._replace(age_s=30.5))
+    assert node.update() == []
+    assert node.update(10.0) == []
+
+
+def test_nothing_is_written_while_the_order_can_not_be_read(
+    node: _Node,
+) -> None:
+    """Guards against a conflict and a read each 0.6 s until it is replaced."""
+    node.put(6, None, None)
+    assert node.update() == []
+    assert node.update(5.0) == []
+    node.put(7)
+    assert node.update() == [(RolloutState.RUNNING, 7)]
