Use leaving servers if a rollout excludes all that stay

Callers got 503 while servers that had announced to leave still accepted requests, if the only others were of a version that was rolled back or whose bound was used up.

Cause: servers that leave were considered only if no server stays, before the versions are compared. Evidence: the new test, which fails without the change. They are now considered too if no staying server's version may get requests; without rollouts the choice is as before, since the code returns earlier.

--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -292,6 +292,8 @@
         ) or directory.last_resort(spec.service, now_s)
         if rollouts is None:
             return self._choose_of(spec, query, servers)
+        if not rollouts.may_use_any(spec.service, servers, now_s):
+            servers = [*servers, *directory.last_resort(spec.service, now_s)]
         choose_of = functools.partial(self._choose_of, spec, query)
         return rollouts.choose(spec.service, servers, now_s, choose_of)
 
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -134,6 +134,15 @@
         self.canary_versions.pop(service, None)
         self.promoted_versions.pop(service, None)
 
+    def may_use_any(
+        self, service: str, servers: Sequence[KnownServer], now_s: float
+    ) -> bool:
+        """Returns whether a server is of a version that may get requests."""
+        return any(
+            self._rollouts.may_send(service, server.entry.version, now_s)
+            for server in servers
+        )
+
     def choose(
         self,
         service: str,
--- a/packages/edge/tests/test_rollout_traffic.py
+++ b/packages/edge/tests/test_rollout_traffic.py
@@ -236,3 +236,15 @@
     for _ in range(20):
         server_id = setup.send(is_retry=True).server_id
         assert server_id == ("records-0" if version == "v1" else "records-1")
+
+
+def test_leaving_server_is_used_if_no_other_version_may_be(
+    setup: _Setup,
+) -> None:
+    """Guards against a service whose only staying servers are rolled back."""
+    old = setup.directory.usable("records")[0]
+    setup.directory._leaving_service_s = 5.0
+    setup.directory.announce_leaving(old, setup.timers.now_s)
+    setup.rollouts.selected = {"v1"}
+    setup.rollouts.forbidden = {"v2"}
+    assert setup.send().server_id == old.entry.server_id
