Tell other nodes at once of replies that decide against a version

Callers of other nodes kept getting failures of a bad version for up to a heartbeat's period (1.5 to 2 s) after one node had seen enough, and again until the status had gone through the store.

Cause: counts and the writer's judgement left a node only with the periodic heartbeat. Evidence: two new tests, which fail without the change. Ruled out: a heartbeat for each bad reply, which would grow with the rate of failures. A heartbeat is now sent at once when own replies, or a bad reply with what others have told, decide, and when the writer judges the version bad: at most two for each rollout and node, at least 0.2 s apart, so a gathered query over many services that fail at once sends no burst.

--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -63,6 +63,8 @@
             node's share.
         services: The services in the configuration; None if unknown. The
             statuses of other services are left alone.
+        on_fault: Called when the other nodes should hear of a fault at once;
+            at most twice for each rollout.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self.terms = terms
         self.share_divisor = 1.0
         self.services: frozenset[str] | None = None
+        self.on_fault: Callable[[], None] | None = None
         self._random = random_source
         self._has_orders = False
         self._first_list_at_s = math.inf
@@ -323,12 +326,26 @@
         latency = ArmCounts()
         if latency_ratio > 0 and not is_bad:
             latency = _latency_counts(latency_ratio)
-        rollout.record_reply(
-            route,
-            latency._replace(reply_count=1, bad_count=int(is_bad)),
-            now_s,
-            is_new=version == rollout.order.target_version,
-        )
+        added = latency._replace(reply_count=1, bad_count=int(is_bad))
+        self._record(rollout, version, route, added, now_s)
+
+    def _record(
+        self,
+        rollout: Rollout,
+        version: str,
+        route: str,
+        added: ArmCounts,
+        now_s: float,
+    ) -> None:
+        is_new = version == rollout.order.target_version
+        rollout.record_reply(route, added, now_s, is_new=is_new)
+        if is_new and not rollout.is_told and rollout.decides(added, now_s):
+            rollout.is_told = True
+            self._tell()
+
+    def _tell(self) -> None:
+        if self.on_fault is not None:
+            self.on_fault()
 
     def record_abandoned(
         self,
@@ -360,7 +377,7 @@
             rollout.record_end(is_new=is_new)
             return
         added = _latency_counts(ABANDONED_LATENCY_RATIO * latency_ratio)
-        rollout.record_reply(route, added, now_s, is_new=is_new)
+        self._record(rollout, version, route, added, now_s)
 
     # Other nodes.
 
@@ -430,8 +447,13 @@
                 now_s, all_have_seen=all_have_seen(order)
             )
             due = next_status(progress, order.target_version)
-            if due is not None and due.state is RolloutState.ROLLED_BACK:
+            if (
+                due is not None
+                and due.state is RolloutState.ROLLED_BACK
+                and not rollout.is_condemned
+            ):
                 rollout.condemn(due.reason)
+                self._tell()
             if rollout.is_condemned:
                 yield (
                     order,
--- a/packages/core/mulberrybay_core/rollouts/rollout.py
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -43,6 +43,7 @@
         reason: Why it was, or how the order ended without a final status.
         is_in_use: Whether the version was in use before it was ordered.
         is_removed: Whether the order was removed.
+        is_told: Whether others were told of replies that decide against it.
         final_at_s: When this node learned of the final state; None before.
         stored: The status in the store; None if it has none.
     """
@@ -60,6 +61,7 @@
         self.reason = ""
         self.is_in_use = False
         self.is_removed = False
+        self.is_told = False
         self.final_at_s: float | None = None
         self._step_at_s = now_s
         self._ordered_at_s = now_s
@@ -175,6 +177,14 @@
         if is_new and is_against and not self._own_is_bad:
             self._own_is_bad = is_certainly_bad(self._own.judge(now_s))
 
+    def decides(self, added: ArmCounts, now_s: float) -> bool:
+        """Returns whether the last reply is evidence that others must know."""
+        if not self.is_running or self.is_condemned:
+            return False
+        return self._own_is_bad or (
+            added.bad_count > 0 and is_certainly_bad(self._all.judge(now_s))
+        )
+
     def _route_key(self, route: str) -> str:
         routes = {name for _, name in self._own.total}
         if route in routes or len(routes) < MAX_ROUTE_COUNT:
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -196,6 +196,7 @@
         ]
         if self._rollouts is not None:
             self._rollouts.attach(self._watches)
+            self._rollouts.tell = self._send_heartbeats
 
     def _build_dispatch(self) -> None:
         settings = self._settings
--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -59,6 +59,8 @@
 # Judging costs processor time at each node, for each node that reports.
 LOG_PERIOD_S: Final = 1.0
 NODES_PER_LOG_PERIOD: Final = 300
+# The least time between two heartbeats that tell of a fault at once.
+TELL_GAP_S: Final = 0.2
 
 
 class StatusStore(Protocol):
@@ -105,12 +107,17 @@
     Attributes:
         traffic: Restricts attempts to the versions that rollouts allow.
         write_counts: Writes of a status by outcome.
+        tell: Sends a heartbeat at once; None before the node has peers.
     """
 
     def __init__(self, context: RolloutContext, rollouts: NodeRollouts) -> None:
         self._context = context
         self._rollouts = rollouts
         self.traffic = RolloutTraffic(rollouts)
+        self.tell: Callable[[], None] | None = None
+        self._is_untold = False
+        self._tell_at_s = 0.0
+        rollouts.on_fault = self._tell_of_fault
         self._watch: StoreWatch | None = None
         self._kind_index = 0
         self._is_listed = False
@@ -229,6 +236,14 @@
 
     # Other nodes.
 
+    def _tell_of_fault(self) -> None:
+        """Sends a heartbeat now, or after the least gap since the last one."""
+        now_s = self._context.clock()
+        self._is_untold = now_s < self._tell_at_s
+        if not self._is_untold and self.tell is not None:
+            self._tell_at_s = now_s + TELL_GAP_S
+            self.tell()
+
     def reports(self) -> tuple[RolloutCounts, ...]:
         """Returns what this node tells in heartbeats."""
         return self._rollouts.reports(self._context.clock())
@@ -269,6 +284,8 @@
         if table is not None:
             self._rollouts.services = frozenset(table.service_names())
         self._check_first_list(now_s)
+        if self._is_untold:
+            self._tell_of_fault()
         if not self._documents:
             return
         if now_s >= self._log_at_s:
--- a/packages/edge/tests/test_rollout_control.py
+++ b/packages/edge/tests/test_rollout_control.py
@@ -318,3 +318,47 @@
     assert node.update(5.0) == []
     node.put(7)
     assert node.update() == [(RolloutState.RUNNING, 7)]
+
+
+def _fail_new(node: _Node, service: str, count: int) -> None:
+    for _ in range(count):
+        now_s = node.timers.now_s
+        node.rollouts.record_sent(service, "v2", now_s)
+        node.rollouts.record_reply(service, "v2", "a", True, 1.0, now_s)
+
+
+def test_other_nodes_are_told_at_once_of_a_fault_that_decides(
+    node: _Node,
+) -> None:
+    """Guards against a heartbeat's period in which others use a bad version."""
+    told_at_s = []
+    node.control.tell = lambda: told_at_s.append(node.timers.now_s)
+    _fail_new(node, "web", 1)
+    assert told_at_s == []
+    _fail_new(node, "web", 20)
+    first_s = node.timers.now_s
+    assert told_at_s == [first_s]
+    # The writer's judgement is told too, but not within the least gap.
+    node.timers.now_s += 0.1
+    node.control.write_due(1.0)
+    assert told_at_s == [first_s]
+    node.update()
+    assert told_at_s == [first_s, node.timers.now_s]
+    node.update(1.0)
+    assert len(told_at_s) == 2
+
+
+def test_failure_that_decides_with_those_of_others_is_told(
+    node: _Node,
+) -> None:
+    told: list[bool] = []
+    node.control.tell = lambda: told.append(True)
+    peer = _Node()
+    peer.control.on_list(ObjectList((), 1))
+    peer.put(5)
+    _fail_new(peer, "web", 8)
+    beat = EdgeHeartbeat(_info("node-3"), True, 1, ())
+    node.control.merge(beat._replace(rollouts=peer.control.reports()))
+    assert not told
+    _fail_new(node, "web", 1)
+    assert told
