Count refusals without a reason against a new version

An operator saw a rollout to a version whose servers answer only 503 with the header that says that the request was not run wait in the canary step without end: it was neither completed nor rolled back, as such replies are no evidence.

Cause: a refusal usually says that a server is full, pauses or leaves, which says nothing of its version. Evidence: the new cases of two tests; before, each refusal only ended its attempt. Ruled out: counting all refusals, as all nodes use the same two canary servers and may fill them at once. A 503 that was not run now counts as bad in the canary step if the server's load header shows a free slot, it is not cold, and it announces neither a pause nor that it leaves, and the last 10 replies of old servers at this node had no refusal; full and overloaded servers thus stay without effect.

--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -54,7 +54,7 @@
     """All rollouts as one node sees them.
 
     Each request that is sent to a server of a service is recorded by
-    `record_sent` and ends with exactly one of `record_reply`,
+    `record_sent` and ends with exactly one of `record_reply`, `record_refused`,
     `record_abandoned` and `give_back`.
 
     Attributes:
@@ -347,6 +347,34 @@
         if self.on_fault is not None:
             self.on_fault()
 
+    def record_refused(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        is_unexplained: bool,
+        now_s: float,
+    ) -> None:
+        """Records a reply that says that the request was not run.
+
+        Args:
+            service: The service.
+            version: The version of the server.
+            route: The name of the route.
+            is_unexplained: Whether the server has a free slot and gives no
+                reason; then it is a failure unless the old version refuses too.
+            now_s: The time.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return
+        is_new = version == rollout.order.target_version
+        if rollout.is_bad_refusal(is_new=is_new) and is_unexplained:
+            added = ArmCounts(reply_count=1, bad_count=1)
+            self._record(rollout, version, route, added, now_s)
+        else:
+            rollout.record_end(is_new=is_new)
+
     def record_abandoned(
         self,
         service: str,
--- a/packages/core/mulberrybay_core/rollouts/rollout.py
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -29,6 +29,9 @@
 # A node that learns of an order this much later than another one may have been
 # restarted since the order.
 LATE_ORDER_S: Final = 3.0
+# The old version's replies since its last refusal from which on refusals of the
+# new one are not explained by the load of both.
+MIN_SERVED_COUNT: Final = 10
 
 
 class Rollout:
@@ -70,6 +73,8 @@
         self._peers: dict[tuple[str, int], RolloutCounts] = {}
         self._in_flight = {False: 0, True: 0}
         self._own_is_bad = False
+        # Replies of the old version since it last refused a request.
+        self._served_count = 0
 
     @property
     def is_running(self) -> bool:
@@ -170,6 +175,8 @@
         # first reply of the new one.
         if not is_new and not self.exposure.sent_count:
             return
+        if not is_new:
+            self._served_count += 1
         key = is_new, self._route_key(route)
         for arms in (self._own, self._all):
             arms.add(key, added)
@@ -177,6 +184,19 @@
         if is_new and is_against and not self._own_is_bad:
             self._own_is_bad = is_certainly_bad(self._own.judge(now_s))
 
+    def is_bad_refusal(self, *, is_new: bool) -> bool:
+        """Records a refusal; returns whether only the new version refuses.
+
+        In the promote step, the old version has no replies to compare with.
+        """
+        if not is_new:
+            self._served_count = 0
+            return False
+        return (
+            self._served_count >= MIN_SERVED_COUNT
+            and self.status.step is RolloutStep.CANARY
+        )
+
     def decides(self, added: ArmCounts, now_s: float) -> bool:
         """Returns whether the last reply is evidence that others must know."""
         if not self.is_running or self.is_condemned:
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -470,3 +470,32 @@
     assert selected(node, 1.0, "v3") == set()
     assert selected(node, 6.0, "v3") == {"v3"}
     assert selected(node, 7.0, NEW, "v3") == {"v3"}
+
+
+@pytest.mark.parametrize(
+    ("old_refused", "step", "expected"),
+    [
+        (False, None, [(RolloutState.ROLLED_BACK, RolloutStep.DONE)]),
+        (True, None, [(RolloutState.RUNNING, RolloutStep.CANARY)]),
+        (False, PROMOTE, []),
+    ],
+    ids=["only new", "both", "no old replies"],
+)
+def test_version_that_refuses_all_is_bad_unless_the_old_one_refuses_too(
+    old_refused: bool,
+    step: RolloutStatus | None,
+    expected: list[tuple[str, str]],
+) -> None:
+    node = make_node()
+    node.set_order(ORDER, step, 5.0)
+    node.record_sent(SERVICE, NEW, 5.0)
+    node.record_refused(SERVICE, NEW, "a", True, 5.0)
+    reply(node, OLD, 12)
+    versions = [OLD] * old_refused + [NEW] * 8
+    for version in versions:
+        node.record_sent(SERVICE, version, 5.0)
+        node.record_refused(SERVICE, version, "a", True, 5.0)
+
+    assert due(node, 5.5) == expected
+    summary = next(node.summaries(5.5))
+    assert summary.new.bad_count == (8 if not old_refused and not step else 0)
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -479,7 +479,11 @@
         if not attempt_result.has_arrived:
             self._give_back(attempt)
         if attempt.rollout is not None:
-            attempt.rollout.record_end(attempt_result.outcome, read_clock_s())
+            attempt.rollout.record_end(
+                attempt_result.outcome,
+                read_clock_s(),
+                is_unexplained=self._is_unexplained(attempt_result.reply),
+            )
         self.outcome_counts[attempt_result.outcome.value] += 1
         attempt.on_result(attempt_result)
 
@@ -546,6 +550,24 @@
             AttemptOutcome.FAILED, server_id, reply, detail, True
         )
 
+    def _is_unexplained(self, reply: HttpReply | None) -> bool:
+        """Whether a server with a free slot refuses without a reason."""
+        if (
+            reply is None
+            or reply.status != 503
+            or self._leaving_header in reply.headers
+            or "retry-after" in reply.headers
+        ):
+            return False
+        report = LoadReport.from_header(
+            reply.headers.get(self._load_header, "")
+        )
+        return (
+            report is not None
+            and report.running_count < report.slot_count
+            and not report.waiting_count
+        )
+
     def _record_load(
         self, state: ServerState, server_id: str, reply: HttpReply, now_s: float
     ) -> None:
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -74,7 +74,13 @@
             return NO_LATENCY_RATIO
         return (now_s - self._started_at_s) / self._history.typical_latency_s()
 
-    def record_end(self, outcome: AttemptOutcome | None, now_s: float) -> None:
+    def record_end(
+        self,
+        outcome: AttemptOutcome | None,
+        now_s: float,
+        *,
+        is_unexplained: bool = False,
+    ) -> None:
         """Records how it ended, unless it was taken back.
 
         Args:
@@ -82,6 +88,8 @@
                 not run, as the server is full or is another one, says nothing
                 of the version.
             now_s: The time.
+            is_unexplained: Whether it was not run though the server has a free
+                slot and gives no reason.
         """
         if not self._is_charged:
             return
@@ -95,7 +103,9 @@
                 *attempt, self._latency_ratio(now_s), now_s
             )
         elif outcome is AttemptOutcome.NOT_RUN:
-            self._rollouts.record_abandoned(*attempt, NO_LATENCY_RATIO, now_s)
+            self._rollouts.record_refused(
+                *attempt, is_unexplained and not self._is_cold, now_s
+            )
         else:
             self._rollouts.record_reply(
                 *attempt,
--- a/packages/edge/tests/test_rollout_traffic.py
+++ b/packages/edge/tests/test_rollout_traffic.py
@@ -72,6 +72,16 @@
         ratio = round(latency_ratio, 3)
         self.calls.append(("abandoned", service, version, route, ratio))
 
+    def record_refused(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        is_unexplained: bool,
+        now_s: float,
+    ) -> None:
+        self.calls.append(("refused", service, version, route, is_unexplained))
+
 
 class _Setup(DispatchSetup):
     """A dispatcher with an old server, 0, and a new one, 1."""
@@ -127,10 +137,26 @@
             ExchangeResult(ExchangeOutcome.LOST),
             ("reply", "records", "v2", "record", True),
         ),
-        (_reply(421, {}), ("abandoned", "records", "v2", "record", 0.0)),
+        (_reply(421, {}), ("refused", "records", "v2", "record", False)),
         (
             _reply(503, {"not-run": "1"}),
-            ("abandoned", "records", "v2", "record", 0.0),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "2,4,2"}),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "1,0,2", "retry-after": "1"}),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "1,0,2", "leaving": "1"}),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "1,0,2"}),
+            ("refused", "records", "v2", "record", True),
         ),
     ],
 )
