--- a/packages/core/mulberrybay_core/rollouts/rollout.py
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -29,6 +29,9 @@
 # A node that learns of an order this much later than another one may have been
 # restarted since the order.
 LATE_ORDER_S: Final = 3.0
+# The old version's replies since its last refusal from which on refusals of the
+# new one are not explained by the load of both.
+MIN_SERVED_COUNT: Final = 10
 
 
 class Rollout:
@@ -43,6 +46,7 @@
         reason: Why it was, or how the order ended without a final status.
         is_in_use: Whether the version was in use before it was ordered.
         is_removed: Whether the order was removed.
+        is_told: Whether others were told of replies that decide against it.
         final_at_s: When this node learned of the final state; None before.
         stored: The status in the store; None if it has none.
     """
@@ -60,6 +64,7 @@
         self.reason = ""
         self.is_in_use = False
         self.is_removed = False
+        self.is_told = False
         self.final_at_s: float | None = None
         self._step_at_s = now_s
         self._ordered_at_s = now_s
@@ -68,6 +73,8 @@
         self._peers: dict[tuple[str, int], RolloutCounts] = {}
         self._in_flight = {False: 0, True: 0}
         self._own_is_bad = False
+        # Replies of the old version since it last refused a request.
+        self._served_count = 0
 
     @property
     def is_running(self) -> bool:
@@ -168,6 +175,8 @@
         # first reply of the new one.
         if not is_new and not self.exposure.sent_count:
             return
+        if not is_new:
+            self._served_count += 1
         key = is_new, self._route_key(route)
         for arms in (self._own, self._all):
             arms.add(key, added)
@@ -175,6 +184,27 @@
         if is_new and is_against and not self._own_is_bad:
             self._own_is_bad = is_certainly_bad(self._own.judge(now_s))
 
+    def is_bad_refusal(self, *, is_new: bool) -> bool:
+        """Records a refusal; returns whether only the new version refuses.
+
+        In the promote step, the old version has no replies to compare with.
+        """
+        if not is_new:
+            self._served_count = 0
+            return False
+        return (
+            self._served_count >= MIN_SERVED_COUNT
+            and self.status.step is RolloutStep.CANARY
+        )
+
+    def decides(self, added: ArmCounts, now_s: float) -> bool:
+        """Returns whether the last reply is evidence that others must know."""
+        if not self.is_running or self.is_condemned:
+            return False
+        return self._own_is_bad or (
+            added.bad_count > 0 and is_certainly_bad(self._all.judge(now_s))
+        )
+
     def _route_key(self, route: str) -> str:
         routes = {name for _, name in self._own.total}
         if route in routes or len(routes) < MAX_ROUTE_COUNT:
--- a/packages/edge/mulberrybay_edge/rollout_control.py
+++ b/packages/edge/mulberrybay_edge/rollout_control.py
@@ -59,6 +59,8 @@
 # Judging costs processor time at each node, for each node that reports.
 LOG_PERIOD_S: Final = 1.0
 NODES_PER_LOG_PERIOD: Final = 300
+# The least time between two heartbeats that tell of a fault at once.
+TELL_GAP_S: Final = 0.2
 
 
 class StatusStore(Protocol):
@@ -105,12 +107,17 @@
     Attributes:
         traffic: Restricts attempts to the versions that rollouts allow.
         write_counts: Writes of a status by outcome.
+        tell: Sends a heartbeat at once; None before the node has peers.
     """
 
     def __init__(self, context: RolloutContext, rollouts: NodeRollouts) -> None:
         self._context = context
         self._rollouts = rollouts
         self.traffic = RolloutTraffic(rollouts)
+        self.tell: Callable[[], None] | None = None
+        self._is_untold = False
+        self._tell_at_s = 0.0
+        rollouts.on_fault = self._tell_of_fault
         self._watch: StoreWatch | None = None
         self._kind_index = 0
         self._is_listed = False
@@ -122,6 +129,8 @@
         self._logged_reasons: dict[str, str] = {}
         # When each order was given, by the clock of this node.
         self._ordered_at_s: dict[str, float] = {}
+        # The services whose order was replaced by one that can't be read.
+        self._unreadable: set[str] = set()
         self._log_at_s = 0.0
         self._reporters: set[str] = set()
         self.unreadable_count = 0
@@ -158,8 +167,10 @@
     def _apply(self, stored: StoredObject, now_s: float) -> None:
         document = self._context.documents.read_rollout(stored)
         if document is None:
-            # What is known of the service stays in force.
+            # What is known of the service stays in force. A status can't be
+            # written, as the revision of the known order is not the object's.
             self.unreadable_count += 1
+            self._unreadable.add(stored.name)
             self._context.log.log_view_change(
                 "unreadable rollout left out", service=stored.name
             )
@@ -173,6 +184,7 @@
         order, status = document
         known = self._documents.get(order.service)
         self._documents[order.service] = document
+        self._unreadable.discard(order.service)
         if known is None or known.order.target_version != order.target_version:
             self.traffic.begin(order.service, order.target_version)
             self._ordered_at_s.pop(order.service, None)
@@ -210,6 +222,7 @@
 
     def _remove(self, services: Collection[str], now_s: float) -> None:
         for service in services:
+            self._unreadable.discard(service)
             if self._documents.pop(service, None) is None:
                 continue
             self.traffic.end(service)
@@ -223,6 +236,14 @@
 
     # Other nodes.
 
+    def _tell_of_fault(self) -> None:
+        """Sends a heartbeat now, or after the least gap since the last one."""
+        now_s = self._context.clock()
+        self._is_untold = now_s < self._tell_at_s
+        if not self._is_untold and self.tell is not None:
+            self._tell_at_s = now_s + TELL_GAP_S
+            self.tell()
+
     def reports(self) -> tuple[RolloutCounts, ...]:
         """Returns what this node tells in heartbeats."""
         return self._rollouts.reports(self._context.clock())
@@ -263,6 +284,8 @@
         if table is not None:
             self._rollouts.services = frozenset(table.service_names())
         self._check_first_list(now_s)
+        if self._is_untold:
+            self._tell_of_fault()
         if not self._documents:
             return
         if now_s >= self._log_at_s:
@@ -341,11 +364,20 @@
     def _has_old_age(
         self, order: RolloutOrder, status: RolloutStatus, now_s: float
     ) -> bool:
-        """Whether a stored status of the canary step gives too low an age."""
-        if status[:3] != (
-            RolloutState.RUNNING,
-            RolloutStep.CANARY,
-            order.target_version,
+        """Whether a stored status of the canary step gives too low an age.
+
+        After the deadline, the age decides nothing more.
+        """
+        services = self._rollouts.services
+        if (
+            status[:3]
+            != (
+                RolloutState.RUNNING,
+                RolloutStep.CANARY,
+                order.target_version,
+            )
+            or status.age_s >= order.duration_s
+            or (services is not None and order.service not in services)
         ):
             return False
         age_s = now_s - self._ordered_at_s.get(order.service, now_s)
@@ -357,6 +389,8 @@
         self, order: RolloutOrder, status: RolloutStatus, now_s: float
     ) -> None:
         """Writes a status unless another write for the order is in progress."""
+        if order.service in self._unreadable:
+            return
         if now_s >= self._next_write_at_s.get(order.service, 0.0):
             self._next_write_at_s[order.service] = math.inf
             self._write(order, status)
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -116,7 +116,13 @@
             self._spec, latency_s, is_reply=is_reply
         )
 
-    def record_end(self, outcome: AttemptOutcome | None, now_s: float) -> None:
+    def record_end(
+        self,
+        outcome: AttemptOutcome | None,
+        now_s: float,
+        *,
+        is_unexplained: bool = False,
+    ) -> None:
         """Records how it ended, unless it was taken back.
 
         Args:
@@ -124,6 +130,8 @@
                 not run, as the server is full or is another one, says nothing
                 of the version.
             now_s: The time.
+            is_unexplained: Whether it was not run though the server has a free
+                slot and gives no reason.
         """
         if not self._is_charged:
             return
@@ -137,7 +145,9 @@
                 *attempt, self._latency_ratio(now_s, is_reply=False), now_s
             )
         elif outcome is AttemptOutcome.NOT_RUN:
-            self._rollouts.record_abandoned(*attempt, NO_LATENCY_RATIO, now_s)
+            self._rollouts.record_refused(
+                *attempt, is_unexplained and not self._is_cold, now_s
+            )
         else:
             is_ok = outcome is AttemptOutcome.OK
             self._rollouts.record_reply(
@@ -179,6 +189,15 @@
         self.canary_versions.pop(service, None)
         self.promoted_versions.pop(service, None)
 
+    def may_use_any(
+        self, service: str, servers: Sequence[KnownServer], now_s: float
+    ) -> bool:
+        """Returns whether a server is of a version that may get requests."""
+        return any(
+            self._rollouts.may_send(service, server.entry.version, now_s)
+            for server in servers
+        )
+
     def choose(
         self,
         service: str,
--- a/packages/edge/tests/test_rollout_traffic.py
+++ b/packages/edge/tests/test_rollout_traffic.py
@@ -72,6 +72,16 @@
         ratio = round(latency_ratio, 3)
         self.calls.append(("abandoned", service, version, route, ratio))
 
+    def record_refused(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        is_unexplained: bool,
+        now_s: float,
+    ) -> None:
+        self.calls.append(("refused", service, version, route, is_unexplained))
+
 
 class _Setup(DispatchSetup):
     """A dispatcher with an old server, 0, and a new one, 1."""
@@ -127,10 +137,26 @@
             ExchangeResult(ExchangeOutcome.LOST),
             ("reply", "records", "v2", "record", True),
         ),
-        (_reply(421, {}), ("abandoned", "records", "v2", "record", 0.0)),
+        (_reply(421, {}), ("refused", "records", "v2", "record", False)),
         (
             _reply(503, {"not-run": "1"}),
-            ("abandoned", "records", "v2", "record", 0.0),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "2,4,2"}),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "1,0,2", "retry-after": "1"}),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "1,0,2", "leaving": "1"}),
+            ("refused", "records", "v2", "record", False),
+        ),
+        (
+            _reply(503, {"not-run": "1", "load": "1,0,2"}),
+            ("refused", "records", "v2", "record", True),
         ),
     ],
 )
@@ -252,3 +278,15 @@
     for _ in range(20):
         server_id = setup.send(is_retry=True).server_id
         assert server_id == ("records-0" if version == "v1" else "records-1")
+
+
+def test_leaving_server_is_used_if_no_other_version_may_be(
+    setup: _Setup,
+) -> None:
+    """Guards against a service whose only staying servers are rolled back."""
+    old = setup.directory.usable("records")[0]
+    setup.directory._leaving_service_s = 5.0
+    setup.directory.announce_leaving(old, setup.timers.now_s)
+    setup.rollouts.selected = {"v1"}
+    setup.rollouts.forbidden = {"v2"}
+    assert setup.send().server_id == old.entry.server_id
