Give a quota back for the time at which it was charged

Callers of a tenant at its quota got 429 although requests before them had been refused without having run; and a request that ran could leave the window early, in place of an older one that was given back.

Cause: the last bucket of the window was reduced whichever request was given back, and nothing at all if that bucket was empty. A waiting request, which is charged and given back each 10 ms, leaves empty buckets. Evidence: the two new tests fail with the former body of the function. Ruled out: requests that are refused at once; they use the same bucket.

A request now remembers when it was charged, and is taken from that bucket, or from none if it has left the window.

--- a/packages/core/mulberrybay_core/tenants/quotas.py
+++ b/packages/core/mulberrybay_core/tenants/quotas.py
@@ -188,12 +188,13 @@
             self._buckets.append((index, 1))
         self._total += 1
 
-    def remove(self) -> None:
-        """Takes back the last request, unless its bucket is gone."""
-        if self._buckets and self._buckets[-1][1] > 0:
-            index, count = self._buckets[-1]
-            self._buckets[-1] = (index, count - 1)
-            self._total -= 1
+    def remove(self, added_at_s: float) -> None:
+        """Takes back a request, unless its bucket is gone."""
+        added_index = int(added_at_s // self._bucket_s)
+        for position, (index, count) in enumerate(self._buckets):
+            if index == added_index and count:
+                self._buckets[position] = (index, count - 1)
+                self._total -= 1
 
     def total(self, now_s: float) -> int:
         first_index = int(now_s // self._bucket_s) - BUCKET_COUNT
@@ -398,10 +399,10 @@
         self._window.add(now_s)
         return True
 
-    def give_back(self) -> None:
+    def give_back(self, taken_at_s: float) -> None:
         """Takes back a request that has not run."""
         self._token_count = min(self._depth_count, self._token_count + 1)
-        self._window.remove()
+        self._window.remove(taken_at_s)
 
     def record_told(self, per_s: float, count: float) -> None:
         """Records what the others are told."""
@@ -493,11 +494,11 @@
             self.is_rise_untold = True
         return False
 
-    def give_back(self, name: str) -> None:
-        """Takes back a request that no server has run."""
+    def give_back(self, name: str, taken_at_s: float) -> None:
+        """Takes back a request that was counted at a time and has not run."""
         quota = self._quotas.get(name)
         if quota is not None:
-            quota.give_back()
+            quota.give_back(taken_at_s)
             quota.admitted_count -= 1
 
     def retry_after_s(self, name: str, now_s: float) -> float:
--- a/packages/edge/mulberrybay_edge/request_access.py
+++ b/packages/edge/mulberrybay_edge/request_access.py
@@ -17,6 +17,7 @@
     """
 
     __slots__ = (
+        "_charged_at_s",
         "_charged_name",
         "_digest",
         "_find_table",
@@ -45,6 +46,7 @@
         self._gate = gate
         # The tenant whose quota the request is charged to; empty if to none.
         self._charged_name = ""
+        self._charged_at_s = 0.0
         self._is_recorded = False
         self._table = table
         self._template: RequestTemplate | None = None
@@ -92,15 +94,16 @@
         if not self._is_recorded:
             self._is_recorded = True
             self._gate.record_request(name)
-        if not self._gate.take(name):
+        taken_at_s = self._gate.take(name)
+        if taken_at_s is None:
             return False
-        self._charged_name = name
+        self._charged_name, self._charged_at_s = name, taken_at_s
         return True
 
     def give_back(self) -> None:
         """Takes back the charge of a request that no server has run."""
         if self._charged_name:
-            self._gate.give_back(self._charged_name)
+            self._gate.give_back(self._charged_name, self._charged_at_s)
             self._charged_name = ""
 
     def retry_after_s(self) -> float:
--- a/packages/edge/mulberrybay_edge/tenant_gate.py
+++ b/packages/edge/mulberrybay_edge/tenant_gate.py
@@ -42,27 +42,30 @@
         if self.quotas is not None:
             self.quotas.record_request(tenant_name, self._clock())
 
-    def take(self, tenant_name: str) -> bool:
+    def take(self, tenant_name: str) -> float | None:
         """Counts a request that is about to be sent if the quota allows it.
 
         If the other nodes should know of a rise first, they are told.
+
+        Returns:
+            When it was counted; None if the quota doesn't allow it.
         """
         quotas, now_s = self.quotas, self._clock()
         if quotas is None or quotas.take(tenant_name, now_s):
-            return True
+            return now_s
         if (
             not quotas.is_rise_untold
             or self.tell_hubs is None
             or now_s - self._told_at_s < TELL_GAP_S
         ):
-            return False
+            return None
         self.tell_hubs()
-        return quotas.take(tenant_name, now_s)
+        return now_s if quotas.take(tenant_name, now_s) else None
 
-    def give_back(self, tenant_name: str) -> None:
-        """Takes back a request that no server has run."""
+    def give_back(self, tenant_name: str, taken_at_s: float) -> None:
+        """Takes back a request that was counted at a time and has not run."""
         if self.quotas is not None:
-            self.quotas.give_back(tenant_name)
+            self.quotas.give_back(tenant_name, taken_at_s)
 
     def retry_after_s(self, tenant_name: str) -> float:
         """Returns when a refused request can be served, from now."""
--- a/packages/edge/tests/test_request_access.py
+++ b/packages/edge/tests/test_request_access.py
@@ -413,3 +413,41 @@
     assert service.service._in_progress == set()
     service.submit((GOOD,))
     assert service.harness.answers == []
+
+
+def test_request_that_ends_unsent_is_given_back_beside_one_that_waits() -> None:
+    """The other one is counted and given back later than the first."""
+    service = _LimitedService()
+    sender, timers = service.harness.sender, service.harness.timers
+    sender.is_connecting = True
+    service.submit((GOOD,))
+    sender.full_services.add("one")
+    timers.advance(0.3)
+    service.submit((GOOD,))
+    quotas = service.gate.quotas
+    assert quotas is not None
+    assert quotas.uses(timers.now_s)[0].used_ratio > 0
+
+    sender.attempts[0].end(AttemptOutcome.NOT_RUN, has_arrived=False)
+
+    assert quotas.uses(timers.now_s)[0].used_ratio == 0
+
+
+def test_request_that_runs_stays_counted_for_a_window_beside_one_given_back() -> (
+    None
+):
+    """A request that was counted before is given back after it was sent."""
+    service = _LimitedService()
+    gate, timers = service.gate, service.harness.timers
+    quotas = gate.quotas
+    assert quotas is not None
+    taken_at_s = gate.take("red")
+    assert taken_at_s is not None
+    timers.advance(3.0)
+    assert gate.take("red") is not None
+    timers.advance(0.5)
+    gate.give_back("red", taken_at_s)
+
+    timers.advance(4.0)
+
+    assert quotas.uses(timers.now_s)[0].used_ratio > 0
