Sum what nodes tell of a tenant once for each change, not each request

At a hub the cost of a request of a tenant grew with the nodes that tell of that tenant, and a waiting request paid it each 10 ms.

Cause: each decision on a quota summed what all nodes had told. Evidence: the new test, in which 200 requests with 300 nodes summed it more than 4 times without the change. Ruled out: the rate itself, which is kept for 0.2 s, or until a heartbeat.

The sums are kept until a heartbeat, the loss of a node or the configuration changes them, where the rate was already computed again. Decisions are the same; the model tests of the sum hold.

--- a/packages/core/mulberrybay_core/tenants/quotas.py
+++ b/packages/core/mulberrybay_core/tenants/quotas.py
@@ -203,6 +203,15 @@
         return self._total
 
 
+class _HeardSums(NamedTuple):
+    """What all nodes together have told of one tenant."""
+
+    own_per_s: float
+    own_count: float
+    passed_on_per_s: float
+    passed_on_count: float
+
+
 class _Quota:
     """This node's bucket for one tenant, and what others tell of the tenant.
 
@@ -219,6 +228,7 @@
 
     __slots__ = (
         "_depth_count",
+        "_heard_sums",
         "_is_saturated",
         "_promised_at_s",
         "_rate_at_s",
@@ -272,6 +282,20 @@
     def forget_rate(self) -> None:
         """Computes the rate again before it is next used."""
         self._rate_at_s = -math.inf
+        self._heard_sums: _HeardSums | None = None
+
+    def _sum_heard(self) -> _HeardSums:
+        """Returns the sums, which each request needs; kept until they change."""
+        sums = self._heard_sums
+        if sums is None:
+            told = self.heard.values()
+            sums = self._heard_sums = _HeardSums(
+                sum(demand.own_per_s for demand in told),
+                sum(demand.own_count for demand in told),
+                max((demand.all_per_s for demand in told), default=0.0),
+                max((demand.all_count for demand in told), default=0.0),
+            )
+        return sums
 
     def planned_per_s(self) -> float:
         """Returns the rate of all nodes together."""
@@ -279,14 +303,11 @@
 
     def others_per_s(self, contact: Contact) -> float:
         """Returns the demand at the other nodes."""
-        heard_per_s = sum(told.own_per_s for told in self.heard.values())
+        sums = self._sum_heard()
         if contact.is_hub:
-            return heard_per_s
+            return sums.own_per_s
         # Hubs hear nodes that this one doesn't.
-        passed_on_per_s = max(
-            (told.all_per_s for told in self.heard.values()), default=0.0
-        )
-        return max(heard_per_s, passed_on_per_s - self.told_per_s)
+        return max(sums.own_per_s, sums.passed_on_per_s - self.told_per_s)
 
     def untold_per_s(self, contact: Contact) -> float:
         """Returns what this node uses of a tenant that it doesn't tell of."""
@@ -344,16 +365,14 @@
 
     def others_count(self, contact: Contact, now_s: float) -> float:
         """Returns the requests that others have sent in the last window."""
-        count = sum(told.own_count for told in self.heard.values())
+        sums = self._sum_heard()
+        count = sums.own_count
         if self.lost:
             self.lost = [entry for entry in self.lost if entry[1] > now_s]
             count += sum(entry[0] for entry in self.lost)
         if contact.is_hub:
             return count
-        passed_on_count = max(
-            (told.all_count for told in self.heard.values()), default=0.0
-        )
-        return max(count, passed_on_count - self.own_count(now_s))
+        return max(count, sums.passed_on_count - self.own_count(now_s))
 
     def lose(self, node_name: str, now_s: float) -> None:
         """Handles that a node is not heard any more or has started again."""
--- a/packages/core/tests/test_tenant_quotas.py
+++ b/packages/core/tests/test_tenant_quotas.py
@@ -1,12 +1,19 @@
 """Quotas that nodes share: the sum in any window, and refusals below the quota."""
 
 import random
+from typing import Any
 
 import pytest
 from hypothesis import given, settings, strategies
 from quota_fleet import TERMS, QuotaFleet
 
 from mulberrybay_core.tenants.keys import Tenant
+from mulberrybay_core.tenants.quotas import (
+    Contact,
+    NodeQuotas,
+    TenantDemand,
+    tenant_key,
+)
 
 TENANT_COUNT = 83
 ALL_PER_S = 300.0
@@ -210,3 +217,38 @@
     step = {"span_s": 8.0, "first_node": 0, "node_count": 6}
     step |= {"demand_ratio": demand_ratio, "restarted_count": 0}
     play(fleet, 100.0, [step])
+
+
+class _CountedDemands(dict[str, TenantDemand]):
+    """Counts how often what all nodes have told is read."""
+
+    read_count = 0
+
+    def values(self) -> Any:  # noqa: ANN401
+        self.read_count += 1
+        return super().values()
+
+
+@pytest.mark.parametrize("is_hub", [False, True])
+def test_work_for_a_request_does_not_grow_with_the_nodes_that_are_heard(
+    is_hub: bool,
+) -> None:
+    names = [f"node-{number}" for number in range(300)]
+    quotas = NodeQuotas(TERMS)
+    quotas.set_tenants([Tenant("red", (), None, 1000.0)], 0.0)
+    quotas.set_contact(Contact(1.0, 0.01, is_hub, frozenset(names)), 0.0)
+    heard = quotas._quotas["red"].heard = _CountedDemands()
+    told = TenantDemand(tenant_key("red"), 1.0, 5, 1.0, 5)
+    for name in names:
+        quotas.merge(name, [told])
+    for number in range(200):
+        quotas.take("red", 10.0 + number / 1000)
+    assert heard.read_count <= 4
+    assert quotas.uses(10.2)[0].used_ratio > 300 * 5 / 5000
+
+    quotas.merge(names[0], [told._replace(own_count=2000)])
+    assert quotas.uses(10.2)[0].used_ratio > (299 * 5 + 2000) / 5000
+    quotas.lose(names[0], 10.2)
+    assert names[0] not in heard
+    assert quotas.uses(10.2)[0].used_ratio > (299 * 5 + 2000) / 5000
+    assert quotas.uses(20.0)[0].used_ratio < (299 * 5 + 2000) / 5000
