Move the counts of recent requests out of the quotas' module

Operators and callers see no difference; the classes are moved unchanged.

The smoothed rate and the count of a window depend on nothing else in that module, so that the move needs no further change.

--- a/packages/core/mulberrybay_core/tenants/quotas.py
+++ b/packages/core/mulberrybay_core/tenants/quotas.py
@@ -19,11 +19,11 @@
 
 import hashlib
 import math
-from collections import deque
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from mulberrybay_core.tenants.keys import Tenant
+from mulberrybay_core.tenants.recent_requests import Demand, WindowCount
 
 # The most tenants told in one heartbeat.
 MAX_TOLD_COUNT: Final = 16
@@ -39,14 +39,6 @@
 MIN_DEPTH_COUNT: Final = 2.0
 # What a node that has just started assumes to have saved.
 FIRST_TOKEN_COUNT: Final = 1.0
-# The time over which demand is smoothed, and a longer one for a demand of few
-# requests in that. By a shorter one a rise is seen early; of that, as much is left out
-# as a few requests by chance make.
-SMOOTHING_S: Final = 0.7
-SLOW_SMOOTHING_S: Final = 5.0
-FEW_COUNT: Final = 10.0
-FAST_SMOOTHING_S: Final = 0.15
-FAST_CHANCE_COUNT: Final = 2.0
 # A tenant is told to others from this many requests in a window on.
 MIN_TOLD_PER_WINDOW_COUNT: Final = 1.0
 # A tenant that nobody tells of may use this many in a window at each node.
@@ -59,9 +51,6 @@
 CAP_RATIO: Final = 0.6
 # What a node may use of the room at least before it tells the others.
 MIN_CREDIT_COUNT: Final = 3.0
-# The number of buckets of a window. One more is counted, for a bucket leaves the
-# window as a whole.
-BUCKET_COUNT: Final = 25
 # Others are told at once if the demand has risen by this ratio and is refused.
 RISE_RATIO: Final = 0.2
 # How long a computed rate is used.
@@ -138,71 +127,6 @@
     return int.from_bytes(digest)
 
 
-class _Demand:
-    """The smoothed rate of requests."""
-
-    __slots__ = ("_at_s", "_fast_per_s", "_per_s", "_slow_per_s")
-
-    def __init__(self, now_s: float) -> None:
-        self._at_s = now_s
-        self._per_s = 0.0
-        self._slow_per_s = 0.0
-        self._fast_per_s = 0.0
-
-    def _decay(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self._at_s)
-        self._at_s = now_s
-        self._per_s *= math.exp(-elapsed_s / SMOOTHING_S)
-        self._slow_per_s *= math.exp(-elapsed_s / SLOW_SMOOTHING_S)
-        self._fast_per_s *= math.exp(-elapsed_s / FAST_SMOOTHING_S)
-
-    def add(self, now_s: float) -> None:
-        self._decay(now_s)
-        self._per_s += 1 / SMOOTHING_S
-        self._slow_per_s += 1 / SLOW_SMOOTHING_S
-        self._fast_per_s += 1 / FAST_SMOOTHING_S
-
-    def per_s(self, now_s: float) -> float:
-        self._decay(now_s)
-        weight = min(1.0, self._slow_per_s * SLOW_SMOOTHING_S / FEW_COUNT)
-        smooth_per_s = weight * self._per_s + (1 - weight) * self._slow_per_s
-        by_chance_per_s = FAST_CHANCE_COUNT / FAST_SMOOTHING_S
-        return max(smooth_per_s, self._fast_per_s - by_chance_per_s)
-
-
-class _WindowCount:
-    """The requests of the last window."""
-
-    __slots__ = ("_bucket_s", "_buckets", "_total")
-
-    def __init__(self, window_s: float) -> None:
-        self._bucket_s = window_s / BUCKET_COUNT
-        self._buckets: deque[tuple[int, int]] = deque()
-        self._total = 0
-
-    def add(self, now_s: float) -> None:
-        index = int(now_s // self._bucket_s)
-        if self._buckets and self._buckets[-1][0] == index:
-            self._buckets[-1] = (index, self._buckets[-1][1] + 1)
-        else:
-            self._buckets.append((index, 1))
-        self._total += 1
-
-    def remove(self, added_at_s: float) -> None:
-        """Takes back a request, unless its bucket is gone."""
-        added_index = int(added_at_s // self._bucket_s)
-        for position, (index, count) in enumerate(self._buckets):
-            if index == added_index and count:
-                self._buckets[position] = (index, count - 1)
-                self._total -= 1
-
-    def total(self, now_s: float) -> int:
-        first_index = int(now_s // self._bucket_s) - BUCKET_COUNT
-        while self._buckets and self._buckets[0][0] < first_index:
-            self._total -= self._buckets.popleft()[1]
-        return self._total
-
-
 class _HeardSums(NamedTuple):
     """What all nodes together have told of one tenant."""
 
@@ -254,14 +178,14 @@
         self, tenant: Tenant, terms: QuotaTerms, key: int, now_s: float
     ) -> None:
         self.key = key
-        self.demand = _Demand(now_s)
+        self.demand = Demand(now_s)
         self.told_per_s = 0.0
         self.heard: dict[str, TenantDemand] = {}
         self.lost: list[tuple[float, float]] = []
         self.admitted_count = 0
         self.refused_count = 0
         self._token_count = FIRST_TOKEN_COUNT
-        self._window = _WindowCount(terms.window_s)
+        self._window = WindowCount(terms.window_s)
         # What the others were told that this node has sent.
         self._told_count = 0.0
         self._started_at_s = now_s
