--- a/packages/core/mulberrybay_core/tenants/quotas.py
+++ b/packages/core/mulberrybay_core/tenants/quotas.py
@@ -19,11 +19,11 @@
 
 import hashlib
 import math
-from collections import deque
 from collections.abc import Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from mulberrybay_core.tenants.keys import Tenant
+from mulberrybay_core.tenants.recent_requests import Demand, WindowCount
 
 # The most tenants told in one heartbeat.
 MAX_TOLD_COUNT: Final = 16
@@ -39,14 +39,6 @@
 MIN_DEPTH_COUNT: Final = 2.0
 # What a node that has just started assumes to have saved.
 FIRST_TOKEN_COUNT: Final = 1.0
-# The time over which demand is smoothed, and a longer one for a demand of few
-# requests in that. By a shorter one a rise is seen early; of that, as much is left out
-# as a few requests by chance make.
-SMOOTHING_S: Final = 0.7
-SLOW_SMOOTHING_S: Final = 5.0
-FEW_COUNT: Final = 10.0
-FAST_SMOOTHING_S: Final = 0.15
-FAST_CHANCE_COUNT: Final = 2.0
 # A tenant is told to others from this many requests in a window on.
 MIN_TOLD_PER_WINDOW_COUNT: Final = 1.0
 # A tenant that nobody tells of may use this many in a window at each node.
@@ -59,9 +51,6 @@
 CAP_RATIO: Final = 0.6
 # What a node may use of the room at least before it tells the others.
 MIN_CREDIT_COUNT: Final = 3.0
-# The number of buckets of a window. One more is counted, for a bucket leaves the
-# window as a whole.
-BUCKET_COUNT: Final = 25
 # Others are told at once if the demand has risen by this ratio and is refused.
 RISE_RATIO: Final = 0.2
 # How long a computed rate is used.
@@ -138,68 +127,13 @@
     return int.from_bytes(digest)
 
 
-class _Demand:
-    """The smoothed rate of requests."""
+class _HeardSums(NamedTuple):
+    """What all nodes together have told of one tenant."""
 
-    __slots__ = ("_at_s", "_fast_per_s", "_per_s", "_slow_per_s")
-
-    def __init__(self, now_s: float) -> None:
-        self._at_s = now_s
-        self._per_s = 0.0
-        self._slow_per_s = 0.0
-        self._fast_per_s = 0.0
-
-    def _decay(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self._at_s)
-        self._at_s = now_s
-        self._per_s *= math.exp(-elapsed_s / SMOOTHING_S)
-        self._slow_per_s *= math.exp(-elapsed_s / SLOW_SMOOTHING_S)
-        self._fast_per_s *= math.exp(-elapsed_s / FAST_SMOOTHING_S)
-
-    def add(self, now_s: float) -> None:
-        self._decay(now_s)
-        self._per_s += 1 / SMOOTHING_S
-        self._slow_per_s += 1 / SLOW_SMOOTHING_S
-        self._fast_per_s += 1 / FAST_SMOOTHING_S
-
-    def per_s(self, now_s: float) -> float:
-        self._decay(now_s)
-        weight = min(1.0, self._slow_per_s * SLOW_SMOOTHING_S / FEW_COUNT)
-        smooth_per_s = weight * self._per_s + (1 - weight) * self._slow_per_s
-        by_chance_per_s = FAST_CHANCE_COUNT / FAST_SMOOTHING_S
-        return max(smooth_per_s, self._fast_per_s - by_chance_per_s)
-
-
-class _WindowCount:
-    """The requests of the last window."""
-
-    __slots__ = ("_bucket_s", "_buckets", "_total")
-
-    def __init__(self, window_s: float) -> None:
-        self._bucket_s = window_s / BUCKET_COUNT
-        self._buckets: deque[tuple[int, int]] = deque()
-        self._total = 0
-
-    def add(self, now_s: float) -> None:
-        index = int(now_s // self._bucket_s)
-        if self._buckets and self._buckets[-1][0] == index:
-            self._buckets[-1] = (index, self._buckets[-1][1] + 1)
-        else:
-            self._buckets.append((index, 1))
-        self._total += 1
-
-    def remove(self) -> None:
-        """Takes back the last request, unless its bucket is gone."""
-        if self._buckets and self._buckets[-1][1] > 0:
-            index, count = self._buckets[-1]
-            self._buckets[-1] = (index, count - 1)
-            self._total -= 1
-
-    def total(self, now_s: float) -> int:
-        first_index = int(now_s // self._bucket_s) - BUCKET_COUNT
-        while self._buckets and self._buckets[0][0] < first_index:
-            self._total -= self._buckets.popleft()[1]
-        return self._total
+    own_per_s: float
+    own_count: float
+    passed_on_per_s: float
+    passed_on_count: float
 
 
 class _Quota:
@@ -218,6 +152,7 @@
 
     __slots__ = (
         "_depth_count",
+        "_heard_sums",
         "_is_saturated",
         "_promised_at_s",
         "_rate_at_s",
@@ -243,14 +178,14 @@
         self, tenant: Tenant, terms: QuotaTerms, key: int, now_s: float
     ) -> None:
         self.key = key
-        self.demand = _Demand(now_s)
+        self.demand = Demand(now_s)
         self.told_per_s = 0.0
         self.heard: dict[str, TenantDemand] = {}
         self.lost: list[tuple[float, float]] = []
         self.admitted_count = 0
         self.refused_count = 0
         self._token_count = FIRST_TOKEN_COUNT
-        self._window = _WindowCount(terms.window_s)
+        self._window = WindowCount(terms.window_s)
         # What the others were told that this node has sent.
         self._told_count = 0.0
         self._started_at_s = now_s
@@ -271,6 +206,20 @@
     def forget_rate(self) -> None:
         """Computes the rate again before it is next used."""
         self._rate_at_s = -math.inf
+        self._heard_sums: _HeardSums | None = None
+
+    def _sum_heard(self) -> _HeardSums:
+        """Returns the sums, which each request needs; kept until they change."""
+        sums = self._heard_sums
+        if sums is None:
+            told = self.heard.values()
+            sums = self._heard_sums = _HeardSums(
+                sum(demand.own_per_s for demand in told),
+                sum(demand.own_count for demand in told),
+                max((demand.all_per_s for demand in told), default=0.0),
+                max((demand.all_count for demand in told), default=0.0),
+            )
+        return sums
 
     def planned_per_s(self) -> float:
         """Returns the rate of all nodes together."""
@@ -278,14 +227,11 @@
 
     def others_per_s(self, contact: Contact) -> float:
         """Returns the demand at the other nodes."""
-        heard_per_s = sum(told.own_per_s for told in self.heard.values())
+        sums = self._sum_heard()
         if contact.is_hub:
-            return heard_per_s
+            return sums.own_per_s
         # Hubs hear nodes that this one doesn't.
-        passed_on_per_s = max(
-            (told.all_per_s for told in self.heard.values()), default=0.0
-        )
-        return max(heard_per_s, passed_on_per_s - self.told_per_s)
+        return max(sums.own_per_s, sums.passed_on_per_s - self.told_per_s)
 
     def untold_per_s(self, contact: Contact) -> float:
         """Returns what this node uses of a tenant that it doesn't tell of."""
@@ -343,16 +289,14 @@
 
     def others_count(self, contact: Contact, now_s: float) -> float:
         """Returns the requests that others have sent in the last window."""
-        count = sum(told.own_count for told in self.heard.values())
+        sums = self._sum_heard()
+        count = sums.own_count
         if self.lost:
             self.lost = [entry for entry in self.lost if entry[1] > now_s]
             count += sum(entry[0] for entry in self.lost)
         if contact.is_hub:
             return count
-        passed_on_count = max(
-            (told.all_count for told in self.heard.values()), default=0.0
-        )
-        return max(count, passed_on_count - self.own_count(now_s))
+        return max(count, sums.passed_on_count - self.own_count(now_s))
 
     def lose(self, node_name: str, now_s: float) -> None:
         """Handles that a node is not heard any more or has started again."""
@@ -398,10 +342,10 @@
         self._window.add(now_s)
         return True
 
-    def give_back(self) -> None:
+    def give_back(self, taken_at_s: float) -> None:
         """Takes back a request that has not run."""
         self._token_count = min(self._depth_count, self._token_count + 1)
-        self._window.remove()
+        self._window.remove(taken_at_s)
 
     def record_told(self, per_s: float, count: float) -> None:
         """Records what the others are told."""
@@ -493,11 +437,11 @@
             self.is_rise_untold = True
         return False
 
-    def give_back(self, name: str) -> None:
-        """Takes back a request that no server has run."""
+    def give_back(self, name: str, taken_at_s: float) -> None:
+        """Takes back a request that was counted at a time and has not run."""
         quota = self._quotas.get(name)
         if quota is not None:
-            quota.give_back()
+            quota.give_back(taken_at_s)
             quota.admitted_count -= 1
 
     def retry_after_s(self, name: str, now_s: float) -> float:
