Ignore reports of an earlier order of the same version

An operator who removed an order that was rolled back and wrote it again within 10 s would see the new rollout rolled back at once, or promoted without a canary, as nodes that had not seen the removal yet still reported the earlier order.

Cause: reports name the version but not the order, so the age and the judgement of the earlier order were taken for those of the new one. Evidence: the new test, which failed before. Ruled out: a field for the object's version in heartbeats, as each status changes it. A node that knew the earlier order now ignores reports whose age exceeds that of the new one by more than 3 s; the age in the status remains in use.

--- a/packages/core/mulberrybay_core/rollouts/node_rollouts.py
+++ b/packages/core/mulberrybay_core/rollouts/node_rollouts.py
@@ -156,6 +156,7 @@
         exposure.set_divisor(self.share_divisor)
         rollout = Rollout(order, exposure, now_s)
         rollout.is_in_use = sent.is_in_use
+        rollout.is_repeated = ended is not None
         self._rollouts[order.service] = rollout
         return rollout
 
--- a/packages/core/mulberrybay_core/rollouts/rollout.py
+++ b/packages/core/mulberrybay_core/rollouts/rollout.py
@@ -46,6 +46,7 @@
         reason: Why it was, or how the order ended without a final status.
         is_in_use: Whether the version was in use before it was ordered.
         is_removed: Whether the order was removed.
+        is_repeated: Whether there was an order for the same version before.
         is_told: Whether others were told of replies that decide against it.
         final_at_s: When this node learned of the final state; None before.
         stored: The status in the store; None if it has none.
@@ -64,6 +65,7 @@
         self.reason = ""
         self.is_in_use = False
         self.is_removed = False
+        self.is_repeated = False
         self.is_told = False
         self.final_at_s: float | None = None
         self._step_at_s = now_s
@@ -232,6 +234,9 @@
         if not self.is_running:
             return
         if counts.age_s - self.age_s(now_s) > LATE_ORDER_S:
+            if self.is_repeated:
+                # It is about the earlier order.
+                return
             self.exposure.has_slack = False
         self._know_age(counts.age_s, now_s)
         if counts.is_condemned:
--- a/packages/core/tests/test_rollouts.py
+++ b/packages/core/tests/test_rollouts.py
@@ -499,3 +499,23 @@
     assert due(node, 5.5) == expected
     summary = next(node.summaries(5.5))
     assert summary.new.bad_count == (8 if not old_refused and not step else 0)
+
+
+def test_reports_of_an_earlier_order_say_nothing_of_the_same_one_again() -> (
+    None
+):
+    # The other node has not yet seen that the order was removed and repeated.
+    node, late = make_node(0), make_node(1)
+    for each in (node, late):
+        each.set_order(ORDER, None, 5.0)
+        each.set_order(ORDER._replace(object_version=3), ROLLED_BACK, 14.0)
+    late_reports = [
+        counts._replace(is_condemned=True) for counts in late.reports(16.0)
+    ]
+    assert late_reports
+    node.remove_order(SERVICE, 15.0)
+    node.set_order(ORDER._replace(object_version=5), None, 15.5)
+    node.merge("late", 1, late_reports, 16.0)
+
+    assert due(node, 16.0) == [(RolloutState.RUNNING, RolloutStep.CANARY)]
+    assert next(node.summaries(16.0)).age_s == 0.5
