Send heartbeats with any route name during a rollout

With a route whose name has a lone surrogate, which JSON can express, every node would stop its heartbeats for good at the first reply in a rollout, and look lost to the others.

Cause: the name is encoded as UTF-8, which raises an error in the function that also schedules the next heartbeat. Evidence: the new test, which failed before with UnicodeEncodeError. Ruled out: to refuse such a configuration, which is served today. Such characters are now replaced in the heartbeat alone, which only affects how the counts of that route are shown and grouped.

--- a/packages/edge/mulberrybay_edge/heartbeat_codec.py
+++ b/packages/edge/mulberrybay_edge/heartbeat_codec.py
@@ -89,7 +89,8 @@
         "arms": [
             {
                 "isNew": is_new,
-                "route": route,
+                # A name in JSON may have surrogates that UTF-8 can't carry.
+                "route": route.encode(errors="replace").decode(),
                 "replyCount": arm.reply_count,
                 "badCount": arm.bad_count,
                 "latencyCount": arm.latency_count,
--- a/packages/edge/tests/test_heartbeat_codec.py
+++ b/packages/edge/tests/test_heartbeat_codec.py
@@ -147,3 +147,11 @@
             decode_heartbeat(zlib.compress(bytes(corrupted)))
         except HeartbeatError:
             continue
+
+
+def test_route_name_that_utf8_can_not_carry_does_not_end_heartbeats() -> None:
+    """Guards against a configuration that makes every node look lost."""
+    counts = RolloutCounts("web", "v2", 1.0, {(True, "a\ud800"): ArmCounts(1)})
+    heartbeat = HEARTBEAT._replace(rollouts=(counts,))
+    (decoded,) = decode_heartbeat(encode_heartbeat(heartbeat)).rollouts
+    assert decoded.arms == {(True, "a?"): ArmCounts(1)}
