Take the versions in use into account when a service can accept requests

Callers waited in a node's queue until their deadline, or a gathered query held back for a shard, while all servers of the version in use were paused, if servers of a version that was rolled back were not: the node expected the service to accept requests at once, and each attempt found only paused servers.

Cause: the time from which on a service accepts requests came from servers of all versions, while the choice uses those that the rollout allows. Evidence: the new test, which failed before. Ruled out: is_limited, which only words the reason of a refusal. Only servers whose version may get requests now count; without rollouts the directory is asked as before.

--- a/packages/core/mulberrybay_core/server_directory.py
+++ b/packages/core/mulberrybay_core/server_directory.py
@@ -1,7 +1,7 @@
 """The known backend servers and which of them may receive new requests."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
 from mulberrybay_core.addresses import Address
@@ -307,13 +307,30 @@
             if self._still_serves(server, now_s) and self._is_in_service(server)
         ]
 
-    def available_at_s(self, service: str, now_s: float) -> float:
+    def available_at_s(
+        self,
+        service: str,
+        now_s: float,
+        may_use: Callable[[KnownServer], bool] | None = None,
+    ) -> float:
         """Returns from when on a server of a service accepts requests.
 
         It is the current time, or later if all servers are paused or their
         limits are used up; infinity if the service has no server.
+
+        Args:
+            service: The service.
+            now_s: The time.
+            may_use: Returns whether a server's version may get requests; None
+                if each may.
         """
-        servers = self.usable(service) or self.last_resort(service, now_s)
+        servers = self.usable(service)
+        if may_use is not None:
+            servers = [server for server in servers if may_use(server)]
+        if not servers:
+            servers = self.last_resort(service, now_s)
+            if may_use is not None:
+                servers = [server for server in servers if may_use(server)]
         for server in servers:
             if self.accepts(server, now_s):
                 return now_s
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -196,7 +196,13 @@
 
     def available_at_s(self, service: str) -> float:
         """Returns from when on a service accepts requests; see `Sender`."""
-        return self._context.directory.available_at_s(service, read_clock_s())
+        directory, rollouts = self._context.directory, self._context.rollouts
+        now_s = read_clock_s()
+        if rollouts is None:
+            return directory.available_at_s(service, now_s)
+        return directory.available_at_s(
+            service, now_s, lambda server: rollouts.may_use(server, now_s)
+        )
 
     @property
     def is_cut_off(self) -> bool:
@@ -292,7 +298,7 @@
         ) or directory.last_resort(spec.service, now_s)
         if rollouts is None:
             return self._choose_of(spec, query, servers)
-        if not rollouts.may_use_any(spec.service, servers, now_s):
+        if not rollouts.may_use_any(servers, now_s):
             servers = [*servers, *directory.last_resort(spec.service, now_s)]
         choose_of = functools.partial(self._choose_of, spec, query)
         return rollouts.choose(spec.service, servers, now_s, choose_of)
--- a/packages/edge/mulberrybay_edge/rollout_traffic.py
+++ b/packages/edge/mulberrybay_edge/rollout_traffic.py
@@ -144,14 +144,14 @@
         self.canary_versions.pop(service, None)
         self.promoted_versions.pop(service, None)
 
-    def may_use_any(
-        self, service: str, servers: Sequence[KnownServer], now_s: float
-    ) -> bool:
+    def may_use_any(self, servers: Sequence[KnownServer], now_s: float) -> bool:
         """Returns whether a server is of a version that may get requests."""
-        return any(
-            self._rollouts.may_send(service, server.entry.version, now_s)
-            for server in servers
-        )
+        return any(self.may_use(server, now_s) for server in servers)
+
+    def may_use(self, server: KnownServer, now_s: float) -> bool:
+        """Returns whether a server's version may get requests."""
+        entry = server.entry
+        return self._rollouts.may_send(entry.service, entry.version, now_s)
 
     def choose(
         self,
--- a/packages/edge/tests/test_rollout_traffic.py
+++ b/packages/edge/tests/test_rollout_traffic.py
@@ -274,3 +274,16 @@
     setup.rollouts.selected = {"v1"}
     setup.rollouts.forbidden = {"v2"}
     assert setup.send().server_id == old.entry.server_id
+
+
+def test_service_is_paused_until_a_server_of_a_usable_version_accepts(
+    setup: _Setup,
+) -> None:
+    """Guards against requests that wait for servers that are rolled back."""
+    old = setup.directory.usable("records")[0]
+    paused_until_s = setup.timers.now_s + 5
+    setup.directory.pause(old, paused_until_s)
+    setup.rollouts.forbidden = {"v2"}
+    assert setup.dispatcher.available_at_s("records") == paused_until_s
+    setup.rollouts.forbidden = {"v1"}
+    assert setup.dispatcher.available_at_s("records") == setup.timers.now_s
