Write the status of rollouts while the writer drains

While a node that writes the status was stopped, a rollout neither advanced nor was it rolled back until the node ended, which takes up to the grace time for open requests and cached addresses, and 1.6 s more.

Cause: a node that stops wrote nothing, but still sends heartbeats, so the others take it for the writer. Evidence: the new test, which failed before. Ruled out: to leave the choice of the writer, which would need the state of stopping in all nodes' heartbeats. A node now writes until it ends; the condition on the revision keeps a second writer from harm.

--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -514,11 +514,12 @@
             self._peer_link.request_restored_objects()
             if self._sharing.watches_for_others:
                 self._peer_link.send_changes()
+        if self._rollouts is not None:
+            # Also while it stops: others take it for the writer until it ends.
+            self._rollouts.write_due(self._view.store_age_s)
         if self._stopping_since_s is None:
             self._registry.remove_unresponsive(now_s)
             self._registry.update()
-            if self._rollouts is not None:
-                self._rollouts.write_due(self._view.store_age_s)
         else:
             self._stop_when_idle(now_s - self._stopping_since_s)
 
--- a/packages/edge/tests/test_rollout_control.py
+++ b/packages/edge/tests/test_rollout_control.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from typing import Any, Final
+from unittest import mock
 
 import pytest
 from request_fakes import FakeTimers
@@ -30,6 +31,7 @@
 )
 from mulberrybay_core.store_position import make_position
 from mulberrybay_edge.decision_log import DecisionLog
+from mulberrybay_edge.node import EdgeNode
 from mulberrybay_edge.rollout_control import RolloutContext, RolloutControl
 
 ADDRESS: Final = Address("127.0.0.1", 1)
@@ -362,3 +364,12 @@
     assert not told
     _fail_new(node, "web", 1)
     assert told
+
+
+def test_node_that_stops_writes_statuses_until_it_ends() -> None:
+    """Guards against a rollout that waits while its writer drains."""
+    node = mock.MagicMock()
+    node._stopping_since_s = 0.0
+    EdgeNode._run_maintenance(node)
+    node._rollouts.write_due.assert_called_once()
+    node._registry.update.assert_not_called()
