Hold back less urgent requests while servers are full

Seen: nothing used a route's or tenant's priority. A look-up waited at a server behind scans, since a server runs requests in the order of arrival. Cause: every request was sent as soon as a connection was allowed. Change: where priorities differ and servers report four figures, a request of a less urgent class waits at the node while each server has as many requests as slots and urgent requests were seen lately, and is sent as soon as it could be late. What waits is resumed by priority, due time and work when a reply comes or an attempt is cancelled. A gathered query that can't meet its deadline is refused before anything is sent, for at most three quarters of a class.

--- a/packages/core/mulberrybay_core/placement.py
+++ b/packages/core/mulberrybay_core/placement.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from mulberrybay_core.load_report import LoadReport
+from mulberrybay_core.overload.admission import ServerRoom
 from mulberrybay_core.overload.load_forecast import (
     ABANDONED_LATENCY_RATIO,
     LoadForecast,
@@ -183,6 +184,11 @@
         others = max(0, total - self._own_count_at_report - 1)
         return others * (1 - age_s / MAX_LOAD_REPORT_AGE_S)
 
+    def room(self, slot_count: int, now_s: float) -> ServerRoom:
+        """Returns what is known of the server's load."""
+        request_count = len(self.in_flight) + self.other_nodes_load(now_s)
+        return ServerRoom(request_count, slot_count, self._mean_latency_s)
+
     def predict(
         self, slot_count: int, query: "PlacementQuery"
     ) -> LoadPrediction | None:
--- a/packages/core/mulberrybay_core/routing.py
+++ b/packages/core/mulberrybay_core/routing.py
@@ -123,6 +123,10 @@
         self._services = {
             service.name: service for service in configuration.services
         }
+        # Whether requests differ in priority.
+        self.has_priorities = len(
+            {route.priority for route in configuration.routes}
+        ) > 1 or any(tenant.priority is not None for tenant in self.tenants)
         self._routes: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             by_prefix = self._routes.setdefault(route.host, {})
--- a/packages/edge/mulberrybay_edge/dispatcher.py
+++ b/packages/edge/mulberrybay_edge/dispatcher.py
@@ -8,22 +8,20 @@
 from mulberrybay_core.caller_messages import LEAVING_VALUE, HeaderNames
 from mulberrybay_core.fatal_requests import is_proof_of_life
 from mulberrybay_core.load_report import LoadReport
-from mulberrybay_core.overload.load_forecast import (
-    LoadForecast,
-    LoadPrediction,
-)
+from mulberrybay_core.overload.admission import ServerRoom, Urgency
+from mulberrybay_core.overload.load_forecast import LoadForecast
 from mulberrybay_core.placement import (
     PlacementQuery,
     ServerState,
     choose_server,
 )
 from mulberrybay_core.retry_after import read_retry_after
-from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_directory import KnownServer, ServerDirectory
 from mulberrybay_core.server_limit import ServerLimit, read_server_limit
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
+from mulberrybay_edge.attempt import Attempt
 from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
 from mulberrybay_edge.exchange import (
@@ -31,13 +29,15 @@
     ExchangeOutcome,
     ExchangeResult,
 )
+from mulberrybay_edge.send_order import SendOrder
 from mulberrybay_edge.sending import (
+    QUEUED_REFUSALS,
     AttemptOutcome,
     AttemptResult,
     AttemptSpec,
-    RequestTemplate,
     ResultHandler,
     SendRefusal,
+    TriedServers,
 )
 from mulberrybay_edge.server_connections import ServerConnections
 from mulberrybay_runtime.clock import read_clock_s
@@ -55,71 +55,6 @@
 MAX_LOGGED_VALUE_CHARS: Final = 40
 
 
-class _Attempt:
-    """A request sent to one server; see `AttemptHandle`."""
-
-    __slots__ = (
-        "_dispatcher",
-        "charged_limit",
-        "exchange",
-        "history",
-        "key",
-        "on_result",
-        "prediction",
-        "retried_service",
-        "server",
-        "started_at_s",
-        "state",
-        "template",
-    )
-
-    def __init__(
-        self,
-        dispatcher: "Dispatcher",
-        server: KnownServer,
-        state: ServerState,
-        history: RouteHistory,
-        key: int,
-        template: RequestTemplate,
-        on_result: ResultHandler,
-    ) -> None:
-        self._dispatcher = dispatcher
-        self.server = server
-        self.state = state
-        self.history = history
-        self.key = key
-        self.template = template
-        self.on_result = on_result
-        self.started_at_s = read_clock_s()
-        self.exchange: Exchange | None = None
-        # The service whose retry budget it was charged to; empty if to none.
-        self.retried_service = ""
-        # What was predicted from a report of work; None without one.
-        self.prediction: LoadPrediction | None = None
-        # The limit of its server that it was charged to; None if to none.
-        self.charged_limit: ServerLimit | None = None
-
-    @property
-    def server_id(self) -> str:
-        """The server that it was sent to."""
-        return self.server.entry.server_id
-
-    @property
-    def is_finished(self) -> bool:
-        """Whether its result is known or it was cancelled."""
-        return self.exchange is None
-
-    @property
-    def is_sent(self) -> bool:
-        """Whether any byte of the request may have been sent."""
-        return self.exchange is None or self.exchange.sent_at_s is not None
-
-    def cancel(self) -> None:
-        """Cancels the attempt; closing its connection tells the server."""
-        if self.exchange is not None:
-            self._dispatcher.cancel(self)
-
-
 class DispatchContext(NamedTuple):
     """Objects and settings of the node that a dispatcher uses.
 
@@ -159,6 +94,7 @@
         self._random = random_source
         self._states: dict[str, ServerState] = {}
         self.forecast = LoadForecast()
+        self.order = SendOrder()
         self._keys = itertools.count()
         self._load_header = context.names.load.lower()
         self._not_run_header = context.names.not_run.lower()
@@ -182,9 +118,52 @@
         self.limit_count = 0
         self.unreadable_counts: Counter[str] = Counter()
 
-    def record_request(self, service: str) -> None:
+    def record_request(
+        self, service: str, urgency: Urgency | None = None
+    ) -> None:
         """Counts a caller's request for a service."""
-        self._context.retry_budget.record_request(service, read_clock_s())
+        now_s = read_clock_s()
+        self._context.retry_budget.record_request(service, now_s)
+        if urgency is not None:
+            self.order.record_request(service, urgency, now_s)
+
+    @property
+    def has_order(self) -> bool:
+        """Whether requests differ in priority; see `Sender`."""
+        return self.table is not None and self.table.has_priorities
+
+    def expected_wait_s(self, service: str) -> float:
+        """Returns how long a request waits for a slot; see `Sender`."""
+        now_s = read_clock_s()
+        rooms = self._rooms(
+            [
+                (server, self._state(server.entry.server_id))
+                for server in self._context.directory.usable(service)
+                if self._context.directory.accepts(server, now_s)
+            ],
+            now_s,
+        )
+        return min((room.wait_s for room in rooms), default=0.0)
+
+    def refuses(self, urgency: Urgency, *, is_late: bool) -> bool:
+        """Counts a query; returns whether to refuse it; see `Sender`."""
+        return self.order.refuses(urgency, read_clock_s(), is_late=is_late)
+
+    def withdraw(self, service: str, tried: TriedServers) -> None:
+        """Gives up a request that waits for a service; see `Sender`."""
+        self.order.withdraw(service, tried)
+
+    @staticmethod
+    def _rooms(
+        candidates: list[tuple[KnownServer, ServerState]], now_s: float
+    ) -> list[ServerRoom]:
+        """Returns the load of servers, if all of them report their work."""
+        if not all(state.reports_work for _, state in candidates):
+            return []
+        return [
+            state.room(max(1, server.entry.slot_count), now_s)
+            for server, state in candidates
+        ]
 
     def available_at_s(self, service: str) -> float:
         """Returns from when on a service accepts requests; see `Sender`."""
@@ -221,7 +200,7 @@
 
     def send(
         self, spec: AttemptSpec, on_result: ResultHandler
-    ) -> _Attempt | SendRefusal:
+    ) -> Attempt | SendRefusal:
         """Sends one attempt; see `Sender`."""
         now_s = read_clock_s()
         if spec.deadline_at_s - now_s < MIN_TIME_LEFT_S:
@@ -233,6 +212,8 @@
             self.forecast,
         )
         server = self._choose(spec, query)
+        if server in QUEUED_REFUSALS:
+            self.order.add(spec, now_s)
         if isinstance(server, SendRefusal):
             return self._refuse(server)
         context = self._context
@@ -312,6 +293,10 @@
             ):
                 continue
             candidates.append((server, self._state(server_id)))
+        if spec.urgency is not None and candidates:
+            rooms = self._rooms(candidates, now_s)
+            if rooms and self.order.must_wait(spec, rooms, now_s):
+                return SendRefusal.HELD
         chosen = choose_server(candidates, query, self._random)
         return chosen or SendRefusal.FULL
 
@@ -327,12 +312,12 @@
         server: KnownServer,
         query: PlacementQuery,
         on_result: ResultHandler,
-    ) -> _Attempt | SendRefusal:
+    ) -> Attempt | SendRefusal:
         entry = server.entry
         state = self._state(entry.server_id)
         key = next(self._keys)
-        attempt = _Attempt(
-            self, server, state, spec.history, key, spec.template, on_result
+        attempt = Attempt(
+            self, server, state, spec, key, on_result, read_clock_s()
         )
         if spec.is_retry:
             attempt.retried_service = spec.service
@@ -387,7 +372,7 @@
             return self._refuse(SendRefusal.NOT_ALLOWED)
         return attempt
 
-    def _charge(self, attempt: _Attempt, now_s: float) -> bool:
+    def _charge(self, attempt: Attempt, now_s: float) -> bool:
         """Charges an attempt once to the limit that its server has named.
 
         The server may name it while the attempt waits for a connection.
@@ -404,7 +389,7 @@
             attempt.charged_limit = limit
         return True
 
-    def _give_back(self, attempt: _Attempt) -> None:
+    def _give_back(self, attempt: Attempt) -> None:
         """Gives back what was charged for an attempt that reached no server."""
         if attempt.retried_service:
             self._context.retry_budget.give_back(attempt.retried_service)
@@ -412,7 +397,7 @@
             attempt.charged_limit.give_back()
             attempt.charged_limit = None
 
-    def cancel(self, attempt: _Attempt) -> None:
+    def cancel(self, attempt: Attempt) -> None:
         """Cancels an attempt; see `AttemptHandle`."""
         exchange = attempt.exchange
         if exchange is None:
@@ -430,8 +415,9 @@
             self.forecast.observe_abandoned(attempt.prediction, relative_age)
         self.outcome_counts["cancelled"] += 1
         exchange.cancel()
+        self.order.resume(attempt.server.entry.service)
 
-    def _on_result(self, attempt: _Attempt, result: ExchangeResult) -> None:
+    def _on_result(self, attempt: Attempt, result: ExchangeResult) -> None:
         if attempt.exchange is None:
             return
         sent_at_s = attempt.exchange.sent_at_s
@@ -446,9 +432,10 @@
             self._give_back(attempt)
         self.outcome_counts[attempt_result.outcome.value] += 1
         attempt.on_result(attempt_result)
+        self.order.resume(attempt.server.entry.service)
 
     def _read_result(
-        self, attempt: _Attempt, result: ExchangeResult
+        self, attempt: Attempt, result: ExchangeResult
     ) -> AttemptResult:
         now_s = read_clock_s()
         server_id = attempt.server_id
@@ -551,7 +538,7 @@
             )
 
     def _record_limit(
-        self, attempt: _Attempt, reply: HttpReply, now_s: float
+        self, attempt: Attempt, reply: HttpReply, now_s: float
     ) -> None:
         """Records the rate limit that a server names, or its end."""
         server, text = attempt.server, reply.headers.get(self._limit_header)
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -47,10 +47,16 @@
         self._refusal: SendRefusal | None = None
         self._queue_until_s = 0.0
         self._queue_from(job.request.received_at_s)
+        if self._urgency is not None:
+            # It is sent before it would be refused for lack of room.
+            hold_until_s = self._queue_until_s - CAPACITY_CHECK_PERIOD_S
+            self._urgency = self._urgency._replace(
+                hold_until_s=min(self._urgency.hold_until_s, hold_until_s)
+            )
 
     def start(self) -> None:
         """Sends the request, or refuses it if the service has no server."""
-        self._context.sender.record_request(self._service)
+        self._context.sender.record_request(self._service, self._urgency)
         if not self._must_wait():
             self._send()
         self._schedule_timer()
@@ -83,6 +89,8 @@
             is_retryable=self._is_retryable,
             avoided_ids=self._avoided_servers(),
             may_start=access.may_start if access is not None else None,
+            urgency=self._urgency,
+            resume=None if self._attempts else self._resume,
         )
         attempt = self._context.sender.send(spec, self._on_result)
         if not isinstance(attempt, SendRefusal):
@@ -137,6 +145,14 @@
             and (self._is_retryable or not self._attempts)
         )
 
+    def _resume(self) -> None:
+        """Sends a request that waits, as a server may have room now."""
+        if self._may_send() and not self._attempts:
+            if not self._must_wait() and self._send():
+                self._schedule_timer()
+        else:
+            self._context.sender.withdraw(self._service, self._tried)
+
     def _may_hedge(self) -> bool:
         """Whether a second server may get the request beside the first."""
         return (
@@ -278,6 +294,11 @@
             fields["not_sent_again"] = self._refusal.value
         return fields
 
+    def _close(self) -> None:
+        super()._close()
+        if self._urgency is not None:
+            self._context.sender.withdraw(self._service, self._tried)
+
     def _cancel_attempts(self) -> None:
         for attempt in self._attempts:
             attempt.cancel()
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -11,6 +11,7 @@
 from mulberrybay_core import caller_errors
 from mulberrybay_core.caller_messages import CallerAnswer
 from mulberrybay_core.fatal_requests import CONDEMNED_COUNT
+from mulberrybay_core.overload.admission import enough_wait_s
 from mulberrybay_core.pause_wait import can_wait, enough_available_at_s
 from mulberrybay_core.shard_merge import ShardReply, merge_shard_replies
 from mulberrybay_core.suspect_turns import MAX_SILENCE_S
@@ -18,6 +19,7 @@
     CAPACITY_CHECK_PERIOD_S,
     CONDEMNED,
     EXITING,
+    HELD_CHECK_PERIOD_S,
     MAX_LOGGED_COUNT,
     HandlerContext,
     RequestHandler,
@@ -100,7 +102,7 @@
         """
         sender = self._context.sender
         for shard in self._shards:
-            sender.record_request(shard.service)
+            sender.record_request(shard.service, self._urgency)
         available_at_s_list = [
             sender.available_at_s(shard.service) for shard in self._shards
         ]
@@ -131,10 +133,32 @@
                 available_at_s - self._context.clock(),
             )
             return
+        if self._is_refused_as_late(now_s):
+            return
         self._send_first_attempts()
         self._schedule_prompt_timers()
         self._schedule_timer()
 
+    def _is_refused_as_late(self, now_s: float) -> bool:
+        """Refuses the query if too many shards have too long queues."""
+        if self._urgency is None:
+            return False
+        sender = self._context.sender
+        wait_s = enough_wait_s(
+            [sender.expected_wait_s(shard.service) for shard in self._shards],
+            self._needed_count(),
+        )
+        late_s = (
+            now_s
+            + wait_s
+            + self._job.history.typical_latency_s()
+            - self._last_answer_at_s
+        )
+        if not sender.refuses(self._urgency, is_late=late_s > 0 and wait_s > 0):
+            return False
+        self._refuse("too many shards have too long queues", late_s)
+        return True
+
     # Sending.
 
     def _is_careful(self) -> bool:
@@ -217,6 +241,8 @@
             is_retryable=True,
             avoided_ids=self._avoided_servers(),
             may_start=job.access.may_start if job.access is not None else None,
+            urgency=self._urgency,
+            resume=None if is_hedge else lambda: self._resume(shard),
         )
 
         def on_result(result: AttemptResult) -> None:
@@ -239,6 +265,14 @@
             self._context.counts.hedge_count += 1
         return True
 
+    def _resume(self, shard: _Shard) -> None:
+        """Sends a query to a shard that may have room for it now."""
+        if self._may_send(shard) and not shard.attempts:
+            if not self._is_careful():
+                self._send(shard)
+        else:
+            self._context.sender.withdraw(shard.service, shard.tried)
+
     def _may_send(self, shard: _Shard) -> bool:
         return (
             not self._has_ended and shard.reply is None and shard.tried.may_send
@@ -392,13 +426,27 @@
             not shard.attempts and self._may_send(shard)
             for shard in self._shards
         ):
-            due_s = min(due_s, now_s + CAPACITY_CHECK_PERIOD_S)
+            due_s = min(due_s, self._next_check_at_s(now_s))
         elif now_s < self._hedge_at_s:
             due_s = min(due_s, self._hedge_at_s)
         elif any(self._may_send(shard) for shard in self._shards):
             due_s = min(due_s, now_s + 2 * CAPACITY_CHECK_PERIOD_S)
         self._set_timer(due_s, self._on_timer)
 
+    def _next_check_at_s(self, now_s: float) -> float:
+        """Returns when to look again for servers with room."""
+        is_held = self._urgency is not None and all(
+            shard.refusal is SendRefusal.HELD
+            for shard in self._shards
+            if not shard.attempts and self._may_send(shard)
+        )
+        if self._urgency is None or not is_held:
+            return now_s + CAPACITY_CHECK_PERIOD_S
+        return min(
+            now_s + HELD_CHECK_PERIOD_S,
+            max(now_s, self._urgency.hold_until_s),
+        )
+
     def _on_timer(self) -> None:
         if self._has_ended:
             return
@@ -506,6 +554,9 @@
         super()._close()
         for timer in self._prompt_timers:
             timer.cancel()
+        if self._urgency is not None:
+            for shard in self._shards:
+                self._context.sender.withdraw(shard.service, shard.tried)
 
     def _cancel_attempts(self) -> None:
         for shard in self._shards:
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -122,6 +122,26 @@
         "How far reports of work predict latencies, by their age.",
         ("max_age_ms",),
     ),
+    MetricSpec(
+        "edge_delayed_requests",
+        "counter",
+        "Requests held back for more urgent ones, by why they were then sent.",
+        ("reason", "class"),
+    ),
+    MetricSpec(
+        "edge_overload_refusals",
+        "counter",
+        "Queries that would be late: refused (late) or sent, as too many were.",
+        ("reason", "class"),
+    ),
+    MetricSpec(
+        "edge_waiting_requests",
+        "gauge",
+        "Requests that wait for servers with room, counted for each service.",
+    ),
+    MetricSpec(
+        "edge_waiting_age_seconds", "gauge", "Age of the oldest of these."
+    ),
     MetricSpec(
         "edge_probes",
         "counter",
@@ -284,6 +304,15 @@
             weight = dispatcher.forecast.weight(bound_s)
             labels = (f"{bound_s * 1000:.0f}",)
             yield Sample("edge_load_report_weight", weight, labels)
+        order = dispatcher.order
+        for key, count in order.delayed_counts.items():
+            yield Sample("edge_delayed_requests", count, key)
+        for key, count in order.refused_counts.items():
+            yield Sample("edge_overload_refusals", count, key)
+        yield Sample("edge_waiting_requests", order.waiting_count())
+        since_s, now_s = order.oldest_since_s(), read_clock_s()
+        age_s = 0.0 if since_s is None else now_s - since_s
+        yield Sample("edge_waiting_age_seconds", age_s)
         yield Sample("edge_lacks_servers", int(self._sources.reach.is_lost))
         yield Sample("edge_probes", self._sources.reach_monitor.probe_count)
         yield from count_samples(
--- a/packages/edge/mulberrybay_edge/request_context.py
+++ b/packages/edge/mulberrybay_edge/request_context.py
@@ -12,6 +12,7 @@
     CallerRequest,
     HeaderNames,
 )
+from mulberrybay_core.overload.admission import Urgency, find_hold_until_s
 from mulberrybay_core.overload.answer_reserve import (
     AnswerReserve,
     AnswerTiming,
@@ -28,6 +29,9 @@
 
 # How often a handler checks again for a server with free capacity.
 CAPACITY_CHECK_PERIOD_S: Final = 0.01
+# How often a handler checks the same for a request that is held back, which is
+# also told when a reply comes.
+HELD_CHECK_PERIOD_S: Final = 0.02
 # How often a handler checks whether a paused service has another server now.
 PAUSE_CHECK_PERIOD_S: Final = 0.1
 # If all servers are full, a request is refused after this fraction of its
@@ -143,6 +147,26 @@
         )
         return max(latency_budget_s, MIN_LATENCY_BUDGET_RATIO * target_s)
 
+    @property
+    def priority(self) -> int:
+        """The tenant's priority if it has one, otherwise the route's."""
+        tenant = self.access.tenant if self.access is not None else None
+        if tenant is not None and tenant.priority is not None:
+            return tenant.priority
+        return self.route.priority
+
+    def urgency(self) -> Urgency:
+        """Returns what the order of the request under overload depends on."""
+        received_at_s = self.request.received_at_s
+        due_at_s = received_at_s + self.latency_budget_s()
+        typical_latency_s = self.history.typical_latency_s()
+        return Urgency(
+            self.priority,
+            due_at_s,
+            typical_latency_s,
+            find_hold_until_s(received_at_s, due_at_s, typical_latency_s),
+        )
+
     def deadline_at_s(self) -> float:
         """Returns when the caller's request times out."""
         timeout_s = self.route.timeout_s
@@ -211,6 +235,8 @@
         self._failures: list[str] = []
         self._deadline_at_s = job.deadline_at_s()
         self._last_answer_at_s = self._deadline_at_s - TIMEOUT_MARGIN_S
+        # None where requests don't differ in priority.
+        self._urgency = job.urgency() if context.sender.has_order else None
         self._hedge_at_s = job.request.received_at_s + (
             job.history.hedge_delay_s(
                 context.retry_ratio,
--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -9,6 +9,7 @@
     HeaderList,
     HeaderNames,
 )
+from mulberrybay_core.overload.admission import Urgency
 from mulberrybay_core.request_identity import identify_request
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.tenants.keys import CREDENTIALS_HEADER
@@ -47,6 +48,7 @@
     """Why an attempt was not sent."""
 
     NO_SERVER = "no server"
+    HELD = "more urgent requests need the servers"
     FULL = "all servers are full"
     PAUSED = "all servers have asked for a pause"
     LIMITED = "the rate limits of all servers are used up"
@@ -55,6 +57,10 @@
     OUT_OF_TIME = "no time is left"
 
 
+# These attempts wait for a server with room.
+QUEUED_REFUSALS: Final = (SendRefusal.HELD, SendRefusal.FULL)
+
+
 class AttemptSpec(NamedTuple):
     """Describes an attempt to send a request to any server of a service.
 
@@ -70,6 +76,9 @@
         avoided_ids: Servers that must not be used now.
         may_start: Returns whether its first bytes may be sent now, which is
             asked once there is a connection.
+        urgency: What its order under overload depends on; None to send it
+            as soon as a server may be used.
+        resume: Tries to send it again once a server may have room.
     """
 
     template: "RequestTemplate"
@@ -81,6 +90,8 @@
     is_retryable: bool
     avoided_ids: frozenset[str] = frozenset()
     may_start: Callable[[], bool] | None = None
+    urgency: Urgency | None = None
+    resume: Callable[[], None] | None = None
 
 
 ResultHandler = Callable[[AttemptResult], None]
@@ -233,9 +244,30 @@
         The handler is called once, unless the attempt is cancelled or refused.
         """
 
-    def record_request(self, service: str) -> None:
+    def record_request(
+        self, service: str, urgency: Urgency | None = None
+    ) -> None:
         """Counts a caller's request for a service."""
 
+    @property
+    def has_order(self) -> bool:
+        """Whether requests differ in priority."""
+
+    def expected_wait_s(self, service: str) -> float:
+        """Returns how long a request waits for a slot; 0 if it isn't known."""
+
+    def refuses(self, urgency: Urgency, *, is_late: bool) -> bool:
+        """Counts a query, and returns whether to refuse it.
+
+        Args:
+            urgency: What its order depends on.
+            is_late: Whether it can't be answered by its deadline. It is refused
+                unless too few of its class would be served.
+        """
+
+    def withdraw(self, service: str, tried: "TriedServers") -> None:
+        """Gives up a request that waits for a service."""
+
     def available_at_s(self, service: str) -> float:
         """Returns from when on a server of a service accepts requests.
 
--- a/packages/edge/tests/played_servers.py
+++ b/packages/edge/tests/played_servers.py
@@ -225,7 +225,7 @@
             "a.example",
             (("Host", "a.example"),),
             b"",
-            f"id-{len(self.answers)}-{now_s}",
+            f"{route_name}-{len(self.answers)}-{now_s}",
             now_s,
             first_at_s + route.timeout_s - now_s,
         )
--- a/packages/edge/tests/request_fakes.py
+++ b/packages/edge/tests/request_fakes.py
@@ -12,6 +12,7 @@
     CallerRequest,
     HeaderNames,
 )
+from mulberrybay_core.overload.admission import Urgency
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.route_history import RouteHistory
 from mulberrybay_core.routing import Route, RouteKind, WeightedService
@@ -29,6 +30,7 @@
     RequestTemplate,
     ResultHandler,
     SendRefusal,
+    TriedServers,
 )
 from mulberrybay_edge.server_connections import ProbeHandler, ProbeOutcome
 from mulberrybay_runtime.http_exchange import HttpReply
@@ -163,6 +165,9 @@
         has_retry_budget: Whether retries are sent.
         replica_names: One character for each replica of a service.
         is_cut_off: Whether only other nodes reach backend servers.
+        has_order: Whether requests differ in priority.
+        waits_s: How long a request of a service waits for a slot.
+        may_be_refused: Whether a query may be refused as servers are full.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
@@ -177,10 +182,26 @@
         self.has_retry_budget = True
         self.replica_names = "ab"
         self.is_cut_off = False
+        self.has_order = False
+        self.waits_s: dict[str, float] = {}
+        self.may_be_refused = True
 
-    def record_request(self, service: str) -> None:
+    def record_request(
+        self, service: str, urgency: Urgency | None = None
+    ) -> None:
         """Ignores the count."""
 
+    def expected_wait_s(self, service: str) -> float:
+        """Returns how long a request waits for a slot."""
+        return self.waits_s.get(service, 0.0)
+
+    def refuses(self, urgency: Urgency, *, is_late: bool) -> bool:
+        """Whether a query is refused."""
+        return is_late and self.may_be_refused
+
+    def withdraw(self, service: str, tried: TriedServers) -> None:
+        """Does nothing: no request waits."""
+
     def available_at_s(self, service: str) -> float:
         """Returns from when on a service has a server to use."""
         if service in self.empty_services:
