Hold back hedges at full servers, and first attempts only shortly

Cause: a request held long has too little time left for the slowest shards, while second attempts at servers with queues delayed the first attempts of all. Change: where the order is on, a second attempt beside a late one is sent only to a server with at most one request in excess of its slots, in all classes. A first attempt of a less urgent class is held for at most a tenth of its budget. Ruled out: a later start of the hold-back, at one to four requests in excess of the slots: as bad for scans, with less gain for look-ups.

--- a/packages/core/mulberrybay_core/overload/admission.py
+++ b/packages/core/mulberrybay_core/overload/admission.py
@@ -1,9 +1,9 @@
 """Which requests a node sends, holds back or refuses while servers are full.
 
 A server runs requests in the order of arrival, so only what a node holds back can
-be ordered. Urgent requests are sent at once; others wait while each server that
-could take them has as many requests as slots, but no longer than they can be in
-time. The time is an argument.
+be ordered. Urgent requests are sent at once; others wait shortly while each server that
+could take them has as many requests as slots. Second attempts beside late ones are
+not sent to servers with a queue. The time is an argument.
 """
 
 import enum
@@ -21,8 +21,13 @@
 # The time kept for the reply of a request that was held back, as a multiple of
 # the typical latency: a query needs the slowest of many replies.
 REPLY_RATIO: Final = 2.0
-# A request is not held back for a larger part of its target latency.
-MAX_HOLD_RATIO: Final = 0.5
+# A request is not held back for a larger part of its latency budget. Longer waits
+# served urgent requests no better in played loads, and the others worse.
+MAX_HOLD_RATIO: Final = 0.1
+# A second attempt beside one that is late is sent to a server with no more
+# requests in excess of its slots: behind a longer queue it wins little, and
+# delays first attempts.
+HEDGE_EXCESS_COUNT: Final = 1
 
 
 class Urgency(NamedTuple):
@@ -70,10 +75,9 @@
     slot_count: int
     mean_latency_s: float
 
-    @property
-    def has_room(self) -> bool:
-        """Whether a request would probably run at once."""
-        return self.request_count < self.slot_count
+    def has_room(self, excess_count: int = 0) -> bool:
+        """Whether it has few enough requests, beyond its slots by a number."""
+        return self.request_count < self.slot_count + excess_count
 
     @property
     def wait_s(self) -> float:
@@ -131,7 +135,7 @@
         rooms: Sequence[ServerRoom],
         now_s: float,
     ) -> Decision:
-        """Decides whether to send a request now.
+        """Decides whether to send the first attempt of a request now.
 
         Args:
             urgency: What its order depends on.
@@ -140,7 +144,7 @@
         """
         if now_s >= urgency.hold_until_s:
             return Decision.DUE
-        if any(room.has_room for room in rooms):
+        if any(room.has_room() for room in rooms):
             return Decision.ROOM
         urgent_per_s = self.more_urgent_per_s(urgency.priority, now_s)
         if urgent_per_s * urgency.typical_latency_s < MIN_URGENT_COUNT:
@@ -148,6 +152,11 @@
         return Decision.WAIT
 
 
+def may_hedge(rooms: Sequence[ServerRoom]) -> bool:
+    """Returns whether a second attempt may be sent beside one that is late."""
+    return any(room.has_room(HEDGE_EXCESS_COUNT) for room in rooms)
+
+
 def enough_wait_s(waits_s: Sequence[float], needed_count: int) -> float:
     """Returns how long a query waits for as many shards as it needs."""
     return sorted(waits_s)[needed_count - 1]
--- a/packages/edge/mulberrybay_edge/node_metrics.py
+++ b/packages/edge/mulberrybay_edge/node_metrics.py
@@ -125,7 +125,7 @@
     MetricSpec(
         "edge_delayed_requests",
         "counter",
-        "Requests held back for more urgent ones, by why they were then sent.",
+        "Attempts held back, by why they were then sent; hedge: each check.",
         ("reason", "class"),
     ),
     MetricSpec(
--- a/packages/edge/mulberrybay_edge/send_order.py
+++ b/packages/edge/mulberrybay_edge/send_order.py
@@ -10,6 +10,7 @@
     ServerRoom,
     ServiceOrder,
     Urgency,
+    may_hedge,
 )
 from mulberrybay_core.overload.waiting_requests import (
     WaitingRequest,
@@ -45,8 +46,8 @@
     """The order in which a node sends requests to full servers.
 
     Attributes:
-        delayed_counts: Requests held back at one service, by the reason for
-            which they then left the queue and class.
+        delayed_counts: Attempts held back at one service, by class and by
+            why they were then sent, or `hedge` for each check of a hedge.
         refused_counts: Queries that can't be answered in time, refused (late) or
             sent to serve some of the class, by class.
     """
@@ -77,6 +78,12 @@
             return False
         service = self._service(spec.service)
         service.is_reported = True
+        if spec.tried.in_progress:
+            if may_hedge(rooms):
+                return False
+            label = priority_label(spec.urgency.priority)
+            self.delayed_counts["hedge", label] += 1
+            return True
         decision = service.order.decide(spec.urgency, rooms, now_s)
         if decision is Decision.WAIT:
             return True
--- a/packages/edge/tests/test_played_order.py
+++ b/packages/edge/tests/test_played_order.py
@@ -8,13 +8,14 @@
 import random
 import sys
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final, NamedTuple
 
 import pytest
 from played_servers import PlayedNode, PlayedServer
 from request_fakes import FakeTimers
 
+from mulberrybay_core.overload import admission
 from mulberrybay_core.overload.admission import (
     Decision,
     ServerRoom,
@@ -22,7 +23,7 @@
     Urgency,
 )
 from mulberrybay_core.routing import Route, RouteKind
-from mulberrybay_edge import dispatcher, exchange
+from mulberrybay_edge import dispatcher, exchange, send_order
 from mulberrybay_edge.exchange import Exchange
 from mulberrybay_runtime.http_exchange import HttpReply
 
@@ -232,14 +233,27 @@
     del patch
 
 
+def _only_hedges(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ServiceOrder, "decide", lambda *_: Decision.ROOM)
+
+
+def _only_hold(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(send_order, "may_hedge", lambda _: True)
+
+
+_Rank = Callable[[Urgency], object]
+
+
 def _hold(
     patch: pytest.MonkeyPatch,
-    rank: Callable[[Urgency], object] | None,
+    rank: _Rank,
+    hold_ratio: float,
     *,
-    holds_urgent: bool,
+    holds_urgent: bool = False,
     reserved_count: int = 0,
 ) -> None:
-    """Holds requests back whenever servers are full."""
+    """Holds first attempts back whenever servers are full; hedges as before."""
+    _only_hold(patch)
 
     def decide(
         self: ServiceOrder,
@@ -257,14 +271,14 @@
         return Decision.ROOM if has_room else Decision.WAIT
 
     patch.setattr(ServiceOrder, "decide", decide)
-    if rank is not None:
-        patch.setattr(Urgency, "rank", property(rank))
+    patch.setattr(admission, "MAX_HOLD_RATIO", hold_ratio)
+    patch.setattr(Urgency, "rank", property(rank))
 
 
 _ARRIVALS: Final = itertools.count()
 
 
-def _weighted(patch: pytest.MonkeyPatch) -> None:
+def _weighted(patch: pytest.MonkeyPatch, hold_ratio: float) -> None:
     """Divides slots 3 to 1 by the work that each class was given."""
     given: dict[int, float] = {0: 0.0, 1: 0.0}
 
@@ -274,30 +288,44 @@
         given[urgency.priority] = start + urgency.typical_latency_s / weight
         return given[urgency.priority], urgency.due_at_s
 
-    _hold(patch, rank, holds_urgent=True)
+    _hold(patch, rank, hold_ratio, holds_urgent=True)
 
 
-ORDERS: Final[dict[str, Callable[[pytest.MonkeyPatch], None]]] = {
+_Change = Callable[[pytest.MonkeyPatch], None]
+
+
+def _holding_orders(hold_ratio: float) -> dict[str, _Change]:
+    """Returns the orders that hold requests back for a part of the target."""
+    orders: dict[str, _Change] = {
+        "last in first out": lambda patch: _hold(
+            patch, lambda _: -next(_ARRIVALS), hold_ratio, holds_urgent=True
+        ),
+        "earliest deadline first": lambda patch: _hold(
+            patch, lambda u: u.due_at_s, hold_ratio, holds_urgent=True
+        ),
+        "weighted shares": lambda patch: _weighted(patch, hold_ratio),
+        "reserved slots": lambda patch: _hold(
+            patch, lambda _: next(_ARRIVALS), hold_ratio, reserved_count=1
+        ),
+        "plain hold-back": lambda patch: _hold(
+            patch, lambda _: next(_ARRIVALS), hold_ratio
+        ),
+    }
+    return {f"{name}, {hold_ratio}": order for name, order in orders.items()}
+
+
+ORDERS: Final[dict[str, _Change]] = {
     "before": _before,
     "built": _built,
-    "last in first out": lambda patch: _hold(
-        patch, lambda u: -next(_ARRIVALS), holds_urgent=True
-    ),
-    "earliest deadline first": lambda patch: _hold(
-        patch, lambda u: u.due_at_s, holds_urgent=True
-    ),
-    "weighted shares": _weighted,
-    "reserved slots": lambda patch: _hold(
-        patch, None, holds_urgent=False, reserved_count=1
-    ),
-    "plain hold-back": lambda patch: _hold(
-        patch, lambda u: next(_ARRIVALS), holds_urgent=False
-    ),
+    "only hedges held": _only_hedges,
+    "only first attempts held": _only_hold,
+    **_holding_orders(0.1),
+    **_holding_orders(0.5),
 }
 
 
 def print_orders(loads: Sequence[float], seeds: Sequence[int]) -> None:
-    """Prints the figures of each order."""
+    """Prints the figures of each order: in time, worth, served, refused."""
     for load in loads:
         for name, change in ORDERS.items():
             rows = []
@@ -307,13 +335,75 @@
                     rows.append(play(patch, load, seed)[0])
             cells = [
                 " ".join(
-                    f"{sum(row[r][i] for row in rows) / len(rows):.3f}"
+                    f"{sum(row[route][i] for row in rows) / len(rows):.3f}"
                     for i in range(4)
                 )
-                for r in ("lookup", "scan")
+                for route in ("lookup", "scan")
             ]
-            print(f"{load:.2f} | {name:24} | {' | '.join(cells)}", flush=True)
+            print(f"{load:.2f} | {name:28} | {' | '.join(cells)}", flush=True)
+
+
+def play_as(change: _Change, load: float, seed: int) -> Mapping[str, Figures]:
+    """Plays a load with an order."""
+    with pytest.MonkeyPatch.context() as patch:
+        change(patch)
+        figures, nodes = play(patch, load, seed)
+        # Nothing waits for ever, nor stays queued when it has ended.
+        for node in nodes:
+            assert node.dispatcher.order.waiting_count() == 0
+        return figures
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_urgent_lookups_gain_and_scans_lose_nothing(seed: int) -> None:
+    before = play_as(_before, 0.35, seed)
+    after = play_as(_built, 0.35, seed)
+    print(before, after)
+
+    assert after["lookup"].worth > before["lookup"].worth + 0.01
+    assert after["scan"].worth > before["scan"].worth - 0.015
+    for route in ("lookup", "scan"):
+        assert after[route].in_time >= before[route].in_time - 0.005
+
+
+def test_no_class_is_starved_beyond_saturation() -> None:
+    """Less urgent requests could wait behind urgent ones for ever."""
+    before = play_as(_before, 0.7, 3)
+    after = play_as(_built, 0.7, 3)
+    print(before, after)
+
+    assert after["scan"].worth >= 0.25 * before["scan"].worth
+    assert after["scan"].served >= 0.25
+    assert after["lookup"].served >= after["scan"].served - 0.02
+    assert after["lookup"].worth >= before["lookup"].worth - 0.02
+
+
+@pytest.mark.parametrize(
+    ("figure_count", "routes"),
+    [
+        (3, (LOOKUP, SCAN)),
+        (4, (LOOKUP._replace(priority=0), SCAN._replace(priority=0))),
+    ],
+)
+def test_nothing_changes_without_priorities_or_reports_of_work(
+    figure_count: int, routes: tuple[Route, ...]
+) -> None:
+    answers = []
+    for change in (_before, _built):
+        with pytest.MonkeyPatch.context() as patch:
+            change(patch)
+            _, nodes = play(
+                patch,
+                0.5,
+                4,
+                length_s=0.9,
+                figure_count=figure_count,
+                routes=routes,
+            )
+            answers.append([node.answers for node in nodes])
+
+    assert answers[0] == answers[1]
 
 
 if __name__ == "__main__":
-    print_orders([float(v) for v in sys.argv[1].split(",")], [1, 2])
+    print_orders([float(v) for v in sys.argv[1].split(",")], [1, 2, 3])
