--- a/packages/edge/tests/test_dispatcher.py
+++ b/packages/edge/tests/test_dispatcher.py
@@ -69,7 +69,7 @@
         return True
 
 
-class _Setup:
+class Setup:
     """A dispatcher of one service with two servers, unless told otherwise."""
 
     def __init__(
@@ -117,7 +117,7 @@
 def test_retry_that_reaches_no_server_is_given_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     count = setup.available_count()
     setup.send(is_retry=True)
     assert setup.available_count() == count - 1
@@ -132,7 +132,7 @@
 def test_retry_that_reached_a_server_stays_charged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     count = setup.available_count()
     setup.send(is_retry=True)
 
@@ -146,7 +146,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The conditions are checked again at the moment of sending."""
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     setup.connections.is_open = True
     count = setup.available_count()
     monkeypatch.setattr(setup.directory, "may_use", lambda *_: False)
@@ -158,7 +158,7 @@
 def test_attempt_whose_connection_is_not_open_has_not_been_sent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     attempt: Any = setup.send()
     assert not attempt.is_sent
 
@@ -178,7 +178,7 @@
     keeps_idle: bool,
 ) -> None:
     """The idle connections of many nodes would use up a server's cap."""
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     setup.dispatcher.is_advertised = is_advertised
     setup.dispatcher.share_divisor = share_divisor
     setup.send()
@@ -186,7 +186,7 @@
     assert setup.connections.started[0][1] is keeps_idle
 
 
-def name_limits(setup: _Setup, per_s: float) -> None:
+def name_limits(setup: Setup, per_s: float) -> None:
     for server in setup.directory.usable("records"):
         server.limit = ServerLimit(0.0, setup.timers.now_s)
         server.limit.name(per_s, setup.timers.now_s)
@@ -195,7 +195,7 @@
 def test_attempt_that_waits_for_a_connection_keeps_to_a_limit_named_meanwhile(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     setup.send()
     started, _ = setup.connections.started[0]
 
@@ -208,7 +208,7 @@
 def test_hedges_and_retries_are_charged_to_the_limit_too(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     name_limits(setup, 1.0)
     setup.timers.advance(1.1)
 
@@ -220,7 +220,7 @@
 def test_attempt_that_is_cancelled_before_it_is_sent_uses_up_no_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     name_limits(setup, 1.0)
     setup.timers.advance(1.1)
     attempts: list[Any] = [setup.send(), setup.send()]
@@ -239,7 +239,7 @@
 def test_limit_holds_until_a_reply_to_a_later_request_names_none(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     server, other = setup.directory.usable("records")
     setup.directory.drop(other.entry.server_id)
     for _ in range(2):
@@ -261,7 +261,7 @@
 def test_success_of_a_program_that_is_no_backend_server_is_not_used(
     monkeypatch: pytest.MonkeyPatch, headers: dict[str, str]
 ) -> None:
-    setup = _Setup(monkeypatch)
+    setup = Setup(monkeypatch)
     setup.send()
     started, _ = setup.connections.started[0]
 
@@ -276,7 +276,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A hedge at a slow machine uses up the retry budget and comes too late."""
-    setup = _Setup(monkeypatch, server_count=3)
+    setup = Setup(monkeypatch, server_count=3)
     tried = TriedServers(2)
     first: Any = setup.send(tried=tried)
     tried.record_sent(first.server_id)
