Serve a head inside the limit however its bytes are split

A caller whose head was at most max_header_bytes as documented, the target and each header with 3 bytes for its line, could get 431 if it came in pieces.

Cause: while a head is incomplete all its bytes are counted, also the method, the version, and the space after each colon, which don't count in a whole one. Evidence: the new test, which fails without the change: a head of 202 headers at the limit was refused in pieces of 1,000 bytes. Ruled out: a head that comes in one read; only the counted bytes matter there.

These bytes are now allowed for, at most one for each line and 25 for the rest, so that an endless line is bounded as before; that test is unchanged.

--- a/packages/edge/mulberrybay_edge/caller_parser.py
+++ b/packages/edge/mulberrybay_edge/caller_parser.py
@@ -19,6 +19,9 @@
 # The colon and the end of a header line. Since they are counted, the limit on
 # bytes also bounds the number of lines.
 LINE_END_BYTES: Final = 3
+# What a head has beside its target and its headers, which alone count: a method of up
+# to 11 characters, two spaces, the version, and the ends of two lines.
+START_LINE_BYTES: Final = 25
 # What an incomplete or waiting request takes apart from its bytes.
 OBJECT_BYTES: Final = 1024
 INTERNAL_HEADER_NAMES: Final = frozenset({"content-length"})
@@ -234,12 +237,16 @@
 
     def _find_excess(self) -> CallerAnswer | None:
         max_header_bytes = self._limits.max_header_bytes
+        # The space after the colon of a line isn't counted in its bytes.
+        max_unread_bytes = (
+            max_header_bytes + self._line_count + START_LINE_BYTES
+        )
         if (
             self._header_bytes > max_header_bytes
             or self._framing_bytes > max_header_bytes
             or (
                 not self.is_head_read
-                and self._unread_head_bytes > max_header_bytes
+                and self._unread_head_bytes > max_unread_bytes
             )
         ):
             return caller_errors.HEADERS_TOO_LARGE
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -428,3 +428,25 @@
         wait_until(has_cancelled, 5.0, "the request is cancelled")
     assert len(service.requests) == 1
     assert server.connection_count == 0
+
+
+def test_head_at_the_limit_is_served_however_it_comes() -> None:
+    """The limit counts the target, and each line with 3 bytes for its end."""
+    server, service, stream, connection = connect()
+    lines = b"".join(b"X-%03d: v\r\n" % number for number in range(200))
+    counted_bytes = len("/x") + len("Host") + len("a.example") + 3 + 200 * 9
+    rest_bytes = server.limits.max_header_bytes - counted_bytes
+    filler = b"Y: " + b"y" * (rest_bytes - len("Y") - 3) + b"\r\n"
+    head = b"GET /x HTTP/1.1\r\nHost: a.example\r\n" + lines + filler + b"\r\n"
+    for start in range(0, len(head), 1_000):
+        connection.on_data(stream, head[start : start + 1_000])
+    connection.on_data(stream, head[:-1])
+    service.replies[0](CallerAnswer(200))
+    connection.on_data(stream, head[-1:])
+
+    assert stream.sent.count(b"HTTP/1.1 ") == 1
+    assert len(service.requests) == 2
+    service.replies[1](CallerAnswer(200))
+    connection.on_data(stream, head.replace(b"Y: ", b"YY: ")[:-1])
+    connection.on_data(stream, b"\n")
+    assert stream.sent.count(b"HTTP/1.1 431 ") == 1
