Don't pass on a server's 413 or 431 if another may have run the request

A caller could get 413 or 431, which say that a request has not run, after another server had lost its connection under the request or had failed.

Cause: the last failed reply was passed on without regard to other attempts, except for the statuses 408, 421, 429 and 503. Ruled out: a request that all servers refused for its size gets that answer.

Such a request now gets 502 or 504. A 500 that came before a 413 isn't passed on either, as only the last failed reply is kept.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -6,8 +6,9 @@
 
 # Answers with these statuses say that the request was not run.
 REFUSAL_STATUSES: Final = (408, 421, 429, 503)
-# So do these if a node itself answers, whose limits the request exceeds.
-NODE_REFUSAL_STATUSES: Final = (*REFUSAL_STATUSES, 413, 431)
+# So do these, of the one that answers: the request exceeds its limits.
+SIZE_REFUSAL_STATUSES: Final = (413, 431)
+NODE_REFUSAL_STATUSES: Final = (*REFUSAL_STATUSES, *SIZE_REFUSAL_STATUSES)
 BAD_REQUEST: Final = CallerAnswer(400, body=b"the request is not valid HTTP\n")
 UNKNOWN_KEY: Final = CallerAnswer(
     401,
--- a/packages/edge/mulberrybay_edge/forward_handler.py
+++ b/packages/edge/mulberrybay_edge/forward_handler.py
@@ -43,6 +43,9 @@
         # Whether a server ran the request or may have run it.
         self._may_have_run = False
         self._failure: HttpReply | None = None
+        # Whether a server has run the request or may have, beside those that
+        # refused it for its size.
+        self._has_unrefused = False
         # Why the last due attempt was not sent; None if it was sent.
         self._refusal: SendRefusal | None = None
         self._queue_until_s = 0.0
@@ -163,7 +166,7 @@
             self._finish(self._to_caller_answer(result.reply))
             return
         self._failures.append(f"{result.server_id}: {result.detail}")
-        if result.has_arrived and result.outcome is AttemptOutcome.FAILED:
+        if result.has_arrived and result.outcome is not AttemptOutcome.NOT_RUN:
             self._keep_failure(result.reply)
         may_retry = self._is_retryable or not self._may_have_run
         if may_retry and self._may_send() and not self._must_wait():
@@ -179,6 +182,10 @@
         """Keeps a reply to pass on if no other server serves the request."""
         if reply and reply.status not in caller_errors.REFUSAL_STATUSES:
             self._failure = reply
+        if not reply or (
+            reply.status not in caller_errors.SIZE_REFUSAL_STATUSES
+        ):
+            self._has_unrefused = True
 
     # Timers.
 
@@ -264,7 +271,11 @@
             self._refuse(reason, min_delay_s, **self._describe())
             return
         self._record_end("failed", reason=reason, **self._describe())
-        if self._failure is not None:
+        may_have_run_elsewhere = self._has_unrefused or bool(self._attempts)
+        if self._failure is not None and not (
+            may_have_run_elsewhere
+            and self._failure.status in caller_errors.SIZE_REFUSAL_STATUSES
+        ):
             self._finish(self._to_caller_answer(self._failure))
         else:
             late = caller_errors.OUT_OF_TIME
--- a/packages/edge/tests/test_forward_handler.py
+++ b/packages/edge/tests/test_forward_handler.py
@@ -322,3 +322,25 @@
     assert [answer.status for answer in harness.answers] == (
         [] if status is None else [status]
     )
+
+
+@pytest.mark.parametrize("status", [413, 431])
+@pytest.mark.parametrize("other_status", [None, 0, 500, 503])
+@pytest.mark.parametrize("other_number", [0, 1])
+def test_servers_refusal_is_passed_on_only_if_no_other_one_may_have_run_it(
+    status: int, other_status: int | None, other_number: int
+) -> None:
+    """These statuses tell callers that the request has not run."""
+    harness = RequestHarness(kind=IDEMPOTENT)
+    start_handler(harness)
+    for number in range(MAX_SEND_COUNT):
+        attempt = harness.sender.attempts[-1]
+        if other_status is None or number != other_number:
+            attempt.end(AttemptOutcome.FAILED, make_failure(status))
+        elif other_status:
+            attempt.end(AttemptOutcome.FAILED, make_failure(other_status))
+        else:
+            attempt.end(AttemptOutcome.LOST)
+
+    expected = status if other_status is None else 502
+    assert harness.answer.status == expected
