Show that a storm of large configs isn't applied for 20 s

Disruption: config_storm (gap 0.06 s for 1.5 s) with a config that big_config has grown to 1,400 routes and 870,727 bytes; the store is stable.

--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -56,6 +56,9 @@
 }
 MEMORY_MB: Final = 300
 RESTART_DELAY_S: Final = 0.5
+JSON_HEADERS: Final = (("Content-Type", "application/json"),)
+# How long the store keeps its history.
+RETENTION_S: Final = 20.0
 
 
 _used_ports: set[int] = set()
@@ -193,18 +196,21 @@
 
 
 def _json(status: int, value: object) -> Response:
-    return Response(
-        status,
-        json.dumps(value).encode(),
-        (("Content-Type", "application/json"),),
-    )
+    return Response(status, json.dumps(value).encode(), JSON_HEADERS)
 
 
 class _Change(NamedTuple):
+    at_s: float
     revision: int
     kind: str
-    body: dict[str, Any]
-    is_deleted: bool
+    event: bytes
+
+
+def _make_change(
+    revision: int, kind: str, body: dict[str, Any], *, is_deleted: bool
+) -> _Change:
+    event = json.dumps({"object": body, "deleted": is_deleted}).encode()
+    return _Change(time.monotonic(), revision, kind, event)
 
 
 class Store(Server):
@@ -215,6 +221,8 @@
         self._revision = 100
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._changes: list[_Change] = []
+        # The last revision whose change is forgotten.
+        self._forgotten = 0
         self._changed = asyncio.Event()
 
     def spec(self, kind: str, name: str) -> Any:  # noqa: ANN401
@@ -250,7 +258,9 @@
         }
         body = {"meta": meta, "spec": spec, "status": status}
         self._objects.setdefault(kind, {})[name] = body
-        self._changes.append(_Change(self._revision, kind, body, False))
+        self._changes.append(
+            _make_change(self._revision, kind, body, is_deleted=False)
+        )
         self._notify()
         return body
 
@@ -258,7 +268,9 @@
         body = self._objects[kind].pop(name)
         self._revision += 1
         deleted = {**body, "meta": {**body["meta"], "rev": self._revision}}
-        self._changes.append(_Change(self._revision, kind, deleted, True))
+        self._changes.append(
+            _make_change(self._revision, kind, deleted, is_deleted=True)
+        )
         self._notify()
 
     async def handle(self, request: Request) -> Response:
@@ -292,18 +304,29 @@
             },
         )
 
+    def _forget(self) -> None:
+        """Forgets changes after `RETENTION_S`."""
+        oldest_s = time.monotonic() - RETENTION_S
+        while self._changes and self._changes[0].at_s < oldest_s:
+            self._forgotten = self._changes.pop(0).revision
+
     async def _watch(self, kind: str, query: Mapping[str, str]) -> Response:
         since = int(query["watch"])
         ends_at_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         while True:
+            self._forget()
+            if since < self._forgotten:
+                return Response(410)
             events = [
-                {"object": change.body, "deleted": change.is_deleted}
+                change.event
                 for change in self._changes
                 if change.kind == kind and change.revision > since
             ]
             left_s = ends_at_s - time.monotonic()
             if events or left_s <= 0:
-                return _json(200, {"events": events, "as_of": self._revision})
+                text = b", ".join(events)
+                body = b'{"events": [%b], "as_of": %d}' % (text, self._revision)
+                return Response(200, body, JSON_HEADERS)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s):
                     await self._changed.wait()
