--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -91,12 +91,29 @@
             self._file.flush()
 
 
+class Head:
+    """The header lines of a request, which are searched when asked for."""
+
+    def __init__(self, head: bytes) -> None:
+        self._head = head
+        self._lower = head.lower()
+
+    def get(self, name: str, default: str = "") -> str:
+        """Returns a header's value; its name is in lower case."""
+        mark = f"\r\n{name}:".encode()
+        at = self._lower.find(mark)
+        if at < 0:
+            return default
+        end = self._head.index(b"\r\n", at + 2)
+        return self._head[at + len(mark) : end].decode("latin-1").strip()
+
+
 class Request(NamedTuple):
-    """A request as a stand-in has read it; header names are in lower case."""
+    """A request as a stand-in has read it."""
 
     method: str
     target: str
-    headers: Mapping[str, str]
+    headers: Head
     body: bytes
 
     @property
@@ -130,13 +147,10 @@
     """Reads one request; None if the connection ends before its end."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
-        lines = head.decode("latin-1").split("\r\n")
-        method, target, _ = lines[0].split(" ", 2)
-        headers = {}
-        for line in lines[1:-2]:
-            name, _, value = line.partition(":")
-            headers[name.lower()] = value.strip()
-        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        line = head[: head.index(b"\r\n")].decode("latin-1")
+        method, target, _ = line.split(" ", 2)
+        headers = Head(head)
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
     except (OSError, asyncio.IncompleteReadError, ValueError):
         return None
     return Request(method, target, headers, body)
