--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """One entry that can't be read hides all backend servers from nodes."""
 
 import contextlib
+import os
 import pathlib
 import signal
 import socket
@@ -20,13 +21,14 @@
     Rig,
     config,
     free_port,
-    has_trouble,
     read_answer,
     route,
     run_case,
     service,
 )
 
+# With TROUBLE=0 the same is done without the disruption.
+HAS_TROUBLE: Final = os.environ.get("TROUBLE", "1") != "0"
 NODE_COUNT: Final = 3
 REQUESTS_PER_S: Final = 11.2
 DEADLINE_MS: Final = 8000
@@ -105,7 +107,7 @@
         if not rig.wait_ready():
             raise RuntimeError("the nodes did not get ready")
         time.sleep(BOUNDS["contact_ms"] / 1000)
-        if has_trouble():
+        if HAS_TROUBLE:
             writer = threading.Thread(
                 target=keep_writing, args=(rig,), daemon=True
             )
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -767,11 +767,6 @@
     }
 
 
-def has_trouble() -> bool:
-    """Whether the script plays its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(folder: pathlib.Path, play: Callable[[Record], bool]) -> NoReturn:
     """Runs a case and exits with 0 (held), 1 (broken) or 2 (could not run).
 
