--- a/tests/on_platform/faulty_deployment.py
+++ b/tests/on_platform/faulty_deployment.py
@@ -6,10 +6,10 @@
 from deployment import START_TIMEOUT_S, RunningNode
 from linked_deployment import LinkedDeployment
 from standins import BackendStandIn
-from uncontrolled_callers import SETTINGS
 
 from mulberrybay_testing.proxy_link import ProxySettings
 from mulberrybay_testing.tcp_proxy import Proxy
+from mulberrybay_testing.uncontrolled_callers import SETTINGS
 from mulberrybay_testing.waiting import wait_until
 
 ZONES: Final = ("zone-a", "zone-b", "zone-c")
--- a/tests/on_platform/fleet_callers.py
+++ b/tests/on_platform/fleet_callers.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 from deployment import RunningNode
-from uncontrolled_callers import (
+
+from mulberrybay_testing.uncontrolled_callers import (
     KINDS,
     MEMORY_MB,
     SILENT_KINDS,
--- a/tests/on_platform/test_uncontrolled_callers.py
+++ b/tests/on_platform/test_uncontrolled_callers.py
@@ -8,7 +8,9 @@
 
 import pytest
 from deployment import Deployment, RunningNode, configuration
-from uncontrolled_callers import (
+
+from mulberrybay_testing.ports import HOST
+from mulberrybay_testing.uncontrolled_callers import (
     KINDS,
     MAX_BODY_BYTES,
     MAX_DESCRIPTORS,
@@ -21,8 +23,6 @@
     UncontrolledCallers,
     peak_memory_mb,
 )
-
-from mulberrybay_testing.ports import HOST
 from mulberrybay_testing.waiting import wait_until
 
 ANSWER_BYTES: Final = 100_000
