Move the connections of callers from edge to runtime

Nodes with holders are going to use the same ones. Only names change: edge/caller_*.py are runtime/callers/*.py, and MachineLimits is in core.

--- a/packages/edge/mulberrybay_edge/metric_sources.py
+++ b/packages/edge/mulberrybay_edge/metric_sources.py
@@ -6,7 +6,6 @@
 from mulberrybay_core.edge_nodes import EdgeNodes
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.server_reach import ServerReach
-from mulberrybay_edge.caller_server import CallerServer
 from mulberrybay_edge.caller_service import RoutedService
 from mulberrybay_edge.crash_watch import CrashWatch
 from mulberrybay_edge.decision_log import DecisionLog
@@ -19,6 +18,7 @@
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_platform.client import PlatformClient
+from mulberrybay_runtime.callers.server import CallerServer
 from mulberrybay_runtime.faults import FaultLog
 
 if TYPE_CHECKING:
--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -26,8 +26,6 @@
 from mulberrybay_core.routing import RouteTable
 from mulberrybay_core.server_reach import ServerReach
 from mulberrybay_core.shared_limits import ColdServerRateLimit, RetryBudget
-from mulberrybay_edge.caller_resources import CallerResources
-from mulberrybay_edge.caller_server import make_servers
 from mulberrybay_edge.caller_service import (
     DirectoryService,
     MetricsService,
@@ -59,6 +57,8 @@
 from mulberrybay_edge.store_watch import StoreWatch
 from mulberrybay_edge.tenant_gate import TenantGate
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
+from mulberrybay_runtime.callers.resources import CallerResources
+from mulberrybay_runtime.callers.server import make_servers
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.datagrams import Datagrams
 from mulberrybay_runtime.faults import FaultLog
--- a/packages/edge/mulberrybay_edge/settings.py
+++ b/packages/edge/mulberrybay_edge/settings.py
@@ -1,9 +1,13 @@
 """The settings of an edge node."""
 
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import HeaderNames
+from mulberrybay_core.callers.machine_limits import (
+    DEFAULT_MACHINE_LIMITS,
+    MachineLimits,
+)
 from mulberrybay_core.follow_times import DEFAULT_FOLLOW_TIMES, FollowTimes
 from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
@@ -56,22 +60,6 @@
     quota_slack: str
 
 
-class MachineLimits(NamedTuple):
-    """What the machine allows the process to use.
-
-    Attributes:
-        memory_mb: The memory, in MB.
-        max_descriptors: The descriptors, 200 of which are for files.
-    """
-
-    memory_mb: float
-    max_descriptors: int
-
-
-# The smallest machine that nodes run on.
-DEFAULT_MACHINE_LIMITS: Final = MachineLimits(160.0, 4_100)
-
-
 class EdgeSettings(NamedTuple):
     """The settings of one node.
 
--- a/packages/edge/mulberrybay_edge/settings_file.py
+++ b/packages/edge/mulberrybay_edge/settings_file.py
@@ -7,17 +7,19 @@
 
 from mulberrybay_core.addresses import MAX_PORT, Address, parse_address
 from mulberrybay_core.caller_messages import HeaderNames
+from mulberrybay_core.callers.machine_limits import (
+    DEFAULT_MACHINE_LIMITS,
+    MachineLimits,
+)
 from mulberrybay_core.follow_times import FollowTimes
 from mulberrybay_core.rollouts import RolloutTerms
 from mulberrybay_core.shared_limits import RetryBudgetSettings
 from mulberrybay_core.tenants.quotas import QuotaTerms
 from mulberrybay_edge.settings import (
-    DEFAULT_MACHINE_LIMITS,
     EdgeAddresses,
     EdgeBoundNames,
     EdgePaths,
     EdgeSettings,
-    MachineLimits,
 )
 from mulberrybay_runtime.json_input import decode_json
 
--- a/packages/edge/tests/test_caller_input.py
+++ b/packages/edge/tests/test_caller_input.py
@@ -8,7 +8,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
-from mulberrybay_edge.caller_server import CallerServer
+from mulberrybay_runtime.callers.server import CallerServer
 from mulberrybay_runtime.http_exchange import ReplyParser
 
 PARTS = (
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -12,8 +12,9 @@
 from mulberrybay_core.caller_messages import CallerAnswer, CallerRequest
 from mulberrybay_core.callers.memory import HeldKind
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
-from mulberrybay_edge import caller_connection, connection_timing
-from mulberrybay_edge.caller_server import CallerServer
+from mulberrybay_runtime.callers import connection as caller_connection
+from mulberrybay_runtime.callers import timing as connection_timing
+from mulberrybay_runtime.callers.server import CallerServer
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.streams import Stream, StreamPoller, Streams
 from mulberrybay_testing.waiting import wait_until
--- a/packages/edge/mulberrybay_edge/caller_connection.py
+++ b/packages/runtime/mulberrybay_runtime/callers/connection.py
@@ -20,14 +20,14 @@
 )
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.routing import CallerLimits
-from mulberrybay_edge import caller_resources
-from mulberrybay_edge.caller_parser import (
+from mulberrybay_runtime.callers import resources as reasons
+from mulberrybay_runtime.callers.parser import (
     ReceivedRequest,
     RequestReader,
     decode_request,
 )
-from mulberrybay_edge.caller_resources import CallerResources
-from mulberrybay_edge.connection_timing import ConnectionTiming
+from mulberrybay_runtime.callers.resources import CallerResources
+from mulberrybay_runtime.callers.timing import ConnectionTiming
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.streams import Stream
 
@@ -50,9 +50,9 @@
 CONTINUE_ANSWER: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES: Final = {status.value: status.phrase for status in HTTPStatus}
 _FAILURE_REASONS: Final = {
-    caller_errors.BAD_REQUEST: caller_resources.MALFORMED,
-    caller_errors.HEADERS_TOO_LARGE: caller_resources.HEADERS_TOO_LARGE,
-    caller_errors.BODY_TOO_LARGE: caller_resources.BODY_TOO_LARGE,
+    caller_errors.BAD_REQUEST: reasons.MALFORMED,
+    caller_errors.HEADERS_TOO_LARGE: reasons.HEADERS_TOO_LARGE,
+    caller_errors.BODY_TOO_LARGE: reasons.BODY_TOO_LARGE,
 }
 
 
@@ -213,16 +213,14 @@
                 now_s,
                 is_small=account.held_bytes + added_bytes <= SMALL_BYTES,
             ):
-                self._server.resources.record(
-                    caller_resources.REFUSED_FOR_MEMORY
-                )
+                self._server.resources.record(reasons.REFUSED_FOR_MEMORY)
                 self._fail(caller_errors.SHORT_OF_MEMORY)
                 return
         account.hold(HeldKind.INPUT, held_bytes)
 
     def _give_way(self) -> None:
         """Frees what the connection holds, as the node is short of memory."""
-        self._server.resources.record(caller_resources.CLOSED_FOR_MEMORY)
+        self._server.resources.record(reasons.CLOSED_FOR_MEMORY)
         if self._stream.unsent or self._pending or self._is_ending:
             self.close()
         else:
@@ -302,7 +300,7 @@
             now_s,
             is_small=cost_bytes <= SMALL_BYTES,
         ):
-            self._server.resources.record(caller_resources.REFUSED_FOR_MEMORY)
+            self._server.resources.record(reasons.REFUSED_FOR_MEMORY)
             return False
         self.account.progress_at_s = now_s
         self.account.hold(HeldKind.RUNNING, all_bytes)
@@ -399,7 +397,7 @@
         started_at_s = self._reader.message_started_at_s
         if self._stream.unsent and not self._is_busy:
             if inactive_s > limits.idle_timeout_s:
-                self._server.resources.record(caller_resources.UNREAD)
+                self._server.resources.record(reasons.UNREAD)
                 self.close()
         elif self._is_ending:
             if inactive_s > LINGER_S:
@@ -416,7 +414,7 @@
         taken_s = now_s - started_at_s
         if not self._reader.is_head_read:
             is_late = taken_s > limits.header_timeout_s
-            reason = caller_resources.SLOW_HEAD
+            reason = reasons.SLOW_HEAD
         else:
             max_s = (
                 limits.header_timeout_s
@@ -425,7 +423,7 @@
             is_late = taken_s > max_s or (
                 now_s - self._reader.body_at_s > limits.idle_timeout_s
             )
-            reason = caller_resources.SLOW_BODY
+            reason = reasons.SLOW_BODY
         if is_late:
             self._server.resources.record(reason)
             self._fail(caller_errors.REQUEST_TIMEOUT)
--- a/packages/edge/mulberrybay_edge/caller_parser.py
+++ b/packages/runtime/mulberrybay_runtime/callers/parser.py
@@ -13,7 +13,7 @@
     HeaderNames,
 )
 from mulberrybay_core.routing import CallerLimits
-from mulberrybay_edge.connection_timing import ConnectionTiming
+from mulberrybay_runtime.callers.timing import ConnectionTiming
 from mulberrybay_runtime.clock import read_clock_s
 
 # The colon and the end of a header line. Since they are counted, the limit on
--- a/packages/edge/mulberrybay_edge/caller_resources.py
+++ b/packages/runtime/mulberrybay_runtime/callers/resources.py
@@ -6,8 +6,11 @@
 from typing import Final
 
 from mulberrybay_core.callers.connection_limit import ConnectionLimits
+from mulberrybay_core.callers.machine_limits import (
+    DEFAULT_MACHINE_LIMITS,
+    MachineLimits,
+)
 from mulberrybay_core.callers.memory import CallerMemory
-from mulberrybay_edge.settings import DEFAULT_MACHINE_LIMITS, MachineLimits
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.logs import StructuredLog
 
--- a/packages/edge/mulberrybay_edge/caller_server.py
+++ b/packages/runtime/mulberrybay_runtime/callers/server.py
@@ -9,9 +9,9 @@
 from mulberrybay_core.callers.connection_limit import ConnectionLimit
 from mulberrybay_core.overload.answer_reserve import AnswerReserve
 from mulberrybay_core.routing import CallerLimits
-from mulberrybay_edge import caller_resources
-from mulberrybay_edge.caller_connection import CallerConnection
-from mulberrybay_edge.caller_resources import CallerResources
+from mulberrybay_runtime.callers import resources as reasons
+from mulberrybay_runtime.callers.connection import CallerConnection
+from mulberrybay_runtime.callers.resources import CallerResources
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.logs import StructuredLog
 from mulberrybay_runtime.streams import Stream, Streams
@@ -102,9 +102,9 @@
         if self.connection_limit.is_full:
             idle = self.connection_limit.longest_idle()
             if idle is None:
-                self.resources.record(caller_resources.TURNED_AWAY)
+                self.resources.record(reasons.TURNED_AWAY)
                 return None
-            self.resources.record(caller_resources.IDLE_CLOSED)
+            self.resources.record(reasons.IDLE_CLOSED)
             idle.close()
         connection = CallerConnection(self, stream)
         self._connections.add(connection)
