--- a/packages/runtime/mulberrybay_runtime/streams.py
+++ b/packages/runtime/mulberrybay_runtime/streams.py
@@ -23,6 +23,8 @@
 READ_SIZE_BYTES: Final = 262_144
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 LISTEN_BACKLOG_COUNT: Final = 512
+# The connections of a listener that are accepted before others are read from.
+MAX_ACCEPTED_COUNT: Final = 16
 # Why a dial ends if nothing listens at the address.
 CONNECTION_REFUSED: Final = "the connection was refused"
 # The kernel detects an unresponsive peer within about
@@ -434,7 +436,7 @@
     @handler("_read", priority=1)
     def _on_readable(self, connection: socket.socket) -> None:
         if connection in self._listeners:
-            self._accept(connection)
+            self._accept_all(connection)
             return
         stream = self._streams.get(connection)
         if stream is None or stream.observer is None or stream.is_paused:
@@ -459,14 +461,24 @@
             )
             raise
 
-    def _accept(self, listener: socket.socket) -> None:
-        try:
-            connection, peer = listener.accept()
-        except OSError:
-            return
+    def _accept_all(self, listener: socket.socket) -> None:
+        """Accepts the connections that wait, up to a number.
+
+        The poller reports the listener again if there are more.
+        """
+        for _ in range(MAX_ACCEPTED_COUNT):
+            try:
+                connection, peer = listener.accept()
+            except OSError:
+                return
+            self._accept(listener, connection, Address(*peer[:2]))
+
+    def _accept(
+        self, listener: socket.socket, connection: socket.socket, peer: Address
+    ) -> None:
         connection.setblocking(False)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = Stream(self, connection, Address(*peer[:2]), None)
+        stream = Stream(self, connection, peer, None)
         stream.observer = self._listeners[listener](stream)
         if stream.observer is None:
             connection.close()
