Don't parse a head again after an offer to upgrade

Callers saw: a POST with an offer to upgrade and a head over the limit ran with an empty body, and the text of its body ran as a request of its own.

Cause: the parser stops after such a head, which was then made anew of the lines that were kept, without those beyond the limit: without Content-Length. The count that refuses it was cleared by the second parse.

Change: a head over the limit is refused there. Otherwise another parser gets only the lines that tell where the request ends; nothing else is parsed twice.

--- a/packages/runtime/mulberrybay_runtime/callers/parser.py
+++ b/packages/runtime/mulberrybay_runtime/callers/parser.py
@@ -25,6 +25,14 @@
 # What an incomplete or waiting request takes apart from its bytes.
 OBJECT_BYTES: Final = 1024
 INTERNAL_HEADER_NAMES: Final = frozenset({"content-length"})
+# The headers that tell where a request and its connection end.
+FRAMING_NAMES: Final = frozenset(
+    {b"connection", b"content-length", b"transfer-encoding"}
+)
+
+
+class _HeadTooLargeError(Exception):
+    """The head exceeds the limit, and the rest can't be parsed without it."""
 
 
 class ReceivedRequest(NamedTuple):
@@ -171,6 +179,9 @@
         self._target = b""
         self._head = bytearray()
         self._line_count = 0
+        self._framing_lines: list[bytes] = []
+        # Whether the parser gets the framing of a head that was read before.
+        self._resumes = False
         self._body = bytearray()
         self._body_bytes = 0
         # Of the complete fields, and of all of a head that is incomplete.
@@ -226,6 +237,8 @@
             self._parse(data)
         except httptools.HttpParserError:
             return caller_errors.BAD_REQUEST
+        except _HeadTooLargeError:
+            return caller_errors.HEADERS_TOO_LARGE
         if self._parser is None or self.message_started_at_s is None:
             return None
         if not self.is_head_read:
@@ -264,24 +277,28 @@
         """Parses bytes, and goes on after the head of an offered upgrade.
 
         The parser stops there. The offer is declined by serving the request as
-        it is (RFC 9110, 7.8).
+        it is (RFC 9110, 7.8): another parser gets the lines that tell where the
+        request ends, and what was read of the head stays as it is.
 
         Raises:
             httptools.HttpParserError: The bytes are not HTTP.
+            _HeadTooLargeError: The head of an offer exceeds the limit, so that
+                not all of its lines were kept.
         """
         while self._parser is not None:
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserUpgrade as upgrade:
-                data = (
-                    self._encode_head_without_offer() + data[upgrade.args[0] :]
-                )
+                if self._header_bytes > self._limits.max_header_bytes:
+                    raise _HeadTooLargeError from upgrade
+                data = self._encode_framing() + data[upgrade.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
+                self._resumes = True
             else:
                 return
 
-    def _encode_head_without_offer(self) -> bytes:
-        """Returns the head that was just read.
+    def _encode_framing(self) -> bytes:
+        """Returns a head with the framing of the one that was just read.
 
         Raises:
             httptools.HttpParserError: It is the head of a tunnel.
@@ -291,13 +308,14 @@
         if method == b"CONNECT":
             raise httptools.HttpParserError("a tunnel")
         version = self._parser.get_http_version().encode()
-        lines = [b"%s %s HTTP/%s" % (method, self._target, version)]
-        lines += [
-            line
-            for line in bytes(self._head).split(b"\n")[:-1]
-            if line.partition(b":")[0].lower() != b"upgrade"
-        ]
-        return b"\r\n".join([*lines, b"", b""])
+        return b"\r\n".join(
+            [
+                b"%s / HTTP/%s" % (method, version),
+                *self._framing_lines,
+                b"",
+                b"",
+            ]
+        )
 
     # Callbacks of httptools.
 
@@ -310,11 +328,15 @@
         """
         if self._parser is None:
             raise httptools.HttpParserError("closed")
+        if self._resumes:
+            return
         self._clear_message()
         self.message_started_at_s = read_clock_s()
 
     def on_url(self, url: bytes) -> None:
         """Appends to the request target, which may come in several pieces."""
+        if self._resumes:
+            return
         self._header_bytes += len(url)
         self.read_bytes += len(url)
         if self._header_bytes <= self._limits.max_header_bytes:
@@ -322,6 +344,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Records a header; trailers are counted and dropped."""
+        if self._resumes:
+            return
         line_bytes = len(name) + len(value) + LINE_END_BYTES
         self._header_bytes += line_bytes
         if self.is_head_read:
@@ -331,12 +355,16 @@
             # Neither names nor values contain line feeds, names no colon.
             self._head += b"%b:%b\n" % (name, value)
             self._line_count += 1
-            if name.lower() == b"expect":
+            lower_name = name.lower()
+            if lower_name in FRAMING_NAMES:
+                self._framing_lines.append(b"%b:%b" % (name, value))
+            elif lower_name == b"expect":
                 self._expects_continue = value.lower() == b"100-continue"
 
     def on_headers_complete(self) -> None:
         """Sends "100 Continue" if the caller expects it before the body."""
         self.is_head_read = True
+        self._resumes = False
         if self._parser is None or self._parser.should_upgrade():
             # The parser is going to stop here; see `_parse`.
             return
