Refuse a body at once whose announced length exceeds the limit

The node read up to the limit, and asked for it with "100 Continue", before it answered with 413. Also, 505 for versions of HTTP other than 1.0 and 1.1, and a detail that names a missing host: nodes with holders tell their callers so.

--- a/packages/core/mulberrybay_core/caller_errors.py
+++ b/packages/core/mulberrybay_core/caller_errors.py
@@ -10,6 +10,9 @@
 SIZE_REFUSAL_STATUSES: Final = (413, 431)
 NODE_REFUSAL_STATUSES: Final = (*REFUSAL_STATUSES, *SIZE_REFUSAL_STATUSES)
 BAD_REQUEST: Final = CallerAnswer(400, body=b"the request is not valid HTTP\n")
+NO_HOST: Final = CallerAnswer(
+    400, body=b"the request has not exactly one host and a path\n"
+)
 UNKNOWN_KEY: Final = CallerAnswer(
     401,
     (("WWW-Authenticate", "Bearer"),),
@@ -23,6 +26,9 @@
 HEADERS_TOO_LARGE: Final = CallerAnswer(
     431, body=b"the headers are too large\n"
 )
+UNSUPPORTED_VERSION: Final = CallerAnswer(
+    505, body=b"the version of HTTP is not supported\n"
+)
 INCOMPLETE_REPLY: Final = CallerAnswer(
     502, body=b"the backend server gave no whole reply; it may have run\n"
 )
--- a/packages/edge/tests/test_caller_server.py
+++ b/packages/edge/tests/test_caller_server.py
@@ -451,3 +451,17 @@
     connection.on_data(stream, head.replace(b"Y: ", b"YY: ")[:-1])
     connection.on_data(stream, b"\n")
     assert stream.sent.count(b"HTTP/1.1 431 ") == 1
+
+
+def test_body_that_is_announced_beyond_the_limit_is_refused_before_it_comes() -> (
+    None
+):
+    server, service, stream, connection = connect()
+    size_bytes = server.limits.max_body_bytes + 1
+    connection.on_data(
+        stream,
+        b"POST /x HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\n"
+        b"Content-Length: %d\r\n\r\n" % size_bytes,
+    )
+    assert stream.sent.startswith(b"HTTP/1.1 413 ")
+    assert service.requests == []
--- a/packages/runtime/mulberrybay_runtime/callers/connection.py
+++ b/packages/runtime/mulberrybay_runtime/callers/connection.py
@@ -55,6 +55,8 @@
 REASON_PHRASES: Final = {status.value: status.phrase for status in HTTPStatus}
 _FAILURE_REASONS: Final = {
     caller_errors.BAD_REQUEST: reasons.MALFORMED,
+    caller_errors.NO_HOST: reasons.MALFORMED,
+    caller_errors.UNSUPPORTED_VERSION: reasons.MALFORMED,
     caller_errors.HEADERS_TOO_LARGE: reasons.HEADERS_TOO_LARGE,
     caller_errors.BODY_TOO_LARGE: reasons.BODY_TOO_LARGE,
 }
--- a/packages/runtime/mulberrybay_runtime/callers/parser.py
+++ b/packages/runtime/mulberrybay_runtime/callers/parser.py
@@ -25,6 +25,9 @@
 # What an incomplete or waiting request takes apart from its bytes.
 OBJECT_BYTES: Final = 1024
 INTERNAL_HEADER_NAMES: Final = frozenset({"content-length"})
+MAX_LENGTH_DIGITS: Final = 18
+# How the parser reports a version other than 1.0 and 1.1.
+INVALID_VERSION_TEXT: Final = "Invalid HTTP version"
 # The headers that tell where a request and its connection end.
 FRAMING_NAMES: Final = frozenset(
     {b"connection", b"content-length", b"transfer-encoding"}
@@ -109,7 +112,7 @@
             headers.append(pair)
     target = received.target.decode("latin-1")
     if host_count != 1 or not target.startswith("/"):
-        return caller_errors.BAD_REQUEST
+        return caller_errors.NO_HOST
     return CallerRequest(
         method=received.method.decode("latin-1"),
         target=target,
@@ -165,6 +168,7 @@
         self._on_expectation = on_expectation
         self._timing = timing
         self._limits = CallerLimits()
+        self._noted_names = {*FRAMING_NAMES, b"expect"}
         # None after the reader was closed: the parser refers to the reader.
         self._parser: httptools.HttpRequestParser | None = (
             httptools.HttpRequestParser(self)
@@ -184,6 +188,7 @@
         self._resumes = False
         self._body = bytearray()
         self._body_bytes = 0
+        self._announced_bytes = 0
         # Of the complete fields, and of all of a head that is incomplete.
         self._header_bytes = 0
         self._unread_head_bytes = 0
@@ -235,7 +240,9 @@
         body_bytes = self._body_bytes
         try:
             self._parse(data)
-        except httptools.HttpParserError:
+        except httptools.HttpParserError as error:
+            if str(error) == INVALID_VERSION_TEXT:
+                return caller_errors.UNSUPPORTED_VERSION
             return caller_errors.BAD_REQUEST
         except _HeadTooLargeError:
             return caller_errors.HEADERS_TOO_LARGE
@@ -269,7 +276,8 @@
             )
         ):
             return caller_errors.HEADERS_TOO_LARGE
-        if self._body_bytes > self._limits.max_body_bytes:
+        body_bytes = max(self._body_bytes, self._announced_bytes)
+        if self.is_head_read and body_bytes > self._limits.max_body_bytes:
             return caller_errors.BODY_TOO_LARGE
         return None
 
@@ -356,10 +364,18 @@
             self._head += b"%b:%b\n" % (name, value)
             self._line_count += 1
             lower_name = name.lower()
-            if lower_name in FRAMING_NAMES:
-                self._framing_lines.append(b"%b:%b" % (name, value))
-            elif lower_name == b"expect":
-                self._expects_continue = value.lower() == b"100-continue"
+            if lower_name in self._noted_names:
+                self._note_header(lower_name, value)
+
+    def _note_header(self, lower_name: bytes, value: bytes) -> None:
+        """Notes what the reader itself has to know of a head."""
+        if lower_name == b"expect":
+            self._expects_continue = value.lower() == b"100-continue"
+        else:
+            self._framing_lines.append(b"%b:%b" % (lower_name, value))
+            if lower_name == b"content-length" and value.isdigit():
+                # Compared with the limit only, so the first digits do.
+                self._announced_bytes = int(value[:MAX_LENGTH_DIGITS])
 
     def on_headers_complete(self) -> None:
         """Sends "100 Continue" if the caller expects it before the body."""
@@ -368,7 +384,10 @@
         if self._parser is None or self._parser.should_upgrade():
             # The parser is going to stop here; see `_parse`.
             return
-        if self._expects_continue:
+        if (
+            self._expects_continue
+            and self._announced_bytes <= self._limits.max_body_bytes
+        ):
             self._on_expectation()
 
     def on_body(self, body: bytes) -> None:
