--- a/packages/runtime/mulberrybay_runtime/timers.py
+++ b/packages/runtime/mulberrybay_runtime/timers.py
@@ -145,7 +145,10 @@
             event.reduce_time_left(0.0)
             return
         self._has_polled = False
-        self.run_due(now_s)
-        due_s = self.next_due_s()
-        if due_s is not None:
-            event.reduce_time_left(max(0.0, due_s - read_clock_s()))
+        try:
+            self.run_due(now_s)
+        finally:
+            # Also after an exception: the poller would wait for ever.
+            due_s = self.next_due_s()
+            if due_s is not None:
+                event.reduce_time_left(max(0.0, due_s - read_clock_s()))
--- a/packages/runtime/tests/test_timers.py
+++ b/packages/runtime/tests/test_timers.py
@@ -109,3 +109,20 @@
     assert loop.fired == ["next"]
     with pytest.raises(ValueError, match="a fault"):
         loop.generate_events()
+
+
+def test_poller_learns_of_the_next_timer_after_one_has_raised(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It waited for bytes without a limit in time."""
+    loop = _Loop(monkeypatch)
+
+    def fail() -> None:
+        raise ValueError("a fault")
+
+    loop.timers.call_later(0.0, fail)
+    event: Any = _Event()
+    with pytest.raises(ValueError, match="a fault"):
+        loop.timers._on_generate_events(event)
+
+    assert event.time_left_s == 1.0
