Bound what callers make nodes with holders hold, as on edge nodes

Callers saw: beside a crowd nodes with holders gave no answer within 20 s, and their memory grew without a bound (circuits.web kept what came, without a limit in time). The listeners for callers and operators now use the connections of edge nodes: one account, one budget, the same turns, limits and refusals. The table [machine] of their settings has the figures.

--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -55,9 +55,11 @@
     PeerMessage,
 )
 from mulberrybay_platform.client import PlatformClient, PlatformSettings
+from mulberrybay_runtime.callers.resources import CallerResources
+from mulberrybay_runtime.callers.turns import TurnLoop
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.faults import FaultLog
-from mulberrybay_runtime.http_server import HttpServer
+from mulberrybay_runtime.http_server import HttpServer, ListenerParts
 from mulberrybay_runtime.logs import StructuredLog
 from mulberrybay_runtime.streams import StreamPoller, Streams
 from mulberrybay_runtime.timers import Timers
@@ -82,7 +84,10 @@
         self._faults = FaultLog().register(self)
         self._poller = StreamPoller().register(self)
         self._timers = Timers().register(self)
-        self._streams = Streams(self._poller).register(self)
+        self._streams = Streams(self._poller, self._timers.run_prompt).register(
+            self
+        )
+        self._caller_resources = CallerResources(settings.machine)
         self._links = NodeLinks(self._streams, self._timers, self)
         self._platform = PlatformClient(
             PlatformSettings(
@@ -98,9 +103,31 @@
         self._caller_application = CallerApplication(self._service)
         parts = self._make_parts()
         self._operators = OperatorComponents(settings, parts, self._log)
+        self._build_servers()
         self._stop = GracefulStop(
             parts, self._caller_application, self._log, self.stop
         )
+        self._stop.count_unsent_answers = lambda: (
+            self._caller_server.pending_count
+        )
+
+    def _build_servers(self) -> None:
+        """Builds the HTTP servers for callers and operators."""
+        listener_parts = ListenerParts(
+            self._streams,
+            self._timers,
+            self._caller_resources,
+            TurnLoop(self._timers).register(self),
+        )
+        self._caller_server = HttpServer(
+            self._caller_application, "callers", listener_parts
+        )
+        self._operator_server = HttpServer(
+            self._operators.application,
+            "operators",
+            listener_parts,
+            self._caller_resources.connection_limits.own_answer_count,
+        )
 
     def _build_holding(self) -> None:
         """Builds the components that hold and use backend servers."""
@@ -221,6 +248,7 @@
             runs=self._runs,
             expiry=self._expiry,
             service=self._service,
+            caller_resources=self._caller_resources,
         )
 
     def __enter__(self) -> Self:
@@ -235,13 +263,10 @@
         self._exit_stack.enter_context(self._platform)
         self._exit_stack.enter_context(self._backends)
         self._exit_stack.enter_context(self._health_connections)
-        caller_server = HttpServer(
-            settings.caller_address, self._caller_application, "callers"
-        ).register(self)
-        self._stop.count_unsent_answers = lambda: caller_server.pending_count
-        HttpServer(
-            settings.operator_address, self._operators.application, "operators"
-        ).register(self)
+        self._exit_stack.enter_context(self._caller_server)
+        self._caller_server.listen(settings.caller_address)
+        self._exit_stack.enter_context(self._operator_server)
+        self._operator_server.listen(settings.operator_address)
         self._links.listen(settings.peer_address)
         # The heartbeats of the seeds list the members.
         self._links.set_seeds(settings.seed_addresses)
--- a/packages/daemon/mulberrybay_daemon/node_metrics.py
+++ b/packages/daemon/mulberrybay_daemon/node_metrics.py
@@ -125,6 +125,25 @@
         "Run records deleted, since their keys are too old to be used.",
     ),
 )
+CALLER_SPECS: Final = (
+    MetricSpec(
+        "callers_refused",
+        "counter",
+        "Requests refused and connections closed to bound callers.",
+        ("reason",),
+    ),
+    MetricSpec(
+        "caller_held_bytes",
+        "gauge",
+        "Memory that callers make the node hold.",
+        ("kind",),
+    ),
+    MetricSpec(
+        "caller_budget_bytes",
+        "gauge",
+        "Memory that all callers together may make the node hold.",
+    ),
+)
 CONTROL_SPECS: Final = (
     MetricSpec(
         "configuration_revision",
@@ -179,7 +198,9 @@
 class NodeMetrics(SampleSource):
     """Reads the metrics from one node's components."""
 
-    specs = CLASS_SPECS + ATTEMPT_SPECS + RUN_SPECS + CONTROL_SPECS
+    specs = (
+        CLASS_SPECS + ATTEMPT_SPECS + RUN_SPECS + CALLER_SPECS + CONTROL_SPECS
+    )
 
     def __init__(self, parts: NodeParts, change_handler: ChangeHandler) -> None:
         self._parts = parts
@@ -191,6 +212,7 @@
         yield from self._read_burn()
         yield from self._read_attempts()
         yield from self._read_runs()
+        yield from self._read_callers()
         yield from self._read_control()
         yield from self._read_platform()
 
@@ -244,6 +266,13 @@
         deleted_count = self._parts.expiry.deleted_count
         yield Sample("deleted_run_records", deleted_count)
 
+    def _read_callers(self) -> Iterator[Sample]:
+        resources = self._parts.caller_resources
+        yield from count_samples("callers_refused", resources.counts)
+        for kind, held_bytes in resources.memory.held_by_kind().items():
+            yield Sample("caller_held_bytes", held_bytes, (kind.name.lower(),))
+        yield Sample("caller_budget_bytes", resources.memory.budget_bytes)
+
     def _read_control(self) -> Iterator[Sample]:
         parts = self._parts
         now_s = read_clock_s()
--- a/packages/daemon/mulberrybay_daemon/node_parts.py
+++ b/packages/daemon/mulberrybay_daemon/node_parts.py
@@ -16,6 +16,7 @@
 from mulberrybay_daemon.service import NodeService
 from mulberrybay_nodes.links import NodeLinks
 from mulberrybay_platform.client import PlatformClient
+from mulberrybay_runtime.callers.resources import CallerResources
 from mulberrybay_runtime.faults import FaultLog
 from mulberrybay_runtime.timers import Timers
 
@@ -37,6 +38,7 @@
     runs: RunCoordinator
     expiry: RecordExpiry
     service: NodeService
+    caller_resources: CallerResources
 
     def active_count(self) -> int:
         """Returns the number of callers' requests in progress."""
--- a/packages/daemon/mulberrybay_daemon/settings.py
+++ b/packages/daemon/mulberrybay_daemon/settings.py
@@ -4,6 +4,10 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.admission import AdmissionSettings
+from mulberrybay_core.callers.machine_limits import (
+    DEFAULT_MACHINE_LIMITS,
+    MachineLimits,
+)
 from mulberrybay_core.membership import MembershipSettings
 from mulberrybay_core.policy_arms import PolicySettings
 from mulberrybay_core.write_budget import RunSettings
@@ -31,6 +35,7 @@
         membership: Durations of leases and heartbeats.
         admission: Limits on the queries that the node accepts.
         runs: Limits on non-idempotent requests.
+        machine: What the machine of the node allows its process to use.
         policy: How replicas are chosen and hedges sent; for experiments.
     """
 
@@ -49,4 +54,5 @@
     membership: MembershipSettings = MembershipSettings()
     admission: AdmissionSettings = AdmissionSettings()
     runs: RunSettings = RunSettings()
+    machine: MachineLimits = DEFAULT_MACHINE_LIMITS
     policy: PolicySettings = PolicySettings()
--- a/packages/daemon/mulberrybay_daemon/settings_checks.py
+++ b/packages/daemon/mulberrybay_daemon/settings_checks.py
@@ -9,6 +9,7 @@
 
 from mulberrybay_core.addresses import Address, parse_address
 from mulberrybay_core.admission import AdmissionSettings
+from mulberrybay_core.callers.machine_limits import DEFAULT_MACHINE_LIMITS
 from mulberrybay_core.membership import MembershipSettings
 from mulberrybay_core.policy_arms import POLICY_ARMS, PolicySettings
 from mulberrybay_core.write_budget import RunSettings
@@ -118,6 +119,7 @@
     "membership": MembershipSettings(),
     "admission": AdmissionSettings(),
     "runs": RunSettings(),
+    "machine": DEFAULT_MACHINE_LIMITS,
     "policy": PolicySettings(),
 }
 _SECTION_KEY_CHECKS: Final = {"policy.arm": _make_choice_check(POLICY_ARMS)}
--- a/packages/operators/mulberrybay_operators/application.py
+++ b/packages/operators/mulberrybay_operators/application.py
@@ -118,9 +118,8 @@
 
     def _is_authorized(self, request: HttpRequest) -> bool:
         text = request.headers.get("Authorization", "")
-        # circuits decodes escapes in headers, so that any code point can occur,
-        # also surrogates.
-        presented = text.encode(errors="surrogatepass")
+        # The bytes as they were sent.
+        presented = text.encode("latin-1")
         is_equal = hmac.compare_digest(presented, self._expected_authorization)
         return bool(self._expected_authorization) and is_equal
 
--- a/packages/runtime/mulberrybay_runtime/callers/connection.py
+++ b/packages/runtime/mulberrybay_runtime/callers/connection.py
@@ -1,6 +1,7 @@
 """One connection from a caller: answers requests in the order received."""
 
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, Protocol
 
@@ -92,6 +93,7 @@
     typical_answer_bytes: float
     answer_reserve: AnswerReserve | None
     turns: TurnLoop | None
+    encode_error: Callable[[CallerAnswer], CallerAnswer]
 
     def record_fault(self, request_id: str, error: Exception) -> None:
         """Logs a fault that kept a request from being started."""
@@ -367,12 +369,12 @@
             return
         self._waiting_bytes -= received.held_bytes
         if self._server.is_refusing:
-            self._answer(
+            self._refuse(
                 caller_errors.STOPPING, keeps_alive=received.keeps_alive
             )
             return
         if not self._admit(received):
-            self._answer(
+            self._refuse(
                 caller_errors.SHORT_OF_MEMORY,
                 keeps_alive=received.keeps_alive,
             )
@@ -413,7 +415,8 @@
         has_body = request.method != "HEAD"
 
         def reply(answer: CallerAnswer) -> None:
-            if number == self._request_count and self._is_busy:
+            is_current = number == self._request_count and self._is_busy
+            if is_current and self.is_open:
                 self._is_busy = False
                 self._cancel = None
                 self.account.hold(HeldKind.RUNNING, 0)
@@ -476,7 +479,11 @@
         reason = _FAILURE_REASONS.get(answer)
         if reason is not None:
             self._server.resources.record(reason)
-        self._answer(answer, keeps_alive=False)
+        self._refuse(answer, keeps_alive=False)
+
+    def _refuse(self, answer: CallerAnswer, *, keeps_alive: bool) -> None:
+        """Answers a request with an error of this node."""
+        self._answer(self._server.encode_error(answer), keeps_alive=keeps_alive)
 
     def _end(self) -> None:
         self._is_ending = True
--- a/packages/runtime/mulberrybay_runtime/callers/server.py
+++ b/packages/runtime/mulberrybay_runtime/callers/server.py
@@ -6,6 +6,7 @@
 
 from mulberrybay_core.addresses import Address
 from mulberrybay_core.caller_messages import (
+    CallerAnswer,
     CallerService,
     HeaderNames,
 )
@@ -26,6 +27,10 @@
 ANSWER_WEIGHT: Final = 1 / 16
 
 
+def _as_it_is(answer: CallerAnswer) -> CallerAnswer:
+    return answer
+
+
 class CallerServer:
     """Accepts connections from callers and passes requests to a service."""
 
@@ -70,6 +75,8 @@
             )
         )
         self.typical_answer_bytes = 0.0
+        # Returns an error of the node as callers get it.
+        self.encode_error: Callable[[CallerAnswer], CallerAnswer] = _as_it_is
         # Learns the delays of answers; None if they don't matter.
         self.answer_reserve: AnswerReserve | None = None
         timers.call_every(SWEEP_PERIOD_S, self._sweep)
