Bound what strangers make nodes hold on the port for other nodes

Anyone could connect there and send frames of 8 MiB short of their end: 524 MB for 60 connections. An incomplete frame is charged to the budget of callers, a link that was accepted may be silent for 10 s, and links over which no message has come give way beyond a number.

--- a/packages/core/mulberrybay_core/callers/connection_limit.py
+++ b/packages/core/mulberrybay_core/callers/connection_limit.py
@@ -13,6 +13,8 @@
 # The rest is for backend servers, the store and other nodes.
 SERVER_RATIO: Final = 0.25
 MIN_SERVER_COUNT: Final = 64
+# The part of these for links that other nodes have dialled.
+PEER_RATIO: Final = 0.5
 # Each listener that answers by itself has a part of its own, so that callers
 # don't keep the platform's checks out.
 OWN_ANSWER_RATIO: Final = 1 / 16
@@ -29,18 +31,19 @@
         caller_count: The limit of the listener for callers.
         own_answer_count: The limit of each listener for requests that the node
             answers by itself.
+        peer_count: The limit of the listener for links of other nodes.
     """
 
     caller_count: int
     own_answer_count: int
+    peer_count: int
 
     @classmethod
     def from_descriptors(cls, max_descriptor_count: int) -> "ConnectionLimits":
         """Returns the limits of a node with so many descriptors."""
         socket_count = max_descriptor_count - FILE_COUNT
-        accepted_count = socket_count - max(
-            MIN_SERVER_COUNT, int(SERVER_RATIO * socket_count)
-        )
+        server_count = max(MIN_SERVER_COUNT, int(SERVER_RATIO * socket_count))
+        accepted_count = socket_count - server_count
         own_answer_count = max(
             MIN_OWN_ANSWER_COUNT, int(OWN_ANSWER_RATIO * accepted_count)
         )
@@ -50,6 +53,7 @@
                 accepted_count - OWN_ANSWER_LISTENER_COUNT * own_answer_count,
             ),
             own_answer_count,
+            int(PEER_RATIO * server_count),
         )
 
 
@@ -67,6 +71,10 @@
         """Whether another connection has to give way to a new one."""
         return len(self._open) >= self._max_count
 
+    def connections(self) -> list[C]:
+        """Returns the open connections."""
+        return [*self._open]
+
     def longest_idle(self) -> C | None:
         """Returns the connection to close for a new one, if there is one."""
         return next(iter(self._idle), None)
--- a/packages/daemon/mulberrybay_daemon/node.py
+++ b/packages/daemon/mulberrybay_daemon/node.py
@@ -88,7 +88,9 @@
             self
         )
         self._caller_resources = CallerResources(settings.machine)
-        self._links = NodeLinks(self._streams, self._timers, self)
+        self._links = NodeLinks(
+            self._streams, self._timers, self, self._caller_resources
+        )
         self._platform = PlatformClient(
             PlatformSettings(
                 settings.platform_address, settings.platform_timeout_s
--- a/packages/nodes/mulberrybay_nodes/links.py
+++ b/packages/nodes/mulberrybay_nodes/links.py
@@ -9,20 +9,27 @@
 from typing import Final, NamedTuple, Protocol, Self
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.callers.connection_limit import ConnectionLimit
+from mulberrybay_core.callers.memory import SMALL_BYTES, HeldKind
 from mulberrybay_nodes.codec import FrameError, decode_message, encode_message
 from mulberrybay_nodes.frames import (
+    BLOCK_BYTES,
     FrameReader,
     FrameTooLongError,
     wrap_frame,
 )
 from mulberrybay_nodes.peer_messages import PeerMessage
 from mulberrybay_runtime.backoff import Backoff
+from mulberrybay_runtime.callers import resources as reasons
+from mulberrybay_runtime.callers.resources import CallerResources
 from mulberrybay_runtime.clock import read_clock_s
 from mulberrybay_runtime.streams import Stream, Streams
 from mulberrybay_runtime.timers import Timer, Timers
 
 DIAL_TIMEOUT_S: Final = 1.0
 READ_TIMEOUT_S: Final = 1.2
+# Peers send heartbeats on the links that they have dialled.
+ACCEPTED_TIMEOUT_S: Final = 10.0
 SEED_PREFIX: Final = "seed "
 
 
@@ -37,13 +44,22 @@
 
 
 class Link:
-    """One connection between two nodes."""
+    """One connection between two nodes.
+
+    Attributes:
+        has_delivered: Whether a message has come over it.
+        stream: The connection; None if there is none.
+        peer_id: The node that was dialled; empty if it has dialled this one.
+        is_connected: Whether messages can be sent.
+        last_received_at_s: When bytes last came.
+    """
 
     def __init__(
         self, listener: PeerListener, peer_id: str, stream: Stream | None
     ) -> None:
         self._listener = listener
         self._reader = FrameReader()
+        self.has_delivered = False
         self.stream = stream
         self.peer_id = peer_id
         self.is_connected = False
@@ -79,6 +95,7 @@
         try:
             for payload in self._reader.feed(data):
                 message = decode_message(payload, now_s)
+                self.has_delivered = True
                 self._listener.on_peer_message(message, self)
         except (FrameError, FrameTooLongError):
             stream.close()
@@ -101,6 +118,58 @@
             self.on_closed(stream, reason)
 
 
+class _AcceptedLink(Link):
+    """A link that was dialled by a peer, or by anyone else.
+
+    What it makes the node hold is charged like what callers do.
+    """
+
+    def __init__(
+        self,
+        links: "NodeLinks",
+        listener: PeerListener,
+        stream: Stream,
+    ) -> None:
+        super().__init__(listener, "", stream)
+        self.is_connected = True
+        stream.read_size_bytes = BLOCK_BYTES
+        self._links = links
+        self._account = links.resources.memory.open(
+            stream.peer.host, self._give_way, self.last_received_at_s
+        )
+
+    def on_data(self, stream: Stream, data: bytes) -> None:
+        """Handles received bytes; closes the link if memory is short."""
+        super().on_data(stream, data)
+        if self.stream is None:
+            return
+        self._links.record_received(self)
+        account = self._account
+        account.record_progress(len(data), self.last_received_at_s)
+        held_bytes = self._reader.held_bytes
+        added_bytes = held_bytes - account.held[HeldKind.INPUT]
+        if not self._links.resources.memory.admit(
+            account,
+            added_bytes,
+            self.last_received_at_s,
+            is_small=held_bytes <= SMALL_BYTES,
+        ):
+            self._give_way()
+            return
+        account.hold(HeldKind.INPUT, held_bytes)
+
+    def on_closed(self, stream: Stream, reason: str) -> None:
+        """Frees what the link holds, without waiting for the collector."""
+        self._reader = FrameReader()
+        self._links.resources.memory.remove(self._account)
+        self._links.remove_accepted(self)
+        super().on_closed(stream, reason)
+
+    def _give_way(self) -> None:
+        self._links.resources.record(reasons.CLOSED_FOR_MEMORY)
+        self.close("the node is short of memory")
+
+
 class _DialledPeer:
     def __init__(self, address: Address, link: Link) -> None:
         self.address = address
@@ -120,8 +189,17 @@
     """The links of one node to all its peers."""
 
     def __init__(
-        self, streams: Streams, timers: Timers, listener: PeerListener
+        self,
+        streams: Streams,
+        timers: Timers,
+        listener: PeerListener,
+        resources: CallerResources,
     ) -> None:
+        self.resources = resources
+        # Only links over which no message has come give way to others.
+        self._accepted: ConnectionLimit[_AcceptedLink] = ConnectionLimit(
+            resources.connection_limits.peer_count
+        )
         self._streams = streams
         self._timers = timers
         self._listener = listener
@@ -145,11 +223,28 @@
         """
         self._streams.listen(address, self._accept)
 
-    def _accept(self, stream: Stream) -> Link:
-        link = Link(self._listener, "", stream)
-        link.is_connected = True
+    def _accept(self, stream: Stream) -> Link | None:
+        """Accepts a link; one that has delivered nothing gives way."""
+        if self._accepted.is_full:
+            unproven = self._accepted.longest_idle()
+            if unproven is None:
+                self.resources.record(reasons.TURNED_AWAY)
+                return None
+            self.resources.record(reasons.IDLE_CLOSED)
+            unproven.close("too many links")
+        link = _AcceptedLink(self, self._listener, stream)
+        self._accepted.add(link)
         return link
 
+    def record_received(self, link: _AcceptedLink) -> None:
+        """Records that bytes came over an accepted link."""
+        if link.has_delivered:
+            self._accepted.record_busy(link)
+
+    def remove_accepted(self, link: _AcceptedLink) -> None:
+        """Removes an accepted link that was closed."""
+        self._accepted.remove(link)
+
     def set_seeds(self, addresses: tuple[Address, ...]) -> None:
         """Sets the addresses to dial while no known peer has them."""
         self._seeds = addresses
@@ -237,6 +332,9 @@
 
     def check_links(self, now_s: float) -> None:
         """Closes unresponsive links and redials closed ones."""
+        for accepted in self._accepted.connections():
+            if now_s - accepted.last_received_at_s > ACCEPTED_TIMEOUT_S:
+                accepted.close("nothing has come over the link")
         for peer_id, peer in list(self._dialled.items()):
             link = peer.link
             is_unresponsive = now_s - link.last_received_at_s > READ_TIMEOUT_S
--- a/packages/nodes/tests/test_links.py
+++ b/packages/nodes/tests/test_links.py
@@ -3,6 +3,7 @@
 from mulberrybay_core.addresses import Address
 from mulberrybay_nodes.links import Link, NodeLinks
 from mulberrybay_nodes.peer_messages import PeerMessage
+from mulberrybay_runtime.callers.resources import CallerResources
 from mulberrybay_runtime.streams import Stream, StreamObserver
 from mulberrybay_runtime.timers import Timers
 
@@ -39,7 +40,7 @@
     While it was down, dials to it were refused, so the next one is delayed.
     """
     streams = _Streams()
-    links = NodeLinks(streams, Timers(), _Listener())  # type: ignore[arg-type]
+    links = NodeLinks(streams, Timers(), _Listener(), CallerResources())  # type: ignore[arg-type]
     links.set_peers({"node-2": ADDRESS})
     links.dial_now("node-2")
     assert len(streams.observers) == 1, "a dial is under way"
