Take a relayed head that the first node took

A node that relays adds headers of its own, so that the next node refused a head at the limit with 431, though the caller kept it. Nodes now put theirs first, and the reader allows 1 KiB more from there on.

--- a/packages/edge/mulberrybay_edge/sending.py
+++ b/packages/edge/mulberrybay_edge/sending.py
@@ -179,8 +179,7 @@
         self._head = self._encode_head(request.headers)
 
     def _encode_head(self, headers: HeaderList) -> str:
-        lines = [f"{self._method} {self.target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in headers]
+        lines = [f"{name}: {value}" for name, value in headers]
         if self.request_id:
             lines.append(f"{self._names.request_id}: {self.request_id}")
         if self._body or self._method not in {"GET", "HEAD", "DELETE"}:
@@ -209,10 +208,13 @@
     def encode(self, server_id: str, time_left_s: float) -> bytes:
         """Returns the encoded request for one server."""
         names = self._names
+        # A node that the request is relayed to learns from the first header that
+        # nodes have added some.
         return (
-            f"{self._head}\r\n"
+            f"{self._method} {self.target} HTTP/1.1\r\n"
+            f"{names.expected_server}: {server_id}\r\n"
             f"{names.deadline_ms}: {max(1, int(time_left_s * 1000))}\r\n"
-            f"{names.expected_server}: {server_id}\r\n\r\n"
+            f"{self._head}\r\n\r\n"
         ).encode("latin-1") + self._body
 
 
--- a/packages/runtime/mulberrybay_runtime/callers/connection.py
+++ b/packages/runtime/mulberrybay_runtime/callers/connection.py
@@ -123,7 +123,10 @@
         self._stream = stream
         self._timing = ConnectionTiming(stream, server.answer_reserve)
         self._reader = RequestReader(
-            self._on_request, self._on_expectation, self._timing
+            self._on_request,
+            self._on_expectation,
+            self._timing,
+            server.names.expected_server,
         )
         self._pending: deque[ReceivedRequest | CallerAnswer] = deque()
         self._waiting_bytes = 0
--- a/packages/runtime/mulberrybay_runtime/callers/parser.py
+++ b/packages/runtime/mulberrybay_runtime/callers/parser.py
@@ -26,6 +26,8 @@
 OBJECT_BYTES: Final = 1024
 INTERNAL_HEADER_NAMES: Final = frozenset({"content-length"})
 MAX_LENGTH_DIGITS: Final = 18
+# The headers that nodes add to a request that they relay.
+RELAYED_HEADER_BYTES: Final = 1024
 # How the parser reports a version other than 1.0 and 1.1.
 INVALID_VERSION_TEXT: Final = "Invalid HTTP version"
 # The headers that tell where a request and its connection end.
@@ -155,6 +157,7 @@
         on_request: Callable[[ReceivedRequest | CallerAnswer], None],
         on_expectation: Callable[[], None],
         timing: ConnectionTiming,
+        relay_name: str = "",
     ) -> None:
         """Creates the reader.
 
@@ -163,12 +166,17 @@
                 one that exceeds the limits.
             on_expectation: Called if the caller waits for "100 Continue".
             timing: Tells the network time of each request.
+            relay_name: The name of the header that nodes add first to requests
+                that they relay; empty if no request is relayed.
         """
         self._on_request = on_request
         self._on_expectation = on_expectation
         self._timing = timing
         self._limits = CallerLimits()
-        self._noted_names = {*FRAMING_NAMES, b"expect"}
+        # What the head of the request may have.
+        self._max_header_bytes = 0
+        self._relay_name = relay_name.lower().encode()
+        self._noted_names = {*FRAMING_NAMES, b"expect", self._relay_name}
         # None after the reader was closed: the parser refers to the reader.
         self._parser: httptools.HttpRequestParser | None = (
             httptools.HttpRequestParser(self)
@@ -262,7 +270,7 @@
         return self._find_excess()
 
     def _find_excess(self) -> CallerAnswer | None:
-        max_header_bytes = self._limits.max_header_bytes
+        max_header_bytes = self._max_header_bytes
         # The space after the colon of a line isn't counted in its bytes.
         max_unread_bytes = (
             max_header_bytes + self._line_count + START_LINE_BYTES
@@ -297,7 +305,7 @@
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserUpgrade as upgrade:
-                if self._header_bytes > self._limits.max_header_bytes:
+                if self._header_bytes > self._max_header_bytes:
                     raise _HeadTooLargeError from upgrade
                 data = self._encode_framing() + data[upgrade.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
@@ -339,6 +347,7 @@
         if self._resumes:
             return
         self._clear_message()
+        self._max_header_bytes = self._limits.max_header_bytes
         self.message_started_at_s = read_clock_s()
 
     def on_url(self, url: bytes) -> None:
@@ -347,7 +356,7 @@
             return
         self._header_bytes += len(url)
         self.read_bytes += len(url)
-        if self._header_bytes <= self._limits.max_header_bytes:
+        if self._header_bytes <= self._max_header_bytes:
             self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -359,7 +368,7 @@
         if self.is_head_read:
             return
         self.read_bytes += line_bytes
-        if self._header_bytes <= self._limits.max_header_bytes:
+        if self._header_bytes <= self._max_header_bytes:
             # Neither names nor values contain line feeds, names no colon.
             self._head += b"%b:%b\n" % (name, value)
             self._line_count += 1
@@ -369,7 +378,11 @@
 
     def _note_header(self, lower_name: bytes, value: bytes) -> None:
         """Notes what the reader itself has to know of a head."""
-        if lower_name == b"expect":
+        if lower_name == self._relay_name:
+            self._max_header_bytes = (
+                self._limits.max_header_bytes + RELAYED_HEADER_BYTES
+            )
+        elif lower_name == b"expect":
             self._expects_continue = value.lower() == b"100-continue"
         else:
             self._framing_lines.append(b"%b:%b" % (lower_name, value))
@@ -405,7 +418,7 @@
         self._has_completed = True
         if self._body_bytes > self._limits.max_body_bytes:
             self._on_request(caller_errors.BODY_TOO_LARGE)
-        elif self._header_bytes > self._limits.max_header_bytes:
+        elif self._header_bytes > self._max_header_bytes:
             self._on_request(caller_errors.HEADERS_TOO_LARGE)
         else:
             received = ReceivedRequest(
