Hold no more of a shard's reply than an answer can contain

Replies were held whole until the last one came. Now only the greatest records of each are kept, as many as the answer may have; the answer is the same.

--- a/packages/core/mulberrybay_core/shard_merge.py
+++ b/packages/core/mulberrybay_core/shard_merge.py
@@ -1,5 +1,6 @@
 """Merges the shard replies of a query into the greatest records of all."""
 
+import heapq
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -29,12 +30,23 @@
             replies.
         top_hit_count: The maximum number of records to return.
     """
-    records = [
+    records = (
         reply.records[start : start + RECORD_BYTES]
         for reply in replies
         for start in range(
             0, len(reply.records) - RECORD_BYTES + 1, RECORD_BYTES
         )
-    ]
-    records.sort(reverse=True)
-    return b"".join(records[:top_hit_count])
+    )
+    return b"".join(heapq.nlargest(top_hit_count, records))
+
+
+def trim_shard_reply(reply: ShardReply, top_hit_count: int) -> ShardReply:
+    """Returns a reply without the records that no answer can contain.
+
+    Args:
+        reply: The shard reply.
+        top_hit_count: The maximum number of records of an answer.
+    """
+    if len(reply.records) <= top_hit_count * RECORD_BYTES:
+        return reply
+    return reply._replace(records=merge_shard_replies([reply], top_hit_count))
--- a/packages/edge/mulberrybay_edge/gather_handler.py
+++ b/packages/edge/mulberrybay_edge/gather_handler.py
@@ -13,7 +13,11 @@
 from mulberrybay_core.fatal_requests import CONDEMNED_COUNT
 from mulberrybay_core.overload.admission import enough_wait_s
 from mulberrybay_core.pause_wait import can_wait, enough_available_at_s
-from mulberrybay_core.shard_merge import ShardReply, merge_shard_replies
+from mulberrybay_core.shard_merge import (
+    ShardReply,
+    merge_shard_replies,
+    trim_shard_reply,
+)
 from mulberrybay_core.suspect_turns import MAX_SILENCE_S
 from mulberrybay_edge.request_context import (
     CAPACITY_CHECK_PERIOD_S,
@@ -316,7 +320,11 @@
         if not signature or signature in self._signatures:
             return False
         self._signatures.add(signature)
-        shard.reply = ShardReply(signature, result.reply.body)
+        # The rest isn't held while other shards are awaited.
+        shard.reply = trim_shard_reply(
+            ShardReply(signature, result.reply.body),
+            self._job.route.top_hit_count,
+        )
         self._missing_count -= 1
         hedge = shard.hedge
         if hedge is not None and hedge.server_id == result.server_id:
