--- a/packages/edge/mulberrybay_edge/node.py
+++ b/packages/edge/mulberrybay_edge/node.py
@@ -130,7 +130,9 @@
         )
         self._datagrams = Datagrams(self._poller).register(self)
         self._peer_link: PeerLink | None = None
-        self._connections = ServerConnections(self._streams, self._timers)
+        self._connections = ServerConnections(
+            self._streams, self._timers, self._settings.machine.memory_mb
+        )
         self._crash_watch = CrashWatch(
             self._connections, self._timers, self._decisions
         )
@@ -201,7 +203,9 @@
 
     def _build_dispatch(self) -> None:
         settings = self._settings
-        self._peer_connections = ServerConnections(self._streams, self._timers)
+        self._peer_connections = ServerConnections(
+            self._streams, self._timers, self._settings.machine.memory_mb
+        )
         self._gate = TenantGate(settings.quotas, read_clock_s)
         self._reach = ServerReach(read_clock_s())
         self._retry_budget = RetryBudget(settings.retry_terms)
--- a/packages/edge/mulberrybay_edge/server_connections.py
+++ b/packages/edge/mulberrybay_edge/server_connections.py
@@ -13,6 +13,7 @@
 import httptools
 
 from mulberrybay_core.addresses import Address
+from mulberrybay_core.callers.machine_limits import DEFAULT_MACHINE_LIMITS
 from mulberrybay_edge.exchange import (
     Exchange,
     ExchangeOutcome,
@@ -46,9 +47,9 @@
 USABLE_IDLE_RATIO: Final = 0.7
 # A late copy of a reply is recognized among this many replies on a connection.
 EARLIER_REPLY_COUNT: Final = 16
-# The bytes of incomplete replies on all connections together. The reply that
-# exceeds it is given up.
-MAX_BUFFERED_BYTES: Final = 32 * 1024 * 1024
+# The part of the node's memory that incomplete replies may take on all
+# connections together. The reply that exceeds it is given up.
+BUFFERED_RATIO: Final = 0.125
 CLOSED_BY_PEER: Final = "the peer closed the connection"
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 
@@ -192,20 +193,21 @@
             return
         if reply is not None:
             self._finish(reply)
-        elif not self._buffer(len(data)):
+        elif not self._hold(self._parser.held_bytes):
             self._fail(
                 ExchangeOutcome.MALFORMED,
                 "too many bytes of incomplete replies",
             )
 
-    def _buffer(self, count: int) -> bool:
-        """Counts received bytes of the incomplete reply.
+    def _hold(self, held_bytes: int) -> bool:
+        """Counts what the incomplete reply takes in memory.
 
         Returns:
             False if all incomplete replies together are too large.
         """
-        self._buffered_bytes += count
-        return self._pool.add_buffered(count)
+        added_bytes = held_bytes - self._buffered_bytes
+        self._buffered_bytes = held_bytes
+        return self._pool.add_buffered(added_bytes)
 
     def _release_buffer(self) -> None:
         if self._parser is not None:
@@ -340,7 +342,7 @@
     def add_buffered(self, count: int) -> bool:
         """Counts bytes of incomplete replies; False if there are too many."""
         self._owner.buffered_bytes += count
-        return self._owner.buffered_bytes <= MAX_BUFFERED_BYTES
+        return self._owner.buffered_bytes <= self._owner.max_buffered_bytes
 
     def can_start(self, cap_count: int) -> bool:
         """Whether a request can start now; see `ServerConnections`."""
@@ -441,11 +443,18 @@
     Attributes:
         on_dial: Called at the end of each dial.
         dial_count: The connections opened.
-        buffered_bytes: The bytes of incomplete replies.
+        buffered_bytes: What incomplete replies take in memory.
+        max_buffered_bytes: What they may take.
     """
 
-    def __init__(self, streams: Streams, timers: Timers) -> None:
+    def __init__(
+        self,
+        streams: Streams,
+        timers: Timers,
+        memory_mb: float = DEFAULT_MACHINE_LIMITS.memory_mb,
+    ) -> None:
         self.streams = streams
+        self.max_buffered_bytes = int(BUFFERED_RATIO * memory_mb * 1024 * 1024)
         self.on_dial: DialHandler = _ignore_dial
         self._pools: dict[str, _Pool] = {}
         self._probes: dict[str, tuple[_Probe, Stream]] = {}
--- a/packages/runtime/mulberrybay_runtime/http_exchange.py
+++ b/packages/runtime/mulberrybay_runtime/http_exchange.py
@@ -17,6 +17,8 @@
 MAX_HEAD_BYTES: Final = 64 * 1024
 # Small chunks take up to several times the size of the body that they carry.
 MAX_ENCODED_BYTES: Final = 2 * MAX_REPLY_BYTES
+# What a header takes as a pair of strings, apart from its text.
+HEADER_LINE_BYTES: Final = 200
 # Replies below are interim ones.
 MIN_STATUS: Final = 200
 MAX_STATUS: Final = 599
@@ -48,10 +50,10 @@
 class _ReplySize:
     """Bounds the bytes of one reply."""
 
-    __slots__ = ("_encoded_bytes", "_head_bytes")
+    __slots__ = ("_encoded_bytes", "head_bytes")
 
     def __init__(self) -> None:
-        self._head_bytes = 0
+        self.head_bytes = 0
         self._encoded_bytes = 0
 
     def add(self, count: int, body_bytes: int, *, is_in_head: bool) -> None:
@@ -67,9 +69,9 @@
         """
         self._encoded_bytes += count
         if is_in_head:
-            self._head_bytes += count
+            self.head_bytes += count
         if (
-            self._head_bytes > MAX_HEAD_BYTES
+            self.head_bytes > MAX_HEAD_BYTES
             or self._encoded_bytes > MAX_ENCODED_BYTES
             or body_bytes > MAX_REPLY_BYTES
         ):
@@ -128,7 +130,8 @@
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
+        # One buffer: small chunks would take many times their size as objects.
+        self._body = bytearray()
         self._body_bytes = 0
         self._has_headers = False
         self._size = _ReplySize()
@@ -158,7 +161,7 @@
     def on_message_begin(self) -> None:
         """Starts a reply."""
         self._headers = {}
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._has_headers = False
         if not self._is_interim:
@@ -181,7 +184,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Records a chunk of the body."""
-        self._body.append(body)
+        self._body += body
         self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
@@ -192,11 +195,11 @@
             HttpReply(
                 status=self._parser.get_status_code(),
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 keeps_alive=self._parser.should_keep_alive(),
             )
         )
-        self._body = []
+        self._body = bytearray()
 
 
 class SingleReplyParser:
@@ -218,7 +221,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._expects_body = expects_body
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
+        # One buffer: small chunks would take many times their size as objects.
+        self._body = bytearray()
         self._body_bytes = 0
         self._has_headers = False
         self._size = _ReplySize()
@@ -248,13 +252,23 @@
             )
         return self.reply
 
+    @property
+    def held_bytes(self) -> int:
+        """What the incomplete reply takes in memory."""
+        # A growing buffer is up to an eighth larger than its content.
+        return (
+            2 * self._size.head_bytes
+            + HEADER_LINE_BYTES * len(self._headers)
+            + len(self._body) * 9 // 8
+        )
+
     def discard(self) -> None:
         """Frees the bytes of a reply that was used or is given up.
 
         The parser of the library refers back to this object, so that only the
         cycle collector would free them.
         """
-        self._body = []
+        self._body = bytearray()
         self._headers = {}
         self.reply = None
 
@@ -279,7 +293,7 @@
             self.has_extra_bytes = True
             return
         self._headers = {}
-        self._body = []
+        self._body = bytearray()
         self._has_headers = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -303,7 +317,7 @@
     def on_body(self, body: bytes) -> None:
         """Records a chunk of the body."""
         if self.reply is None:
-            self._body.append(body)
+            self._body += body
             self._body_bytes += len(body)
         elif not self._expects_body:
             self.has_extra_bytes = True
@@ -317,7 +331,7 @@
         self.reply = HttpReply(
             status=self._parser.get_status_code(),
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             keeps_alive=keeps_alive,
         )
-        self._body = []
+        self._body = bytearray()
