--- a/packages/runtime/mulberrybay_runtime/json_input.py
+++ b/packages/runtime/mulberrybay_runtime/json_input.py
@@ -1,8 +1,8 @@
 """Decodes JSON from outside, of which a part may be more than a decoder takes.
 
-A value that is nested too deeply, or an integer with too many digits, makes
-Python's decoder reject the whole text. Here such a value is replaced, so that the
-values around it can be used.
+A value that is nested too deeply, an integer with too many digits, or a byte that
+isn't UTF-8 makes Python's decoder reject the whole text. Here such a value is
+replaced, so that the values around it can be used.
 """
 
 import json
@@ -44,7 +44,8 @@
     """Returns the value of a JSON text.
 
     A value at a depth of more than MAX_DEPTH becomes None, and an integer of more
-    than MAX_INTEGER_DIGITS digits a float, which may be infinite.
+    than MAX_INTEGER_DIGITS digits a float, which may be infinite. Bytes that
+    aren't UTF-8 become lone surrogates.
 
     Raises:
         ValueError: The text is not JSON.
@@ -52,5 +53,6 @@
     try:
         return json.loads(data)
     except (RecursionError, ValueError):
-        text = data.decode("utf-8")
+        # What isn't UTF-8 becomes lone surrogates, as an escape may name them.
+        text = data.decode("utf-8", errors="surrogateescape")
         return json.loads(_replace_deep_values(text), parse_int=_parse_integer)
--- a/tests/on_platform/test_store_input.py
+++ b/tests/on_platform/test_store_input.py
@@ -45,6 +45,8 @@
     "large integer": "9" * 10_000,
     "large exponent": "1e999999",
     "lone surrogate": r'"\ud800"',
+    # A byte that isn't UTF-8, in the form of `os.fsencode`.
+    "undecodable byte": '"f\udcfcr"',
     "doubled field": '{"a":1,"a":[]}',
 }
 leaves = strategies.one_of(
@@ -81,7 +83,8 @@
     texts = [item("a", sound), item("b", odd), item("c", sound)]
     if form == "events":
         texts = [f'{{"deleted":false,"object":{text}}}' for text in texts]
-    body = f'{{"{form}":[{",".join(texts)}],"as_of":9}}'.encode()
+    text = f'{{"{form}":[{",".join(texts)}],"as_of":9}}'
+    body = text.encode(errors="surrogateescape")
 
     began_at_s = time.monotonic()
     objects = DIALECT.decode_list(make_reply(body))
