--- a/packages/edge/mulberrybay_edge/store_watch.py
+++ b/packages/edge/mulberrybay_edge/store_watch.py
@@ -414,7 +414,8 @@
         return self.timeout_s * self._random.uniform(MIN_WAIT_RATIO, 1.0)
 
     def _on_watch_failure(self, failure: Failure) -> None:
-        if failure.kind is FailureKind.HISTORY_GONE:
+        # A reply that is too large only grows; a list comes in pages.
+        if failure.kind in (FailureKind.HISTORY_GONE, FailureKind.TOO_LARGE):
             self._needs_list = True
         self._schedule_retry(failure)
 
--- a/packages/edge/tests/test_store_watch.py
+++ b/packages/edge/tests/test_store_watch.py
@@ -207,6 +207,17 @@
     assert len(started.store.lists) == 2
 
 
+def test_objects_are_listed_after_a_reply_to_a_watch_was_too_large() -> None:
+    """The same watch was sent again, whose reply only grew."""
+    started = _StartedWatch()
+    started.timers.advance(BATCH_DELAY_S)
+    too_large = FAILURE._replace(kind=FailureKind.TOO_LARGE)
+    started.store.watches[0](too_large)
+    started.timers.advance(1.0)
+    assert len(started.store.lists) == 2
+    assert len(started.store.watches) == 1
+
+
 def test_only_the_first_list_may_be_stale() -> None:
     """Guards against the price of lists at a start, and against old lists later.
 
--- a/packages/platform/mulberrybay_platform/client.py
+++ b/packages/platform/mulberrybay_platform/client.py
@@ -138,10 +138,14 @@
         """Handles received bytes; closes the connection if malformed."""
         try:
             replies = self._parser.feed(data)
-        except (httptools.HttpParserError, ReplyTooLargeError):
+        except httptools.HttpParserError:
             stream.close()
             self._client.on_connection_lost(self, "malformed reply")
             return
+        except ReplyTooLargeError:
+            stream.close()
+            self._client.on_reply_too_large(self)
+            return
         for reply in replies:
             self._client.on_reply(self, reply)
 
@@ -547,7 +551,21 @@
         finally:
             self._send_queued()
 
-    def on_connection_lost(self, connection: _Connection, reason: str) -> None:
+    def on_reply_too_large(self, connection: _Connection) -> None:
+        """Fails a call; who watches may list the objects in pages instead."""
+        is_watch = connection in self._watching
+        self.on_connection_lost(
+            connection,
+            "the reply is too large",
+            FailureKind.TOO_LARGE if is_watch else FailureKind.PLATFORM,
+        )
+
+    def on_connection_lost(
+        self,
+        connection: _Connection,
+        reason: str,
+        kind: FailureKind = FailureKind.PLATFORM,
+    ) -> None:
         """Fails the call in progress on a connection that has ended."""
         self._remove_in_use(connection)
         if connection in self._idle:
@@ -555,16 +573,21 @@
         call = connection.call
         connection.call = None
         if call is not None:
-            self._fail(call, reason)
+            self._fail(call, reason, kind)
         self._send_queued()
 
-    def _fail(self, call: _Call, detail: str) -> None:
+    def _fail(
+        self,
+        call: _Call,
+        detail: str,
+        kind: FailureKind = FailureKind.PLATFORM,
+    ) -> None:
         self._has_ended_call = True
         self.failure_counts[call.operation] += 1
         self._consecutive_failure_count += 1
         call.finish(
             Failure(
-                kind=FailureKind.PLATFORM,
+                kind=kind,
                 step=Step.RECORD,
                 peer=f"platform {self._settings.address}",
                 detail=f"{call.operation}: {detail}",
--- a/packages/platform/tests/test_client.py
+++ b/packages/platform/tests/test_client.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mulberrybay_core.addresses import Address
-from mulberrybay_core.errors import Failure
+from mulberrybay_core.errors import Failure, FailureKind
 from mulberrybay_core.store_messages import ObjectList
 from mulberrybay_platform.client import (
     MAX_CONNECTION_COUNT,
@@ -17,6 +17,7 @@
     PlatformSettings,
 )
 from mulberrybay_runtime.clock import read_clock_s
+from mulberrybay_runtime.http_exchange import MAX_REPLY_BYTES
 from mulberrybay_runtime.timers import Timer, Timers
 from mulberrybay_testing.status_lines import UNUSABLE_STATUS_LINES
 
@@ -136,6 +137,23 @@
     assert [type(result) for result in store.results] == [Failure]
 
 
+def test_reply_that_is_too_large_is_told_to_who_watches() -> None:
+    """A watch that gets it again and again has to list the objects instead."""
+    store = _ClientFixture()
+    store.watch()
+    store.list_kind()
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    block = b"100000\r\n" + b" " * 0x100000 + b"\r\n"
+    for index in range(2):
+        store.streams.reply(index, head)
+        for _ in range(MAX_REPLY_BYTES // 0x100000 + 1):
+            if not store.streams.dialled[index][0].is_closed:
+                store.streams.reply(index, block)
+
+    kinds = [result.kind for result in store.results]  # type: ignore[union-attr]
+    assert kinds == [FailureKind.TOO_LARGE, FailureKind.PLATFORM]
+
+
 def test_exit_closes_every_connection() -> None:
     store = _ClientFixture()
     with store.client:
